Lay out the project: core records, interfaces, checks

Cause: every part needs the same identifiers, deadlines, findings, refusals and manifest records before it can be written apart from the others. Ruled out: one record module per part (names would drift); a schema language for the manifest (the records are the schema). Before: nothing.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+# Every target works from a fresh checkout: the virtual environment is made first.
+VENV := .venv
+PY := $(VENV)/bin/python
+
+.PHONY: venv test lint format types demo run bench check
+
+venv: $(VENV)/ready
+
+$(VENV)/ready: requirements.txt requirements-dev.txt requirements-indirect.txt pyproject.toml
+	python3.11 -m venv $(VENV)
+	$(PY) -m pip install -q -r requirements-dev.txt
+	$(PY) -m pip install -q --no-deps --no-build-isolation -e . || $(PY) -m pip install -q --no-deps -e .
+	touch $@
+
+format: venv
+	$(PY) -m ruff format .
+
+lint: venv
+	$(PY) -m ruff format --check .
+	$(PY) -m ruff check .
+
+types: venv
+	$(PY) -m mypy
+
+test: venv
+	$(PY) -m tools.run_tests
+
+check: lint types test
+
+demo: venv
+	$(PY) -m tools.demo
+
+run: venv
+	$(PY) -m tools.launch
+
+bench: venv
+	$(PY) -m bench.main short
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load and experiment tool."""
--- /dev/null
+++ b/masticfork/__init__.py
@@ -0,0 +1,1 @@
+"""Model-aware router for versions and cascades."""
--- /dev/null
+++ b/masticfork/admin/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP interface for operators."""
--- /dev/null
+++ b/masticfork/backends/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of model engines and plain services."""
--- /dev/null
+++ b/masticfork/core/__init__.py
@@ -0,0 +1,1 @@
+"""Records, identifiers, deadlines, findings and refusals that all parts share."""
--- /dev/null
+++ b/masticfork/core/configuration.py
@@ -0,0 +1,53 @@
+"""A manifest in force, with indexes for decisions."""
+
+import attrs
+
+from masticfork.core.ids import (
+    ModelName,
+    PoolName,
+    ServiceName,
+    TeamName,
+    VersionId,
+    model_of,
+)
+from masticfork.core.manifest import Manifest, Model, Pool, Service, Team, Version
+
+
+def _by_name(rows: tuple) -> dict:  # type: ignore[type-arg]
+    return {row.name: row for row in rows}
+
+
+@attrs.frozen(eq=False)
+class Configuration:
+    """A checked manifest under the platform's version number."""
+
+    # The platform's object version; a greater number is always newer.
+    number: int
+    submission_id: str
+    manifest: Manifest
+    teams: dict[TeamName, Team] = attrs.field(init=False)
+    models: dict[ModelName, Model] = attrs.field(init=False)
+    pools: dict[PoolName, Pool] = attrs.field(init=False)
+    services: dict[ServiceName, Service] = attrs.field(init=False)
+    versions: dict[VersionId, Version] = attrs.field(init=False)
+    withdrawn: frozenset[VersionId] = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        put = object.__setattr__
+        manifest = self.manifest
+        put(self, "teams", _by_name(manifest.teams))
+        put(self, "models", _by_name(manifest.models))
+        put(self, "pools", _by_name(manifest.pools))
+        put(self, "services", _by_name(manifest.services))
+        versions = (v for model in manifest.models for v in model.versions)
+        put(self, "versions", {version.id: version for version in versions})
+        put(self, "withdrawn", frozenset(manifest.withdrawn))
+
+    def allows(self, team: Team, version: VersionId) -> bool:
+        """Tell whether the team may use the version, withdrawn or not."""
+        return version in team.allowed or model_of(version) in team.allowed
+
+    def usable(self, team: Team, version: VersionId) -> bool:
+        """Tell whether new work of the team may go to the version."""
+        known = version in self.versions and version not in self.withdrawn
+        return known and self.allows(team, version)
--- /dev/null
+++ b/masticfork/core/deadlines.py
@@ -0,0 +1,27 @@
+"""Points in time after which something is given up."""
+
+import attrs
+
+
+@attrs.frozen(order=True)
+class Deadline:
+    """A point in time, in seconds since the Unix epoch."""
+
+    at: float
+
+    @classmethod
+    def after(cls, now: float, seconds: float) -> "Deadline":
+        """Return the deadline that lies `seconds` after `now`."""
+        return cls(now + seconds)
+
+    def expired(self, now: float) -> bool:
+        """Tell whether `now` is at or past the deadline."""
+        return now >= self.at
+
+    def remaining(self, now: float) -> float:
+        """Return the seconds left, never negative."""
+        return max(0.0, self.at - now)
+
+    def sooner(self, other: "Deadline") -> "Deadline":
+        """Return the earlier of two deadlines."""
+        return min(self, other)
--- /dev/null
+++ b/masticfork/core/tables.py
@@ -0,0 +1,70 @@
+"""The tables of one host: rows are immutable, systems replace them each tick."""
+
+from typing import Protocol
+
+import attrs
+
+from masticfork.core.configuration import Configuration
+from masticfork.core.deadlines import Deadline
+from masticfork.core.findings import Findings
+from masticfork.core.ids import HostName, RequestId, ServerName, ZoneName
+from masticfork.core.manifest import BackendServer
+
+
+@attrs.frozen
+class SelfRow:
+    """This host."""
+
+    host: HostName
+    zone: ZoneName
+    stopping: bool = False
+
+
+@attrs.frozen
+class ServerRow:
+    """What this host knows of one backend server."""
+
+    server: BackendServer
+    leaving: bool = False
+    # No new work before this deadline, after failures.
+    ejected_until: Deadline | None = None
+    failures_in_row: int = 0
+    in_flight: int = 0
+    # Load that the server last reported, with the time of the report.
+    reported_running: int = 0
+    reported_queued: int = 0
+    reported_at: float = 0.0
+
+
+@attrs.frozen
+class HostRow:
+    """What this host knows of another entry host."""
+
+    host: HostName
+    zone: ZoneName
+    address: str
+    heard_at: float
+    suspect_at: Deadline
+    dead_at: Deadline
+    leaving: bool = False
+    configuration_number: int = 0
+
+
+@attrs.define
+class Tables:
+    """All rows that decisions read; one instance a host."""
+
+    me: SelfRow
+    configuration: Configuration | None = None
+    # Until when the configuration counts as confirmed by platform or peers.
+    confirmed_until: Deadline | None = None
+    servers: dict[ServerName, ServerRow] = attrs.field(factory=dict)
+    hosts: dict[HostName, HostRow] = attrs.field(factory=dict)
+    running: dict[RequestId, Deadline] = attrs.field(factory=dict)
+
+
+class System(Protocol):
+    """A transformation of the tables, run each tick."""
+
+    def run(self, tables: Tables, now: float) -> Findings:
+        """Replace rows that `now` makes stale and report what changed."""
--- /dev/null
+++ b/masticfork/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Messages and connections between daemons."""
--- /dev/null
+++ b/masticfork/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform: objects, host list, ratings and weights."""
--- /dev/null
+++ b/masticfork/scripts/__init__.py
@@ -0,0 +1,1 @@
+"""Command-line entry points."""
--- /dev/null
+++ b/masticfork/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Loaders and checks for settings and manifests."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Developers' tools: the test runner, the local launcher and the demonstration."""
