Add the caller interface, backend clients and decisions around them

Cause: a request needs one path from parsing over decision and dispatch to the end of its answer; each part now has its final place. Ruled out: passing engine bytes through untouched (the end of an answer must be held back until its bill is safe, and a cut stream must be resumed at an offset). Before: core records only. After: parts written, not yet wired to a daemon; no run of the whole path yet. Conclusion: wiring and the first end-to-end run come next.

--- /dev/null
+++ b/masticfork/daemon/listener.py
@@ -0,0 +1,97 @@
+"""HTTP listeners on waitress, with typed errors for requests it rejects."""
+
+import json
+import threading
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import attrs
+from waitress.channel import HTTPChannel
+from waitress.server import create_server
+from waitress.task import ErrorTask
+
+from masticfork.core.refusals import Reason, Refusal
+from masticfork.entry.responses import openai_error
+
+WsgiApp = Callable[[dict[str, Any], Any], Iterable[bytes]]
+
+# Requests that wait for a thread beyond this many are answered by the backlog.
+BACKLOG = 1024
+CONNECTION_LIMIT = 4096
+STOP_SECONDS = 5.0
+
+
+@attrs.frozen
+class ListenerSettings:
+    """Where and within which bounds a listener serves."""
+
+    host: str
+    port: int
+    threads: int
+    max_body_bytes: int
+    max_header_bytes: int
+    idle_timeout_seconds: int
+
+
+class TypedErrorTask(ErrorTask):  # type: ignore[misc]
+    """Answer a request that cannot be parsed with the error body of the API."""
+
+    def execute(self) -> None:
+        """Write the error and close the connection."""
+        error = self.request.error
+        too_large = error.code == 413
+        reason = Reason.BODY_TOO_LARGE if too_large else Reason.MALFORMED
+        refusal = Refusal(reason, f"{error.reason}: {error.body}")
+        body = json.dumps(openai_error(refusal)).encode()
+        self.status = f"{error.code} {error.reason}"
+        self.response_headers.append(("Content-Type", "application/json"))
+        self.response_headers.append(("Content-Length", str(len(body))))
+        self.response_headers.append(("Connection", "close"))
+        self.close_on_finish = True
+        self.content_length = len(body)
+        self.write(body)
+
+
+class TypedErrorChannel(HTTPChannel):  # type: ignore[misc]
+    """A connection whose parse errors are typed."""
+
+    error_task_class = TypedErrorTask
+
+
+class Listener:
+    """A waitress server on its own thread."""
+
+    def __init__(self, app: WsgiApp, settings: ListenerSettings) -> None:
+        self._server = create_server(
+            app,
+            host=settings.host,
+            port=settings.port,
+            threads=settings.threads,
+            backlog=BACKLOG,
+            connection_limit=CONNECTION_LIMIT,
+            channel_timeout=settings.idle_timeout_seconds,
+            max_request_body_size=settings.max_body_bytes,
+            max_request_header_size=settings.max_header_bytes,
+            asyncore_use_poll=True,
+            clear_untrusted_proxy_headers=True,
+            ident=None,
+        )
+        self._server.channel_class = TypedErrorChannel
+        self._thread = threading.Thread(target=self._run, name="listener", daemon=True)
+
+    @property
+    def port(self) -> int:
+        """Return the port that the listener serves."""
+        return int(self._server.effective_port)
+
+    def start(self) -> None:
+        """Serve in the background."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Close the listener and its connections."""
+        self._server.close()
+        self._server.task_dispatcher.shutdown(timeout=STOP_SECONDS)
+
+    def _run(self) -> None:
+        self._server.run()
--- /dev/null
+++ b/masticfork/daemon/metrics.py
@@ -0,0 +1,76 @@
+"""Prometheus metrics with bounded label sets."""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client.exposition import generate_latest
+
+SECONDS_BUCKETS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.78, 1, 2.5, 5, 10, 30)
+GAP_BUCKETS = (0.005, 0.01, 0.02, 0.04, 0.057, 0.08, 0.12, 0.25, 0.5, 1, 2)
+COST_BUCKETS = (0.0001, 0.001, 0.01, 0.1, 1, 10)
+_TEAM_CLASS = ("team", "work_class")
+
+
+class Metrics:
+    """All metrics of one daemon, in a registry of its own."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.requests = Counter(
+            "masticfork_requests",
+            "Requests answered",
+            ("status",),
+            registry=self.registry,
+        )
+        self.refusals = Counter(
+            "masticfork_refusals", "Refusals", ("reason",), registry=self.registry
+        )
+        self.first_token = self._seconds("first_token", "Time to the first token")
+        self.token_gap = Histogram(
+            "masticfork_token_gap_seconds",
+            "Mean time between tokens of an answer",
+            _TEAM_CLASS,
+            buckets=GAP_BUCKETS,
+            registry=self.registry,
+        )
+        self.total = self._seconds("total", "Time from request to end of answer")
+        self.cost = Histogram(
+            "masticfork_cost",
+            "Price of an answer in the manifest's currency",
+            _TEAM_CLASS,
+            buckets=COST_BUCKETS,
+            registry=self.registry,
+        )
+        self.answers = Counter(
+            "masticfork_answers",
+            "Answers by version",
+            ("version", "outcome"),
+            registry=self.registry,
+        )
+        self.in_flight = Gauge(
+            "masticfork_in_flight",
+            "Requests at backend servers",
+            registry=self.registry,
+        )
+        self.configuration = Gauge(
+            "masticfork_configuration_number",
+            "Number of the configuration in force",
+            registry=self.registry,
+        )
+        self.platform_calls = Gauge(
+            "masticfork_platform_calls",
+            "Calls to the platform so far",
+            ("kind",),
+            registry=self.registry,
+        )
+
+    def exposition(self) -> bytes:
+        """Return the metrics in the Prometheus text format."""
+        return generate_latest(self.registry)
+
+    def _seconds(self, name: str, text: str) -> Histogram:
+        return Histogram(
+            f"masticfork_{name}_seconds",
+            text,
+            _TEAM_CLASS,
+            buckets=SECONDS_BUCKETS,
+            registry=self.registry,
+        )
--- /dev/null
+++ b/masticfork/entry/answer.py
@@ -0,0 +1,305 @@
+"""Run one model answer over attempts, without a gap, a repeat or a splice."""
+
+import hashlib
+import json
+from collections.abc import Callable, Generator, Iterator
+from concurrent.futures import Executor
+
+import attrs
+from result import Err, Ok, Result
+
+from masticfork.backends.engine import (
+    EngineCall,
+    EngineClient,
+    EngineStream,
+    Frame,
+    Usage,
+)
+from masticfork.backends.failures import CallFailure, FailureKind, Stage
+from masticfork.core.calls import ChatCall
+from masticfork.core.deadlines import Deadline
+from masticfork.core.events import AttemptFailed, Dispatched, Journal
+from masticfork.core.ids import AttemptId, ServerName, digest
+from masticfork.core.manifest import BackendServer
+from masticfork.core.refusals import Reason, Refusal, RunState
+from masticfork.entry.routing import PRIORITIES, Placement, Router
+
+MAX_ATTEMPTS = 3
+MAX_RESUMES = 5
+CANCEL_SECONDS = 2.0
+
+
+@attrs.frozen
+class AttemptUse:
+    """What one attempt used, for the bill."""
+
+    attempt: AttemptId
+    server: ServerName
+    usage: Usage
+
+
+@attrs.frozen
+class AnswerEnd:
+    """The last frames of an answer, held back until its bill is safe."""
+
+    finish: bytes
+    usage: bytes
+
+
+class AnswerRun:
+    """One answer from its first dispatch to its end."""
+
+    def __init__(
+        self,
+        call: ChatCall,
+        placement: Placement,
+        router: Router,
+        engines: EngineClient,
+        journal: Journal,
+        background: Executor,
+        now: Callable[[], float],
+    ) -> None:
+        self._call = call
+        self._placement = placement
+        self._router = router
+        self._engines = engines
+        self._journal = journal
+        self._background = background
+        self._now = now
+        self._stream: EngineStream | None = None
+        self._server: BackendServer | None = None
+        self._attempt = AttemptId("")
+        self._attempts = 0
+        self._resumes = 0
+        self._tried: frozenset[ServerName] = frozenset()
+        self._offset = 0
+        self._content = hashlib.blake2b(digest_size=16)
+        self._finish = b""
+        self._usage_frame = b""
+        self._usage = Usage()
+        self._used: dict[AttemptId, AttemptUse] = {}
+        self.failure: Refusal | None = None
+
+    @property
+    def offset(self) -> int:
+        """Return the tokens handed out so far."""
+        return self._offset
+
+    @property
+    def used(self) -> tuple[AttemptUse, ...]:
+        """Return the attempts in the order of their dispatch."""
+        return tuple(self._used.values())
+
+    @property
+    def end(self) -> AnswerEnd:
+        """Return the frames that end the answer."""
+        return AnswerEnd(self._finish, self._usage_frame)
+
+    @property
+    def usage(self) -> Usage:
+        """Return what the engine counted, or the tokens handed out so far."""
+        if self._usage.completion_tokens:
+            return self._usage
+        return Usage(completion_tokens=self._offset)
+
+    def open(self) -> Refusal | None:
+        """Start the first attempt that an engine accepts."""
+        while True:
+            chosen = self._router.choose_engine(
+                self._call.head.team, self._placement, self._tried
+            )
+            if isinstance(chosen, Err):
+                return chosen.err_value
+            failure = self._dispatch(chosen.ok_value)
+            if failure is None:
+                return None
+            if self._attempts >= MAX_ATTEMPTS or self._expired():
+                return self._given_up(failure)
+
+    def frames(self) -> Iterator[Frame]:
+        """Yield the frames that carry tokens; afterwards see `failure`."""
+        while True:
+            failure = yield from self._relay()
+            if failure is None:
+                self._release()
+                return
+            self._note_failure(failure)
+            refusal = self._recover(failure)
+            if refusal is not None:
+                self.failure = refusal
+                return
+
+    def close(self) -> None:
+        """Cancel the generation where it has not ended."""
+        server = self._server
+        self._release()
+        if server is not None:
+            self._cancel(server, self._attempt)
+
+    def _cancel(self, server: BackendServer, attempt: AttemptId) -> None:
+        # The caller does not wait for it: the engine may be frozen.
+        deadline = Deadline.after(self._now(), CANCEL_SECONDS)
+        self._background.submit(self._engines.cancel, server, attempt, deadline)
+
+    def _relay(self) -> Generator[Frame, None, CallFailure | None]:
+        stream = self._stream
+        if stream is None:
+            return CallFailure(Stage.CONNECTING, FailureKind.CONNECTION, "no stream")
+        for item in stream.frames():
+            if isinstance(item, Err):
+                return item.err_value
+            frame = item.ok_value
+            if not frame.offset:
+                self._note_end(frame)
+            elif frame.offset == self._offset + 1:
+                self._offset = frame.offset
+                self._content.update(_content_of(frame))
+                yield frame
+            elif frame.offset > self._offset:
+                message = f"gap before token {frame.offset}"
+                kind = FailureKind.MALFORMED_ANSWER
+                return CallFailure(Stage.ANSWERING, kind, message)
+        return None
+
+    def _recover(self, failure: CallFailure) -> Refusal | None:
+        """Resume on the same engine, or run again where that is impossible."""
+        server = self._server
+        self._release()
+        if server is not None and self._resumes < MAX_RESUMES and not self._expired():
+            self._resumes += 1
+            resumed = self._resume(server)
+            if resumed is None:
+                return None
+            failure = resumed
+            self._cancel(server, self._attempt)
+        if self._attempts >= MAX_ATTEMPTS or self._expired():
+            return self._given_up(failure)
+        return self._run_again()
+
+    def _resume(self, server: BackendServer) -> CallFailure | None:
+        checked = self._router.check(self._call.head.team, self._placement, server)
+        if isinstance(checked, Err):
+            message = checked.err_value.message
+            return CallFailure(Stage.CONNECTING, FailureKind.REFUSED, message)
+        return self._start(server, self._attempt, self._offset)
+
+    def _run_again(self) -> Refusal | None:
+        seen, content = self._offset, self._content.digest()
+        refusal = self.open()
+        if refusal is not None:
+            return attrs.evolve(refusal, run_state=RunState.UNKNOWN)
+        return self._skip(seen, content)
+
+    def _skip(self, seen: int, content: bytes) -> Refusal | None:
+        """Read past what the caller has seen and check that it is the same."""
+        self._offset = 0
+        self._content = hashlib.blake2b(digest_size=16)
+        frames = self._relay()
+        while self._offset < seen:
+            if next(frames, None) is None:
+                return self._different()
+        # The generator is left at the caller's offset; the stream goes on from it.
+        return None if self._content.digest() == content else self._different()
+
+    def _different(self) -> Refusal:
+        self.close()
+        message = "the answer was cut and could not be continued as it began"
+        return Refusal(Reason.BACKEND_FAILED, message, RunState.RAN)
+
+    def _dispatch(self, server: BackendServer) -> CallFailure | None:
+        self._attempts += 1
+        self._tried |= {server.name}
+        attempt = attempt_id(self._call, self._placement, self._attempts)
+        failure = self._start(server, attempt, 0)
+        if failure is not None:
+            self._note_failure(failure)
+        return failure
+
+    def _start(
+        self, server: BackendServer, attempt: AttemptId, offset: int
+    ) -> CallFailure | None:
+        head = self._call.head
+        self._attempt = attempt
+        call = EngineCall(
+            attempt_id=attempt,
+            version=self._placement.version,
+            body=self._call.body,
+            priority=PRIORITIES[self._call.work_class],
+            traceparent=head.traceparent,
+            offset=offset,
+        )
+        event = Dispatched(self._now(), attempt, server.name, offset)
+        self._journal.add(head.request_id, event)
+        started = self._engines.start(server, call, head.deadline)
+        if isinstance(started, Err):
+            return started.err_value
+        self._router.in_flight.enter(server.name)
+        self._stream, self._server = started.ok_value, server
+        return None
+
+    def _note_end(self, frame: Frame) -> None:
+        value = json.loads(frame.data)
+        usage = value.get("usage")
+        if usage is None:
+            self._finish = frame.raw
+            return
+        details = usage.get("prompt_tokens_details") or {}
+        self._usage_frame = frame.raw
+        self._usage = Usage(
+            usage["prompt_tokens"],
+            usage["completion_tokens"],
+            details.get("cached_tokens", 0),
+        )
+
+    def _note_failure(self, failure: CallFailure) -> None:
+        event = AttemptFailed(
+            self._now(), self._attempt, failure.stage.value, failure.kind.value
+        )
+        self._journal.add(self._call.head.request_id, event)
+
+    def _release(self) -> None:
+        if self._stream is not None and self._server is not None:
+            self._stream.close()
+            self._router.in_flight.leave(self._server.name)
+            use = AttemptUse(self._attempt, self._server.name, self.usage)
+            self._used[self._attempt] = use
+        self._stream = None
+        self._server = None
+
+    def _expired(self) -> bool:
+        return self._call.head.deadline.expired(self._now())
+
+    def _given_up(self, failure: CallFailure) -> Refusal:
+        state = RunState.UNKNOWN if self._offset else failure.run_state
+        if self._expired():
+            return Refusal(Reason.DEADLINE_EXPIRED, "the deadline has passed", state)
+        message = (
+            f"no engine answered: {failure.kind.value} while {failure.stage.value}"
+        )
+        return Refusal(Reason.BACKEND_FAILED, message, state)
+
+
+def attempt_id(call: ChatCall, placement: Placement, number: int) -> AttemptId:
+    """Return the attempt's identity, the same on every host that makes it."""
+    head = call.head
+    parts = (head.team.name, head.request_id, placement.version, str(number))
+    return AttemptId(f"chatcmpl-{digest(*parts)}")
+
+
+def _content_of(frame: Frame) -> bytes:
+    # Everything before the choices differs between attempts (id, time).
+    position = frame.raw.find(b'"choices"')
+    return frame.raw[position:] if position >= 0 else frame.raw
+
+
+def collect_text(frames: Iterator[Frame]) -> Result[str, CallFailure]:
+    """Join the text of all token frames."""
+    parts = []
+    for frame in frames:
+        try:
+            delta = json.loads(frame.data)["choices"][0]["delta"]
+        except (ValueError, LookupError, TypeError):
+            kind = FailureKind.MALFORMED_ANSWER
+            return Err(CallFailure(Stage.ANSWERING, kind, "frame"))
+        parts.append(delta.get("content") or "")
+    return Ok("".join(parts))
--- /dev/null
+++ b/masticfork/entry/policy.py
@@ -0,0 +1,129 @@
+"""Choose the version for a chat request: session, roll-outs, quality, cost."""
+
+import random
+
+from result import Err, Ok, Result
+
+from masticfork.core.calls import ChatCall
+from masticfork.core.configuration import Configuration
+from masticfork.core.events import Candidate
+from masticfork.core.ids import ModelName, VersionId, model_of
+from masticfork.core.manifest import AUTO_MODEL, Team, Version
+from masticfork.core.refusals import Reason, Refusal
+from masticfork.core.tables import Tables
+from masticfork.entry.routing import Placement
+from masticfork.systems.sessions import Session, SessionSigner, new_session
+from masticfork.systems.versions import assign_version, version_usable
+
+
+class SessionPolicy:
+    """Pins sessions to versions and picks the model where the caller leaves it."""
+
+    def __init__(
+        self, tables: Tables, signer: SessionSigner, rng: random.Random
+    ) -> None:
+        self._tables = tables
+        self._signer = signer
+        self._rng = rng
+
+    def place(
+        self, configuration: Configuration, call: ChatCall, now: float
+    ) -> Result[Placement, Refusal]:
+        """Return the version that the session gets."""
+        opened = self._session(call, now)
+        if isinstance(opened, Err):
+            return opened
+        candidates = self._candidates(configuration, call.head.team)
+        model = _chosen_model(configuration, call, candidates)
+        if isinstance(model, Err):
+            return model
+        session = opened.ok_value
+        assigned = assign_version(
+            configuration,
+            self._tables.rollouts,
+            call.head.team.name,
+            session,
+            model.ok_value,
+        )
+        if isinstance(assigned, Err):
+            return assigned
+        assignment = assigned.ok_value
+        pinned = session.with_pin(model.ok_value, assignment.version)
+        reason = _reason(session, model.ok_value, assignment.version)
+        placement = Placement(
+            session=pinned,
+            session_token=self._signer.seal(pinned),
+            version=assignment.version,
+            reason=reason,
+            moved_from=assignment.moved_from,
+            candidates=candidates,
+        )
+        return Ok(placement)
+
+    def _session(self, call: ChatCall, now: float) -> Result[Session, Refusal]:
+        token = call.head.session_token
+        if token is None:
+            return Ok(new_session(call.head.team.name, self._rng, now))
+        return self._signer.open_token(token, call.head.team.name)
+
+    def _candidates(
+        self, configuration: Configuration, team: Team
+    ) -> tuple[Candidate, ...]:
+        """Return every version with what rules it out, cheapest first."""
+        rows = self._tables.rollouts
+        by_cost = sorted(
+            configuration.versions.values(), key=lambda v: v.cost_per_1k_tokens
+        )
+        found = []
+        for version in by_cost:
+            ruled_out = None
+            if not configuration.allows(team, version.id):
+                ruled_out = "not_allowed"
+            elif not version_usable(configuration, rows, team, version.id):
+                ruled_out = "withdrawn"
+            elif version.expected_quality < team.quality_target:
+                ruled_out = "below_quality_target"
+            found.append(_candidate(version, ruled_out))
+        return tuple(found)
+
+
+def _candidate(version: Version, ruled_out: str | None) -> Candidate:
+    return Candidate(
+        version.id, ruled_out, version.expected_quality, version.cost_per_1k_tokens
+    )
+
+
+def _chosen_model(
+    configuration: Configuration, call: ChatCall, candidates: tuple[Candidate, ...]
+) -> Result[ModelName, Refusal]:
+    if call.model != AUTO_MODEL:
+        return _named_model(configuration, call)
+    cheapest = next((c for c in candidates if c.ruled_out_by is None), None)
+    if cheapest is not None:
+        return Ok(model_of(cheapest.version))
+    # Where nothing reaches the target, the best that is allowed answers.
+    below = [c for c in candidates if c.ruled_out_by == "below_quality_target"]
+    if not below:
+        message = "no version that the team may use is in service"
+        return Err(Refusal(Reason.MODEL_NOT_ALLOWED, message))
+    best = max(below, key=_quality)
+    return Ok(model_of(best.version))
+
+
+def _named_model(
+    configuration: Configuration, call: ChatCall
+) -> Result[ModelName, Refusal]:
+    if call.model in configuration.models:
+        return Ok(call.model)
+    return Err(Refusal(Reason.MODEL_UNKNOWN, f"no model {call.model!r}"))
+
+
+def _quality(candidate: Candidate) -> float:
+    return candidate.expected_quality or 0.0
+
+
+def _reason(session: Session, model: ModelName, version: VersionId) -> str:
+    pin = session.pinned(model)
+    if pin is None:
+        return "new_session"
+    return "pinned" if pin == version else "moved"
--- /dev/null
+++ b/masticfork/entry/routing.py
@@ -0,0 +1,124 @@
+"""Take the decisions for one request: session, version, server, last check."""
+
+import random
+import threading
+from collections.abc import Callable
+from typing import Protocol
+
+import attrs
+from result import Err, Ok, Result
+
+from masticfork.core.calls import ChatCall
+from masticfork.core.configuration import Configuration
+from masticfork.core.deadlines import Deadline
+from masticfork.core.events import Candidate
+from masticfork.core.ids import ServerName, VersionId
+from masticfork.core.manifest import BackendServer, Team, WorkClass
+from masticfork.core.refusals import Reason, Refusal
+from masticfork.core.tables import Tables
+from masticfork.systems.eligibility import check_dispatch
+from masticfork.systems.placement import InFlight, ServerChooser, available
+from masticfork.systems.sessions import Session
+
+# When callers should come back while no server can take their work.
+NO_SERVER_RETRY_SECONDS = 2.0
+
+PRIORITIES = {
+    WorkClass.LOOKUP: 0,
+    WorkClass.RESERVATION: 1,
+    WorkClass.DRAFTING: 2,
+}
+
+
+@attrs.frozen
+class Placement:
+    """The version that answers a request and the session it belongs to."""
+
+    session: Session
+    session_token: str
+    version: VersionId
+    reason: str
+    moved_from: VersionId | None = None
+    candidates: tuple[Candidate, ...] = ()
+
+
+class VersionPolicy(Protocol):
+    """Chooses the version for a chat request."""
+
+    def place(
+        self, configuration: Configuration, call: ChatCall, now: float
+    ) -> Result[Placement, Refusal]:
+        """Return the version, or why none may answer."""
+
+
+class Router:
+    """Binds the decisions to the tables of this host."""
+
+    def __init__(
+        self,
+        tables: Tables,
+        policy: VersionPolicy,
+        chooser: ServerChooser,
+        in_flight: InFlight,
+        rng: random.Random,
+        now: Callable[[], float],
+    ) -> None:
+        self._tables = tables
+        self._policy = policy
+        self._chooser = chooser
+        self._rng = rng
+        self._rng_lock = threading.Lock()
+        self._now = now
+        self.in_flight = in_flight
+
+    def place(self, call: ChatCall) -> Result[Placement, Refusal]:
+        """Choose the version for a chat request."""
+        configuration = self._tables.configuration
+        if configuration is None:
+            return Err(Refusal(Reason.NO_CONFIGURATION, "no configuration yet"))
+        return self._policy.place(configuration, call, self._now())
+
+    def choose_engine(
+        self, team: Team, placement: Placement, tried: frozenset[ServerName]
+    ) -> Result[BackendServer, Refusal]:
+        """Choose an engine of the version's pool and check the dispatch."""
+        configuration = self._tables.configuration
+        version = (
+            configuration.versions.get(placement.version) if configuration else None
+        )
+        if configuration is None or version is None:
+            return Err(Refusal(Reason.MODEL_NOT_ALLOWED, "the version has gone"))
+        servers = configuration.pools[version.pool].servers
+        chosen = self.choose(servers, tried)
+        if isinstance(chosen, Err):
+            return chosen
+        checked = self.check(team, placement, chosen.ok_value)
+        return checked.and_then(lambda _: chosen)
+
+    def check(
+        self, team: Team, placement: Placement, server: BackendServer
+    ) -> Result[None, Refusal]:
+        """Run the last check before the first byte."""
+        return check_dispatch(
+            self._tables,
+            team.name,
+            placement.session,
+            placement.version,
+            server.name,
+            self._now(),
+        )
+
+    def choose(
+        self, servers: tuple[BackendServer, ...], tried: frozenset[ServerName]
+    ) -> Result[BackendServer, Refusal]:
+        """Choose one of the servers that may take new work."""
+        now = self._now()
+        fit = available(self._tables, servers, tried, now)
+        if not fit:
+            retry_at = Deadline.after(now, NO_SERVER_RETRY_SECONDS)
+            refusal = Refusal(
+                Reason.NO_SERVER, "no backend server takes work", retry_at=retry_at
+            )
+            return Err(refusal)
+        with self._rng_lock:
+            return Ok(self._chooser.choose(self._tables, fit, self._rng))
--- /dev/null
+++ b/masticfork/entry/services.py
@@ -0,0 +1,128 @@
+"""Pass calls to plain services."""
+
+from collections.abc import Callable
+
+import attrs
+from result import Err, Ok, Result
+
+from masticfork.backends.connections import Request
+from masticfork.backends.failures import CallFailure
+from masticfork.backends.service import ServiceAnswer, ServiceClient
+from masticfork.core.calls import ServiceCall
+from masticfork.core.events import AttemptFailed, Dispatched, Ended, Journal, Refused
+from masticfork.core.ids import AttemptId, ServerName, random_id
+from masticfork.core.manifest import BackendServer
+from masticfork.core.refusals import Reason, Refusal, RunState
+from masticfork.entry.responses import Response, refusal_response
+from masticfork.entry.routing import Router
+
+MAX_ATTEMPTS = 3
+_DROPPED_ANSWER_HEADERS = frozenset(
+    {"connection", "date", "keep-alive", "server", "transfer-encoding", "trailer"}
+)
+
+
+@attrs.frozen
+class ServiceParts:
+    """What every call to a plain service needs."""
+
+    router: Router
+    client: ServiceClient
+    journal: Journal
+    now: Callable[[], float]
+
+
+class ServiceHandler:
+    """Runs calls that may be repeated, with retries on other servers."""
+
+    def __init__(self, parts: ServiceParts) -> None:
+        self._parts = parts
+
+    def handle(self, call: ServiceCall) -> Response:
+        """Return the service's answer or a refusal."""
+        answered = self._run(call)
+        if isinstance(answered, Err):
+            return refuse(self._parts, call, answered.err_value)
+        return passed_on(self._parts, call, answered.ok_value)
+
+    def _run(self, call: ServiceCall) -> Result[ServiceAnswer, Refusal]:
+        tried: frozenset[ServerName] = frozenset()
+        last = Refusal(Reason.NO_SERVER, "no server was tried")
+        for number in range(MAX_ATTEMPTS):
+            chosen = self._parts.router.choose(call.service.servers, tried)
+            if isinstance(chosen, Err):
+                return Err(last if number else chosen.err_value)
+            server = chosen.ok_value
+            tried |= {server.name}
+            answered = dispatch(self._parts, call, server, AttemptId(random_id("try")))
+            if isinstance(answered, Ok):
+                return answered
+            last = refusal_of(answered.err_value, call, self._parts.now())
+            if last.reason is Reason.DEADLINE_EXPIRED:
+                break
+        return Err(last)
+
+
+def dispatch(
+    parts: ServiceParts, call: ServiceCall, server: BackendServer, attempt: AttemptId
+) -> Result[ServiceAnswer, CallFailure]:
+    """Send one attempt to one server and record what became of it."""
+    request_id = call.head.request_id
+    parts.journal.add(request_id, Dispatched(parts.now(), attempt, server.name))
+    parts.router.in_flight.enter(server.name)
+    try:
+        answered = parts.client.call(
+            server, backend_request(call), call.head.deadline, call.operation.idempotent
+        )
+    finally:
+        parts.router.in_flight.leave(server.name)
+    if isinstance(answered, Err):
+        failure = answered.err_value
+        event = AttemptFailed(
+            parts.now(), attempt, failure.stage.value, failure.kind.value
+        )
+        parts.journal.add(request_id, event)
+    return answered
+
+
+def backend_request(call: ServiceCall) -> Request:
+    """Return the request as the service gets it."""
+    headers = [*call.headers, ("Idempotency-Key", str(call.head.request_id))]
+    if call.head.traceparent:
+        headers.append(("traceparent", call.head.traceparent))
+    return Request(call.method, call.path, tuple(headers), call.body)
+
+
+def refusal_of(failure: CallFailure, call: ServiceCall, now: float) -> Refusal:
+    """Return the refusal that tells truthfully what a failure left behind."""
+    state = failure.run_state
+    if call.head.deadline.expired(now):
+        return Refusal(Reason.DEADLINE_EXPIRED, "the deadline has passed", state)
+    message = f"the service failed: {failure.kind.value} while {failure.stage.value}"
+    if state is RunState.UNKNOWN and not call.operation.idempotent:
+        return Refusal(Reason.OUTCOME_UNKNOWN, message, state)
+    return Refusal(Reason.BACKEND_FAILED, message, state)
+
+
+def passed_on(
+    parts: ServiceParts, call: ServiceCall, answer: ServiceAnswer
+) -> Response:
+    """Return the service's answer as the caller gets it."""
+    parts.journal.add(call.head.request_id, Ended(parts.now(), "answered"))
+    headers = tuple(
+        (name, value)
+        for name, value in answer.headers
+        if name.lower() not in _DROPPED_ANSWER_HEADERS | {"content-length"}
+    )
+    length = ("Content-Length", str(len(answer.body)))
+    key = ("Idempotency-Key", str(call.head.request_id))
+    return Response(answer.status, (*headers, length, key), (answer.body,))
+
+
+def refuse(parts: ServiceParts, call: ServiceCall, refusal: Refusal) -> Response:
+    """Return the response of a refusal and record it."""
+    now = parts.now()
+    event = Refused(now, refusal.reason.value, refusal.run_state.value)
+    parts.journal.add(call.head.request_id, event)
+    response = refusal_response(refusal, openai=False, now=now)
+    return response.with_headers(("Idempotency-Key", str(call.head.request_id)))
