--- a/masticfork/core/tables.py
+++ b/masticfork/core/tables.py
@@ -7,8 +7,15 @@
 from masticfork.core.configuration import Configuration
 from masticfork.core.deadlines import Deadline
 from masticfork.core.findings import Findings
-from masticfork.core.ids import HostName, RequestId, ServerName, ZoneName
+from masticfork.core.ids import (
+    HostName,
+    RequestId,
+    RolloutName,
+    ServerName,
+    ZoneName,
+)
 from masticfork.core.manifest import BackendServer
+from masticfork.core.rollouts import RolloutRow
 
 
 @attrs.frozen
@@ -61,6 +68,7 @@
     servers: dict[ServerName, ServerRow] = attrs.field(factory=dict)
     hosts: dict[HostName, HostRow] = attrs.field(factory=dict)
     running: dict[RequestId, Deadline] = attrs.field(factory=dict)
+    rollouts: dict[RolloutName, RolloutRow] = attrs.field(factory=dict)
 
 
 class System(Protocol):
--- /dev/null
+++ b/masticfork/systems/eligibility.py
@@ -0,0 +1,108 @@
+"""The last check before the first byte of a request goes to a server."""
+
+from result import Err, Ok, Result
+
+from masticfork.core.configuration import Configuration
+from masticfork.core.ids import ServerName, TeamName, VersionId, model_of
+from masticfork.core.refusals import Reason, Refusal
+from masticfork.core.rollouts import withdrawn_by_rollouts
+from masticfork.core.tables import ServerRow, Tables
+from masticfork.systems.sessions import Session
+from masticfork.systems.versions import unproved_in
+
+
+def check_dispatch(
+    tables: Tables,
+    team: TeamName,
+    session: Session | None,
+    version: VersionId,
+    server: ServerName,
+    now: float,
+) -> Result[None, Refusal]:
+    """Refuse work that the tables, as they stand now, don't allow.
+
+    Called again before each attempt: after queueing, retry, escalation and resume.
+    """
+    configuration = tables.configuration
+    if configuration is None:
+        return _refuse(Reason.NO_CONFIGURATION, "no configuration is in force")
+    checks = (
+        _check_version(configuration, tables, team, version),
+        _check_pin(session, team, version),
+        _check_confirmed(configuration, tables, version, now),
+        _check_server(configuration, tables, version, server, now),
+    )
+    for check in checks:
+        if isinstance(check, Err):
+            return check
+    return Ok(None)
+
+
+def _refuse(reason: Reason, message: str) -> Err[Refusal]:
+    return Err(Refusal(reason, message))
+
+
+def _check_version(
+    configuration: Configuration, tables: Tables, name: TeamName, version: VersionId
+) -> Result[None, Refusal]:
+    team = configuration.teams.get(name)
+    if team is None or not configuration.allows(team, version):
+        message = f"team {name!r} may not use {version!r}"
+        return _refuse(Reason.MODEL_NOT_ALLOWED, message)
+    if version not in configuration.versions:
+        return _refuse(Reason.MODEL_UNKNOWN, f"no version {version!r}")
+    withdrawn = configuration.withdrawn | withdrawn_by_rollouts(tables.rollouts)
+    if version in withdrawn:
+        return _refuse(Reason.MODEL_NOT_ALLOWED, f"{version!r} is withdrawn")
+    return Ok(None)
+
+
+def _check_pin(
+    session: Session | None, team: TeamName, version: VersionId
+) -> Result[None, Refusal]:
+    if session is None:
+        return Ok(None)
+    if session.team != team:
+        message = "the session belongs to another team"
+        return _refuse(Reason.SESSION_INVALID, message)
+    pin = session.pinned(model_of(version))
+    if pin is not None and pin != version:
+        message = f"the session keeps {pin!r}, not {version!r}"
+        return _refuse(Reason.SESSION_INVALID, message)
+    return Ok(None)
+
+
+def _check_confirmed(
+    configuration: Configuration, tables: Tables, version: VersionId, now: float
+) -> Result[None, Refusal]:
+    if unproved_in(configuration, tables.rollouts, version) is None:
+        return Ok(None)
+    # A host cut off from all others would not hear that the version was withdrawn.
+    confirmed = tables.confirmed_until
+    if confirmed is None or confirmed.expired(now):
+        message = f"{version!r} is in roll-out and this host's view is not confirmed"
+        return _refuse(Reason.CONFIGURATION_STALE, message)
+    return Ok(None)
+
+
+def _check_server(
+    configuration: Configuration,
+    tables: Tables,
+    version: VersionId,
+    name: ServerName,
+    now: float,
+) -> Result[None, Refusal]:
+    declared = configuration.versions.get(version)
+    pool = None if declared is None else configuration.pools.get(declared.pool)
+    if pool is None or all(server.name != name for server in pool.servers):
+        return _refuse(Reason.NO_SERVER, f"{name!r} does not serve {version!r}")
+    row = tables.servers.get(name)
+    if row is None or not server_takes_work(row, now):
+        return _refuse(Reason.NO_SERVER, f"{name!r} takes no new work")
+    return Ok(None)
+
+
+def server_takes_work(row: ServerRow, now: float) -> bool:
+    """Tell whether the server is neither leaving nor ejected."""
+    ejected = row.ejected_until is not None and not row.ejected_until.expired(now)
+    return not row.leaving and not ejected
