--- /dev/null
+++ b/masticfork/settings/settings_checks.py
@@ -0,0 +1,95 @@
+"""Checks of settings over several fields."""
+
+from __future__ import annotations
+
+import ipaddress
+from collections.abc import Iterable, Iterator
+from itertools import combinations
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from masticfork.settings.settings import Settings
+
+
+@attrs.frozen
+class Fault:
+    """What is wrong at a key path."""
+
+    code: str
+    path: str
+    message: str
+
+
+def check_settings(settings: Settings) -> Iterator[Fault]:
+    """Yield every fault that no single value shows."""
+    yield from _listeners(settings)
+    yield from _advertised(settings)
+    yield from _platform(settings)
+    yield from _keys(settings)
+
+
+def _listeners(settings: Settings) -> Iterator[Fault]:
+    entry, admin, peer = settings.entry, settings.admin, settings.peer
+    listeners = [("entry", entry.host, entry.port), ("admin", admin.host, admin.port)]
+    listeners.append(("peer", peer.host, peer.port))
+    for (other, host, port), (name, own_host, own_port) in combinations(listeners, 2):
+        if own_port and own_port == port and _overlap(own_host, host):
+            message = f"the listener of {other!r} has port {port} too"
+            yield Fault("port_conflict", f"{name}.port", message)
+
+
+def _overlap(host: str, other: str) -> bool:
+    addresses = [ipaddress.ip_address(host), ipaddress.ip_address(other)]
+    return host == other or any(address.is_unspecified for address in addresses)
+
+
+def _advertised(settings: Settings) -> Iterator[Fault]:
+    peer = settings.peer
+    if peer.advertise is None and ipaddress.ip_address(peer.host).is_unspecified:
+        message = "needs 'advertise', since peers cannot dial this address"
+        yield Fault("address", "peer.host", message)
+    for index in _repeated(peer.seeds):
+        yield Fault("duplicate", f"peer.seeds[{index}]", "seed given twice")
+
+
+def _platform(settings: Settings) -> Iterator[Fault]:
+    platform = settings.platform
+    if platform.embedded and platform.url is not None:
+        yield Fault("platform", "platform.url", "excluded by 'embedded'")
+    if not platform.embedded and platform.url is None:
+        yield Fault("platform", "platform", "needs 'url', or 'embedded' for a trial")
+    if platform.embedded and settings.peer.seeds:
+        message = "an embedded platform serves one host only"
+        yield Fault("platform", "peer.seeds", message)
+
+
+def _keys(settings: Settings) -> Iterator[Fault]:
+    shared = not settings.platform.embedded
+    if shared and not settings.session_keys:
+        yield Fault("missing_key", "session_keys", "needs at least one key")
+    if shared and not settings.peer.keys:
+        yield Fault("missing_key", "peer.keys", "needs at least one key")
+    if not settings.admin_keys:
+        yield Fault("missing_key", "admin_keys", "needs at least one key")
+    ids = {
+        "session_keys": [key.id for key in settings.session_keys],
+        "peer.keys": [key.id for key in settings.peer.keys],
+        "admin_keys": [key.name for key in settings.admin_keys],
+    }
+    for path, names in ids.items():
+        for index in _repeated(names):
+            yield Fault("duplicate", f"{path}[{index}]", "name given twice")
+    hashes = [key.sha256 for key in settings.admin_keys]
+    for index in _repeated(hashes):
+        yield Fault("duplicate", f"admin_keys[{index}]", "key of another name")
+
+
+def _repeated(values: Iterable[str]) -> Iterator[int]:
+    """Yield the index of each value that stands earlier too."""
+    seen: set[str] = set()
+    for index, value in enumerate(values):
+        if value in seen:
+            yield index
+        seen.add(value)
--- /dev/null
+++ b/masticfork/settings/settings_test.py
@@ -0,0 +1,107 @@
+from pathlib import Path
+
+import pytest
+
+from masticfork.settings.settings import (
+    LogLevel,
+    Role,
+    Settings,
+    load_settings,
+    parse_settings,
+)
+
+SECRET = "ab" * 32
+ADMIN = f'{{name: "ana", role: "operator", salt: "s", sha256: "{"0" * 64}"}}'
+MINIMAL = f"""{{
+  // One host for a trial.
+  host: "entry-1",
+  zone: "zilina-a",
+  platform: {{embedded: true}},
+  admin_keys: [{ADMIN}],
+}}"""
+
+
+def parsed(text: str) -> Settings:
+    return parse_settings(text, "s.jsonc").unwrap()
+
+
+def faults(text: str) -> list[tuple[str, str]]:
+    findings = parse_settings(text, "s.jsonc").unwrap_err()
+    return [(finding.code, finding.place.path) for finding in findings]
+
+
+def with_line(line: str) -> str:
+    return MINIMAL.replace("// One host for a trial.", line)
+
+
+class TestMinimalFile:
+    def test_gets_defaults(self):
+        settings = parsed(MINIMAL)
+        assert settings.entry.port == 8080
+        assert settings.log_level is LogLevel.INFO
+        assert settings.admin_keys[0].role is Role.OPERATOR
+
+    def test_secrets_stay_out_of_text_forms(self):
+        text = with_line(f'session_keys: [{{id: "a", secret_hex: "{SECRET}"}}],')
+        settings = parsed(text)
+        assert settings.session_keys[0].secret == bytes.fromhex(SECRET)
+        assert SECRET not in repr(settings)
+
+
+class TestFindings:
+    @pytest.mark.parametrize(
+        ("line", "expected"),
+        [
+            ('entry: {port: "80"},', ("type", "entry.port")),
+            ("entry: {port: 70000},", ("address", "entry.port")),
+            ("entry: {port: true},", ("type", "entry.port")),
+            ('entry: {host: "localhost"},', ("address", "entry.host")),
+            ("entry: {prot: 80},", ("unknown_key", "entry.prot")),
+            ("entry: [],", ("type", "entry")),
+            ("entry: {threads: 0},", ("value", "entry.threads")),
+            ("entry: {idle_timeout_seconds: 0},", ("value", "entry.idle_")),
+            ("admin: {port: 8080},", ("port_conflict", "admin.port")),
+            ('peer: {host: "0.0.0.0"},', ("address", "peer.host")),
+            ('peer: {seeds: ["10.0.0.1"]},', ("address", "peer.seeds[0]")),
+            ('peer: {seeds: "10.0.0.1:1"},', ("type", "peer.seeds")),
+            ('log_level: "loud",', ("value", "log_level")),
+            ('rating_url: "ftp://x",', ("address", "rating_url")),
+            ("retention_days: NaN,", ("value", "retention_days")),
+            ('region: "",', ("name", "region")),
+            (
+                'session_keys: [{id: "a", secret_hex: "abcd"}],',
+                ("secret", "session_keys[0].secret_hex"),
+            ),
+            ('session_keys: [{id: "a"}],', ("missing_key", "session_keys[0]")),
+        ],
+    )
+    def test_each_fault_has_its_path(self, line: str, expected: tuple[str, str]):
+        found = faults(with_line(line))
+        assert len(found) == 1
+        assert found[0][0] == expected[0]
+        assert found[0][1].startswith(expected[1])
+
+    def test_all_come_together(self):
+        text = '{zone: 3, platform: {timeout_seconds: "2"}, log_level: 1, x: 2}'
+        assert set(faults(text)) == {
+            ("missing_key", ""),
+            ("type", "zone"),
+            ("type", "platform.timeout_seconds"),
+            ("value", "log_level"),
+            ("unknown_key", "x"),
+        }
+
+    def test_shared_platform_needs_keys(self):
+        text = MINIMAL.replace("embedded: true", 'url: "http://127.0.0.1:1"')
+        assert faults(text) == [
+            ("missing_key", "session_keys"),
+            ("missing_key", "peer.keys"),
+        ]
+
+    def test_findings_tell_line_and_column(self):
+        findings = parse_settings(with_line("region: 7,"), "s.jsonc").unwrap_err()
+        assert str(findings[0]).startswith("s.jsonc:2:11 region: error: ")
+
+    def test_unreadable_file(self, tmp_path: Path):
+        findings = load_settings(tmp_path / "none.jsonc").unwrap_err()
+        assert [finding.code for finding in findings] == ["unreadable"]
--- /dev/null
+++ b/masticfork/settings/structure.py
@@ -0,0 +1,175 @@
+"""Structure decoded documents into records, with every fault as a finding."""
+
+import enum
+import math
+from collections.abc import Callable, Iterator
+from typing import Any, TypeVar, get_args
+
+import attrs
+import cattrs
+from cattrs import errors
+from cattrs.cols import homogenous_tuple_structure_factory
+from cattrs.gen import make_dict_structure_fn
+from result import Err, Ok, Result
+
+from masticfork.core.findings import Findings
+from masticfork.settings.jsonc import Document
+
+T = TypeVar("T")
+Hook = Callable[[Any, Any], Any]
+
+
+class ValueFault(ValueError):  # noqa: N818
+    """A value that its field does not take; crosses cattrs only."""
+
+    def __init__(self, code: str, message: str) -> None:
+        super().__init__(message)
+        self.code = code
+
+
+def make_converter() -> cattrs.Converter:
+    """Make a converter that coerces nothing and refuses unknown keys."""
+    converter = cattrs.Converter(detailed_validation=True, forbid_extra_keys=True)
+    for kind, hook in _PRIMITIVES.items():
+        converter.register_structure_hook(kind, hook)
+    converter.register_structure_hook_func(_is_enum, _structure_enum)
+    converter.register_structure_hook_factory(attrs.has, _record_hook)
+    converter.register_structure_hook_factory(_is_tuple, _tuple_hook)
+    return converter
+
+
+def structure(
+    document: Document, record: type[T], converter: cattrs.Converter
+) -> Result[T, Findings]:
+    """Structure the whole document, or return every fault with its place."""
+    try:
+        return Ok(converter.structure(document.value, record))
+    except Exception as error:
+        faults = _leaves(error, "")
+        return Err(
+            tuple(document.finding(code, path, text) for path, code, text in faults)
+        )
+
+
+def require_text(value: Any, _: Any = None) -> str:
+    """Return a string as it is."""
+    if not isinstance(value, str):
+        raise _wrong_type("a string", value)
+    return value
+
+
+def require_integer(value: Any, _: Any = None) -> int:
+    """Return an integer as it is."""
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise _wrong_type("an integer", value)
+    return value
+
+
+def require_number(value: Any, _: Any = None) -> float:
+    """Return a finite number as a float."""
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise _wrong_type("a number", value)
+    try:
+        number = float(value)
+    except OverflowError:
+        number = math.inf
+    if not math.isfinite(number):
+        raise ValueFault("value", "expected a finite number")
+    return number
+
+
+def require_boolean(value: Any, _: Any = None) -> bool:
+    """Return a boolean as it is."""
+    if not isinstance(value, bool):
+        raise _wrong_type("true or false", value)
+    return value
+
+
+_PRIMITIVES: dict[type, Hook] = {
+    str: require_text,
+    int: require_integer,
+    float: require_number,
+    bool: require_boolean,
+}
+
+
+def _wrong_type(expected: str, value: Any) -> ValueFault:
+    names = {dict: "an object", list: "an array", str: "a string", type(None): "null"}
+    names |= {bool: "a boolean", int: "an integer", float: "a number"}
+    given = names.get(type(value), type(value).__name__)
+    return ValueFault("type", f"expected {expected}, found {given}")
+
+
+def _is_enum(kind: Any) -> bool:
+    return isinstance(kind, type) and issubclass(kind, enum.Enum)
+
+
+def _structure_enum(value: Any, kind: type[enum.Enum]) -> enum.Enum:
+    for member in kind:
+        if member.value == value:
+            return member
+    choices = ", ".join(str(member.value) for member in kind)
+    raise ValueFault("value", f"expected one of {choices}")
+
+
+def _record_hook(record: type, converter: cattrs.Converter) -> Hook:
+    inner: Hook = make_dict_structure_fn(record, converter)
+
+    def hook(value: Any, kind: Any) -> Any:
+        if not isinstance(value, dict):
+            raise _wrong_type("an object", value)
+        return inner(value, kind)
+
+    return hook
+
+
+def _is_tuple(kind: Any) -> bool:
+    return getattr(kind, "__origin__", None) is tuple and get_args(kind)[-1] is ...
+
+
+def _tuple_hook(kind: Any, converter: cattrs.Converter) -> Hook:
+    inner: Hook = homogenous_tuple_structure_factory(kind, converter)
+
+    def hook(value: Any, target: Any) -> Any:
+        if not isinstance(value, list):
+            raise _wrong_type("an array", value)
+        return inner(value, target)
+
+    return hook
+
+
+def _leaves(error: Exception, path: str) -> Iterator[tuple[str, str, str]]:
+    """Yield the path, code and message of every fault in a cattrs error."""
+    if isinstance(error, errors.IterableValidationError):
+        items, others = error.group_exceptions()
+        for inner, item in items:
+            yield from _leaves(inner, f"{path}[{item.index}]")
+    elif isinstance(error, errors.ClassValidationError):
+        fields, others = error.group_exceptions()
+        for inner, note in fields:
+            yield from _leaves(inner, _join(path, note.name, inner))
+    else:
+        yield from _leaf(error, path)
+        return
+    for inner in others:
+        yield from _leaves(inner, path)
+
+
+def _join(path: str, name: str, error: Exception) -> str:
+    if isinstance(error, KeyError):
+        # A missing key has no place of its own.
+        return path
+    return f"{path}.{name}" if path else name
+
+
+def _leaf(error: Exception, path: str) -> Iterator[tuple[str, str, str]]:
+    if isinstance(error, errors.ForbiddenExtraKeysError):
+        for key in sorted(error.extra_fields):
+            where = f"{path}.{key}" if path else key
+            yield where, "unknown_key", f"unknown key {key!r}"
+    elif isinstance(error, KeyError):
+        yield path, "missing_key", f"key {error.args[0]!r} is missing"
+    elif isinstance(error, ValueFault):
+        yield path, error.code, str(error)
+    else:
+        yield path, "value", str(error) or type(error).__name__
