--- a/masticfork/platform/contract_test.py
+++ b/masticfork/platform/contract_test.py
@@ -2,7 +2,7 @@
 
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 import pytest
 from result import Err, Result
@@ -16,6 +16,9 @@
     PlatformError,
 )
 from masticfork.platform.embedded import EmbeddedStore
+from masticfork.platform.http import HttpObjectStore
+from standins.common import serving
+from standins.platform import Platform
 
 
 def soon(seconds: float = 5.0) -> Deadline:
@@ -26,9 +29,15 @@
     return outcome.err_value.kind if isinstance(outcome, Err) else None
 
 
-@pytest.fixture
-def store() -> ObjectStore:
-    return EmbeddedStore()
+@pytest.fixture(params=["embedded", "http"])
+def store(request) -> Iterator[ObjectStore]:
+    if request.param == "embedded":
+        yield EmbeddedStore()
+        return
+    with serving(Platform(), threads=16) as server:
+        http_store = HttpObjectStore(f"127.0.0.1:{server.port}", time.time)
+        yield http_store
+        http_store.close()
 
 
 def put(store: ObjectStore, key: str, value: dict) -> int:
