--- a/standins/platform.py
+++ b/standins/platform.py
@@ -11,6 +11,7 @@
 import click
 
 from standins.common import Faults, failure, run
+from standins.limit import Limit
 from standins.records import Call, ConnectionDroppedError, Reply
 
 OBJECTS = "/objects/"
@@ -38,26 +39,6 @@
     deleted: bool
 
 
-class _Limit:
-    """A token bucket that holds the allowance of one second."""
-
-    def __init__(self, per_second: float) -> None:
-        self._per_second = per_second
-        self._tokens = per_second
-        self._at = time.monotonic()
-        self._lock = threading.Lock()
-
-    def take(self) -> bool:
-        """Use one call's allowance; tell whether there was one."""
-        with self._lock:
-            now = time.monotonic()
-            grown = self._tokens + (now - self._at) * self._per_second
-            self._tokens, self._at = min(self._per_second, grown), now
-            allowed = self._tokens >= 1
-            self._tokens -= 1 if allowed else 0
-            return allowed
-
-
 class Platform:
     """Objects under one growing number, with conditional writes and watches."""
 
@@ -68,8 +49,8 @@
         history: int = DEFAULT_HISTORY,
     ) -> None:
         self.faults = Faults(down=False, slow_seconds=0, lose_answers=0)
-        self._writes = _Limit(writes_per_second)
-        self._reads = _Limit(reads_per_second)
+        self._writes = Limit(writes_per_second, writes_per_second)
+        self._reads = Limit(reads_per_second, reads_per_second)
         self._changed = threading.Condition()
         self._objects: dict[str, _Object] = {}
         self._keys: list[str] = []
@@ -106,7 +87,7 @@
         writes = kind in ("put", "delete")
         with self._changed:
             self._calls[kind] += 1
-        if not (self._writes if writes else self._reads).take():
+        if (self._writes if writes else self._reads).take():
             with self._changed:
                 self._refused += 1
             return attrs.evolve(failure(429, "rate_limit"), headers=RETRY_AFTER)
