Divide team limits over hosts by leased shares

Cause: a limit split evenly refuses a team that arrives at one host; a shared counter would need a store call for each request. Ruled out: even split (above); hosts trading shares without an owner (two hosts cut off from each other could both take the rest). Before: no limits.

--- /dev/null
+++ b/masticfork/systems/limits_test.py
@@ -0,0 +1,121 @@
+import attrs
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from masticfork.core.ids import HostName, TeamName
+from masticfork.core.limits import Amounts, Share, ShareRequest
+from masticfork.core.manifest import Limits
+from masticfork.systems.limits import SHARE_SECONDS, ShareHolder, ShareOwner
+from masticfork.systems.water_filling import divide
+
+TEAM = TeamName("kremnica")
+LIMIT = 100.0
+HOSTS = tuple(HostName(f"entry-{number}") for number in range(4))
+
+
+def ask(host: HostName, demand: float, holds: Share | None = None) -> ShareRequest:
+    return ShareRequest(TEAM, host, Amounts(demand), Amounts(), holds)
+
+
+class Fleet:
+    """Hosts that ask one owner; replies and owners may get lost."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self.fencing = 1
+        self.holders = {host: ShareHolder() for host in HOSTS}
+        self.owner = self.new_owner()
+
+    def new_owner(self) -> ShareOwner:
+        limits = Limits(requests_per_second=LIMIT)
+        return ShareOwner(TEAM, limits, self.fencing, self.now)
+
+    def step(self, host: HostName, demand: float, action: str, seconds: float) -> None:
+        self.now += seconds
+        if action == "owner_lost":
+            self.fencing += 1
+            self.owner = self.new_owner()
+            return
+        if action == "host_lost":
+            self.holders[host] = ShareHolder()
+            return
+        holds = self.holders[host].current(self.now)
+        share = self.owner.grant(ask(host, demand, holds), self.now)
+        if action == "answered":
+            self.holders[host].accept(share)
+
+    def in_use(self) -> float:
+        shares = (holder.current(self.now) for holder in self.holders.values())
+        return sum(share.amounts.requests_per_second for share in shares if share)
+
+
+class TestDivide:
+    @given(
+        st.floats(1, 1e6),
+        st.dictionaries(st.text(min_size=1), st.floats(0, 1e6), min_size=1),
+    )
+    def test_gives_out_the_whole_amount_and_no_more(self, amount, demands):
+        shares = divide(amount, demands)
+        assert abs(sum(shares.values()) - amount) <= amount * 1e-9
+
+    def test_follows_demand(self):
+        shares = divide(100.0, {"a": 90.0, "b": 0.0, "c": 0.0, "d": 0.0})
+        assert shares["a"] >= 80.0
+        assert shares["b"] >= 5.0
+
+
+class TestShareOwner:
+    @settings(max_examples=300, deadline=None)
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from(HOSTS),
+                st.floats(0, 200),
+                st.sampled_from(["answered", "lost", "owner_lost", "host_lost"]),
+                st.floats(0, 2),
+            ),
+            max_size=60,
+        )
+    )
+    def test_sum_of_shares_never_passes_the_limit(self, steps):
+        fleet = Fleet()
+        for host, demand, action, seconds in steps:
+            fleet.step(host, demand, action, seconds)
+            assert fleet.in_use() <= LIMIT * (1 + 1e-9)
+
+    def test_share_of_a_dead_host_comes_back_after_its_deadline(self):
+        fleet = Fleet()
+        fleet.now = SHARE_SECONDS
+        for _ in range(3):
+            fleet.step(HOSTS[0], 100.0, "answered", 0.1)
+            fleet.step(HOSTS[1], 100.0, "answered", 0.1)
+        fleet.holders[HOSTS[0]] = ShareHolder()
+        for _ in range(10):
+            fleet.step(HOSTS[1], 100.0, "answered", 1.0)
+        assert fleet.in_use() > 0.99 * LIMIT
+
+    def test_new_owner_keeps_what_hosts_hold(self):
+        fleet = Fleet()
+        fleet.now = SHARE_SECONDS
+        fleet.step(HOSTS[0], 100.0, "answered", 0.0)
+        before = fleet.in_use()
+        fleet.step(HOSTS[0], 0.0, "owner_lost", 0.1)
+        fleet.step(HOSTS[0], 100.0, "answered", 0.1)
+        assert fleet.in_use() == before
+
+
+class TestShareHolder:
+    def test_ignores_an_older_share(self):
+        holder = ShareHolder()
+        owner = ShareOwner(TEAM, Limits(requests_per_second=LIMIT), 1, 0.0)
+        first = owner.grant(ask(HOSTS[0], 1.0), 5.0)
+        second = attrs.evolve(first, number=first.number + 1)
+        holder.accept(second)
+        holder.accept(first)
+        assert holder.current(5.0) == second
+
+    def test_share_ends_at_its_deadline(self):
+        holder = ShareHolder()
+        owner = ShareOwner(TEAM, Limits(requests_per_second=LIMIT), 1, 0.0)
+        holder.accept(owner.grant(ask(HOSTS[0], 1.0), 5.0))
+        assert holder.current(5.0 + SHARE_SECONDS) is None
--- a/masticfork/systems/servers.py
+++ b/masticfork/systems/servers.py
@@ -10,8 +10,9 @@
 
 def declared_servers(manifest: Manifest) -> dict[ServerName, BackendServer]:
     """Return the servers of all pools and services by name."""
-    holders = (*manifest.pools, *manifest.services)
-    return {server.name: server for holder in holders for server in holder.servers}
+    in_pools = [server for pool in manifest.pools for server in pool.servers]
+    in_services = [server for row in manifest.services for server in row.servers]
+    return {server.name: server for server in (*in_pools, *in_services)}
 
 
 def put_in_force(tables: Tables, configuration: Configuration) -> bool:
