--- a/masticfork/settings/jsonc.py
+++ b/masticfork/settings/jsonc.py
@@ -9,6 +9,7 @@
 from result import Err, Ok, Result
 
 from masticfork.core.findings import Finding, Findings, Place
+from masticfork.settings.faults import Fault
 from masticfork.settings.positions import Position, duplicates, position_at, positions
 
 # Deepest nesting of arrays and objects that is read.
@@ -36,9 +37,10 @@
         line, column = self.positions.get(known, (1, 1))
         return Place(self.source, path, line, column)
 
-    def finding(self, code: str, path: str, message: str) -> Finding:
-        """Make an error at a key path."""
-        return Finding(code, self.place(path), message)
+    def finding(self, fault: Fault) -> Finding:
+        """Give a fault its place."""
+        place = self.place(fault.path)
+        return Finding(fault.code, place, fault.message, fault.severity)
 
 
 def load_text(text: str, source: str) -> Result[Document, Findings]:
--- a/masticfork/settings/settings.py
+++ b/masticfork/settings/settings.py
@@ -16,6 +16,7 @@
     IpAddress,
     ListenPort,
     Name,
+    SaltHex,
     Seconds,
     SecretHex,
     Sha256Hex,
@@ -59,7 +60,7 @@
 
     name: Name
     role: Role
-    salt: str
+    salt: SaltHex
     sha256: Sha256Hex
     # Teams that the key is for; none means all.
     teams: tuple[Name, ...] = ()
@@ -159,8 +160,5 @@
     structured = structure(document, Settings, converter)
     if isinstance(structured, Err):
         return structured
-    found = tuple(
-        document.finding(fault.code, fault.path, fault.message)
-        for fault in check_settings(structured.ok_value)
-    )
+    found = tuple(map(document.finding, check_settings(structured.ok_value)))
     return Err(found) if found else structured
--- a/masticfork/settings/settings_checks.py
+++ b/masticfork/settings/settings_checks.py
@@ -3,25 +3,16 @@
 from __future__ import annotations
 
 import ipaddress
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterator
 from itertools import combinations
 from typing import TYPE_CHECKING
 
-import attrs
+from masticfork.settings.faults import Fault, repeated
 
 if TYPE_CHECKING:
     from masticfork.settings.settings import Settings
 
 
-@attrs.frozen
-class Fault:
-    """What is wrong at a key path."""
-
-    code: str
-    path: str
-    message: str
-
-
 def check_settings(settings: Settings) -> Iterator[Fault]:
     """Yield every fault that no single value shows."""
     yield from _listeners(settings)
@@ -50,7 +41,7 @@
     if peer.advertise is None and ipaddress.ip_address(peer.host).is_unspecified:
         message = "needs 'advertise', since peers cannot dial this address"
         yield Fault("address", "peer.host", message)
-    for index in _repeated(peer.seeds):
+    for index in repeated(peer.seeds):
         yield Fault("duplicate", f"peer.seeds[{index}]", "seed given twice")
 
 
@@ -79,17 +70,8 @@
         "admin_keys": [key.name for key in settings.admin_keys],
     }
     for path, names in ids.items():
-        for index in _repeated(names):
+        for index in repeated(names):
             yield Fault("duplicate", f"{path}[{index}]", "name given twice")
     hashes = [key.sha256 for key in settings.admin_keys]
-    for index in _repeated(hashes):
+    for index in repeated(hashes):
         yield Fault("duplicate", f"admin_keys[{index}]", "key of another name")
-
-
-def _repeated(values: Iterable[str]) -> Iterator[int]:
-    """Yield the index of each value that stands earlier too."""
-    seen: set[str] = set()
-    for index, value in enumerate(values):
-        if value in seen:
-            yield index
-        seen.add(value)
--- a/masticfork/settings/settings_test.py
+++ b/masticfork/settings/settings_test.py
@@ -11,7 +11,7 @@
 )
 
 SECRET = "ab" * 32
-ADMIN = f'{{name: "ana", role: "operator", salt: "s", sha256: "{"0" * 64}"}}'
+ADMIN = f'{{name: "ana", role: "operator", salt: "{"00" * 16}", sha256: "{"0" * 64}"}}'
 MINIMAL = f"""{{
   // One host for a trial.
   host: "entry-1",
--- a/masticfork/settings/structure.py
+++ b/masticfork/settings/structure.py
@@ -13,6 +13,7 @@
 from result import Err, Ok, Result
 
 from masticfork.core.findings import Findings
+from masticfork.settings.faults import Fault
 from masticfork.settings.jsonc import Document
 
 T = TypeVar("T")
@@ -45,10 +46,7 @@
     try:
         return Ok(converter.structure(document.value, record))
     except Exception as error:
-        faults = _leaves(error, "")
-        return Err(
-            tuple(document.finding(code, path, text) for path, code, text in faults)
-        )
+        return Err(tuple(map(document.finding, _leaves(error, ""))))
 
 
 def require_text(value: Any, _: Any = None) -> str:
@@ -138,8 +136,8 @@
     return hook
 
 
-def _leaves(error: Exception, path: str) -> Iterator[tuple[str, str, str]]:
-    """Yield the path, code and message of every fault in a cattrs error."""
+def _leaves(error: Exception, path: str) -> Iterator[Fault]:
+    """Yield every fault in a cattrs error."""
     if isinstance(error, errors.IterableValidationError):
         items, others = error.group_exceptions()
         for inner, item in items:
@@ -162,14 +160,14 @@
     return f"{path}.{name}" if path else name
 
 
-def _leaf(error: Exception, path: str) -> Iterator[tuple[str, str, str]]:
+def _leaf(error: Exception, path: str) -> Iterator[Fault]:
     if isinstance(error, errors.ForbiddenExtraKeysError):
         for key in sorted(error.extra_fields):
             where = f"{path}.{key}" if path else key
-            yield where, "unknown_key", f"unknown key {key!r}"
+            yield Fault("unknown_key", where, f"unknown key {key!r}")
     elif isinstance(error, KeyError):
-        yield path, "missing_key", f"key {error.args[0]!r} is missing"
+        yield Fault("missing_key", path, f"key {error.args[0]!r} is missing")
     elif isinstance(error, ValueFault):
-        yield path, error.code, str(error)
+        yield Fault(error.code, path, str(error))
     else:
-        yield path, "value", str(error) or type(error).__name__
+        yield Fault("value", path, str(error) or type(error).__name__)
--- a/masticfork/settings/values.py
+++ b/masticfork/settings/values.py
@@ -27,6 +27,8 @@
 BaseUrl = Annotated[str, "base url"]
 # A secret in hexadecimal.
 SecretHex = Annotated[str, "secret hex"]
+# The salt of a key's hash in hexadecimal.
+SaltHex = Annotated[str, "salt hex"]
 # A SHA-256 in hexadecimal.
 Sha256Hex = Annotated[str, "sha256 hex"]
 Seconds = Annotated[float, "seconds"]
@@ -34,9 +36,15 @@
 
 MAX_PORT = 65535
 
+NAME_RULE = "expected 1 to 63 letters, digits, '.', '_' or '-', a letter or digit first"
+
 # Least length of a secret in bytes, that of a SHA-256.
 MIN_SECRET_BYTES = 32
 
+# Least length of a salt in bytes.
+MIN_SALT_BYTES = 8
+
+_HEX = re.compile(r"(?:[0-9a-fA-F]{2})*")
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
 _SHA256 = re.compile(r"[0-9a-f]{64}")
 
@@ -53,6 +61,30 @@
     return host, int(port)
 
 
+def is_name(text: str) -> bool:
+    """Tell whether a text is fit for a name."""
+    return _NAME.fullmatch(text) is not None
+
+
+def is_ip_address(text: str) -> bool:
+    """Tell whether a text is an IP number."""
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        return False
+    return True
+
+
+def is_salt(text: str) -> bool:
+    """Tell whether a text is a salt in hexadecimal."""
+    return bool(_HEX.fullmatch(text)) and len(text) >= 2 * MIN_SALT_BYTES
+
+
+def is_sha256(text: str) -> bool:
+    """Tell whether a text is a SHA-256 in lower-case hexadecimal."""
+    return _SHA256.fullmatch(text) is not None
+
+
 def register_values(converter: cattrs.Converter) -> None:
     """Teach the converter the kinds of this module."""
     for kind, check in _CHECKS:
@@ -69,18 +101,15 @@
 
 def _name(value: Any) -> str:
     text = require_text(value)
-    if not _NAME.fullmatch(text):
-        message = "expected 1 to 63 letters, digits, '.', '_' or '-'"
-        raise ValueFault("name", message)
+    if not is_name(text):
+        raise ValueFault("name", NAME_RULE)
     return text
 
 
 def _ip_address(value: Any) -> str:
     text = require_text(value)
-    try:
-        ipaddress.ip_address(text)
-    except ValueError:
-        raise ValueFault("address", f"{text!r} is not an IP number") from None
+    if not is_ip_address(text):
+        raise ValueFault("address", f"{text!r} is not an IP number")
     return text
 
 
@@ -114,16 +143,24 @@
 
 def _secret(value: Any) -> str:
     text = require_text(value)
-    if not re.fullmatch(r"(?:[0-9a-fA-F]{2})*", text):
+    if not _HEX.fullmatch(text):
         raise ValueFault("secret", "expected hexadecimal digits in pairs")
     if len(text) < 2 * MIN_SECRET_BYTES:
         raise ValueFault("secret", f"shorter than {MIN_SECRET_BYTES} bytes")
     return text
 
 
+def _salt(value: Any) -> str:
+    text = require_text(value)
+    if not is_salt(text):
+        message = f"expected {MIN_SALT_BYTES} or more bytes in hexadecimal"
+        raise ValueFault("key_hash", message)
+    return text
+
+
 def _sha256(value: Any) -> str:
     text = require_text(value)
-    if not _SHA256.fullmatch(text):
+    if not is_sha256(text):
         raise ValueFault("key_hash", "expected 64 lower-case hexadecimal digits")
     return text
 
@@ -149,6 +186,7 @@
     (SocketAddress, _socket_address),
     (BaseUrl, _base_url),
     (SecretHex, _secret),
+    (SaltHex, _salt),
     (Sha256Hex, _sha256),
     (Seconds, _seconds),
     (Count, _count),
