Test that a late reply still counts against a team's limit

Cause: with the unconfirmed share left out of the sum, the property test of the limits still passed: its orders had no reply that arrives late. Before: 7 tests passed with that mechanism taken out. After: late replies among the generated orders and one directed case, which fails without it (1 failed, 7 passed) and passes with it (8 passed).

--- a/masticfork/daemon/daemon.py
+++ b/masticfork/daemon/daemon.py
@@ -139,7 +139,7 @@
     url = settings.platform.url
     if url is None:
         return EmbeddedStore(now, calls)
-    return HttpObjectStore(url, now, calls)
+    return HttpObjectStore(url.removeprefix("http://"), now, calls)
 
 
 def _signing_keys(settings: Settings) -> tuple[SigningKey, ...]:
--- a/masticfork/systems/limits_test.py
+++ b/masticfork/systems/limits_test.py
@@ -12,6 +12,8 @@
 LIMIT = 100.0
 HOSTS = tuple(HostName(f"entry-{number}") for number in range(4))
 
+ACTIONS = ("answered", "late", "late_arrives", "lost", "owner_lost", "host_lost")
+
 
 def ask(host: HostName, demand: float, holds: Share | None = None) -> ShareRequest:
     return ShareRequest(TEAM, host, Amounts(demand), Amounts(), holds)
@@ -25,6 +27,7 @@
         self.fencing = 1
         self.holders = {host: ShareHolder() for host in HOSTS}
         self.owner = self.new_owner()
+        self.late: list[tuple[HostName, Share]] = []
 
     def new_owner(self) -> ShareOwner:
         limits = Limits(requests_per_second=LIMIT)
@@ -39,10 +42,17 @@
         if action == "host_lost":
             self.holders[host] = ShareHolder()
             return
+        if action == "late_arrives":
+            for receiver, share in self.late:
+                self.holders[receiver].accept(share)
+            self.late.clear()
+            return
         holds = self.holders[host].current(self.now)
         share = self.owner.grant(ask(host, demand, holds), self.now)
         if action == "answered":
             self.holders[host].accept(share)
+        if action == "late":
+            self.late.append((host, share))
 
     def in_use(self) -> float:
         shares = (holder.current(self.now) for holder in self.holders.values())
@@ -71,7 +81,7 @@
             st.tuples(
                 st.sampled_from(HOSTS),
                 st.floats(0, 200),
-                st.sampled_from(["answered", "lost", "owner_lost", "host_lost"]),
+                st.sampled_from(ACTIONS),
                 st.floats(0, 2),
             ),
             max_size=60,
@@ -83,6 +93,16 @@
             fleet.step(host, demand, action, seconds)
             assert fleet.in_use() <= LIMIT * (1 + 1e-9)
 
+    def test_a_late_reply_is_still_counted(self):
+        fleet = Fleet()
+        fleet.now = SHARE_SECONDS
+        fleet.step(HOSTS[1], 0.0, "lost", 0.0)
+        fleet.step(HOSTS[0], 200.0, "late", SHARE_SECONDS)
+        fleet.step(HOSTS[0], 0.0, "lost", 0.1)
+        fleet.step(HOSTS[1], 200.0, "answered", 0.1)
+        fleet.step(HOSTS[0], 0.0, "late_arrives", 0.1)
+        assert fleet.in_use() <= LIMIT
+
     def test_share_of_a_dead_host_comes_back_after_its_deadline(self):
         fleet = Fleet()
         fleet.now = SHARE_SECONDS
