--- a/masticfork/daemon/daemon.py
+++ b/masticfork/daemon/daemon.py
@@ -43,9 +43,15 @@
 class Daemon:
     """All parts of one entry host."""
 
-    def __init__(self, settings: Settings, now: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        now: Callable[[], float],
+        rng: random.Random | None = None,
+    ) -> None:
         self._settings = settings
         self._now = now
+        self._rng = rng or random.SystemRandom()
         me = SelfRow(HostName(settings.host), ZoneName(settings.zone))
         self._tables = Tables(me)
         self._metrics = Metrics()
@@ -62,6 +68,21 @@
         self._entry = self._make_entry()
         self._stopped = threading.Event()
 
+    @property
+    def journal(self) -> Journal:
+        """Return the events of the last requests."""
+        return self._journal
+
+    @property
+    def store(self) -> ObjectStore:
+        """Return the platform's object API as this daemon sees it."""
+        return self._store
+
+    @property
+    def entry_port(self) -> int:
+        """Return the port for callers."""
+        return self._entry.port
+
     def run(self) -> None:
         """Serve until `stop` is called."""
         self._ticker.start()
@@ -69,6 +90,11 @@
         self._entry.start()
         _log.info("started", entry_port=self._entry.port)
         self._stopped.wait()
+        self._entry.stop()
+        self._watch.stop()
+        self._ticker.stop()
+        self._background.shutdown(wait=False, cancel_futures=True)
+        self._pool.close()
 
     def stop(self) -> None:
         """End `run`."""
@@ -116,13 +142,13 @@
 
     def _make_router(self) -> Router:
         signer = SessionSigner(_signing_keys(self._settings))
-        policy = SessionPolicy(self._tables, signer, random.SystemRandom())
+        policy = SessionPolicy(self._tables, signer, self._rng)
         return Router(
             self._tables,
             policy,
             TwoChoices(self._in_flight),
             self._in_flight,
-            random.Random(secrets.randbits(64)),
+            random.Random(self._rng.getrandbits(64)),
             self._now,
         )
 
--- a/masticfork/daemon/listener.py
+++ b/masticfork/daemon/listener.py
@@ -8,7 +8,7 @@
 import attrs
 from waitress.channel import HTTPChannel
 from waitress.server import create_server
-from waitress.task import ErrorTask
+from waitress.task import ErrorTask, WSGITask
 
 from masticfork.core.refusals import Reason, Refusal
 from masticfork.entry.responses import openai_error
@@ -52,9 +52,19 @@
         self.write(body)
 
 
+class KeepAliveTask(WSGITask):  # type: ignore[misc]
+    """Keep the connection after a chunked answer, which tells its own end."""
+
+    def set_close_on_finish(self) -> None:
+        """Close only where the length of the answer is not known otherwise."""
+        if not self.chunked_response:
+            super().set_close_on_finish()
+
+
 class TypedErrorChannel(HTTPChannel):  # type: ignore[misc]
-    """A connection whose parse errors are typed."""
+    """A connection whose parse errors are typed and whose streams keep it open."""
 
+    task_class = KeepAliveTask
     error_task_class = TypedErrorTask
 
 
