Run a non-idempotent request at most once for a team's key

Cause: a reservation was booked twice. A caller's retry may reach any host, before, while or after the first attempt runs, and the first host may be dead.

ClaimBook creates claims/TEAM/DIGEST before any byte goes out. What stands there decides for a later attempt: the answer is replayed, a running attempt is told with a time to come back, an abandoned one stays unknown until the holder or a lookup settles it. Only a claim that surely did not run gives way, by a conditional update, so under a greater fencing number.

- The holder checks dispatch_by right before the first byte.
A lookup's 'not run' counts only 10 s after the call's deadline, when nothing that the holder sent can still start.
- A claim whose write stayed unknown is refused as not run, which is true since nothing was sent.
Its release is kept in memory and written by flush, or the next attempt at the same host takes it over.
If that host dies first, the key answers unknown.
- An answer that the platform does not take is kept and replayed by the host that has it, and written later.
- Claims are released by a state, not deleted: a delayed copy of the create could recreate a deleted object.

Ruled out: a second write before dispatch to tell claimed from dispatched. It doubles the writes of each reservation, and the gap only shows when a host dies in the second after it refused a call.

--- /dev/null
+++ b/masticfork/ledger/__init__.py
@@ -0,0 +1,1 @@
+"""Facts that must survive any host: claims, bills and leases."""
--- /dev/null
+++ b/masticfork/ledger/claims_test.py
@@ -0,0 +1,359 @@
+import signal
+import subprocess
+import sys
+import threading
+import time
+
+import pytest
+
+from masticfork.core.deadlines import Deadline
+from masticfork.core.ids import AttemptId, HostName, TeamName
+from masticfork.core.refusals import Reason, RunState
+from masticfork.ledger.claim_outcomes import (
+    Claimed,
+    NotRun,
+    OutcomeUnknown,
+    Ran,
+    Replay,
+    Running,
+    Undetermined,
+)
+from masticfork.ledger.claim_records import MAX_STORED_BODY_BYTES, StoredAnswer
+from masticfork.ledger.claim_sweep import SWEEP_PAGE_ITEMS, sweep_claims
+from masticfork.ledger.claims import ClaimBook
+from masticfork.platform.embedded import EmbeddedStore
+from masticfork.platform.http import HttpObjectStore
+from standins.common import serving
+from standins.platform import Platform
+
+TEAM = TeamName("team")
+ANSWER = StoredAnswer.of(
+    201, (("Content-Type", "text/plain"), ("Date", "x")), b"\x00 booked"
+)
+
+
+class Clock:
+    def __init__(self):
+        self.now = 1000.0
+
+    def __call__(self):
+        return self.now
+
+
+class Asked:
+    """A lookup with a fixed outcome."""
+
+    def __init__(self, outcome):
+        self.outcome = outcome
+
+    def look_up(self, key, deadline):
+        return self.outcome
+
+
+@pytest.fixture
+def clock():
+    return Clock()
+
+
+@pytest.fixture
+def store(clock):
+    return EmbeddedStore(now=clock)
+
+
+@pytest.fixture
+def books(store, clock):
+    return tuple(ClaimBook(store, HostName(h), clock) for h in ("a", "b"))
+
+
+def attempt(book, clock, name, body="body", lookup=None, seconds=30, key="key"):
+    deadline = Deadline.after(clock.now, seconds)
+    return book.claim(TEAM, key, body, AttemptId(name), deadline, lookup)
+
+
+def claimed(book, clock, name, **options):
+    outcome = attempt(book, clock, name, **options).unwrap()
+    assert isinstance(outcome, Claimed)
+    return outcome.claim
+
+
+class TestClaim:
+    def test_answer_is_replayed_on_every_host(self, books, clock):
+        books[0].finish(claimed(books[0], clock, "1"), ANSWER).unwrap()
+        for book in books:
+            replay = attempt(book, clock, "2").unwrap()
+            assert replay == Replay(ANSWER)
+        assert ANSWER.headers == (("Content-Type", "text/plain"),)
+
+    def test_second_caller_is_told_that_it_runs(self, books, clock):
+        claimed(books[0], clock, "1")
+        running = attempt(books[1], clock, "2").unwrap()
+        assert isinstance(running, Running)
+        refusal = running.refusal()
+        assert (refusal.status, refusal.reason) == (409, Reason.STILL_RUNNING)
+        assert refusal.retry_at.at > clock.now
+
+    def test_another_body_is_refused(self, books, clock):
+        claimed(books[0], clock, "1")
+        refusal = attempt(books[1], clock, "2", body="other").unwrap_err()
+        assert (refusal.status, refusal.reason) == (422, Reason.KEY_REUSED)
+
+    def test_teams_do_not_share_keys(self, books, clock):
+        claimed(books[0], clock, "1")
+        deadline = Deadline.after(clock.now, 30)
+        other = books[1].claim(
+            TeamName("other"), "key", "body", AttemptId("2"), deadline
+        )
+        assert isinstance(other.unwrap(), Claimed)
+
+    def test_released_claim_runs_again_under_a_greater_number(self, books, clock):
+        first = claimed(books[0], clock, "1")
+        books[0].release(first).unwrap()
+        assert claimed(books[1], clock, "2").fencing > first.fencing
+
+    def test_own_attempt_is_its_own_claim(self, books, clock):
+        first = claimed(books[0], clock, "1")
+        clock.now += 1
+        assert claimed(books[0], clock, "1") == first
+
+    def test_one_of_many_racing_hosts_runs(self, store, clock):
+        outcomes = []
+
+        def race(n):
+            book = ClaimBook(store, HostName(f"h{n}"), clock)
+            outcomes.append(attempt(book, clock, f"{n}").unwrap())
+
+        threads = [threading.Thread(target=race, args=(n,)) for n in range(8)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        assert sum(isinstance(outcome, Claimed) for outcome in outcomes) == 1
+
+    def test_body_too_large_to_store_is_told_on_replay(self, books, clock):
+        answer = StoredAnswer.of(201, (), b"x" * (MAX_STORED_BODY_BYTES + 1))
+        books[0].finish(claimed(books[0], clock, "1"), answer).unwrap()
+        replay = attempt(books[1], clock, "2").unwrap()
+        assert replay.answer.body is None
+        assert replay.refusal().run_state is RunState.RAN
+
+    def test_greatest_stored_body_fits(self, books, clock):
+        answer = StoredAnswer.of(201, (), b"x" * MAX_STORED_BODY_BYTES)
+        books[0].finish(claimed(books[0], clock, "1"), answer).unwrap()
+        assert attempt(books[1], clock, "2").unwrap() == Replay(answer)
+
+
+class TestDeadlines:
+    def test_dead_holder_leaves_unknown_and_it_stays_so(self, books, clock):
+        claimed(books[0], clock, "1", seconds=30)
+        clock.now += 30.5
+        assert isinstance(attempt(books[1], clock, "2").unwrap(), Running)
+        clock.now += 1
+        for name in "345":
+            outcome = attempt(books[1], clock, name).unwrap()
+            assert isinstance(outcome, OutcomeUnknown)
+            refusal = outcome.refusal()
+            assert refusal.reason is Reason.OUTCOME_UNKNOWN
+            assert refusal.run_state is RunState.UNKNOWN
+
+    def test_holder_past_its_dispatch_deadline_may_not_send(self, books, clock):
+        claim = claimed(books[0], clock, "1", seconds=30)
+        assert claim.may_dispatch(clock.now)
+        clock.now = claim.record.dispatch_by.at
+        assert not claim.may_dispatch(clock.now)
+
+    def test_late_answer_of_the_holder_settles_unknown(self, books, clock):
+        claim = claimed(books[0], clock, "1")
+        books[0].mark_unknown(claim).unwrap()
+        assert isinstance(attempt(books[1], clock, "2").unwrap(), OutcomeUnknown)
+        books[0].finish(claim, ANSWER).unwrap()
+        assert attempt(books[1], clock, "3").unwrap() == Replay(ANSWER)
+
+    def test_decided_outcome_is_not_weakened(self, books, clock):
+        claim = claimed(books[0], clock, "1")
+        books[0].finish(claim, ANSWER).unwrap()
+        books[0].mark_unknown(claim).unwrap()
+        assert attempt(books[1], clock, "2").unwrap() == Replay(ANSWER)
+
+    def test_woken_holder_cannot_touch_a_newer_claim(self, books, clock):
+        old = claimed(books[0], clock, "1")
+        clock.now += 60
+        newer = claimed(books[1], clock, "2", lookup=Asked(NotRun()))
+        assert newer.fencing > old.fencing
+        assert books[0].finish(old, ANSWER).is_err()
+        assert books[0].pending == 0
+        assert isinstance(attempt(books[0], clock, "3").unwrap(), Running)
+
+
+class TestLookup:
+    def test_ran_is_replayed_and_kept(self, books, clock):
+        claimed(books[0], clock, "1")
+        clock.now += 60
+        asked = Asked(Ran(ANSWER))
+        assert attempt(books[1], clock, "2", lookup=asked).unwrap() == Replay(ANSWER)
+        assert attempt(books[0], clock, "3").unwrap() == Replay(ANSWER)
+
+    def test_early_not_run_is_not_believed(self, books, clock):
+        claim = claimed(books[0], clock, "1", seconds=30)
+        books[0].mark_unknown(claim).unwrap()
+        asked = Asked(NotRun())
+        clock.now += 39
+        outcome = attempt(books[1], clock, "2", lookup=asked).unwrap()
+        assert isinstance(outcome, OutcomeUnknown)
+        clock.now += 1
+        assert claimed(books[1], clock, "3", lookup=asked).fencing > claim.fencing
+
+    def test_undetermined_stays_unknown(self, books, clock):
+        claimed(books[0], clock, "1")
+        clock.now += 60
+        outcome = attempt(books[1], clock, "2", lookup=Asked(Undetermined()))
+        assert isinstance(outcome.unwrap(), OutcomeUnknown)
+
+
+class TestPlatformFaults:
+    def test_outage_refuses_at_once_and_says_when_to_retry(self, books, store, clock):
+        store.set_down(True)
+        refusal = attempt(books[0], clock, "1").unwrap_err()
+        assert refusal.reason is Reason.PLATFORM_DOWN
+        assert refusal.run_state is RunState.NOT_RUN
+        assert refusal.retry_at.at > clock.now
+        calls = store.counter.calls()
+        attempt(books[0], clock, "2").unwrap_err()
+        assert store.counter.calls() == calls
+        store.set_down(False)
+        clock.now = refusal.retry_at.at
+        claimed(books[0], clock, "3")
+
+    @pytest.mark.parametrize("fault", ["lose_answers", "lose_requests", "delay_writes"])
+    def test_lost_write_of_a_claim_is_settled(self, books, store, clock, fault):
+        setattr(store.faults, fault, 1)
+        claim = claimed(books[0], clock, "1")
+        store.land_delayed()
+        books[0].finish(claim, ANSWER).unwrap()
+        assert attempt(books[1], clock, "2").unwrap() == Replay(ANSWER)
+
+    @pytest.mark.parametrize("fault", ["lose_answers", "lose_requests", "delay_writes"])
+    def test_claim_left_unsettled_does_not_block_the_key(
+        self, books, store, clock, fault
+    ):
+        setattr(store.faults, fault, 100)
+        refusal = attempt(books[0], clock, "1").unwrap_err()
+        assert refusal.run_state is RunState.NOT_RUN
+        setattr(store.faults, fault, 0)
+        clock.now = refusal.retry_at.at
+        assert books[0].flush() == ()
+        store.land_delayed()
+        claimed(books[1], clock, "2")
+
+    def test_retry_at_the_same_host_needs_no_flush(self, books, store, clock):
+        store.faults.lose_answers = 100
+        refusal = attempt(books[0], clock, "1").unwrap_err()
+        store.faults.lose_answers = 0
+        clock.now = refusal.retry_at.at
+        claim = claimed(books[0], clock, "2")
+        assert books[0].flush() == ()
+        books[0].finish(claim, ANSWER).unwrap()
+        assert attempt(books[1], clock, "3").unwrap() == Replay(ANSWER)
+
+    def test_earlier_claim_that_cannot_be_read_is_unknown(self, books, store, clock):
+        claimed(books[0], clock, "1")
+        store.get = lambda key, deadline: EmbeddedStore(now=lambda: 1e9).get(
+            key, deadline
+        )
+        refusal = attempt(books[1], clock, "2").unwrap_err()
+        assert refusal.run_state is RunState.UNKNOWN
+
+    def test_answer_in_an_outage_is_replayed_and_written_later(
+        self, books, store, clock
+    ):
+        claim = claimed(books[0], clock, "1")
+        store.set_down(True)
+        assert books[0].finish(claim, ANSWER).is_err()
+        assert attempt(books[0], clock, "2").unwrap() == Replay(ANSWER)
+        assert [finding.code for finding in books[0].flush()] == ["claim_pending"]
+        store.set_down(False)
+        assert books[0].flush() == ()
+        assert books[0].pending == 0
+        assert attempt(books[1], clock, "3").unwrap() == Replay(ANSWER)
+
+
+class TestSweep:
+    def test_forgets_claims_past_their_retention(self, store, clock):
+        book = ClaimBook(store, HostName("a"), clock, retention_seconds=100)
+        for number in range(SWEEP_PAGE_ITEMS + 1):
+            claimed(book, clock, f"old {number}", key=f"old {number}")
+        clock.now += 50
+        claimed(book, clock, "new", key="new")
+        clock.now += 50
+        deadline = Deadline.after(clock.now, 5)
+        first = sweep_claims(store, clock.now, "", deadline).unwrap()
+        rest = sweep_claims(store, clock.now, first.after, deadline).unwrap()
+        assert first.deleted + rest.deleted == SWEEP_PAGE_ITEMS + 1
+        assert rest.after == ""
+        assert len(store.list("claims/", deadline).unwrap().items) == 1
+
+
+HOLDER = """
+import sys, time
+from masticfork.core.deadlines import Deadline
+from masticfork.ledger.claims import ClaimBook
+from masticfork.platform.http import HttpObjectStore
+book = ClaimBook(HttpObjectStore(sys.argv[1], time.time), "child", time.time)
+deadline = Deadline.after(time.time(), float(sys.argv[2]))
+claim = book.claim("team", "key", "body", "child-1", deadline).unwrap().claim
+print("claimed", flush=True)
+sys.stdin.readline()
+print("sends" if claim.may_dispatch(time.time()) else "keeps still", flush=True)
+"""
+
+
+class TestRealHolder:
+    @pytest.fixture
+    def address(self):
+        with serving(Platform(), threads=8) as server:
+            yield f"127.0.0.1:{server.port}"
+
+    @pytest.fixture
+    def hold(self, address):
+        children = []
+
+        def start(seconds):
+            command = [sys.executable, "-c", HOLDER, address, str(seconds)]
+            child = subprocess.Popen(
+                command, stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True
+            )
+            children.append(child)
+            assert child.stdout.readline() == "claimed\n"
+            return child
+
+        yield start
+        for child in children:
+            child.kill()
+            child.communicate()
+
+    def test_killed_holder_leaves_unknown(self, address, hold):
+        child = hold(0.5)
+        child.send_signal(signal.SIGKILL)
+        child.wait()
+        store = HttpObjectStore(address, time.time)
+        clock = Clock()
+        clock.now = time.time()
+        book = ClaimBook(store, HostName("b"), lambda: clock.now)
+        assert isinstance(attempt(book, clock, "2").unwrap(), Running)
+        clock.now += 2
+        assert isinstance(attempt(book, clock, "3").unwrap(), OutcomeUnknown)
+        store.close()
+
+    def test_frozen_holder_does_not_send_when_it_wakes(self, hold):
+        child = hold(0.5)
+        child.send_signal(signal.SIGSTOP)
+        time.sleep(0.6)
+        child.send_signal(signal.SIGCONT)
+        child.stdin.write("go\n")
+        child.stdin.flush()
+        assert child.stdout.readline() == "keeps still\n"
+
+    def test_holder_in_time_sends(self, hold):
+        child = hold(30)
+        child.stdin.write("go\n")
+        child.stdin.flush()
+        assert child.stdout.readline() == "sends\n"
