Write tokens of the engine stand-in straight to the socket

While another thread holds bytes in a channel's buffers, waitress's main loop sees it as writable, fails to take its lock and polls again at once. With a lookahead of one request the loop also sees callers that leave.

--- a/standins/common.py
+++ b/standins/common.py
@@ -11,7 +11,7 @@
 from typing import Any, NoReturn, Protocol
 
 from waitress import wasyncore
-from waitress.channel import HTTPChannel
+from waitress.channel import ClientDisconnected, HTTPChannel
 from waitress.server import create_server
 from waitress.task import WSGITask
 
@@ -111,6 +111,25 @@
         else:
             super().handle_read()
 
+    def write_soon(self, data: Any) -> int:
+        # The main loop polls in a busy loop for as long as another thread holds
+        # bytes in the buffers, so they are used only for what the socket refuses.
+        size = len(data)
+        if data and self.connected and not self.total_outbufs_len:
+            with self.outbuf_lock:
+                data = data[self._send_now(data) :]
+        if data:
+            super().write_soon(data)
+        return size
+
+    def _send_now(self, data: bytes) -> int:
+        try:
+            return int(self.socket.send(data))
+        except BlockingIOError:
+            return 0
+        except OSError as error:
+            raise ClientDisconnected from error
+
     def service(self) -> None:
         super().service()
         self._reused = True
@@ -177,12 +196,16 @@
         logging.getLogger("waitress").setLevel(logging.CRITICAL)
         self._map: dict[int, Any] = {}
         self._stopping = threading.Event()
+        self._ending = threading.Lock()
+        self._ended = False
         self._server = create_server(
             Application(standin),
             map=self._map,
             host=LOOPBACK,
             port=port,
             threads=threads,
+            # Without lookahead a caller that left is seen only when written to.
+            channel_request_lookahead=1,
             connection_limit=CONNECTION_LIMIT,
             max_request_body_size=MAX_BODY_BYTES,
             ident=None,
@@ -208,13 +231,18 @@
         while not self._stopping.is_set():
             wasyncore.loop(POLL_SECONDS, use_poll=True, map=self._map, count=1)
         self._standin.close()
-        wasyncore.close_all(self._map)
         self._server.task_dispatcher.shutdown()
+        with self._ending:
+            self._ended = True
+            wasyncore.close_all(self._map)
 
     def close(self) -> None:
         """End `run` soon; callable from any thread."""
-        self._stopping.set()
-        self._server.pull_trigger()
+        # The number of a closed trigger's file may belong to another file.
+        with self._ending:
+            self._stopping.set()
+            if not self._ended:
+                self._server.pull_trigger()
 
 
 def failure(status: int, code: str, message: str = "") -> Reply:
