Add the local launcher: stand-ins and entry hosts on free ports

Listening ports lie below the range of outgoing connections, so that a restarted host finds its port free.

--- /dev/null
+++ b/tools/launch.py
@@ -0,0 +1,278 @@
+"""Start the stand-ins and entry hosts on this machine and keep them running."""
+
+import itertools
+import json
+import random
+import signal
+import socket
+import tempfile
+import threading
+import time
+import uuid
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager, suppress
+from pathlib import Path
+from typing import Any
+
+import attrs
+import click
+
+from standins.testing import Ask
+from tools.launch_files import (
+    CURRENT,
+    LOOPBACK,
+    POOLS,
+    SERVICE,
+    ZONES,
+    HostPlace,
+    Secrets,
+    Server,
+    manifest_object,
+    merged,
+    settings_object,
+)
+from tools.launch_options import Json, Options, engines, services
+from tools.processes import Program, StartError, end_all
+
+START_SECONDS = 30.0
+# Beyond the daemons' own time for a graceful shutdown.
+STOP_SECONDS = 10.0
+POLL_SECONDS = 0.05
+LEAST_PORT = 10_000
+# Holds the least and the greatest port of outgoing connections.
+PORT_RANGE = Path("/proc/sys/net/ipv4/ip_local_port_range")
+QUALITY = ",".join(f"{v}={q}" for pool in POOLS.values() for v, q in pool.items())
+
+
+class Cluster:
+    """Programs that run, with their addresses and keys."""
+
+    def __init__(self, options: Options, folder: Path) -> None:
+        self.options = options
+        self.secrets = Secrets.new()
+        self.servers: list[Server] = []
+        self.places: list[HostPlace] = []
+        # Base URLs of the stand-ins by name.
+        self.standins: dict[str, str] = {}
+        self.manifest: Json = {}
+        self._folder = folder
+        self._programs: dict[str, Program] = {}
+
+    @property
+    def entries(self) -> list[str]:
+        """Return the base URLs for callers, in the order of the hosts."""
+        return [_url(place.entry_port) for place in self.places]
+
+    @property
+    def admins(self) -> list[str]:
+        """Return the base URLs for administrators, in the order of the hosts."""
+        return [_url(place.admin_port) for place in self.places]
+
+    @property
+    def hosts(self) -> list[str]:
+        """Return the names of the entry hosts."""
+        return [place.name for place in self.places]
+
+    @property
+    def pids(self) -> dict[str, int]:
+        """Return the process ids of all programs that run, by name."""
+        return {name: p.pid for name, p in self._programs.items() if p.alive}
+
+    @property
+    def summary(self) -> Json:
+        """Return what users of the cluster need."""
+        return {
+            "entries": self.entries,
+            "admin": self.admins[0] if self.admins else None,
+            "team_keys": self.secrets.team_keys,
+            "admin_key": self.secrets.admin_key,
+            "services": [SERVICE],
+            "models": list(CURRENT),
+            "standins": self.standins,
+        }
+
+    def ask(self, name: str) -> Ask:
+        """Return a caller of a stand-in."""
+        return Ask(_port(self.standins[name]))
+
+    def log(self, name: str) -> str:
+        """Return what a program has logged."""
+        return self._programs[name].log
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a program."""
+        self._programs[name].signal(number)
+
+    def kill(self, name: str) -> None:
+        """Kill a program at once."""
+        self._programs[name].kill()
+
+    def stop(self, name: str, seconds: float = STOP_SECONDS) -> bool:
+        """End a program gracefully; return whether it ended in time."""
+        return self._programs[name].end(seconds)
+
+    def restart(self, host: str, *, wait: bool = True) -> None:
+        """Start an entry host again, ending it first where it runs."""
+        self.stop(host)
+        self._programs[host].start()
+        if wait:
+            self.wait_ready(host)
+
+    def wait_ready(self, host: str, seconds: float = START_SECONDS) -> None:
+        """Wait until an entry host takes requests; StartError where it does not."""
+        place = next(place for place in self.places if place.name == host)
+        ask, program = Ask(place.entry_port), self._programs[host]
+        until = time.monotonic() + seconds
+        while time.monotonic() < until and program.alive:
+            with suppress(OSError):
+                if ask("GET", "/readyz")[0] == 200:
+                    return
+            time.sleep(POLL_SECONDS)
+        raise program.failed(f"was not ready in {seconds} s")
+
+    def submit(self, manifest: Json, seconds: float = START_SECONDS) -> Json:
+        """Submit a manifest at any host; StartError where none accepts it."""
+        headers = {
+            "Authorization": f"Bearer {self.secrets.admin_key}",
+            "Submission-Id": uuid.uuid4().hex,
+        }
+        until = time.monotonic() + seconds
+        answer: Any = "no host answered"
+        while time.monotonic() < until:
+            for place in self.places:
+                with suppress(OSError):
+                    ask = Ask(place.admin_port)
+                    path = "/admin/v1/submissions"
+                    status, answer = ask("POST", path, manifest, headers)
+                    if status == 200:
+                        return dict(answer)
+            time.sleep(POLL_SECONDS)
+        raise StartError(f"the manifest was not accepted: {answer}")
+
+    def start_standins(self) -> None:
+        """Start all stand-ins and wait until they announce themselves."""
+        for name in ("platform", "host-list", "rating", "weight-store"):
+            self._start_standin(name, name.replace("-", "_"), [])
+        self._announce("rating", "weight-store", "platform", "host-list")
+        backends = [*engines(self.options), *services(self.options)]
+        for server, program, arguments in backends:
+            self._start_standin(server.name, program, arguments)
+        self._announce(*(server.name for server, _, _ in backends))
+        for server, program, _ in backends:
+            port = _port(self.standins[server.name])
+            started = attrs.evolve(server, port=port)
+            self.servers.append(started)
+            kind = "engine" if program == "engine" else "service"
+            self._register(started.name, f"{LOOPBACK}:{port}", started.zone, kind)
+
+    def start_hosts(self) -> None:
+        """Start the entry hosts, submit the manifest and wait until all are ready."""
+        ports = _free_ports(3 * self.options.hosts)
+        for number in range(self.options.hosts):
+            zone = ZONES[number % len(ZONES)]
+            own = ports[3 * number : 3 * number + 3]
+            self.places.append(HostPlace(f"entry-{number + 1}", zone, *own))
+        for place in self.places:
+            self._start_host(place)
+        for place in self.places:
+            self._register(place.name, place.peer_address, place.zone, "entry")
+        plain = manifest_object(self.secrets, self.servers)
+        self.manifest = self.options.change_manifest(plain)
+        if self.places:
+            self.submit(self.manifest)
+        for name in self.hosts:
+            self.wait_ready(name)
+
+    def close(self) -> list[str]:
+        """End all programs; return the names of those that had to be killed."""
+        hosts = [self._programs[name] for name in self.hosts if name in self._programs]
+        others = [p for p in self._programs.values() if p not in hosts]
+        return end_all(hosts, STOP_SECONDS) + end_all(others, STOP_SECONDS)
+
+    def _start_standin(self, name: str, program: str, arguments: list[str]) -> None:
+        quality = ["--quality", QUALITY] if program == "rating" else []
+        given = [self.options.arguments.get(key, []) for key in {program, name}]
+        extra = [part for parts in given for part in parts]
+        if program == "engine":
+            extra += ["--weight-store", self.standins["weight-store"]]
+        command = [f"standins.{program}", "--port", "0", *quality, *arguments, *extra]
+        self._programs[name] = Program(name, command, self._folder)
+        self._programs[name].start(announces=True)
+
+    def _announce(self, *names: str) -> None:
+        for name in names:
+            announced = self._programs[name].announced(START_SECONDS)
+            self.standins[name] = _url(announced["port"])
+
+    def _start_host(self, place: HostPlace) -> None:
+        plain = settings_object(place, self.places, self.standins, self.secrets)
+        settings = merged(plain, self.options.settings)
+        path = self._folder / f"{place.name}.jsonc"
+        path.write_text(json.dumps(settings, indent=2))
+        command = ["masticfork.scripts.masticforkd", "--settings", str(path)]
+        self._programs[place.name] = Program(place.name, command, self._folder)
+        self._programs[place.name].start()
+
+    def _register(self, name: str, address: str, zone: str, kind: str) -> None:
+        host = {"name": name, "address": address, "zone": zone, "kind": kind}
+        self.ask("host-list")("PUT", f"/hosts/{name}", host | {"state": "live"})
+
+
+@contextmanager
+def start(options: Options | None = None) -> Iterator[Cluster]:
+    """Run a cluster; everything it started is ended on leaving."""
+    with ExitStack() as stack:
+        folder = stack.enter_context(tempfile.TemporaryDirectory(prefix="masticfork-"))
+        cluster = Cluster(options or Options(), Path(folder))
+        stack.callback(cluster.close)
+        cluster.start_standins()
+        cluster.start_hosts()
+        yield cluster
+
+
+def _url(port: int) -> str:
+    return f"http://{LOOPBACK}:{port}"
+
+
+def _port(url: str) -> int:
+    return int(url.rsplit(":", 1)[1])
+
+
+def _free_ports(count: int) -> list[int]:
+    """Return ports that no program takes for its outgoing connections."""
+    lowest = int(PORT_RANGE.read_text().split()[0])
+    candidates = random.SystemRandom().sample(range(LEAST_PORT, lowest), lowest // 4)
+    free = (port for port in candidates if _binds(port))
+    return list(itertools.islice(free, count))
+
+
+def _binds(port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind((LOOPBACK, port))
+        except OSError:
+            return False
+        return True
+
+
+@click.command()
+@click.option("--hosts", type=int, default=4)
+@click.option("--engines-per-pool", type=int, default=3)
+@click.option("--slots", type=int, default=16)
+@click.option("--tokens", type=int, default=64)
+@click.option("--token-seconds", type=float, default=0.057)
+def main(**options: Any) -> None:
+    """Run a cluster in the foreground until SIGINT or SIGTERM."""
+    stopped = threading.Event()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        signal.signal(number, lambda *_: stopped.set())
+    try:
+        with start(Options(**options)) as cluster:
+            print(json.dumps(cluster.summary), flush=True)
+            stopped.wait()
+    except StartError as error:
+        raise click.ClickException(str(error)) from error
+
+
+if __name__ == "__main__":
+    main()
