Keep streaming connections out of the listener's poll

Cause: with 200 open streams the relay spent most of its time in the listener's poll loop: 22,469 polls for 29,956 sends, each over every connection; the loop saw a chunk between its append and its send and spun until the thread got the interpreter back. Profile by processor time of each thread. Ruled out: the trigger of the server (pulled 290 times, once a request); http.client (recv_into waits, its own code is a tenth).

--- /dev/null
+++ b/bench/processes.py
@@ -0,0 +1,91 @@
+"""Processes under measurement and what they use."""
+
+import http.client
+import os
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+
+START_SECONDS = 20.0
+STOP_SECONDS = 10.0
+_TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
+_PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+# Fields of /proc/PID/stat after the command's name, counted from the state.
+_USER_TICKS = 11
+_SYSTEM_TICKS = 12
+
+
+def free_port() -> int:
+    """Return a port that was free a moment ago."""
+    with socket.socket() as listener:
+        listener.bind(("127.0.0.1", 0))
+        return int(listener.getsockname()[1])
+
+
+def cpu_seconds(pid: int) -> float:
+    """Return the processor seconds that a process has used."""
+    stat = Path(f"/proc/{pid}/stat").read_text()
+    fields = stat.rpartition(")")[2].split()
+    ticks = int(fields[_USER_TICKS]) + int(fields[_SYSTEM_TICKS])
+    return ticks / _TICKS_PER_SECOND
+
+
+def resident_bytes(pid: int) -> int:
+    """Return the resident memory of a process."""
+    return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * _PAGE_BYTES
+
+
+@contextmanager
+def standin(name: str, *options: str) -> Iterator[int]:
+    """Run a stand-in on a free port while the context lasts; yield the port."""
+    port = free_port()
+    command = [sys.executable, "-m", f"standins.{name}", "--port", str(port), *options]
+    with subprocess.Popen(command, stdout=subprocess.PIPE, text=True) as process:
+        try:
+            if process.stdout is not None:
+                process.stdout.readline()
+            yield port
+        finally:
+            _end(process)
+
+
+@contextmanager
+def daemon(settings: Path) -> Iterator[int]:
+    """Run a daemon while the context lasts; yield its process id."""
+    module = "masticfork.scripts.masticforkd"
+    command = [sys.executable, "-m", module, "--settings", str(settings)]
+    with (
+        settings.with_suffix(".log").open("w") as log,
+        subprocess.Popen(command, stdout=log, stderr=subprocess.STDOUT) as process,
+    ):
+        try:
+            yield process.pid
+        finally:
+            _end(process)
+
+
+def wait_for(check: str, port: int) -> None:
+    """Wait until a path answers 200."""
+    give_up_at = time.monotonic() + START_SECONDS
+    while time.monotonic() < give_up_at:
+        try:
+            connection = http.client.HTTPConnection("127.0.0.1", port, timeout=2)
+            connection.request("GET", check)
+            if connection.getresponse().status == 200:
+                return
+        except OSError:
+            pass
+        time.sleep(0.05)
+    raise TimeoutError(f"port {port} did not answer {check}")
+
+
+def _end(process: "subprocess.Popen[str] | subprocess.Popen[bytes]") -> None:
+    process.terminate()
+    try:
+        process.wait(STOP_SECONDS)
+    except subprocess.TimeoutExpired:
+        process.kill()
--- a/masticfork/daemon/listener.py
+++ b/masticfork/daemon/listener.py
@@ -61,19 +61,37 @@
             super().set_close_on_finish()
 
 
-class TypedErrorChannel(HTTPChannel):  # type: ignore[misc]
-    """A connection whose parse errors are typed and whose streams keep it open."""
+class EntryChannel(HTTPChannel):  # type: ignore[misc]
+    """A connection with typed parse errors, polled only between its requests.
+
+    The loop that polls all connections would wake for every chunk that a thread is
+    just sending, and look at every other connection each time.
+    """
 
     task_class = KeepAliveTask
     error_task_class = TypedErrorTask
 
+    def service(self) -> None:
+        """Answer the request at hand with the connection out of the poll."""
+        polled, descriptor = self.server.polled, self.socket.fileno()
+        polled.pop(descriptor, None)
+        try:
+            super().service()
+        finally:
+            if self.connected:
+                polled[descriptor] = self
+                self.server.pull_trigger()
+
 
 class Listener:
     """A waitress server on its own thread."""
 
     def __init__(self, app: WsgiApp, settings: ListenerSettings) -> None:
+        # Every polled socket by its descriptor, shared with the server.
+        polled: dict[int, Any] = {}
         self._server = create_server(
             app,
+            map=polled,
             host=settings.host,
             port=settings.port,
             threads=settings.threads,
@@ -86,7 +104,8 @@
             clear_untrusted_proxy_headers=True,
             ident=None,
         )
-        self._server.channel_class = TypedErrorChannel
+        self._server.channel_class = EntryChannel
+        self._server.polled = polled
         self._thread = threading.Thread(target=self._run, name="listener", daemon=True)
 
     @property
