Accept manifests by one conditional write with history

A configuration is archived under its number and its submission's id before it is replaced, so a submission was accepted if and only if it is current or archived. Reading back the current object alone would tell a submission that was replaced at once that it lost.

--- /dev/null
+++ b/masticfork/admin/submissions_test.py
@@ -0,0 +1,309 @@
+import itertools
+import json
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from masticfork.admin import submissions as module
+from masticfork.admin.configurations import (
+    CURRENT_KEY,
+    HISTORY_PREFIX,
+    configuration_of,
+)
+from masticfork.admin.submissions import (
+    Accepted,
+    IdReused,
+    OutOfScope,
+    PlatformFailed,
+    Raced,
+    Refused,
+    Submission,
+    Submissions,
+)
+from masticfork.core.deadlines import Deadline
+from masticfork.platform.client import ErrorKind
+from masticfork.platform.embedded import EmbeddedStore
+from masticfork.settings.settings import Role
+
+FAR = Deadline(1e12)
+
+
+def manifest(quality: float = 0.5, team: str = "quotes") -> str:
+    return json.dumps(
+        {
+            "teams": [
+                {
+                    "name": team,
+                    "key_hashes": [{"salt": "00" * 8, "sha256": "a" * 64}],
+                    "allowed": ["linen"],
+                    "quality_target": quality,
+                }
+            ],
+            "models": [
+                {
+                    "name": "linen",
+                    "current": "1",
+                    "versions": [{"id": "1", "pool": "a", "cost_per_1k_tokens": 1}],
+                }
+            ],
+            "pools": [
+                {
+                    "name": "a",
+                    "servers": [
+                        {"name": "a1", "host": "10.0.0.1", "port": 1, "zone": "z"}
+                    ],
+                }
+            ],
+        }
+    )
+
+
+def submission(name: str, quality: float = 0.5, **changes: Any) -> Submission:
+    base = Submission(name, manifest(quality), "ana", Role.OPERATOR)
+    return attrs.evolve(base, **changes)
+
+
+class InterleavedStore(EmbeddedStore):
+    """Runs an action just before the next update reaches the platform."""
+
+    before_update: Callable[[], object] | None = None
+    after_update: Callable[[], object] | None = None
+
+    def update(self, key: str, value: Any, version: int, deadline: Deadline) -> Any:
+        before, self.before_update = self.before_update, None
+        if before:
+            before()
+        outcome = super().update(key, value, version, deadline)
+        after, self.after_update = self.after_update, None
+        if after:
+            after()
+        return outcome
+
+
+class Platform:
+    def __init__(self) -> None:
+        self.store = InterleavedStore(now=lambda: 100.0, sleep=lambda _: None)
+        # Each reading is later than the last, so that no two writes look alike.
+        clock = itertools.count(100)
+        self.submissions = Submissions(self.store, lambda: float(next(clock)))
+
+    def submit(self, name: str, quality: float = 0.5, **changes: Any) -> Any:
+        outcome = self.submissions.submit(submission(name, quality, **changes))
+        return outcome.ok_value if outcome.is_ok() else outcome.err_value
+
+    def ids(self) -> list[str]:
+        rows = self.submissions.history(None, 100, FAR).unwrap()
+        return [row.submission_id for row in rows]
+
+
+class TestAcceptance:
+    def test_the_number_is_the_objects_version(self):
+        platform = Platform()
+        accepted = platform.submit("s1")
+        stored = platform.store.get(CURRENT_KEY, FAR).unwrap()
+        assert accepted.number == stored.version
+        configuration = configuration_of(stored).unwrap()
+        assert configuration.number == accepted.number
+        assert configuration.teams["quotes"].quality_target == 0.5
+
+    def test_tells_who_and_when(self):
+        platform = Platform()
+        platform.submit("s1")
+        platform.submit("s2", 0.6, submitted_by="bea")
+        newest, oldest = platform.submissions.history(None, 9, FAR).unwrap()
+        assert (newest.submitted_by, oldest.submitted_by) == ("bea", "ana")
+        assert newest.previous == oldest.number
+        assert newest.submitted_at > oldest.submitted_at >= 100.0
+
+    def test_a_faulty_manifest_is_refused(self):
+        refused = Platform().submit("s1", 1.5)
+        assert isinstance(refused, Refused)
+        assert refused.findings[0].place.path == "teams[0].quality_target"
+
+    def test_a_dry_run_writes_nothing(self):
+        platform = Platform()
+        platform.submit("s1")
+        outcome = platform.submissions.submit(submission("s2", 0.7), dry_run=True)
+        assert [c.path for c in outcome.unwrap().changes] == [
+            "teams[quotes].quality_target"
+        ]
+        assert platform.ids() == ["s1"]
+
+    def test_scope_is_kept(self):
+        platform = Platform()
+        platform.submit("s1")
+        assert isinstance(platform.submit("s2", 0.6, teams=("quotes",)), Accepted)
+        refused = platform.submit("s3", 0.7, teams=("orders",))
+        assert refused == OutOfScope(("teams[quotes].quality_target",))
+        text = manifest(team="quotes-2")
+        refused = platform.submit("s4", manifest_text=text, teams=("quotes",))
+        assert refused == OutOfScope(("teams[quotes-2]",))
+
+
+class TestIdempotency:
+    def test_a_repeated_submission_changes_nothing(self):
+        platform = Platform()
+        first = platform.submit("s1")
+        again = platform.submit("s1")
+        assert (again.number, again.repeated) == (first.number, True)
+        assert platform.ids() == ["s1"]
+
+    def test_a_replaced_submission_does_not_come_back(self):
+        platform = Platform()
+        first = platform.submit("s1")
+        platform.submit("s2", 0.6)
+        again = platform.submit("s1", expected=0)
+        assert (again.number, again.repeated) == (first.number, True)
+        assert platform.ids() == ["s2", "s1"]
+
+    def test_an_id_is_for_one_manifest(self):
+        platform = Platform()
+        first = platform.submit("s1")
+        assert platform.submit("s1", 0.9) == IdReused(first.number)
+
+
+class TestRaces:
+    def test_a_stale_number_is_told_what_changed(self):
+        platform = Platform()
+        first = platform.submit("s1")
+        second = platform.submit("s2", 0.6, submitted_by="bea")
+        raced = platform.submit("s3", 0.7, expected=first.number)
+        assert isinstance(raced, Raced)
+        assert raced.current is not None
+        assert raced.current.number == second.number
+        assert raced.current.submitted_by == "bea"
+        assert [(c.path, c.after) for c in raced.changes] == [
+            ("teams[quotes].quality_target", 0.6)
+        ]
+
+    def test_the_slower_of_two_loses(self):
+        platform = Platform()
+        platform.submit("s1")
+        platform.store.before_update = lambda: platform.submit("s2", 0.6)
+        raced = platform.submit("s3", 0.7)
+        assert isinstance(raced, Raced)
+        assert raced.current is not None
+        assert raced.current.submission_id == "s2"
+        assert platform.ids() == ["s2", "s1"]
+
+    def test_two_first_submissions(self):
+        platform = Platform()
+        platform.submit("s1", expected=0)
+        assert isinstance(platform.submit("s2", 0.6, expected=0), Raced)
+
+    def test_the_same_submission_at_two_hosts(self):
+        platform = Platform()
+        platform.submit("s1")
+        platform.store.before_update = lambda: platform.submit("s2", 0.6)
+        assert platform.submit("s2", 0.6).repeated
+        assert platform.ids() == ["s2", "s1"]
+
+
+class TestLostAnswers:
+    def test_the_write_is_found_again(self):
+        platform = Platform()
+        platform.submit("s1")
+        platform.store.before_update = lambda: setattr(
+            platform.store.faults, "lose_answers", 1
+        )
+        assert isinstance(platform.submit("s2", 0.6), Accepted)
+        assert platform.ids() == ["s2", "s1"]
+
+    def test_a_write_that_is_replaced_at_once_counts_as_accepted(self):
+        platform = Platform()
+        platform.submit("s1")
+        platform.store.before_update = lambda: setattr(
+            platform.store.faults, "lose_answers", 1
+        )
+        platform.store.after_update = lambda: platform.submit("s3", 0.7)
+        assert isinstance(platform.submit("s2", 0.6), Accepted)
+        assert platform.ids() == ["s3", "s2", "s1"]
+
+    def test_an_unknown_outcome_is_settled_by_the_same_id(self):
+        platform = Platform()
+        platform.submit("s1")
+        platform.store.before_update = lambda: setattr(
+            platform.store.faults, "delay_writes", 9
+        )
+        unknown = platform.submit("s2", 0.6)
+        assert isinstance(unknown, PlatformFailed)
+        assert unknown.error.kind is ErrorKind.UNKNOWN
+        platform.store.faults.delay_writes = 0
+        platform.store.land_delayed()
+        assert platform.submit("s2", 0.6).repeated
+        assert platform.ids() == ["s2", "s1"]
+
+    def test_an_outage_is_not_run(self):
+        platform = Platform()
+        platform.submit("s1")
+        platform.store.set_down(True)
+        failed = platform.submit("s2", 0.6)
+        assert isinstance(failed, PlatformFailed)
+        assert failed.error.kind is ErrorKind.UNAVAILABLE
+        platform.store.set_down(False)
+        assert platform.ids() == ["s1"]
+
+
+class TestHistory:
+    def test_pages_are_newest_first(self):
+        platform = Platform()
+        for index in range(5):
+            platform.submit(f"s{index}", index / 10)
+        first = platform.submissions.history(None, 2, FAR).unwrap()
+        rest = platform.submissions.history(first[-1].number, 9, FAR).unwrap()
+        assert [row.submission_id for row in (*first, *rest)] == [
+            "s4",
+            "s3",
+            "s2",
+            "s1",
+            "s0",
+        ]
+
+    def test_old_entries_are_removed(self, monkeypatch):
+        monkeypatch.setattr(module, "KEPT_CONFIGURATIONS", 3)
+        platform = Platform()
+        for index in range(9):
+            platform.submit(f"s{index}", index / 10)
+        assert platform.ids() == ["s8", "s7", "s6", "s5"]
+        assert len(platform.store.list("configuration/", FAR).unwrap().items) == 7
+
+
+FAULTS = st.sampled_from(["", "lose_answers", "lose_requests", "delay_writes", "down"])
+STEPS = st.lists(st.tuples(st.integers(0, 4), FAULTS, st.integers(1, 9)), max_size=12)
+
+
+class TestProperty:
+    @settings(deadline=None)
+    @given(STEPS)
+    def test_each_accepted_submission_is_in_force_once(
+        self, steps: list[tuple[int, str, int]]
+    ):
+        platform = Platform()
+        accepted: dict[str, int] = {}
+        refused: set[str] = set()
+        for index, fault, count in steps:
+            name = f"s{index}"
+            if fault == "down":
+                platform.store.set_down(True)
+            elif fault:
+                setattr(platform.store.faults, fault, count)
+            outcome = platform.submit(name, index / 10)
+            platform.store.set_down(False)
+            for each in ("lose_answers", "lose_requests", "delay_writes"):
+                setattr(platform.store.faults, each, 0)
+            if isinstance(outcome, Accepted):
+                assert accepted.setdefault(name, outcome.number) == outcome.number
+            elif outcome.error.kind is ErrorKind.UNAVAILABLE:
+                refused.add(name)
+        platform.store.land_delayed()
+        ids = platform.ids()
+        assert len(ids) == len(set(ids))
+        assert accepted.keys() <= set(ids)
+        rows = platform.submissions.history(None, 100, FAR).unwrap()
+        numbers = [row.number for row in rows]
+        assert numbers == sorted(numbers, reverse=True)
+        assert {r.submission_id: r.number for r in rows}.items() >= accepted.items()
+        assert platform.store.list(HISTORY_PREFIX, FAR).is_ok()
