--- /dev/null
+++ b/masticfork/admin/app.py
@@ -0,0 +1,181 @@
+"""The WSGI application of the administration API."""
+
+import json
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import attrs
+import cattrs
+import logbook
+from result import Err, Ok, Result
+
+from masticfork.admin.backend import Backend, BillQuery
+from masticfork.admin.configuration_calls import ConfigurationCalls
+from masticfork.admin.problems import Problem, ProblemCode, problem_response
+from masticfork.admin.requests import AdminRequest, Environ, authenticate, malformed
+from masticfork.admin.routes import Operation, check_permission, find_route
+from masticfork.admin.submissions import Submissions
+from masticfork.admin.views import RolloutAction
+from masticfork.entry.responses import Response, status_line
+from masticfork.settings.settings import AdminKey
+
+_log = logbook.Logger("admin")
+_converter = cattrs.Converter()
+
+# A JSON value, or the problem that takes its place.
+Answer = Result[Any, Problem]
+StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+
+
+class AdminApp:
+    """Authenticates, authorizes and answers administrators' calls."""
+
+    def __init__(
+        self,
+        backend: Backend,
+        submissions: Submissions,
+        keys: tuple[AdminKey, ...],
+        now: Callable[[], float],
+    ) -> None:
+        self._backend = backend
+        self._keys = keys
+        self._now = now
+        configuration = ConfigurationCalls(submissions, now)
+        self._handlers: dict[Operation, Callable[[AdminRequest], Answer]] = {
+            Operation.SUBMIT: configuration.submit,
+            Operation.SHOW: configuration.show,
+            Operation.HISTORY: configuration.history,
+            Operation.DIFF: configuration.diff,
+            Operation.STATUS: self._status,
+            Operation.CHANGE_ROLLOUT: self._change_rollout,
+            Operation.START_SERVER_DRAIN: lambda r: self._start_drain("server", r),
+            Operation.END_SERVER_DRAIN: lambda r: self._end_drain("server", r),
+            Operation.START_HOST_DRAIN: lambda r: self._start_drain("host", r),
+            Operation.END_HOST_DRAIN: lambda r: self._end_drain("host", r),
+            Operation.BILLS: self._bills,
+            Operation.EXPLAIN: self._explain,
+        }
+
+    def __call__(self, environ: Environ, start: StartResponse) -> Iterable[bytes]:
+        """Answer one request."""
+        response = self._respond(environ)
+        start(status_line(response.status), list(response.headers))
+        return response.body
+
+    def _respond(self, environ: Environ) -> Response:
+        try:
+            answer = self._answer(environ)
+        except Exception:
+            _log.exception("request failed", reason="internal")
+            answer = Err(Problem(ProblemCode.INTERNAL, "internal error"))
+        if isinstance(answer, Err):
+            return problem_response(answer.err_value, self._now())
+        body = json.dumps(_converter.unstructure(answer.ok_value)).encode()
+        headers = (
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(body))),
+        )
+        return Response(200, headers, (body,))
+
+    def _answer(self, environ: Environ) -> Answer:
+        actor = authenticate(environ, self._keys)
+        if isinstance(actor, Err):
+            return actor
+        found = find_route(environ["REQUEST_METHOD"], environ["PATH_INFO"])
+        if isinstance(found, Err):
+            return found
+        route, parameters = found.ok_value
+        allowed = check_permission(actor.ok_value, route)
+        if isinstance(allowed, Err):
+            return allowed
+        request = AdminRequest(actor.ok_value, environ, parameters)
+        answer = self._handlers[route.operation](request)
+        if route.method != "GET":
+            self._audit(route.operation, request, answer)
+        return answer
+
+    def _audit(
+        self, operation: Operation, request: AdminRequest, answer: Answer
+    ) -> None:
+        code = answer.err_value.code.value if isinstance(answer, Err) else "ok"
+        _log.info(
+            "change",
+            operation=operation.value,
+            by=request.actor.name,
+            role=request.actor.role.value,
+            submission_id=request.environ.get("HTTP_SUBMISSION_ID", ""),
+            reason=code,
+            **request.parameters,
+        )
+
+    def _status(self, request: AdminRequest) -> Answer:
+        limit, below = request.limit(), request.number("below")
+        if isinstance(limit, Err):
+            return limit
+        if isinstance(below, Err):
+            return below
+        status = self._backend.status()
+        after = request.query("after") or ""
+        wanted = [
+            host
+            for host in sorted(status.hosts, key=lambda host: host.name)
+            if host.name > after
+            and (below.ok_value is None or host.configuration_number < below.ok_value)
+        ]
+        page = wanted[: limit.ok_value]
+        plain = _converter.unstructure(attrs.evolve(status, hosts=()))
+        plain["hosts"] = _converter.unstructure(page)
+        plain["next"] = page[-1].name if len(wanted) > len(page) else None
+        return Ok(plain)
+
+    def _change_rollout(self, request: AdminRequest) -> Answer:
+        order = request.order()
+        if isinstance(order, Err):
+            return order
+        action = request.parameters["action"]
+        if action not in [known.value for known in RolloutAction]:
+            message = f"there is no action {action!r}"
+            return Err(Problem(ProblemCode.NOT_FOUND, message))
+        name = request.parameters["name"]
+        return self._backend.change_rollout(name, RolloutAction(action), order.ok_value)
+
+    def _start_drain(self, kind: str, request: AdminRequest) -> Answer:
+        order = request.order()
+        if isinstance(order, Err):
+            return order
+        name = request.parameters["name"]
+        return self._backend.start_drain(kind, name, order.ok_value)
+
+    def _end_drain(self, kind: str, request: AdminRequest) -> Answer:
+        order = request.order()
+        if isinstance(order, Err):
+            return order
+        name = request.parameters["name"]
+        ended = self._backend.end_drain(kind, name, order.ok_value)
+        return ended.map(lambda _: {"kind": kind, "name": name, "drained": False})
+
+    def _bills(self, request: AdminRequest) -> Answer:
+        limit = request.limit()
+        if isinstance(limit, Err):
+            return limit
+        teams = request.actor.teams
+        team = request.query("team")
+        if team is not None:
+            if not request.actor.sees(team):
+                message = f"{request.actor.name!r} may not see team {team!r}"
+                return Err(Problem(ProblemCode.FORBIDDEN, message))
+            teams = (team,)
+        after = request.query("after") or ""
+        return self._backend.bills(BillQuery(teams, after, limit.ok_value))
+
+    def _explain(self, request: AdminRequest) -> Answer:
+        request_id = request.parameters["request_id"]
+        if not request_id.isprintable():
+            return malformed("the request's identity holds control characters")
+        explained = self._backend.explain(request_id)
+        if isinstance(explained, Ok) and not request.actor.sees(
+            explained.ok_value.team
+        ):
+            message = f"nothing is known of request {request_id!r}"
+            return Err(Problem(ProblemCode.NOT_FOUND, message))
+        return explained
