--- /dev/null
+++ b/masticfork/admin/texts.py
@@ -0,0 +1,56 @@
+"""Longer answers of the administration API as texts for people."""
+
+import json
+
+from masticfork.admin import rendering
+from masticfork.admin.rendering import JsonObject
+
+
+def accepted_text(accepted: JsonObject, source: str) -> str:
+    """Show what a submission came to."""
+    lines = [rendering.finding_line(source, f) for f in accepted["findings"]]
+    lines += map(rendering.change_line, accepted["changes"])
+    if accepted["dry_run"]:
+        lines.append(f"would replace number {accepted['number']}")
+    elif accepted["repeated"]:
+        lines.append(f"accepted earlier as number {accepted['number']}")
+    else:
+        lines.append(f"accepted as number {accepted['number']}")
+    return "\n".join(lines)
+
+
+def status_text(shown: JsonObject) -> str:
+    """Show a status, section by section."""
+    confirmed = rendering.moment(shown["confirmed_until"])
+    parts = [
+        f"host {shown['host']}: number {shown['configuration_number']}, "
+        f"submission {shown['submission_id'] or '-'}, confirmed until {confirmed}"
+    ]
+    sections = {
+        "hosts": ["name", "zone", "address", "health", "configuration_number"],
+        "pools": ["name", "servers", "ready", "ejected", "leaving", "in_flight"],
+        "services": ["name", "servers", "ready", "ejected", "leaving", "in_flight"],
+        "leases": ["name", "holder", "fencing"],
+        "rollouts": ["name", "from_version", "to_version", "state", "share", "reason"],
+    }
+    for name, fields in sections.items():
+        parts.append(f"\n{name}\n{rendering.records(shown[name], fields)}")
+    return "\n".join(parts)
+
+
+def explanation_text(shown: JsonObject) -> str:
+    """Show the events of a request."""
+    lines = [f"request {shown['request_id']} of team {shown['team']}"]
+    for event in shown["events"]:
+        rest = {k: v for k, v in event.items() if k not in ("kind", "at", "candidates")}
+        told = ", ".join(f"{key} {value}" for key, value in rest.items())
+        lines.append(f"{event.get('at', '-')}  {event.get('kind', '-')}  {told}")
+        lines += [f"    {candidate}" for candidate in event.get("candidates", ())]
+    return "\n".join(lines)
+
+
+def configuration_text(shown: JsonObject) -> str:
+    """Show a manifest under a comment that tells who submitted it."""
+    when = rendering.moment(shown["submitted_at"])
+    head = f"// number {shown['number']}, by {shown['submitted_by']}, {when}\n"
+    return head + json.dumps(shown["manifest"], indent=2, ensure_ascii=False)
--- /dev/null
+++ b/masticfork/scripts/masticfork.py
@@ -0,0 +1,266 @@
+"""The operators' command-line tool, thin over the administration API."""
+
+import json
+import sys
+import time
+from typing import Any
+
+import attrs
+import click
+from result import Err
+
+from masticfork.admin import rendering
+from masticfork.admin.audit import audit
+from masticfork.admin.client import Call, CallFailure, FailureKind, JsonObject
+from masticfork.admin.configuration_calls import finding_objects
+from masticfork.admin.engine_counts import read_generations
+from masticfork.admin.texts import (
+    accepted_text,
+    configuration_text,
+    explanation_text,
+    status_text,
+)
+from masticfork.admin.views import RolloutAction
+from masticfork.admin.waiting import Spread, wait_everywhere
+from masticfork.core.deadlines import Deadline
+from masticfork.core.findings import has_errors
+from masticfork.core.ids import random_id
+from masticfork.scripts.session import (
+    ExitCode,
+    Session,
+    connected,
+    output_option,
+    submission_option,
+)
+from masticfork.settings.keys import new_key_hash
+from masticfork.settings.manifest import parse_manifest
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(package_name="masticfork")
+def main() -> None:
+    """Administer masticfork."""
+
+
+@main.command()
+@click.argument("manifest", type=click.File("r", encoding="utf-8"))
+@output_option
+def check(manifest: Any, output: str) -> None:
+    """Check MANIFEST without a daemon; `-` reads standard input."""
+    parsed = parse_manifest(_read(manifest), manifest.name)
+    findings = parsed.err_value if isinstance(parsed, Err) else parsed.ok_value[1]
+    if output == "json":
+        click.echo(json.dumps({"findings": finding_objects(findings)}, indent=2))
+    else:
+        for finding in findings:
+            click.echo(str(finding))
+        click.echo(f"{manifest.name}: {len(findings)} findings")
+    sys.exit(ExitCode.FINDINGS if has_errors(findings) else ExitCode.OK)
+
+
+@main.command()
+@click.argument("manifest", type=click.File("r", encoding="utf-8"))
+@click.option("--dry-run", is_flag=True, help="Only check against what is in force.")
+@click.option("--wait", is_flag=True, help="Return when it is in force everywhere.")
+@click.option("--wait-seconds", default=30.0, show_default=True)
+@click.option("--expect", type=int, help="Number that must be in force now.")
+@submission_option
+@connected
+def submit(
+    session: Session,
+    manifest: Any,
+    dry_run: bool,
+    wait: bool,
+    wait_seconds: float,
+    expect: int | None,
+    submission_id: str | None,
+) -> None:
+    """Put MANIFEST in force; `-` reads standard input."""
+    text = _read(manifest)
+    identity = submission_id or random_id("submission")
+    headers = {"Submission-Id": identity}
+    if expect is not None:
+        headers["If-Match"] = f'"{expect}"'
+    query: dict[str, str | int | None] = {"dry_run": 1 if dry_run else None}
+    answer = session.client.call(Call("POST", "/submissions", query, headers, text))
+    if isinstance(answer, Err):
+        _tell_identity(answer.err_value, identity)
+        session.fail(answer.err_value, manifest.name)
+    accepted = answer.ok_value
+    session.show(accepted, lambda: accepted_text(accepted, manifest.name))
+    if wait and not dry_run:
+        _wait(session, accepted["number"], wait_seconds)
+
+
+@main.command()
+@click.option("--number", type=int, help="Number of an earlier configuration.")
+@connected
+def show(session: Session, number: int | None) -> None:
+    """Show the manifest in force, fit to be changed and submitted."""
+    shown = session.get("/configuration", number=number)
+    session.show(shown, lambda: configuration_text(shown))
+
+
+@main.command()
+@connected
+def status(session: Session) -> None:
+    """Show hosts with their version in force, pools, leases and roll-outs."""
+    shown: JsonObject = {}
+    for page in session.client.pages("/status", {}, "after"):
+        part = session.value(page)
+        hosts = shown.get("hosts", []) + part["hosts"]
+        shown = {**part, "hosts": hosts}
+    session.show(shown, lambda: status_text(shown))
+
+
+@main.command()
+@click.argument("start", type=int)
+@click.argument("end", type=int, required=False)
+@connected
+def diff(session: Session, start: int, end: int | None) -> None:
+    """Show what changed from configuration START to END, or to the one in force."""
+    shown = session.get("/configuration/diff", **{"from": start, "to": end})
+    lines = map(rendering.change_line, shown["changes"])
+    session.show(shown, lambda: "\n".join(lines) or "(no change)")
+
+
+@main.command()
+@click.option("--limit", default=20, show_default=True)
+@click.option("--before", type=int, help="Show what is older than this number.")
+@connected
+def history(session: Session, limit: int, before: int | None) -> None:
+    """Show who submitted what, newest first."""
+    shown = session.get("/configuration/history", limit=limit, before=before)
+    rows = [{**i, "at": rendering.moment(i["submitted_at"])} for i in shown["items"]]
+    fields = ["number", "submitted_by", "role", "at", "submission_id"]
+    session.show(shown, lambda: rendering.records(rows, fields))
+
+
+@main.command()
+@click.argument("action", type=click.Choice([action.value for action in RolloutAction]))
+@click.argument("name")
+@submission_option
+@connected
+def rollout(
+    session: Session, action: str, name: str, submission_id: str | None
+) -> None:
+    """Start, pause, resume, promote or withdraw the roll-out NAME."""
+    shown = _change(session, "POST", f"/rollouts/{name}/{action}", submission_id)
+    fields = ["name", "from_version", "to_version", "state", "share", "reason"]
+    session.show(shown, lambda: rendering.records([shown], fields))
+
+
+@main.command()
+@click.argument("kind", type=click.Choice(["server", "host"]))
+@click.argument("name")
+@click.option("--end", is_flag=True, help="Let it take work again.")
+@submission_option
+@connected
+def drain(
+    session: Session, kind: str, name: str, end: bool, submission_id: str | None
+) -> None:
+    """Give the backend server or entry host NAME no new work."""
+    method = "DELETE" if end else "POST"
+    shown = _change(session, method, f"/{kind}s/{name}/drain", submission_id)
+    done = "takes work again" if end else "gets no new work"
+    session.show(shown, lambda: f"{kind} {name} {done}")
+
+
+@main.command()
+@click.option("--team", help="Only bills of this team.")
+@click.option("--audit", "audited", is_flag=True, help="Compare with the engines.")
+@click.option("--engine", multiple=True, help="Base URL of an engine to compare with.")
+@connected
+def bills(
+    session: Session, team: str | None, audited: bool, engine: tuple[str, ...]
+) -> None:
+    """List bills, or compare them with the engines' own count."""
+    if audited and not engine:
+        raise click.UsageError("--audit needs each engine's URL as --engine")
+    items: list[JsonObject] = []
+    for page in session.client.pages("/bills", {"team": team, "limit": 500}, "after"):
+        items += session.value(page)["items"]
+    if audited:
+        _audit(session, items, engine)
+        return
+    fields = ["request_id", "team", "work_class", "host", "cost"]
+    session.show({"items": items}, lambda: rendering.records(items, fields))
+
+
+@main.command()
+@click.argument("request_id")
+@connected
+def explain(session: Session, request_id: str) -> None:
+    """Tell why a request went where it did."""
+    shown = session.get(f"/explain/{request_id}")
+    session.show(shown, lambda: explanation_text(shown))
+
+
+@main.command("hash-key")
+@click.argument("key_file", type=click.File("r", encoding="utf-8"), default="-")
+def hash_key(key_file: Any) -> None:
+    """Read a key from KEY_FILE or standard input and show its salted hash."""
+    key = _read(key_file).strip()
+    if not key:
+        raise click.UsageError(f"no key in {key_file.name}")
+    click.echo(json.dumps(attrs.asdict(new_key_hash(key)), indent=2))
+
+
+def _read(manifest: Any) -> str:
+    try:
+        return str(manifest.read())
+    except UnicodeDecodeError:
+        click.echo(f"{manifest.name}: error: is not UTF-8 [unreadable]", err=True)
+        sys.exit(ExitCode.FINDINGS)
+
+
+def _change(
+    session: Session, method: str, path: str, submission_id: str | None
+) -> JsonObject:
+    identity = submission_id or random_id("submission")
+    call = Call(method, path, headers={"Submission-Id": identity})
+    answer = session.client.call(call)
+    if isinstance(answer, Err):
+        _tell_identity(answer.err_value, identity)
+    return session.value(answer)
+
+
+def _tell_identity(failure: CallFailure, identity: str) -> None:
+    if failure.kind is FailureKind.UNKNOWN:
+        click.echo(f"repeat with --submission-id {identity} to settle it", err=True)
+
+
+def _wait(session: Session, number: int, wait_seconds: float) -> None:
+    def progress(seen: Spread) -> None:
+        ready = seen.hosts - len(seen.lagging)
+        if not session.as_json:
+            click.echo(f"in force on {ready} of {seen.hosts} hosts", err=True)
+
+    deadline = Deadline.after(time.time(), wait_seconds)
+    seen = wait_everywhere(
+        session.client, number, deadline, progress, time.time, time.sleep
+    )
+    if isinstance(seen, Err):
+        session.fail(seen.err_value)
+    if seen.ok_value.lagging:
+        names = ", ".join(seen.ok_value.lagging)
+        click.echo(f"number {number} is accepted; these hosts lag: {names}", err=True)
+        sys.exit(ExitCode.UNKNOWN)
+
+
+def _audit(session: Session, items: list[JsonObject], engines: tuple[str, ...]) -> None:
+    generations: list[JsonObject] = []
+    for url in engines:
+        counted = read_generations(url, session.client.timeout_seconds)
+        if isinstance(counted, Err):
+            session.fail(counted.err_value)
+        generations += counted.ok_value
+    found = audit(items, generations)
+    plain = attrs.asdict(found)
+    rows = [(n, len(v) if isinstance(v, tuple) else v) for n, v in plain.items()]
+    session.show(plain, lambda: rendering.table(["WHAT", "COUNT"], rows))
+    sys.exit(ExitCode.OK if found.clean else ExitCode.REFUSED)
+
+
+if __name__ == "__main__":
+    main()
