--- a/masticfork/admin/app.py
+++ b/masticfork/admin/app.py
@@ -151,8 +151,7 @@
         if isinstance(order, Err):
             return order
         name = request.parameters["name"]
-        ended = self._backend.end_drain(kind, name, order.ok_value)
-        return ended.map(lambda _: {"kind": kind, "name": name, "drained": False})
+        return self._backend.end_drain(kind, name, order.ok_value)
 
     def _bills(self, request: AdminRequest) -> Answer:
         limit = request.limit()
--- a/masticfork/admin/app_test.py
+++ b/masticfork/admin/app_test.py
@@ -62,11 +62,11 @@
 
     def start_drain(self, kind: str, name: str, order: Any) -> Any:
         self.orders.append(("drain", kind, name, order.submission_id))
-        return Ok(DrainView(kind, name, order.actor.name, 1.0, order.submission_id))
+        return Ok(DrainView(kind, name, True, order.actor.name, 1.0, "s9"))
 
     def end_drain(self, kind: str, name: str, order: Any) -> Any:
         self.orders.append(("end", kind, name, order.submission_id))
-        return Ok(None)
+        return Ok(DrainView(kind, name, False, order.actor.name, 1.0, "s9"))
 
     def bills(self, query: Any) -> Any:
         items = [b for b in BILLS if not query.teams or b.team in query.teams]
@@ -259,6 +259,14 @@
         status, problem = client.submit("s3", who="scoped", text=text)
         assert (status, problem["paths"]) == (403, ["pools[a].servers[a1].host"])
 
+    def test_a_race_tells_a_scoped_operator_of_its_teams_only(self):
+        client = Client()
+        _, first = client.submit("s1", text=manifest(team="orders"))
+        client.submit("s2", text=manifest(0.6, team="orders"))
+        number = str(first["number"])
+        status, raced = client.submit("s3", 0.7, who="scoped", IF_MATCH=number)
+        assert (status, raced["changes"]) == (409, [])
+
     @pytest.mark.parametrize(
         ("fault", "status", "code"),
         [("down", 503, "platform_down"), ("unknown", 504, "outcome_unknown")],
--- a/masticfork/admin/backend.py
+++ b/masticfork/admin/backend.py
@@ -64,7 +64,9 @@
     ) -> Result[DrainView, Problem]:
         """Give a `server` or `host` no new work, or NOT_FOUND."""
 
-    def end_drain(self, kind: str, name: str, order: Order) -> Result[None, Problem]:
+    def end_drain(
+        self, kind: str, name: str, order: Order
+    ) -> Result[DrainView, Problem]:
         """Let a `server` or `host` take work again; one not drained is no error."""
 
     def bills(self, query: BillQuery) -> Result[BillPage, Problem]:
--- a/masticfork/admin/configuration_calls.py
+++ b/masticfork/admin/configuration_calls.py
@@ -7,6 +7,7 @@
 import cattrs
 from result import Err, Ok, Result
 
+from masticfork.admin.configuration_store import PlatformFailed
 from masticfork.admin.configurations import Provenance, StoredConfiguration
 from masticfork.admin.manifest_diff import Change, manifest_diff, redacted
 from masticfork.admin.problems import Problem, ProblemCode
@@ -14,7 +15,6 @@
 from masticfork.admin.submissions import (
     IdReused,
     OutOfScope,
-    PlatformFailed,
     Raced,
     Refused,
     Submission,
@@ -59,7 +59,7 @@
         dry_run = request.flag("dry_run")
         outcome = self._submissions.submit(submission, dry_run)
         if isinstance(outcome, Err):
-            return Err(_problem(outcome.err_value))
+            return Err(_problem(_visible_error(outcome.err_value, request)))
         accepted = outcome.ok_value
         return Ok(
             {
@@ -92,7 +92,7 @@
         if isinstance(before, Err):
             return before
         wanted = limit.ok_value
-        rows = self._submissions.history(
+        rows = self._submissions.configurations.history(
             before.ok_value, wanted, Deadline.after(self._now(), READ_SECONDS)
         )
         if isinstance(rows, Err):
@@ -126,9 +126,9 @@
     def _find(self, number: int | None) -> Result[StoredConfiguration, Problem]:
         deadline = Deadline.after(self._now(), READ_SECONDS)
         if number is None:
-            found = self._submissions.current(deadline)
+            found = self._submissions.configurations.current(deadline)
         else:
-            found = self._submissions.at(number, deadline)
+            found = self._submissions.configurations.at(number, deadline)
         if isinstance(found, Err):
             return Err(_problem(found.err_value))
         if found.ok_value is None:
@@ -165,6 +165,19 @@
     return {**manifest, "teams": teams}
 
 
+def _visible_error(error: SubmitError, request: AdminRequest) -> SubmitError:
+    """Leave out changes of teams that the administrator may not see."""
+    if not isinstance(error, Raced):
+        return error
+    seen = tuple(
+        change
+        for change in error.changes
+        if not change.path.startswith("teams[")
+        or request.actor.sees(change.path[len("teams[") :].partition("]")[0])
+    )
+    return attrs.evolve(error, changes=seen)
+
+
 def _provenance(provenance: Provenance) -> dict[str, Any]:
     plain: dict[str, Any] = _converter.unstructure(provenance)
     return plain
--- /dev/null
+++ b/masticfork/admin/drains.py
@@ -0,0 +1,143 @@
+"""Drains of backend servers and entry hosts, one object each at the platform."""
+
+from collections.abc import Callable
+
+import attrs
+from result import Err, Ok, Result
+
+from masticfork.admin.backend import Order
+from masticfork.admin.problems import Problem, ProblemCode
+from masticfork.admin.views import DrainView
+from masticfork.core.deadlines import Deadline
+from masticfork.platform.client import (
+    ErrorKind,
+    JsonObject,
+    ObjectStore,
+    PlatformError,
+    StoredObject,
+)
+from masticfork.platform.settle import Beaten, create_settled, update_settled
+
+DRAIN_PREFIX = "drains/"
+
+# Time in seconds within which a change must be settled.
+CHANGE_SECONDS = 5.0
+
+# Submission ids that an object remembers, so that a late repeat changes nothing.
+REMEMBERED_IDS = 32
+
+# Times that a change is tried against others of the same object.
+MAX_TRIES = 4
+
+
+def drain_of(stored: StoredObject) -> DrainView | None:
+    """Read a drain, active or ended; none where the object is malformed."""
+    value = stored.value
+    try:
+        return DrainView(
+            kind=str(value["kind"]),
+            name=str(value["name"]),
+            active=bool(value["active"]),
+            by=str(value["by"]),
+            at=float(value["at"]),
+            submission_id=str(value["submission_id"]),
+        )
+    except (KeyError, TypeError, ValueError):
+        return None
+
+
+class Drains:
+    """Starts and ends drains; holds no state."""
+
+    def __init__(self, store: ObjectStore, now: Callable[[], float]) -> None:
+        self._store = store
+        self._now = now
+
+    def start(self, kind: str, name: str, order: Order) -> Result[DrainView, Problem]:
+        """Mark a `server` or `host` as drained."""
+        return self._change(_Change(kind, name, True, order))
+
+    def end(self, kind: str, name: str, order: Order) -> Result[DrainView, Problem]:
+        """Mark a `server` or `host` as fit for work again."""
+        return self._change(_Change(kind, name, False, order))
+
+    def active(self, deadline: Deadline) -> Result[tuple[DrainView, ...], Problem]:
+        """Return all drains that are not ended."""
+        found: list[DrainView] = []
+        after, more = "", True
+        while more:
+            page = self._store.list(DRAIN_PREFIX, deadline, after=after)
+            if isinstance(page, Err):
+                return Err(_problem(page.err_value))
+            items, more = page.ok_value.items, page.ok_value.more
+            views = filter(None, map(drain_of, items))
+            found += [view for view in views if view.active]
+            after = items[-1].key if items else after
+        return Ok(tuple(found))
+
+    def _change(self, change: "_Change") -> Result[DrainView, Problem]:
+        deadline = Deadline.after(self._now(), CHANGE_SECONDS)
+        for _ in range(MAX_TRIES):
+            changed = self._try(change, deadline)
+            if isinstance(changed, Err):
+                return changed
+            if changed.ok_value is not None:
+                return Ok(changed.ok_value)
+        message = f"others keep changing the drain of {change.name!r}"
+        return Err(Problem(ProblemCode.CONFLICT, message))
+
+    def _try(
+        self, change: "_Change", deadline: Deadline
+    ) -> Result[DrainView | None, Problem]:
+        """Change the drain, or return none where another change came first."""
+        read = self._store.get(change.key, deadline)
+        if isinstance(read, Err):
+            if read.err_value.kind is not ErrorKind.NOT_FOUND:
+                return Err(_problem(read.err_value))
+            value = change.value({}, self._now())
+            written = create_settled(self._store, change.key, value, deadline)
+        else:
+            stored = read.ok_value
+            if change.order.submission_id in stored.value.get("seen", ()):
+                return Ok(drain_of(stored))
+            value = change.value(stored.value, self._now())
+            version = stored.version
+            written = update_settled(self._store, change.key, value, version, deadline)
+        if isinstance(written, Err):
+            return Err(_problem(written.err_value))
+        if isinstance(written.ok_value, Beaten):
+            return Ok(None)
+        return Ok(drain_of(written.ok_value.stored))
+
+
+@attrs.frozen
+class _Change:
+    kind: str
+    name: str
+    active: bool
+    order: Order
+
+    @property
+    def key(self) -> str:
+        """Return the key of the drain's object."""
+        return f"{DRAIN_PREFIX}{self.kind}/{self.name}"
+
+    def value(self, before: JsonObject, now: float) -> JsonObject:
+        """Return what to write in place of the object as it stood."""
+        seen = [*before.get("seen", ()), self.order.submission_id]
+        return {
+            "kind": self.kind,
+            "name": self.name,
+            "active": self.active,
+            "by": self.order.actor.name,
+            "role": self.order.actor.role.value,
+            "at": now,
+            "submission_id": self.order.submission_id,
+            "seen": seen[-REMEMBERED_IDS:],
+        }
+
+
+def _problem(error: PlatformError) -> Problem:
+    unknown = error.kind is ErrorKind.UNKNOWN
+    code = ProblemCode.OUTCOME_UNKNOWN if unknown else ProblemCode.PLATFORM_DOWN
+    return Problem(code, error.message, error.retry_at)
--- /dev/null
+++ b/masticfork/admin/drains_test.py
@@ -0,0 +1,60 @@
+import itertools
+
+import pytest
+
+from masticfork.admin.backend import Actor, Order
+from masticfork.admin.drains import Drains
+from masticfork.admin.problems import ProblemCode
+from masticfork.core.deadlines import Deadline
+from masticfork.platform.embedded import EmbeddedStore
+from masticfork.settings.settings import Role
+
+FAR = Deadline(1e12)
+
+
+def order(name: str) -> Order:
+    return Order(name, Actor("ana", Role.OPERATOR))
+
+
+class TestDrains:
+    def setup_method(self) -> None:
+        clock = itertools.count(100)
+        self.store = EmbeddedStore(now=lambda: 100.0, sleep=lambda _: None)
+        self.drains = Drains(self.store, lambda: float(next(clock)))
+
+    def names(self) -> list[tuple[str, str]]:
+        active = self.drains.active(FAR).unwrap()
+        return [(view.kind, view.name) for view in active]
+
+    def test_start_and_end(self):
+        started = self.drains.start("server", "a1", order("s1")).unwrap()
+        assert (started.active, started.by, started.submission_id) == (
+            True,
+            "ana",
+            "s1",
+        )
+        self.drains.start("host", "h1", order("s2")).unwrap()
+        assert self.names() == [("host", "h1"), ("server", "a1")]
+        assert not self.drains.end("server", "a1", order("s3")).unwrap().active
+        assert self.names() == [("host", "h1")]
+
+    def test_a_late_repeat_changes_nothing(self):
+        self.drains.start("server", "a1", order("s1"))
+        self.drains.end("server", "a1", order("s2"))
+        assert not self.drains.start("server", "a1", order("s1")).unwrap().active
+        assert self.names() == []
+
+    @pytest.mark.parametrize("calls", [1, 2, 3])
+    def test_lost_answers_are_settled(self, calls: int):
+        self.store.faults.lose_answers = calls
+        assert self.drains.start("server", "a1", order("s1")).unwrap().active
+        assert self.store.get("drains/server/a1", FAR).unwrap().value["seen"] == ["s1"]
+
+    def test_failures_are_told_apart(self):
+        self.store.set_down(True)
+        refused = self.drains.start("server", "a1", order("s1")).unwrap_err()
+        assert refused.code is ProblemCode.PLATFORM_DOWN
+        self.store.set_down(False)
+        self.store.faults.lose_requests = 9
+        unknown = self.drains.start("server", "a1", order("s1")).unwrap_err()
+        assert unknown.code is ProblemCode.OUTCOME_UNKNOWN
--- a/masticfork/admin/submissions.py
+++ b/masticfork/admin/submissions.py
@@ -10,15 +10,17 @@
 import attrs
 from result import Err, Ok, Result
 
+from masticfork.admin.configuration_store import (
+    ConfigurationStore,
+    Found,
+    PlatformFailed,
+)
 from masticfork.admin.configurations import (
     CURRENT_KEY,
-    HISTORY_PREFIX,
     Provenance,
     StoredConfiguration,
     decode,
     encode,
-    history_key,
-    submission_key,
 )
 from masticfork.admin.manifest_diff import Change, manifest_diff
 from masticfork.core.deadlines import Deadline
@@ -27,14 +29,12 @@
     ErrorKind,
     JsonObject,
     ObjectStore,
-    PlatformError,
     StoredObject,
 )
 from masticfork.platform.settle import (
     Beaten,
     Settled,
     create_settled,
-    delete_settled,
     update_settled,
 )
 from masticfork.settings.manifest import manifest_object, parse_manifest
@@ -43,12 +43,6 @@
 # Time in seconds within which a submission must be settled.
 SUBMIT_SECONDS = 10.0
 
-# Replaced configurations that are kept for history and for repeated submissions.
-KEPT_CONFIGURATIONS = 1000
-
-# Replaced configurations that one submission removes at most.
-REMOVED_AT_ONCE = 2
-
 
 @attrs.frozen
 class Submission:
@@ -104,22 +98,15 @@
     number: int
 
 
-@attrs.frozen
-class PlatformFailed:
-    """The platform gave no answer; UNKNOWN means that it may be accepted yet."""
-
-    error: PlatformError
-
-
 SubmitError = Refused | OutOfScope | Raced | IdReused | PlatformFailed
 Outcome = Result[Accepted, SubmitError]
-Found = Result[StoredConfiguration | None, PlatformFailed]
 
 
 class Submissions:
     """The configuration at the platform and its history; holds no state."""
 
     def __init__(self, store: ObjectStore, now: Callable[[], float]) -> None:
+        self.configurations = ConfigurationStore(store)
         self._store = store
         self._now = now
 
@@ -131,7 +118,7 @@
         manifest, findings = parsed.ok_value
         attempt = _Attempt(submission, manifest_object(manifest), findings)
         deadline = Deadline.after(self._now(), SUBMIT_SECONDS)
-        current = self.current(deadline)
+        current = self.configurations.current(deadline)
         if isinstance(current, Err):
             return current
         earlier = self._earlier(attempt, current.ok_value, deadline)
@@ -139,57 +126,6 @@
             return earlier
         return self._apply(attempt, current.ok_value, dry_run, deadline)
 
-    def current(self, deadline: Deadline) -> Found:
-        """Return the configuration in force, or none."""
-        return self._read(CURRENT_KEY, None, deadline)
-
-    def at(self, number: int, deadline: Deadline) -> Found:
-        """Return the configuration that had the number, or none."""
-        current = self.current(deadline)
-        if isinstance(current, Err) or current.ok_value is None:
-            return current
-        if current.ok_value.provenance.number == number:
-            return current
-        return self._read(history_key(number), number, deadline)
-
-    def history(
-        self, before: int | None, limit: int, deadline: Deadline
-    ) -> Result[tuple[Provenance, ...], PlatformFailed]:
-        """Return who submitted what, newest first, older than number `before`."""
-        found = self._start(before, deadline)
-        rows: list[Provenance] = []
-        while isinstance(found, Ok) and found.ok_value and len(rows) < limit:
-            row = found.ok_value.provenance
-            rows.append(row)
-            found = self._previous(row, deadline)
-        return found if isinstance(found, Err) else Ok(tuple(rows))
-
-    def _start(self, before: int | None, deadline: Deadline) -> Found:
-        if before is None:
-            return self.current(deadline)
-        found = self.at(before, deadline)
-        if isinstance(found, Err) or found.ok_value is None:
-            return found
-        return self._previous(found.ok_value.provenance, deadline)
-
-    def _previous(self, row: Provenance, deadline: Deadline) -> Found:
-        if row.previous == 0:
-            return Ok(None)
-        return self._read(history_key(row.previous), row.previous, deadline)
-
-    def _read(self, key: str, number: int | None, deadline: Deadline) -> Found:
-        read = self._store.get(key, deadline)
-        if isinstance(read, Err):
-            if read.err_value.kind is ErrorKind.NOT_FOUND:
-                return Ok(None)
-            return Err(PlatformFailed(read.err_value))
-        stored = read.ok_value
-        decoded = decode(stored.value, stored.version if number is None else number)
-        if isinstance(decoded, Err):
-            message = decoded.err_value[0].message
-            return Err(PlatformFailed(PlatformError(ErrorKind.UNAVAILABLE, message)))
-        return Ok(decoded.ok_value)
-
     def _earlier(
         self,
         attempt: "_Attempt",
@@ -200,7 +136,7 @@
         wanted = attempt.submission.id
         found: Found = Ok(current)
         if current is not None and current.provenance.submission_id != wanted:
-            found = self._archived(wanted, deadline)
+            found = self.configurations.submitted(wanted, deadline)
         if isinstance(found, Err):
             return found
         earlier = found.ok_value
@@ -211,15 +147,6 @@
             return Err(IdReused(number))
         return Ok(Accepted(number, (), attempt.findings, repeated=True))
 
-    def _archived(self, submission_id: str, deadline: Deadline) -> Found:
-        read = self._store.get(submission_key(submission_id), deadline)
-        if isinstance(read, Err):
-            if read.err_value.kind is ErrorKind.NOT_FOUND:
-                return Ok(None)
-            return Err(PlatformFailed(read.err_value))
-        number = int(read.ok_value.value["number"])
-        return self._read(history_key(number), number, deadline)
-
     def _apply(
         self,
         attempt: "_Attempt",
@@ -244,7 +171,7 @@
             return self._beaten(attempt, number, written.ok_value.current, deadline)
         accepted = written.ok_value.stored.version
         if current is not None:
-            self._trim(current.provenance.sequence, deadline)
+            self.configurations.trim(current.provenance.sequence, deadline)
         return Ok(Accepted(accepted, changes, attempt.findings))
 
     def _write(
@@ -257,7 +184,7 @@
         if current is None:
             written = create_settled(self._store, CURRENT_KEY, value, deadline)
             return written.map_err(PlatformFailed)
-        archived = self._archive(current, deadline)
+        archived = self.configurations.archive(current, deadline)
         if isinstance(archived, Err):
             # Nothing of the new configuration was written.
             error = attrs.evolve(archived.err_value, kind=ErrorKind.UNAVAILABLE)
@@ -266,21 +193,6 @@
         written = update_settled(self._store, CURRENT_KEY, value, number, deadline)
         return written.map_err(PlatformFailed)
 
-    def _archive(
-        self, current: StoredConfiguration, deadline: Deadline
-    ) -> Result[None, PlatformError]:
-        provenance = current.provenance
-        entries: list[tuple[str, JsonObject]] = [
-            (history_key(provenance.number), encode(current)),
-            (submission_key(provenance.submission_id), {"number": provenance.number}),
-        ]
-        for key, value in entries:
-            # Whoever came first wrote the same.
-            created = create_settled(self._store, key, value, deadline)
-            if isinstance(created, Err):
-                return created
-        return Ok(None)
-
     def _beaten(
         self,
         attempt: "_Attempt",
@@ -292,15 +204,16 @@
         current: StoredConfiguration | None = None
         if winner is not None:
             current = decode(winner.value, winner.version).unwrap_or(None)
-        earlier = self._earlier(attempt, current, deadline)
-        if earlier is not None:
-            return earlier
-        return self._raced(expected, current, deadline)
+        outcome = self._earlier(attempt, current, deadline)
+        if outcome is None:
+            outcome = self._raced(expected, current, deadline)
+        # A lost answer may hide that the submission was in force for a moment.
+        return outcome.map_err(_unknown)
 
     def _raced(
         self, expected: int, current: StoredConfiguration | None, deadline: Deadline
     ) -> Outcome:
-        base = self._read(history_key(expected), expected, deadline)
+        base = self.configurations.at(expected, deadline)
         if isinstance(base, Err):
             return base
         changes: tuple[Change, ...] = ()
@@ -308,23 +221,6 @@
             changes = manifest_diff(base.ok_value.manifest, current.manifest)
         return Err(Raced(current.provenance if current else None, changes))
 
-    def _trim(self, sequence: int, deadline: Deadline) -> None:
-        """Remove the oldest archived configurations; a failure leaves them."""
-        listed = self._store.list(HISTORY_PREFIX, deadline, limit=REMOVED_AT_ONCE)
-        if isinstance(listed, Err):
-            return
-        for item in listed.ok_value.items:
-            kept = sequence - int(item.value.get("sequence", 0))
-            if kept >= KEPT_CONFIGURATIONS:
-                self._remove(item, deadline)
-
-    def _remove(self, item: StoredObject, deadline: Deadline) -> None:
-        key = submission_key(str(item.value.get("submission_id", "")))
-        index = self._store.get(key, deadline)
-        if isinstance(index, Ok):
-            delete_settled(self._store, key, index.ok_value.version, deadline)
-        delete_settled(self._store, item.key, item.version, deadline)
-
 
 @attrs.frozen
 class _Attempt:
@@ -351,6 +247,13 @@
         return StoredConfiguration(provenance, self.manifest)
 
 
+def _unknown(error: SubmitError) -> SubmitError:
+    """Return a failure of the platform as one with unknown outcome."""
+    if isinstance(error, PlatformFailed):
+        return PlatformFailed(attrs.evolve(error.error, kind=ErrorKind.UNKNOWN))
+    return error
+
+
 def _outside(changes: tuple[Change, ...], teams: tuple[str, ...]) -> tuple[str, ...]:
     """Return the changed paths that are not within the teams; none means all."""
     if not teams:
--- a/masticfork/admin/submissions_test.py
+++ b/masticfork/admin/submissions_test.py
@@ -6,25 +6,27 @@
 import attrs
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from result import Err
 
-from masticfork.admin import submissions as module
+from masticfork.admin import configuration_store
+from masticfork.admin.configuration_store import PlatformFailed
 from masticfork.admin.configurations import (
     CURRENT_KEY,
     HISTORY_PREFIX,
+    SUBMISSION_PREFIX,
     configuration_of,
 )
 from masticfork.admin.submissions import (
     Accepted,
     IdReused,
     OutOfScope,
-    PlatformFailed,
     Raced,
     Refused,
     Submission,
     Submissions,
 )
 from masticfork.core.deadlines import Deadline
-from masticfork.platform.client import ErrorKind
+from masticfork.platform.client import ErrorKind, PlatformError
 from masticfork.platform.embedded import EmbeddedStore
 from masticfork.settings.settings import Role
 
@@ -72,6 +74,14 @@
     before_update: Callable[[], object] | None = None
     after_update: Callable[[], object] | None = None
 
+    # Keys that cannot be read.
+    unreadable: str | None = None
+
+    def get(self, key: str, deadline: Deadline) -> Any:
+        if self.unreadable and key.startswith(self.unreadable):
+            return Err(PlatformError(ErrorKind.UNAVAILABLE, "not reachable"))
+        return super().get(key, deadline)
+
     def update(self, key: str, value: Any, version: int, deadline: Deadline) -> Any:
         before, self.before_update = self.before_update, None
         if before:
@@ -95,7 +105,7 @@
         return outcome.ok_value if outcome.is_ok() else outcome.err_value
 
     def ids(self) -> list[str]:
-        rows = self.submissions.history(None, 100, FAR).unwrap()
+        rows = self.submissions.configurations.history(None, 100, FAR).unwrap()
         return [row.submission_id for row in rows]
 
 
@@ -113,7 +123,9 @@
         platform = Platform()
         platform.submit("s1")
         platform.submit("s2", 0.6, submitted_by="bea")
-        newest, oldest = platform.submissions.history(None, 9, FAR).unwrap()
+        newest, oldest = platform.submissions.configurations.history(
+            None, 9, FAR
+        ).unwrap()
         assert (newest.submitted_by, oldest.submitted_by) == ("bea", "ana")
         assert newest.previous == oldest.number
         assert newest.submitted_at > oldest.submitted_at >= 100.0
@@ -222,6 +234,24 @@
         assert isinstance(platform.submit("s2", 0.6), Accepted)
         assert platform.ids() == ["s3", "s2", "s1"]
 
+    def test_a_replaced_write_that_cannot_be_looked_up_is_unknown(self):
+        platform = Platform()
+        platform.submit("s1")
+
+        def replace() -> None:
+            platform.submit("s3", 0.7)
+            platform.store.unreadable = SUBMISSION_PREFIX
+
+        platform.store.before_update = lambda: setattr(
+            platform.store.faults, "lose_answers", 1
+        )
+        platform.store.after_update = replace
+        failed = platform.submit("s2", 0.6)
+        assert isinstance(failed, PlatformFailed)
+        assert failed.error.kind is ErrorKind.UNKNOWN
+        platform.store.unreadable = None
+        assert platform.submit("s2", 0.6).repeated
+
     def test_an_unknown_outcome_is_settled_by_the_same_id(self):
         platform = Platform()
         platform.submit("s1")
@@ -252,8 +282,10 @@
         platform = Platform()
         for index in range(5):
             platform.submit(f"s{index}", index / 10)
-        first = platform.submissions.history(None, 2, FAR).unwrap()
-        rest = platform.submissions.history(first[-1].number, 9, FAR).unwrap()
+        first = platform.submissions.configurations.history(None, 2, FAR).unwrap()
+        rest = platform.submissions.configurations.history(
+            first[-1].number, 9, FAR
+        ).unwrap()
         assert [row.submission_id for row in (*first, *rest)] == [
             "s4",
             "s3",
@@ -263,7 +295,7 @@
         ]
 
     def test_old_entries_are_removed(self, monkeypatch):
-        monkeypatch.setattr(module, "KEPT_CONFIGURATIONS", 3)
+        monkeypatch.setattr(configuration_store, "KEPT_CONFIGURATIONS", 3)
         platform = Platform()
         for index in range(9):
             platform.submit(f"s{index}", index / 10)
@@ -302,7 +334,7 @@
         ids = platform.ids()
         assert len(ids) == len(set(ids))
         assert accepted.keys() <= set(ids)
-        rows = platform.submissions.history(None, 100, FAR).unwrap()
+        rows = platform.submissions.configurations.history(None, 100, FAR).unwrap()
         numbers = [row.number for row in rows]
         assert numbers == sorted(numbers, reverse=True)
         assert {r.submission_id: r.number for r in rows}.items() >= accepted.items()
--- a/masticfork/admin/views.py
+++ b/masticfork/admin/views.py
@@ -136,10 +136,12 @@
 
 @attrs.frozen
 class DrainView:
-    """A backend server or an entry host that gets no new work."""
+    """Whether a backend server or an entry host is to get no new work."""
 
+    # Either `server` or `host`.
     kind: str
     name: str
+    active: bool
     by: str
     at: float
     submission_id: str
