--- a/masticfork/settings/settings_test.py
+++ b/masticfork/settings/settings_test.py
@@ -1,5 +1,6 @@
 from pathlib import Path
 
+import attrs
 import pytest
 
 from masticfork.settings.settings import (
@@ -105,3 +106,18 @@
     def test_unreadable_file(self, tmp_path: Path):
         findings = load_settings(tmp_path / "none.jsonc").unwrap_err()
         assert [finding.code for finding in findings] == ["unreadable"]
+
+
+OPERATIONS = Path(__file__).resolve().parents[2] / "docs" / "OPERATIONS.md"
+
+
+class TestReference:
+    def test_every_setting_is_on_the_operators_page(self):
+        page = OPERATIONS.read_text()
+        for field in attrs.fields(Settings):
+            if attrs.has(field.type):
+                names = [f"{field.name}.{f.name}" for f in attrs.fields(field.type)]
+            else:
+                names = [field.name]
+            missing = [name for name in names if f"`{name}`" not in page]
+            assert missing == []
