Link entry hosts by authenticated TCP connections

Hosts need to reach each other without a coordination service and without one frozen peer holding up the rest. Each host dials all peers in a fleet of up to eight and two near and two far ones beyond, chosen by rendezvous hashing, so that the cost of a host does not grow with the fleet.

--- /dev/null
+++ b/masticfork/peers/link.py
@@ -0,0 +1,284 @@
+"""The peer link: authenticated connections between entry hosts.
+
+One thread accepts, one maintains (dials, expires), and each connection has one
+thread that reads and one that writes. No call of the link's users ever waits on
+a peer: messages are queued, and a full queue drops the message.
+"""
+
+import random
+import socket
+import threading
+from collections.abc import Callable, Iterable
+from concurrent.futures import Future, ThreadPoolExecutor
+from typing import Any
+
+import logbook
+from result import Ok, Result
+
+from masticfork.core.deadlines import Deadline
+from masticfork.core.ids import HostName
+from masticfork.peers.authentication import KeyRing, PeerKey
+from masticfork.peers.codec import encode_message
+from masticfork.peers.connection import Connection
+from masticfork.peers.drops import Counters, DropReason, LinkCounts
+from masticfork.peers.handshake import Opened
+from masticfork.peers.messages import KINDS, Body, Declined, Envelope, Goodbye, Message
+from masticfork.peers.opening import MAX_HANDSHAKES, Opener
+from masticfork.peers.records import Handlers, LinkSettings, Sender
+from masticfork.peers.registry import Registry
+from masticfork.peers.requests import PendingRequests, Reply, RequestError
+from masticfork.peers.selection import (
+    FULL_MESH_HOSTS,
+    OTHER_ZONE_PEERS,
+    OWN_ZONE_PEERS,
+    PeerAddress,
+    choose_peers,
+)
+
+MAX_CONNECTIONS = 64
+MAINTENANCE_SECONDS = 0.1
+PRUNE_SECONDS = 10.0
+# With fewer links than this the seeds are dialled whatever is known.
+MIN_LINKS = 2
+# With more links than this, those that were dialled and no longer chosen close.
+MAX_IDLE_LINKS = max(FULL_MESH_HOSTS, 3 * (OWN_ZONE_PEERS + OTHER_ZONE_PEERS))
+STOP_SECONDS = 1.0
+
+_log = logbook.Logger("masticfork.peers")
+
+
+class PeerLink:
+    """Connects this host with the peers it chose and carries messages."""
+
+    def __init__(
+        self,
+        settings: LinkSettings,
+        handlers: Handlers,
+        now: Callable[[], float],
+        rng: random.Random | None = None,
+    ) -> None:
+        self._settings = settings
+        self._handlers = handlers
+        self._now = now
+        self._keys = KeyRing(settings.keys)
+        self._counters = Counters(now)
+        self._registry = Registry(settings.host)
+        self._requests = PendingRequests()
+        self._opener = Opener(
+            settings,
+            self._keys,
+            self._counters,
+            now,
+            rng or random.Random(settings.host),
+            self._establish,
+        )
+        self._chosen: tuple[PeerAddress, ...] = ()
+        self._known: frozenset[str] = frozenset()
+        self._next_prune = Deadline.after(now(), PRUNE_SECONDS)
+        self._stopping = threading.Event()
+        # Two threads a connection, one a handshake, one to accept, one to maintain.
+        threads = 2 * (MAX_CONNECTIONS + MAX_HANDSHAKES) + 2
+        self._pool = ThreadPoolExecutor(threads, thread_name_prefix="peer")
+
+    @property
+    def counts(self) -> LinkCounts:
+        """Return what was sent, received and dropped so far."""
+        return self._counters.counts
+
+    @property
+    def linked(self) -> frozenset[HostName]:
+        """Return the hosts with a standing connection."""
+        return self._registry.hosts
+
+    @property
+    def incarnation(self) -> int:
+        """Return the incarnation number that messages carry."""
+        return self._opener.incarnation
+
+    def raise_incarnation(self, number: int) -> None:
+        """Carry a greater incarnation number from now on."""
+        self._opener.raise_incarnation(number)
+
+    def replace_keys(self, keys: tuple[PeerKey, ...]) -> None:
+        """Sign and verify by other keys; a peer that signs by a removed one is cut."""
+        self._keys.replace(keys)
+
+    def set_peers(self, peers: Iterable[PeerAddress]) -> None:
+        """Tell the live hosts, among which the link chooses whom it dials."""
+        live = tuple(peers)
+        self._chosen = choose_peers(self._settings.host, self._settings.zone, live)
+        self._known = frozenset(peer.address for peer in live)
+
+    def start(self) -> Result[None, OSError]:
+        """Listen and dial; the error is that of binding the address."""
+        listening = self._opener.listen()
+        if isinstance(listening, Ok):
+            self._spawn(self._accept)
+            self._spawn(self._maintain)
+        return listening
+
+    def stop(self) -> None:
+        """Send what is queued, for STOP_SECONDS at most, then close everything."""
+        self._stopping.set()
+        self._opener.stop()
+        for connection in self._registry.connections:
+            connection.drain()
+        self._registry.wait_empty(STOP_SECONDS)
+        for connection in self._registry.connections:
+            connection.close()
+        self._pool.shutdown(wait=True)
+        self._requests.expire(float("inf"))
+
+    def broadcast(self, body: Body) -> int:
+        """Queue a message to every linked host and return for how many."""
+        content = encode_message(Message(body))
+        return sum(
+            self._offer(connection, body, content)
+            for connection in self._registry.connections
+        )
+
+    def send(self, host: HostName, body: Body) -> bool:
+        """Queue a message; false where there is no link or its queue is full."""
+        return self._send(host, Message(body))
+
+    def request(self, host: HostName, body: Body, deadline: Deadline) -> Future[Reply]:
+        """Queue a request; its future is done soon after the deadline at the latest."""
+        correlation, reply = self._requests.open(host, deadline)
+        if not self._send(host, Message(body, correlation)):
+            self._requests.fail(correlation, RequestError.NOT_SENT)
+        return reply
+
+    def _send(self, host: HostName, message: Message) -> bool:
+        connection = self._registry.get(host)
+        if connection is None:
+            return False
+        return self._offer(connection, message.body, encode_message(message))
+
+    def _offer(self, connection: Connection, body: Body, content: bytes) -> bool:
+        return connection.offer(KINDS[type(body)], content, self.incarnation)
+
+    def _spawn(self, task: Callable[..., Any], *arguments: Any, **options: Any) -> None:
+        def run() -> None:
+            try:
+                task(*arguments, **options)
+            except Exception:
+                _log.exception("peer thread failed")
+
+        try:
+            self._pool.submit(run)
+        except RuntimeError:
+            _log.debug("link has stopped")
+
+    def _accept(self) -> None:
+        while not self._stopping.is_set():
+            accepted = self._opener.accept()
+            if accepted is None:
+                continue
+            sock, address = accepted
+            if len(self._registry.connections) >= MAX_CONNECTIONS:
+                self._counters.drop(DropReason.TOO_MANY, address)
+                sock.close()
+                continue
+            self._spawn(self._opener.open, sock, address, dialled=False)
+
+    def _establish(
+        self, sock: socket.socket, opened: Opened, address: str, *, dialled: bool
+    ) -> None:
+        sock.settimeout(self._settings.silence_seconds)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        connection = Connection(
+            sock,
+            opened.session,
+            opened.peer,
+            self._counters,
+            dialled=dialled,
+            address=address,
+        )
+        stands, replaced = self._registry.add(connection)
+        if not stands:
+            self._counters.drop(DropReason.DUPLICATE, opened.peer.sender)
+            sock.close()
+            return
+        if replaced is not None:
+            replaced.close()
+        self._spawn(self._serve, connection)
+        self._spawn(connection.write)
+
+    def _serve(self, connection: Connection) -> None:
+        sender = Sender(connection.peer.sender, connection.peer.incarnation)
+        if self._stopping.is_set():
+            connection.close()
+        try:
+            self._handlers.linked(sender)
+            connection.read(self._receive)
+        finally:
+            connection.close()
+            if self._registry.remove(connection):
+                self._requests.fail_host(sender.host)
+                self._handlers.unlinked(sender)
+
+    def _receive(
+        self, connection: Connection, envelope: Envelope, message: Message
+    ) -> None:
+        sender = Sender(envelope.sender, envelope.incarnation)
+        if message.is_reply:
+            if not self._requests.settle(
+                sender.host, message.correlation, message.body
+            ):
+                self._counters.drop(DropReason.UNAWAITED_REPLY, sender.host)
+            return
+        reply = self._handle(sender, message.body)
+        if message.correlation and reply is not None:
+            content = encode_message(Message(reply, message.correlation, True))
+            self._offer(connection, reply, content)
+        if isinstance(message.body, Goodbye):
+            connection.close()
+
+    def _handle(self, sender: Sender, body: Body) -> Body | None:
+        handler = self._handlers.bodies.get(type(body))
+        if handler is None:
+            if not isinstance(body, Goodbye):
+                self._counters.drop(DropReason.UNHANDLED, sender.host)
+            return Declined(DropReason.UNHANDLED.value)
+        try:
+            return handler(sender, body)
+        except Exception:
+            _log.exception("handler of {} failed", KINDS[type(body)])
+            self._counters.drop(DropReason.HANDLER_FAILED, sender.host)
+            return Declined(DropReason.HANDLER_FAILED.value)
+
+    def _maintain(self) -> None:
+        while not self._stopping.wait(MAINTENANCE_SECONDS):
+            now = self._now()
+            self._requests.expire(now)
+            self._opener.expire(now)
+            for address in self._opener.due(self._wanted(), self.linked, now):
+                self._spawn(self._opener.dial, address)
+            if self._next_prune.expired(now):
+                self._next_prune = Deadline.after(now, PRUNE_SECONDS)
+                self._prune()
+
+    def _wanted(self) -> set[str]:
+        """Return the addresses that should be linked.
+
+        Seeds that no live host is known at are dialled too, so that two parts of a
+        fleet that lost each other meet again.
+        """
+        linked = self.linked
+        wanted = {peer.address for peer in self._chosen if peer.host not in linked}
+        few = len(linked) < MIN_LINKS
+        seeds = self._settings.seeds
+        wanted |= {seed for seed in seeds if few or seed not in self._known}
+        return wanted - {self._settings.address}
+
+    def _prune(self) -> None:
+        """Where links are many, close one that was dialled and is no longer chosen."""
+        connections = self._registry.connections
+        if len(connections) <= MAX_IDLE_LINKS:
+            return
+        chosen = {peer.host for peer in self._chosen}
+        for connection in connections:
+            if connection.dialled and connection.peer.sender not in chosen:
+                self._offer(connection, Goodbye(), encode_message(Message(Goodbye())))
+                connection.drain()
+                return
--- /dev/null
+++ b/masticfork/peers/selection_test.py
@@ -0,0 +1,37 @@
+"""Tests of the choice of peers to dial."""
+
+from masticfork.peers.selection import PeerAddress, choose_peers
+
+
+def fleet(count, zones):
+    return [
+        PeerAddress(f"h{n}", f"z{n % zones}", f"10.0.0.{n}:1") for n in range(count)
+    ]
+
+
+class TestChoice:
+    def test_small_fleet_is_fully_linked(self):
+        chosen = choose_peers("h0", "z0", fleet(8, 3))
+        assert {peer.host for peer in chosen} == {f"h{n}" for n in range(1, 8)}
+
+    def test_large_fleet_gives_two_near_and_two_far(self):
+        chosen = choose_peers("h0", "z0", fleet(1100, 14))
+        assert [peer.zone == "z0" for peer in chosen] == [True, True, False, False]
+
+    def test_missing_zone_mates_are_made_up_for(self):
+        peers = [PeerAddress(f"h{n}", "z1", "10.0.0.1:1") for n in range(1, 30)]
+        assert len(choose_peers("h0", "z0", peers)) == 4
+
+    def test_whole_fleet_is_connected_and_load_is_spread(self):
+        peers = fleet(300, 14)
+        neighbours = {peer.host: set() for peer in peers}
+        for peer in peers:
+            for chosen in choose_peers(peer.host, peer.zone, peers):
+                neighbours[peer.host].add(chosen.host)
+                neighbours[chosen.host].add(peer.host)
+        reached, front = {"h0"}, {"h0"}
+        while front:
+            front = set().union(*(neighbours[host] for host in front)) - reached
+            reached |= front
+        assert len(reached) == 300
+        assert max(map(len, neighbours.values())) <= 20
