--- a/masticfork/core/hosts.py
+++ b/masticfork/core/hosts.py
@@ -1,10 +1,15 @@
-"""States of an entry host as other entry hosts see it."""
+"""What entry hosts know and tell of each other."""
 
 import enum
 from typing import NewType
 
+import attrs
+
+from masticfork.core.ids import HostName, ZoneName
+
 # A group of availability zones that fails apart from other groups.
 RegionName = NewType("RegionName", str)
+NO_REGION = RegionName("")
 
 
 class HostState(enum.IntEnum):
@@ -19,3 +24,30 @@
     def _missing_(cls, value: object) -> "HostState":
         """Read a code of a newer protocol as unknown."""
         return cls.UNKNOWN
+
+
+@attrs.frozen
+class HostReport:
+    """One statement about an entry host, by itself or by another one."""
+
+    host: HostName
+    zone: ZoneName
+    region: RegionName
+    # `IP:PORT` for peers; empty where the report does not tell.
+    address: str
+    incarnation: int
+    # When the host was last heard, in seconds on the receiver's clock.
+    heard_at: float
+    state: HostState = HostState.ALIVE
+    leaving: bool = False
+    configuration_number: int = 0
+
+
+@attrs.frozen
+class ListedHost:
+    """An entry host as the platform's lagging list has it."""
+
+    host: HostName
+    zone: ZoneName
+    address: str
+    leaving: bool = False
--- a/masticfork/core/tables.py
+++ b/masticfork/core/tables.py
@@ -7,6 +7,7 @@
 from masticfork.core.configuration import Configuration
 from masticfork.core.deadlines import Deadline
 from masticfork.core.findings import Findings
+from masticfork.core.hosts import NO_REGION, HostState, RegionName
 from masticfork.core.ids import (
     HostName,
     RequestId,
@@ -25,6 +26,9 @@
     host: HostName
     zone: ZoneName
     stopping: bool = False
+    region: RegionName = NO_REGION
+    # Grows with each start, and whenever others believe this host to be gone.
+    incarnation: int = 0
 
 
 @attrs.frozen
@@ -55,6 +59,14 @@
     dead_at: Deadline
     leaving: bool = False
     configuration_number: int = 0
+    region: RegionName = NO_REGION
+    # 0 where the host is only listed by the platform and was never heard of.
+    incarnation: int = 0
+    state: HostState = HostState.ALIVE
+    # Whether the deadlines follow heartbeats that this host hears itself.
+    direct: bool = False
+    # How often others told of silence while this host knew better.
+    disputes: int = 0
 
 
 @attrs.define
