Spread configurations between hosts, newest only and whole

A host that puts a number in force announces it to its neighbours once; those behind ask one announcer, so each host receives one compressed copy. Every heartbeat repeats the number, which makes up for losses.

The platform is watched by all hosts of a fleet of up to four and by two a region beyond; the others read it once, at their start. The answer 'nothing newer' of platform or peer confirms the number, counted from when it was asked, since an answer may lie in a buffer while a process is paused. A host that reaches neither stops new work on versions in roll-out after a quarter of confirm_seconds and all new work after the whole.

A newer configuration that fails the check is refused whole, and the one in force goes on for established versions: it would otherwise stop the fleet.

--- a/masticfork/core/tables.py
+++ b/masticfork/core/tables.py
@@ -81,6 +81,8 @@
     hosts: dict[HostName, HostRow] = attrs.field(factory=dict)
     running: dict[RequestId, Deadline] = attrs.field(factory=dict)
     rollouts: dict[RolloutName, RolloutRow] = attrs.field(factory=dict)
+    # Until when versions that are not in roll-out may get new work without news.
+    usable_until: Deadline | None = None
 
 
 class System(Protocol):
--- a/masticfork/peers/codec_test.py
+++ b/masticfork/peers/codec_test.py
@@ -15,7 +15,7 @@
 KNOWN = m.KnownHost("h2", "z2", "r1", "10.0.0.2:7000", 9, HostState.SUSPECT, True, 40)
 BODIES = [
     m.Proof(),
-    m.Heartbeat("z1", "r1", "10.0.0.1:7000", True, 7, 1.5, 0.25, (KNOWN,)),
+    m.Heartbeat("z1", "r1", "10.0.0.1:7000", True, 7, (KNOWN,)),
     m.Hosts((KNOWN, KNOWN)),
     m.ConfigurationCopy(8, "sub-1", b"\x00text"),
     m.ConfigurationRequest(7),
@@ -25,6 +25,7 @@
     m.Evidence("ratings", b"\xff"),
     m.Declined("none"),
     m.Goodbye(),
+    m.ConfigurationNumber(7),
 ]
 
 
@@ -34,7 +35,7 @@
     text = Path(m.__file__).with_name("schema.capnp").read_text()
     text = text.replace("@0xc1f4d7a9b3e85d62", "@0xc1f4d7a9b3e85d63")
     text = text.replace(
-        "goodbye @12 :Goodbye;", "goodbye @12 :Goodbye;\n    novel @13 :Goodbye;"
+        "goodbye @12 :Goodbye;", "goodbye @12 :Goodbye;\n    novel @14 :Goodbye;"
     )
     text = text.replace("newerThan @0 :UInt64;", "newerThan @0 :UInt64; why @1 :Text;")
     path = tmp_path_factory.mktemp("schema") / "newer.capnp"
--- a/masticfork/peers/messages.py
+++ b/masticfork/peers/messages.py
@@ -67,10 +67,6 @@
     address: str
     leaving: bool
     configuration_number: int
-    # Seconds on the sender's clock.
-    sent_at: float
-    # `sent_at` of the receiver's latest heartbeat, on the receiver's clock; 0 is none.
-    echo_at: float = 0.0
     known: tuple[KnownHost, ...] = ()
 
 
@@ -97,6 +93,13 @@
     newer_than: int
 
 
+@attrs.frozen
+class ConfigurationNumber:
+    """Answer that nothing newer than this number is in force at the sender."""
+
+    number: int
+
+
 @attrs.frozen
 class KeepBills:
     """Ask a peer to hold a batch of bills until it is written."""
@@ -152,6 +155,7 @@
     | Evidence
     | Declined
     | Goodbye
+    | ConfigurationNumber
 )
 
 # Names of the union's members in the schema.
@@ -167,6 +171,7 @@
     Evidence: "evidence",
     Declined: "declined",
     Goodbye: "goodbye",
+    ConfigurationNumber: "configurationNumber",
 }
 
 
--- /dev/null
+++ b/masticfork/peers/node.py
@@ -0,0 +1,224 @@
+"""The part of a daemon that meets the other hosts: link, membership and relay."""
+
+import collections
+import threading
+from collections.abc import Callable, Iterable, Mapping
+from concurrent.futures import Future, ThreadPoolExecutor
+from typing import Any
+
+import attrs
+from result import Ok, Result
+
+from masticfork.core.deadlines import Deadline
+from masticfork.core.findings import Findings
+from masticfork.core.hosts import HostReport, HostState, ListedHost
+from masticfork.core.ids import HostName
+from masticfork.core.tables import Tables
+from masticfork.peers.configuration_relay import Check, ConfigurationRelay, Question
+from masticfork.peers.gossip import Gossip, known_host, report_of
+from masticfork.peers.link import PeerLink
+from masticfork.peers.messages import (
+    Body,
+    ConfigurationRequest,
+    Goodbye,
+    Heartbeat,
+    Hosts,
+)
+from masticfork.peers.platform_watch import PlatformWatch
+from masticfork.peers.records import Handler, Handlers, LinkSettings, Sender
+from masticfork.peers.requests import Reply
+from masticfork.peers.selection import PeerAddress
+from masticfork.platform.client import ObjectStore
+from masticfork.systems.membership import Membership
+from masticfork.systems.watchers import watches
+
+HEARTBEAT_SECONDS = 1.0
+# What waits for the next tick; more than this is dropped, oldest first.
+MAX_INBOX = 10_000
+
+_Intake = Callable[[Tables, float], Findings]
+
+
+@attrs.frozen
+class NodeSettings:
+    """What a node needs beside the link's own settings."""
+
+    link: LinkSettings
+    # The `IP:PORT` that other hosts dial.
+    advertise: str
+    confirm_seconds: float
+    heartbeat_seconds: float = HEARTBEAT_SECONDS
+
+
+class PeerNode:
+    """Runs as a system in the tick; threads of the link only fill its inbox."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        tables: Tables,
+        check: Check,
+        store: ObjectStore | None,
+        now: Callable[[], float],
+        handlers: Mapping[type[Any], Handler] | None = None,
+    ) -> None:
+        self._settings = settings
+        self._tables = tables
+        self._now = now
+        self._membership = Membership()
+        self._gossip = Gossip()
+        self._inbox: collections.deque[_Intake] = collections.deque(maxlen=MAX_INBOX)
+        self._next_heartbeat = Deadline(0.0)
+        # Replies are taken in here: checking a manifest would hold up a link.
+        self._worker = ThreadPoolExecutor(1, thread_name_prefix="relay")
+        tables.me = attrs.evolve(tables.me, incarnation=settings.link.incarnation)
+        bodies: dict[type[Any], Handler] = dict(handlers or {})
+        bodies[Heartbeat] = self._on_heartbeat
+        bodies[Hosts] = self._on_hosts
+        bodies[Goodbye] = self._on_goodbye
+        bodies[ConfigurationRequest] = self._on_request
+        self._link = PeerLink(
+            settings.link, Handlers(bodies, self._on_linked, self._on_unlinked), now
+        )
+        self._relay = ConfigurationRelay(tables, check, self, settings.confirm_seconds)
+        self._watch = None
+        if store is not None:
+            self._watch = PlatformWatch(
+                store, self._relay, lambda: watches(tables), self._report, now
+            )
+
+    @property
+    def link(self) -> PeerLink:
+        """Return the link, for messages of other parts."""
+        return self._link
+
+    @property
+    def relay(self) -> ConfigurationRelay:
+        """Return the relay of configurations."""
+        return self._relay
+
+    def start(self) -> Result[None, OSError]:
+        """Listen, dial the seeds and read the platform."""
+        started = self._link.start()
+        if isinstance(started, Ok) and self._watch is not None:
+            # A call under way may take long; it must not hold up the process's end.
+            threading.Thread(target=self._watch.run, name="watch", daemon=True).start()
+        return started
+
+    def stop(self) -> None:
+        """Tell the peers that this host leaves, and close the links."""
+        self._tables.me = attrs.evolve(self._tables.me, stopping=True)
+        self.announce()
+        if self._watch is not None:
+            self._watch.stop()
+        self._link.stop()
+        self._worker.shutdown(wait=False, cancel_futures=True)
+
+    def listed(self, hosts: Iterable[ListedHost]) -> None:
+        """Take in the platform's whole list of entry hosts."""
+        listed = tuple(hosts)
+        self._inbox.append(lambda t, now: self._membership.listed(t, listed, now))
+
+    def run(self, tables: Tables, now: float) -> Findings:
+        """Take in what peers told, advance deadlines and send what is due."""
+        findings: list[Findings] = []
+        while self._inbox:
+            findings.append(self._inbox.popleft()(tables, now))
+        findings.append(self._membership.run(tables, now))
+        findings.append(self._relay.run(tables, now))
+        self._link.raise_incarnation(tables.me.incarnation)
+        if self._next_heartbeat.expired(now):
+            wait = self._settings.heartbeat_seconds
+            self._next_heartbeat = Deadline.after(now, wait)
+            self._link.set_peers(_to_dial(tables))
+            self._link.broadcast(self._heartbeat(self._gossip.digest(tables, now)))
+        return tuple(finding for some in findings for finding in some)
+
+    def announce(self) -> None:
+        """Send a heartbeat to all neighbours at once."""
+        self._link.broadcast(self._heartbeat())
+
+    def ask(self, question: Question) -> None:
+        """Ask a neighbour for a newer configuration."""
+        reply = self._link.request(question.host, question.request, question.until)
+        reply.add_done_callback(lambda done: self._on_reply(question, done))
+
+    def _heartbeat(self, known: tuple[Any, ...] = ()) -> Heartbeat:
+        me = self._tables.me
+        return Heartbeat(
+            zone=me.zone,
+            region=me.region,
+            address=self._settings.advertise,
+            leaving=me.stopping,
+            configuration_number=self._relay.number,
+            known=known,
+        )
+
+    def _report(self, findings: Findings) -> None:
+        """Hand findings of another thread to the next tick."""
+        if findings:
+            self._inbox.append(lambda _tables, _now: findings)
+
+    def _on_reply(self, question: Question, done: Future[Reply]) -> None:
+        reply = done.result()
+        if isinstance(reply, Ok):
+            self._worker.submit(self._take_reply, question, reply.ok_value)
+
+    def _take_reply(self, question: Question, reply: Body) -> None:
+        self._report(self._relay.replied(question, reply, self._now()))
+
+    def _on_linked(self, sender: Sender) -> None:
+        self._link.send(sender.host, self._heartbeat())
+
+        def tell_all(tables: Tables, now: float) -> Findings:
+            rows = [row for row in tables.hosts.values() if row.incarnation]
+            known = tuple(known_host(row, now) for row in rows)
+            self._link.send(sender.host, Hosts(known))
+            return ()
+
+        self._inbox.append(tell_all)
+
+    def _on_unlinked(self, sender: Sender) -> None:
+        self._relay.forget(sender.host)
+
+    def _on_heartbeat(self, sender: Sender, body: Heartbeat) -> None:
+        now = self._now()
+        report = HostReport(
+            host=sender.host,
+            zone=body.zone,
+            region=body.region,
+            address=body.address,
+            incarnation=sender.incarnation,
+            heard_at=now,
+            leaving=body.leaving,
+            configuration_number=body.configuration_number,
+        )
+        self._inbox.append(lambda t, _: self._membership.heard(t, report, now))
+        self._on_hosts(sender, Hosts(body.known))
+        self._relay.heard(sender.host, body.configuration_number, now)
+
+    def _on_hosts(self, sender: Sender, body: Hosts) -> None:
+        now = self._now()
+        reports = [report_of(known, now) for known in body.known]
+
+        def take(tables: Tables, now: float) -> Findings:
+            findings = [self._membership.told(tables, told, now) for told in reports]
+            return tuple(finding for some in findings for finding in some)
+
+        self._inbox.append(take)
+
+    def _on_goodbye(self, sender: Sender, body: Goodbye) -> None:
+        host = sender.host
+        self._inbox.append(lambda t, now: self._membership.parted(t, host, now))
+
+    def _on_request(self, sender: Sender, body: ConfigurationRequest) -> Body:
+        return self._relay.answer(body)
+
+
+def _to_dial(tables: Tables) -> list[PeerAddress]:
+    """Return the hosts that may run and stay."""
+    return [
+        PeerAddress(HostName(row.host), row.zone, row.address)
+        for row in tables.hosts.values()
+        if row.state is not HostState.DEAD and not row.leaving
+    ]
--- a/masticfork/peers/schema.capnp
+++ b/masticfork/peers/schema.capnp
@@ -38,6 +38,7 @@
     evidence @10 :Evidence;
     declined @11 :Declined;
     goodbye @12 :Goodbye;
+    configurationNumber @13 :ConfigurationNumber;
   }
 }
 
@@ -63,11 +64,7 @@
   address @2 :Text;
   leaving @3 :Bool;
   configurationNumber @4 :UInt64;
-  sentAt @5 :Float64;
-  # Seconds on the sender's clock.
-  echoAt @6 :Float64;
-  # `sentAt` of the receiver's latest heartbeat, on the receiver's clock; 0 is none.
-  known @7 :List(KnownHost);
+  known @5 :List(KnownHost);
 }
 
 struct Hosts {
@@ -85,6 +82,10 @@
   newerThan @0 :UInt64;
 }
 
+struct ConfigurationNumber {
+  number @0 :UInt64;
+}
+
 struct KeepBills {
   batchId @0 :Text;
   bills @1 :Data;
