Wire claims, peers and administration into the daemon

Cause: the parts stood apart; a reservation ran each time it was asked for. Ruled out: the daemon's own watch of the platform (each host would read each change; the peers' relay does it with two watchers a region). Before: reservations not claimed, one host. A kept claim is tried on other servers only while surely not run.

--- a/features/steps/hosts.py
+++ b/features/steps/hosts.py
@@ -140,7 +140,7 @@
     context.stack.callback(daemon.stop)
     value = {
         "submission_id": "features",
-        "manifest": json.dumps(manifest(small.port, large.port, orders.port)),
+        "manifest": manifest(small.port, large.port, orders.port),
     }
     deadline = Deadline.after(context.clock(), START_SECONDS)
     daemon.store.create(CONFIGURATION_KEY, value, deadline).unwrap()
--- a/masticfork/backends/connections.py
+++ b/masticfork/backends/connections.py
@@ -56,17 +56,27 @@
         self._idle: dict[tuple[str, int], list[Connection]] = defaultdict(list)
 
     def start(
-        self, server: BackendServer, request: Request, deadline: Deadline, fresh: bool
+        self,
+        server: BackendServer,
+        request: Request,
+        deadline: Deadline,
+        fresh: bool,
+        may_send: Callable[[], bool] = lambda: True,
     ) -> Result[Answer, CallFailure]:
         """Send a request and read the head of its answer.
 
-        `fresh` demands a new connection. A kept-alive connection that turns out
-        closed is reported like any other loss: the request may have arrived.
+        `fresh` demands a new connection; `may_send` is asked once it stands. A
+        kept-alive connection that turns out closed is reported like any other loss:
+        the request may have arrived.
         """
         taken = self._take(server, deadline, fresh)
         if isinstance(taken, Err):
             return taken
         connection = taken.ok_value
+        if not may_send():
+            connection.http.close()
+            message = "the time to send has passed"
+            return Err(CallFailure(Stage.CONNECTING, FailureKind.TIMEOUT, message))
         sent = self._send(connection, request)
         if isinstance(sent, Err):
             connection.http.close()
--- a/masticfork/backends/service.py
+++ b/masticfork/backends/service.py
@@ -38,18 +38,27 @@
         request: Request,
         deadline: Deadline,
         idempotent: bool,
+        may_send: Callable[[], bool] = lambda: True,
     ) -> Result[ServiceAnswer, CallFailure]:
-        """Run one call until its whole answer is here."""
+        """Run one call until its whole answer is here.
+
+        `may_send` is asked right before the first byte leaves.
+        """
         # A fresh connection leaves less doubt when a call may not be repeated.
-        result = self._once(server, request, deadline, fresh=not idempotent)
+        result = self._once(server, request, deadline, not idempotent, may_send)
         if idempotent and _lost_on_kept_connection(result):
-            return self._once(server, request, deadline, fresh=True)
+            return self._once(server, request, deadline, True, may_send)
         return result
 
     def _once(
-        self, server: BackendServer, request: Request, deadline: Deadline, fresh: bool
+        self,
+        server: BackendServer,
+        request: Request,
+        deadline: Deadline,
+        fresh: bool,
+        may_send: Callable[[], bool],
     ) -> Result[ServiceAnswer, CallFailure]:
-        started = self._pool.start(server, request, deadline, fresh)
+        started = self._pool.start(server, request, deadline, fresh, may_send)
         if isinstance(started, Err):
             return started
         return self._read(server, started.ok_value)
--- a/masticfork/core/events.py
+++ b/masticfork/core/events.py
@@ -59,6 +59,22 @@
     kind: str
 
 
+@attrs.frozen
+class Claimed:
+    """The request's key was claimed at the platform."""
+
+    at: float
+    fencing: int
+
+
+@attrs.frozen
+class Replayed:
+    """The stored answer of an earlier run was handed out."""
+
+    at: float
+    status: int
+
+
 @attrs.frozen
 class Relayed:
     """All chunks of an answer but its end were handed out."""
@@ -94,7 +110,16 @@
 
 
 Event = (
-    Received | Decided | Dispatched | AttemptFailed | Relayed | Billed | Refused | Ended
+    Received
+    | Decided
+    | Dispatched
+    | AttemptFailed
+    | Claimed
+    | Replayed
+    | Relayed
+    | Billed
+    | Refused
+    | Ended
 )
 
 
--- a/masticfork/daemon/daemon.py
+++ b/masticfork/daemon/daemon.py
@@ -7,32 +7,52 @@
 from concurrent.futures import ThreadPoolExecutor
 
 import logbook
+from result import Err, Ok, Result
 
+from masticfork.admin.app import AdminApp
+from masticfork.admin.drains import Drains
+from masticfork.admin.submissions import Submissions
 from masticfork.backends.connections import ConnectionPool
 from masticfork.backends.engine import EngineClient
 from masticfork.backends.service import ServiceClient
+from masticfork.core.configuration import Configuration
 from masticfork.core.events import Journal
+from masticfork.core.findings import Findings
 from masticfork.core.ids import HostName, ZoneName
 from masticfork.core.tables import SelfRow, Tables
-from masticfork.daemon.configuration import ConfigurationWatch
+from masticfork.daemon.admin_backend import DaemonBackend
 from masticfork.daemon.listener import Listener, ListenerSettings
 from masticfork.daemon.metrics import Metrics
 from masticfork.daemon.ticker import Ticker
 from masticfork.entry.app import EntryApp, EntryParts
 from masticfork.entry.billing import VolatileBills
 from masticfork.entry.chat import ChatHandler, ChatParts
+from masticfork.entry.once import OnceHandler
 from masticfork.entry.parsing import Limits
 from masticfork.entry.policy import SessionPolicy
 from masticfork.entry.routing import Router
-from masticfork.entry.services import ServiceHandler, ServiceParts
+from masticfork.entry.services import (
+    RepeatableHandler,
+    ServiceHandler,
+    ServiceParts,
+)
+from masticfork.ledger.claims import ClaimBook
+from masticfork.peers.authentication import PeerKey
+from masticfork.peers.node import NodeSettings, PeerNode
+from masticfork.peers.records import LinkSettings
 from masticfork.platform.client import CallCounter, ObjectStore
 from masticfork.platform.embedded import EmbeddedStore
 from masticfork.platform.http import HttpObjectStore
+from masticfork.settings.manifest import parse_manifest
 from masticfork.settings.settings import Settings
 from masticfork.systems.placement import InFlight, TwoChoices
 from masticfork.systems.sessions import SessionSigner, SigningKey
 
 BACKGROUND_THREADS = 16
+ADMIN_THREADS = 8
+SECONDS_PER_DAY = 86_400.0
+# A restarted host must carry a greater incarnation number than before.
+INCARNATIONS_PER_SECOND = 1000
 TRIAL_SECRET_BYTES = 32
 # The parser's own bounds lie above the checked ones, so that those answer first.
 PARSER_MARGIN = 2
@@ -61,11 +81,16 @@
         self._pool = ConnectionPool(now)
         self._background = ThreadPoolExecutor(BACKGROUND_THREADS, "background")
         self._in_flight = InFlight()
-        self._ticker = Ticker(self._tables, (), now)
-        self._watch = ConfigurationWatch(
-            self._store, self._tables, settings.confirm_seconds, now
+        self._node = self._make_node()
+        self._claims = ClaimBook(
+            self._store,
+            HostName(settings.host),
+            now,
+            settings.retention_days * SECONDS_PER_DAY,
         )
+        self._ticker = Ticker(self._tables, (self._node,), now)
         self._entry = self._make_entry()
+        self._admin = self._make_admin()
         self._stopped = threading.Event()
 
     @property
@@ -86,13 +111,17 @@
     def run(self) -> None:
         """Serve until `stop` is called."""
         self._ticker.start()
-        self._watch.start()
+        started = self._node.start()
+        if isinstance(started, Err):
+            _log.error("the peer link cannot listen", error=str(started.err_value))
+        self._admin.start()
         self._entry.start()
-        _log.info("started", entry_port=self._entry.port)
+        _log.info("started", entry_port=self._entry.port, admin_port=self._admin.port)
         self._stopped.wait()
         self._entry.stop()
-        self._watch.stop()
+        self._admin.stop()
         self._ticker.stop()
+        self._node.stop()
         self._background.shutdown(wait=False, cancel_futures=True)
         self._pool.close()
 
@@ -123,7 +152,9 @@
         parts = EntryParts(
             tables=self._tables,
             chat=ChatHandler(chat),
-            services=ServiceHandler(services),
+            services=ServiceHandler(
+                RepeatableHandler(services), OnceHandler(services, self._claims)
+            ),
             journal=self._journal,
             limits=limits,
             ready=self._ready,
@@ -140,6 +171,51 @@
         )
         return Listener(EntryApp(parts), listening)
 
+    def _make_admin(self) -> Listener:
+        settings, entry = self._settings.admin, self._settings.entry
+        backend = DaemonBackend(
+            self._tables,
+            self._journal,
+            Drains(self._store, self._now),
+            self._advertised,
+            self._now,
+        )
+        submissions = Submissions(self._store, self._now)
+        keys = self._settings.admin_keys
+        app = AdminApp(backend, submissions, keys, self._now)
+        listening = ListenerSettings(
+            settings.host,
+            settings.port,
+            ADMIN_THREADS,
+            entry.max_body_bytes,
+            entry.max_header_bytes,
+            int(entry.idle_timeout_seconds),
+        )
+        return Listener(app, listening)
+
+    def _make_node(self) -> PeerNode:
+        settings = self._settings.peer
+        link = LinkSettings(
+            host=HostName(self._settings.host),
+            zone=ZoneName(self._settings.zone),
+            address=f"{settings.host}:{settings.port}",
+            keys=tuple(PeerKey(key.id, key.secret) for key in settings.keys),
+            incarnation=int(self._now() * INCARNATIONS_PER_SECOND),
+            seeds=settings.seeds,
+        )
+        return PeerNode(
+            NodeSettings(link, self._advertised, self._settings.confirm_seconds),
+            self._tables,
+            check_configuration,
+            self._store,
+            self._now,
+        )
+
+    @property
+    def _advertised(self) -> str:
+        peer = self._settings.peer
+        return peer.advertise or f"{peer.host}:{peer.port}"
+
     def _make_router(self) -> Router:
         signer = SessionSigner(_signing_keys(self._settings))
         policy = SessionPolicy(self._tables, signer, self._rng)
@@ -159,6 +235,17 @@
         self._metrics.requests.labels(str(status)).inc()
 
 
+def check_configuration(
+    number: int, submission_id: str, text: str
+) -> Result[Configuration, Findings]:
+    """Check a manifest whole; findings where it may not be put in force."""
+    parsed = parse_manifest(text, f"configuration {number}")
+    if isinstance(parsed, Err):
+        return parsed
+    manifest, _ = parsed.ok_value
+    return Ok(Configuration(number, submission_id, manifest))
+
+
 def _make_store(
     settings: Settings, calls: CallCounter, now: Callable[[], float]
 ) -> ObjectStore:
--- a/masticfork/entry/services.py
+++ b/masticfork/entry/services.py
@@ -1,6 +1,7 @@
 """Pass calls to plain services."""
 
 from collections.abc import Callable
+from typing import Protocol
 
 import attrs
 from result import Err, Ok, Result
@@ -32,7 +33,7 @@
     now: Callable[[], float]
 
 
-class ServiceHandler:
+class RepeatableHandler:
     """Runs calls that may be repeated, with retries on other servers."""
 
     def __init__(self, parts: ServiceParts) -> None:
@@ -63,16 +64,47 @@
         return Err(last)
 
 
+class Handler(Protocol):
+    """Answers calls of one kind of operation."""
+
+    def handle(self, call: ServiceCall) -> Response:
+        """Return the response to a call."""
+
+
+@attrs.frozen
+class ServiceHandler:
+    """Hands a call to the handler that fits its operation."""
+
+    _repeatable: Handler
+    _once: Handler
+
+    def handle(self, call: ServiceCall) -> Response:
+        """Return the response to a call."""
+        handler = self._repeatable if call.operation.idempotent else self._once
+        return handler.handle(call)
+
+
 def dispatch(
-    parts: ServiceParts, call: ServiceCall, server: BackendServer, attempt: AttemptId
+    parts: ServiceParts,
+    call: ServiceCall,
+    server: BackendServer,
+    attempt: AttemptId,
+    may_send: Callable[[], bool] = lambda: True,
 ) -> Result[ServiceAnswer, CallFailure]:
-    """Send one attempt to one server and record what became of it."""
+    """Send one attempt to one server and record what became of it.
+
+    `may_send` is asked once the connection stands, right before the first byte.
+    """
     request_id = call.head.request_id
     parts.journal.add(request_id, Dispatched(parts.now(), attempt, server.name))
     parts.router.in_flight.enter(server.name)
     try:
         answered = parts.client.call(
-            server, backend_request(call), call.head.deadline, call.operation.idempotent
+            server,
+            backend_request(call),
+            call.head.deadline,
+            call.operation.idempotent,
+            may_send,
         )
     finally:
         parts.router.in_flight.leave(server.name)
--- a/masticfork/peers/platform_watch.py
+++ b/masticfork/peers/platform_watch.py
@@ -1,5 +1,6 @@
 """Read the configuration from the platform: once at the start, then on watch duty."""
 
+import json
 import threading
 from collections.abc import Callable
 
@@ -95,5 +96,6 @@
     def _offer(self, number: int, value: dict[str, object]) -> None:
         self._number = number
         submission = str(value.get("submission_id", ""))
-        text = str(value.get("manifest", ""))
+        manifest = value.get("manifest", "")
+        text = manifest if isinstance(manifest, str) else json.dumps(manifest)
         self._report(self._relay.offer(number, submission, text))
