Drive roll-outs by sequential tests with fleet-wide permits

Cause: exposure to a bad version must not grow with the fleet, and ratings come late. The holder of a roll-out's lease owns one row with the evidence, the last rating it holds and the permits granted to each host. A permit counts as used from its grant on; without one a new session gets the old version. The row is proposed from the stored one and what was heard since, so a lost write or another driver changes nothing.

Evidence is a betting test supermartingale (Waudby-Smith and Ramdas 2024), spread over stakes and change times, so looking each tick does not add false alarms.

Ruled out: caps by share alone (late ratings let hundreds through), counting per host (exposure times hosts), giving up on missing ratings by time alone (exposure goes on when the rating service is gone).

--- /dev/null
+++ b/bench/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments with the decisions, each against named baselines."""
--- a/masticfork/core/rollouts.py
+++ b/masticfork/core/rollouts.py
@@ -6,6 +6,7 @@
 
 from masticfork.core.deadlines import Deadline
 from masticfork.core.ids import HostName, ModelName, RolloutName, VersionId
+from masticfork.core.manifest import WorkClass
 
 
 class RolloutState(enum.Enum):
@@ -17,41 +18,111 @@
     WITHDRAWN = "withdrawn"
 
 
+class Measure(enum.Enum):
+    """What is compared between the new version and the one it replaces."""
+
+    RATINGS = "ratings"
+    # Share of answers that did not fail.
+    ERRORS = "errors"
+    # Share of answers whose first token came within the limit.
+    LATENCY = "latency"
+
+
 @attrs.frozen
-class PermitGrant:
-    """Answers of the unproved version that one host may start."""
+class Wealth:
+    """A sequential test's wealth, one value for each stake."""
 
-    host: HostName
-    # Answers granted since the roll-out began; only grows.
-    granted: int
-    # Answers that the host reported as started; never above what it started.
-    used: int
-    expires: Deadline
+    steps: int = 0
+    logs: tuple[float, ...] = ()
+
+
+@attrs.frozen
+class Mean:
+    """A mean whose weight is bounded, so that it follows slow changes."""
+
+    weight: float = 0.0
+    value: float = 0.0
+
+
+@attrs.frozen
+class ClassMean:
+    """The replaced version's mean for one class of work."""
+
+    work_class: WorkClass
+    mean: Mean
 
 
 @attrs.frozen
 class Comparison:
-    """Running sums of one measured difference and its test's evidence."""
+    """The evidence of one measure."""
 
-    observations: int = 0
-    # Natural logarithm of the evidence that the new version is worse.
-    log_worse: float = 0.0
-    # Natural logarithm of the evidence that it is not worse beyond the margin.
-    log_sound: float = 0.0
-    mean_new: float = 0.0
-    mean_old: float = 0.0
-    observations_old: int = 0
+    measure: Measure
+    # Wealth against "the new version is as good as the old one".
+    worse: Wealth = Wealth()
+    # Wealth against "the new version is worse by the harm margin".
+    sound: Wealth = Wealth()
+    new: Mean = Mean()
+    # Errors and latency are compared over all classes at once.
+    old: Mean = Mean()
+    old_by_class: tuple[ClassMean, ...] = ()
 
 
 @attrs.frozen
-class Evidence:
-    """What was learnt of the new version against the one that it replaces."""
+class VersionCounts:
+    """Counts of one version's answers on one host; each only grows."""
 
-    ratings: Comparison = Comparison()
-    errors: Comparison = Comparison()
-    latency: Comparison = Comparison()
-    # Answers of the new version whose rating did not come in time.
-    unrated_expired: int = 0
+    answered: int = 0
+    failed: int = 0
+    # Answers whose first token came after the limit.
+    slow: int = 0
+
+
+@attrs.frozen
+class HostUsage:
+    """What one host reports of a roll-out; counts since the host started."""
+
+    host: HostName
+    rollout: RolloutName
+    # Seconds since the Unix epoch.
+    at: float
+    # New sessions of the model, with the old or the new version.
+    sessions: int = 0
+    # Answers of the new version that were started.
+    started: int = 0
+    new: VersionCounts = VersionCounts()
+    old: VersionCounts = VersionCounts()
+
+
+@attrs.frozen
+class PermitGrant:
+    """What one host may start of the new version, and what it reported."""
+
+    # The last report that the row holds.
+    seen: HostUsage
+    # Answers that the host may have started, counted like its report.
+    granted: int = 0
+    # The host starts nothing on this grant after the deadline.
+    expires: Deadline | None = None
+
+    @property
+    def host(self) -> HostName:
+        """Return the host that holds the grant."""
+        return self.seen.host
+
+    @property
+    def unused(self) -> int:
+        """Return the permits that the host has not reported as used."""
+        return max(0, self.granted - self.seen.started)
+
+
+@attrs.frozen
+class ReviewMark:
+    """How many answers had started at a time, and until when they may be rated."""
+
+    started: int
+    rated_by: Deadline
+    # Sequence number of the last rating that had come.
+    ratings_after: int
 
 
 @attrs.frozen
@@ -67,11 +138,27 @@
     step: int = 0
     # Share of new sessions that get the new version, from 0 to 1.
     share: float = 0.0
-    evidence: Evidence = Evidence()
-    # Evidence count at the start of the step, for the least gain of a step.
-    ratings_at_step: int = 0
-    step_ends: Deadline | None = None
+    # Whether an answer of the new version needs a permit; the driver then keeps
+    # to the share by the permits that it grants.
+    capped: bool = True
+    comparisons: tuple[Comparison, ...] = tuple(Comparison(m) for m in Measure)
+    # Sequence number of the last rating that the evidence holds.
+    ratings_after: int = 0
+    # Answers of the new version: started, rated, and given up as never rated.
+    started: int = 0
+    rated: int = 0
+    forgiven: int = 0
+    # New sessions of the model, and how things stood when the step began.
+    sessions: int = 0
+    sessions_at_step: int = 0
+    started_at_step: int = 0
+    rated_at_step: int = 0
+    marks: tuple[ReviewMark, ...] = ()
     grants: tuple[PermitGrant, ...] = ()
+    # When the step began, in seconds since the Unix epoch.
+    step_since: float = 0.0
+    # A driver that finds this passed starts again from the first step.
+    continue_by: Deadline | None = None
     # Why it was paused or withdrawn, for operators.
     reason: str = ""
     # Fencing number of the driver's lease that wrote the row.
@@ -82,6 +169,24 @@
         """Tell whether the roll-out came to its end."""
         return self.state in (RolloutState.DONE, RolloutState.WITHDRAWN)
 
+    @property
+    def entry_share(self) -> float:
+        """Return the share of new sessions that may enter, a permit apart."""
+        return 1.0 if self.capped else self.share
+
+    @property
+    def unrated(self) -> int:
+        """Return the answers that may still await their rating."""
+        return max(0, self.started - self.rated - self.forgiven)
+
+    def comparison(self, measure: Measure) -> Comparison:
+        """Return the evidence of one measure."""
+        return next(c for c in self.comparisons if c.measure is measure)
+
+    def grant_of(self, host: HostName) -> PermitGrant | None:
+        """Return the host's grant, or none."""
+        return next((g for g in self.grants if g.host == host), None)
+
 
 RolloutRows = dict[RolloutName, RolloutRow]
 
--- a/masticfork/systems/versions.py
+++ b/masticfork/systems/versions.py
@@ -105,7 +105,9 @@
     rows: RolloutRows
 
     def permit_for(self, version: VersionId) -> RolloutName | None:
-        return self.unproved.get(version)
+        name = self.unproved.get(version)
+        row = None if name is None else self.rows.get(name)
+        return None if row is not None and not row.capped else name
 
     def settled(self) -> VersionId | None:
         """Return the usable version that replaced all before it."""
@@ -173,7 +175,8 @@
     for row in choice.entering():
         if settled != row.from_version:
             continue
-        if session_position(session, row.name) < row.share:
-            return Ok(Assignment(row.to_version, None, row.name, settled))
+        if session_position(session, row.name) < row.entry_share:
+            permit_for = choice.permit_for(row.to_version)
+            return Ok(Assignment(row.to_version, None, permit_for, settled))
     version = settled or choice.versions[-1]
     return Ok(Assignment(version, None, choice.permit_for(version)))
