--- a/masticfork/settings/manifest_checks.py
+++ b/masticfork/settings/manifest_checks.py
@@ -84,6 +84,10 @@
         where = f"{path}.cost_per_1k_tokens"
         yield Fault("value", where, "expected a cost of 0 or more")
     yield from _share(version.expected_quality, f"{path}.expected_quality")
+    if version.adapter is not None and not (
+        version.adapter and version.adapter.isprintable()
+    ):
+        yield Fault("value", f"{path}.adapter", "expected printable text")
 
 
 def _share(value: float, path: str) -> Iterator[Fault]:
