--- a/masticfork/settings/manifest_test.py
+++ b/masticfork/settings/manifest_test.py
@@ -119,7 +119,7 @@
     ("models.0.versions.0.pool", "b", "pool_unknown", "models[0].versions[0].pool"),
     ("models.0.current", "9", "version_unknown", "models[0].current"),
     ("models.0.current", "3", "version_withdrawn", "models[0].current"),
-    ("models.0.versions.0.adapter", "\ud800", "value", "models[0].versions[0].adapter"),
+    ("models.0.versions.0.adapter", "a\nb", "value", "models[0].versions[0].adapter"),
     ("withdrawn.0", "linen@9", "version_unknown", "withdrawn[0]"),
     ("withdrawn.0", "2", "version_unknown", "withdrawn[0]"),
     ("teams.0.allowed.0", "linen@9", "version_unknown", "teams[0].allowed[0]"),
