Admit requests by team limits, class, deadline and fairness

Nothing bounded what a host took on: a flood from one team or a slow pool filled every thread, and refusals came only when a deadline had passed.

A request now passes the team's limits (token buckets for requests and tokens, tokens charged by estimate and corrected at the end, requests in flight), then the queue of its pool: start-time fair between teams, by class and deadline within one; work that cannot make its deadline is refused at once as not run, with a time to return of its own. Numbers of requests in service follow slots, fresh reports and the number of live hosts each tick.

--- a/masticfork/daemon/daemon.py
+++ b/masticfork/daemon/daemon.py
@@ -27,6 +27,7 @@
 from masticfork.entry.app import EntryApp, EntryParts
 from masticfork.entry.billing import VolatileBills
 from masticfork.entry.chat import ChatHandler, ChatParts
+from masticfork.entry.gate import Gate
 from masticfork.entry.once import OnceHandler
 from masticfork.entry.parsing import Limits
 from masticfork.entry.policy import SessionPolicy
@@ -45,8 +46,11 @@
 from masticfork.platform.http import HttpObjectStore
 from masticfork.settings.manifest import parse_manifest
 from masticfork.settings.settings import Settings
+from masticfork.systems.admission import FairAdmission
 from masticfork.systems.placement import InFlight, TwoChoices
+from masticfork.systems.pool_capacity import PoolCapacity
 from masticfork.systems.sessions import SessionSigner, SigningKey
+from masticfork.systems.team_limits import Unlimited
 
 BACKGROUND_THREADS = 16
 ADMIN_THREADS = 8
@@ -88,7 +92,9 @@
             now,
             settings.retention_days * SECONDS_PER_DAY,
         )
-        self._ticker = Ticker(self._tables, (self._node,), now)
+        self._admission = FairAdmission(Unlimited())
+        capacity = PoolCapacity(self._in_flight.at, self._admission.run_pools)
+        self._ticker = Ticker(self._tables, (self._node, capacity), now)
         self._entry = self._make_entry()
         self._admin = self._make_admin()
         self._stopped = threading.Event()
@@ -133,17 +139,19 @@
         settings = self._settings.entry
         router = self._make_router()
         engines = EngineClient(self._pool, self._now)
+        gate = Gate(self._admission, self._now)
         chat = ChatParts(
             self._tables,
             router,
             engines,
+            gate,
             VolatileBills(lambda _: None),
             self._journal,
             self._background,
             self._now,
         )
         client = ServiceClient(self._pool, self._now)
-        services = ServiceParts(router, client, self._journal, self._now)
+        services = ServiceParts(router, client, gate, self._journal, self._now)
         limits = Limits(
             settings.max_body_bytes,
             settings.max_header_count,
@@ -153,7 +161,9 @@
             tables=self._tables,
             chat=ChatHandler(chat),
             services=ServiceHandler(
-                RepeatableHandler(services), OnceHandler(services, self._claims)
+                services,
+                RepeatableHandler(services),
+                OnceHandler(services, self._claims),
             ),
             journal=self._journal,
             limits=limits,
--- a/masticfork/entry/chat.py
+++ b/masticfork/entry/chat.py
@@ -15,6 +15,7 @@
 from masticfork.core.tables import Tables
 from masticfork.entry.answer import AnswerRun, collect_text
 from masticfork.entry.billing import BillSink, ChatBill, cost_of
+from masticfork.entry.gate import Gate, chat_admission
 from masticfork.entry.responses import (
     Response,
     json_response,
@@ -22,6 +23,7 @@
     refusal_response,
 )
 from masticfork.entry.routing import Placement, Router
+from masticfork.systems.admission_records import Ticket
 
 DONE_FRAME = b"data: [DONE]\n\n"
 # Longest wait for a bill to be safe before the end of the answer is withheld.
@@ -35,6 +37,7 @@
     tables: Tables
     router: Router
     engines: EngineClient
+    gate: Gate
     bills: BillSink
     journal: Journal
     background: Executor
@@ -55,6 +58,20 @@
             return self._refuse(call, placed.err_value)
         placement = placed.ok_value
         self._note_decision(call, placement)
+        asked = chat_admission(call, parts.tables.configuration, placement.version)
+        entered = parts.gate.enter(asked)
+        if isinstance(entered, Err):
+            return self._refuse(call, entered.err_value)
+        ticket = entered.ok_value
+        try:
+            return self._answer(call, placement, ticket)
+        except BaseException:
+            parts.gate.leave(ticket)
+            raise
+
+    def _answer(self, call: ChatCall, placement: Placement, ticket: Ticket) -> Response:
+        """Run an admitted request; its ticket is given back at the end."""
+        parts = self._parts
         run = AnswerRun(
             call,
             placement,
@@ -66,8 +83,9 @@
         )
         refusal = run.open()
         if refusal is not None:
+            parts.gate.leave(ticket)
             return self._refuse(call, refusal)
-        answer = ChatAnswer(parts, call, placement, run)
+        answer = ChatAnswer(parts, call, placement, run, ticket)
         headers = _headers(call, placement)
         if call.stream:
             stream_headers = (
@@ -98,18 +116,25 @@
     """An opened answer: its frames, its bill and its end."""
 
     def __init__(
-        self, parts: ChatParts, call: ChatCall, placement: Placement, run: AnswerRun
+        self,
+        parts: ChatParts,
+        call: ChatCall,
+        placement: Placement,
+        run: AnswerRun,
+        ticket: Ticket,
     ) -> None:
         self._parts = parts
         self._call = call
         self._placement = placement
         self._run = run
+        self._ticket = ticket
         self._settled = False
 
     def stream(self) -> Iterator[bytes]:
         """Yield the answer as server-sent events."""
         for frame in self._run.frames():
             yield frame.raw + b"\n\n"
+        self._leave()
         refusal = self._run.failure or self.settle("answered")
         if refusal is not None:
             self.settle("cut")
@@ -125,6 +150,7 @@
     def plain(self) -> Response:
         """Return the whole answer as one JSON body."""
         frames: list[Frame] = list(self._run.frames())
+        self._leave()
         text = collect_text(iter(frames))
         refusal = self._run.failure
         if refusal is None and isinstance(text, Err):
@@ -155,11 +181,16 @@
     def close(self) -> None:
         """Cancel and bill an answer whose caller went away."""
         self._run.close()
+        self._leave()
         if not self._settled:
             self._settled = True
             self._parts.bills.submit(self._bill("caller_gone"))
             self._note_end("caller_gone")
 
+    def _leave(self) -> None:
+        tokens = float(self._run.usage.completion_tokens)
+        self._parts.gate.leave(self._ticket, tokens or None)
+
     def _bill(self, outcome: str) -> ChatBill:
         configuration = self._parts.tables.configuration
         cost = 0.0
--- a/masticfork/entry/services.py
+++ b/masticfork/entry/services.py
@@ -14,10 +14,12 @@
 from masticfork.core.ids import AttemptId, ServerName, random_id
 from masticfork.core.manifest import BackendServer
 from masticfork.core.refusals import Reason, Refusal, RunState
+from masticfork.entry.gate import Gate, service_admission
 from masticfork.entry.responses import Response, refusal_response
 from masticfork.entry.routing import Router
 
 MAX_ATTEMPTS = 3
+INTERNAL_ERROR = 500
 _DROPPED_ANSWER_HEADERS = frozenset(
     {"connection", "date", "keep-alive", "server", "transfer-encoding", "trailer"}
 )
@@ -29,6 +31,7 @@
 
     router: Router
     client: ServiceClient
+    gate: Gate
     journal: Journal
     now: Callable[[], float]
 
@@ -75,13 +78,23 @@
 class ServiceHandler:
     """Hands a call to the handler that fits its operation."""
 
+    _parts: ServiceParts
     _repeatable: Handler
     _once: Handler
 
     def handle(self, call: ServiceCall) -> Response:
         """Return the response to a call."""
         handler = self._repeatable if call.operation.idempotent else self._once
-        return handler.handle(call)
+        entered = self._parts.gate.enter(service_admission(call))
+        if isinstance(entered, Err):
+            return refuse(self._parts, call, entered.err_value)
+        tokens = None
+        try:
+            response = handler.handle(call)
+            tokens = 0.0 if response.status < INTERNAL_ERROR else None
+            return response
+        finally:
+            self._parts.gate.leave(entered.ok_value, tokens)
 
 
 def dispatch(
