--- a/masticfork/systems/admission_test.py
+++ b/masticfork/systems/admission_test.py
@@ -38,7 +38,7 @@
 
 
 def in_service(ticket):
-    return ticket.verdict.done() and isinstance(ticket.verdict.result(), Ok)
+    return ticket.verdict.done() and isinstance(ticket.verdict.result(0), Ok)
 
 
 def taught(admission, seconds):
@@ -154,7 +154,7 @@
         assert in_service(late)
         later = admission.admit(request(deadline=20.0), 10.0).unwrap()
         admission.run_pools({"p": 1}, start_by)
-        assert later.verdict.result().err_value.reason is Reason.OVERLOADED
+        assert later.verdict.result(0).err_value.reason is Reason.OVERLOADED
 
     def test_a_full_queue_gives_up_the_largest_teams_least_urgent(self):
         admission = with_slots(1, FairAdmission(Unlimited(), max_waiting=2))
@@ -164,7 +164,7 @@
         ]
         assert admission.admit(request("b", WorkClass.LOOKUP), 0.0).is_ok()
         assert not kept.verdict.done()
-        assert given_up.verdict.result().is_err()
+        assert given_up.verdict.result(0).is_err()
         assert admission.admit(request(deadline=70.0), 0.0).is_err()
 
     def test_a_waiting_thread_is_woken(self):
