Report ended answers to metrics, roll-outs and ratings; apply drains

Cause: roll-outs need to know how answers went, operators' drains had no effect. Ruled out: reading reports back from logs; a second pass over streamed frames for the rating (only answers that will be rated keep their frames). Before: no report.

--- a/features/steps/hosts.py
+++ b/features/steps/hosts.py
@@ -107,6 +107,7 @@
         "platform": {"embedded": True},
         "session_keys": [{"id": "s", "secret_hex": SECRET}],
         "admin_keys": [{"name": "operations", "role": "operator", **key_hash("admin")}],
+        "shutdown": {"not_ready_seconds": 0.01, "finish_seconds": 2},
         "log_level": "error",
     }
     return json.dumps(value)
--- a/masticfork/admin/drains.py
+++ b/masticfork/admin/drains.py
@@ -18,7 +18,7 @@
 )
 from masticfork.platform.settle import Beaten, create_settled, update_settled
 
-DRAIN_PREFIX = "drains/"
+DRAIN_PREFIX = "shared/drains/"
 
 # Time in seconds within which a change must be settled.
 CHANGE_SECONDS = 5.0
--- a/masticfork/backends/engine.py
+++ b/masticfork/backends/engine.py
@@ -54,11 +54,6 @@
     # Tokens generated up to here; zero in frames that carry no token.
     offset: int
 
-    @property
-    def data(self) -> bytes:
-        """Return the bytes after `data: `."""
-        return self.raw.partition(b"data: ")[2]
-
 
 class EngineStream:
     """A running answer of an engine, read frame by frame."""
--- a/masticfork/core/calls.py
+++ b/masticfork/core/calls.py
@@ -22,6 +22,8 @@
     named_by_caller: bool
     team: Team
     deadline: Deadline
+    # When the request arrived, in seconds since the Unix epoch.
+    received_at: float
     session_token: str | None = None
     traceparent: str | None = None
 
--- a/masticfork/core/tables.py
+++ b/masticfork/core/tables.py
@@ -69,6 +69,15 @@
     disputes: int = 0
 
 
+@attrs.frozen
+class Drain:
+    """An operator's order that something gets no new work."""
+
+    # Either `server` or `host`.
+    kind: str
+    name: str
+
+
 @attrs.define
 class Tables:
     """All rows that decisions read; one instance a host."""
@@ -81,6 +90,7 @@
     hosts: dict[HostName, HostRow] = attrs.field(factory=dict)
     running: dict[RequestId, Deadline] = attrs.field(factory=dict)
     rollouts: dict[RolloutName, RolloutRow] = attrs.field(factory=dict)
+    drains: frozenset[Drain] = frozenset()
     # Until when versions that are not in roll-out may get new work without news.
     usable_until: Deadline | None = None
 
--- /dev/null
+++ b/masticfork/daemon/answers.py
@@ -0,0 +1,101 @@
+"""Learn from answers that ended: metrics, counts of roll-outs, ratings."""
+
+from concurrent.futures import Executor
+
+import logbook
+from result import Err
+
+from masticfork.core.calls import ChatCall
+from masticfork.core.ids import RequestId, VersionId, digest
+from masticfork.core.tables import Tables
+from masticfork.daemon.metrics import Metrics
+from masticfork.entry.frames import text_of
+from masticfork.entry.reports import ANSWERED, AnswerReport
+from masticfork.entry.routing import Placement
+from masticfork.platform.ratings import RatingClient
+from masticfork.systems.rollout_usage import AnswerOutcome, RolloutUsage
+
+# Share of answers that are rated where no roll-out needs them.
+SAMPLED_SHARE = 0.2
+_DIGEST_RANGE = 16**32
+
+_log = logbook.Logger("answers")
+
+
+class Answers:
+    """Takes in answers from the threads that served them."""
+
+    def __init__(
+        self,
+        tables: Tables,
+        metrics: Metrics,
+        usage: RolloutUsage,
+        ratings: RatingClient | None,
+        background: Executor,
+    ) -> None:
+        self._tables = tables
+        self._metrics = metrics
+        self._usage = usage
+        self._ratings = ratings
+        self._background = background
+
+    def wants_text(self, call: ChatCall, placement: Placement) -> bool:
+        """Tell whether the answer will be sent to the rating service."""
+        if self._ratings is None:
+            return False
+        if self._in_rollout(placement.version):
+            return True
+        return sampled(call.head.request_id)
+
+    def ended(self, report: AnswerReport) -> None:
+        """Count an answer, and ask for its rating where it is wanted."""
+        first = report.first_token_seconds
+        failed = report.outcome == "cut"
+        self._usage.answered(AnswerOutcome(report.placement.version, failed, first))
+        self._measure(report)
+        if report.frames and report.outcome == ANSWERED:
+            self._background.submit(self._ask_rating, report)
+
+    def _in_rollout(self, version: VersionId) -> bool:
+        configuration = self._tables.configuration
+        if configuration is None:
+            return False
+        return any(
+            version in (rollout.from_version, rollout.to_version)
+            for rollout in configuration.manifest.rollouts
+        )
+
+    def _measure(self, report: AnswerReport) -> None:
+        metrics, call = self._metrics, report.call
+        labels = (call.head.team.name, call.work_class.value)
+        total = report.ended_at - call.head.received_at
+        metrics.total.labels(*labels).observe(total)
+        metrics.cost.labels(*labels).observe(report.cost)
+        metrics.answers.labels(report.placement.version, report.outcome).inc()
+        if report.first_token_at is None or report.first_token_seconds is None:
+            return
+        metrics.first_token.labels(*labels).observe(report.first_token_seconds)
+        if report.tokens > 1:
+            gap = (report.ended_at - report.first_token_at) / (report.tokens - 1)
+            metrics.token_gap.labels(*labels).observe(gap)
+
+    def _ask_rating(self, report: AnswerReport) -> None:
+        text = text_of(report.frames)
+        if self._ratings is None or isinstance(text, Err):
+            return
+        head = report.call.head
+        asked = self._ratings.request(
+            head.request_id,
+            report.placement.version,
+            report.call.work_class,
+            head.team.name,
+            text.ok_value,
+        )
+        if isinstance(asked, Err):
+            # A missing rating only delays decisions that wait for evidence.
+            _log.debug("rating not asked for", error=asked.err_value.message)
+
+
+def sampled(request_id: RequestId) -> bool:
+    """Tell whether a request is among the share that is rated."""
+    return int(digest("rating", request_id), 16) / _DIGEST_RANGE < SAMPLED_SHARE
--- a/masticfork/daemon/daemon.py
+++ b/masticfork/daemon/daemon.py
@@ -21,12 +21,16 @@
 from masticfork.core.ids import HostName, ZoneName
 from masticfork.core.tables import SelfRow, Tables
 from masticfork.daemon.admin_backend import DaemonBackend
+from masticfork.daemon.answers import Answers
 from masticfork.daemon.listener import Listener, ListenerSettings
 from masticfork.daemon.metrics import Metrics
-from masticfork.daemon.ticker import Ticker
+from masticfork.daemon.shutdown import Shutdown, ShutdownSteps
+from masticfork.daemon.ticker import Ticker, log_finding
+from masticfork.entry.active import ActiveRequests
 from masticfork.entry.app import EntryApp, EntryParts
 from masticfork.entry.billing import VolatileBills
-from masticfork.entry.chat import ChatHandler, ChatParts
+from masticfork.entry.chat import ChatHandler
+from masticfork.entry.chat_answer import ChatParts
 from masticfork.entry.once import OnceHandler
 from masticfork.entry.parsing import Limits
 from masticfork.entry.policy import SessionPolicy
@@ -43,9 +47,11 @@
 from masticfork.platform.client import CallCounter, ObjectStore
 from masticfork.platform.embedded import EmbeddedStore
 from masticfork.platform.http import HttpObjectStore
+from masticfork.platform.ratings import RatingClient
 from masticfork.settings.manifest import parse_manifest
 from masticfork.settings.settings import Settings
 from masticfork.systems.placement import InFlight, TwoChoices
+from masticfork.systems.rollout_usage import RolloutUsage
 from masticfork.systems.sessions import SessionSigner, SigningKey
 
 BACKGROUND_THREADS = 16
@@ -81,6 +87,8 @@
         self._pool = ConnectionPool(now)
         self._background = ThreadPoolExecutor(BACKGROUND_THREADS, "background")
         self._in_flight = InFlight()
+        self._active = ActiveRequests()
+        self._shutdown = Shutdown(self._tables, self._active, settings.shutdown, now)
         self._node = self._make_node()
         self._claims = ClaimBook(
             self._store,
@@ -89,6 +97,11 @@
             settings.retention_days * SECONDS_PER_DAY,
         )
         self._ticker = Ticker(self._tables, (self._node,), now)
+        self._usage = RolloutUsage(HostName(settings.host))
+        self._ratings = _make_ratings(settings, now)
+        self._answers = Answers(
+            self._tables, self._metrics, self._usage, self._ratings, self._background
+        )
         self._entry = self._make_entry()
         self._admin = self._make_admin()
         self._stopped = threading.Event()
@@ -118,12 +131,24 @@
         self._entry.start()
         _log.info("started", entry_port=self._entry.port, admin_port=self._admin.port)
         self._stopped.wait()
-        self._entry.stop()
-        self._admin.stop()
-        self._ticker.stop()
-        self._node.stop()
-        self._background.shutdown(wait=False, cancel_futures=True)
-        self._pool.close()
+        self._shutdown.run(self._steps())
+
+    def _steps(self) -> ShutdownSteps:
+        return ShutdownSteps(
+            flush=(lambda _: self._flush_claims(),),
+            close=(
+                self._entry.stop,
+                self._admin.stop,
+                self._ticker.stop,
+                self._node.stop,
+                lambda: self._background.shutdown(wait=False, cancel_futures=True),
+                self._pool.close,
+            ),
+        )
+
+    def _flush_claims(self) -> None:
+        for finding in self._claims.flush():
+            log_finding(finding)
 
     def stop(self) -> None:
         """End `run`."""
@@ -139,6 +164,7 @@
             engines,
             VolatileBills(lambda _: None),
             self._journal,
+            self._answers,
             self._background,
             self._now,
         )
@@ -157,6 +183,7 @@
             ),
             journal=self._journal,
             limits=limits,
+            active=self._active,
             ready=self._ready,
             observe=self._observe,
             now=self._now,
@@ -218,7 +245,7 @@
 
     def _make_router(self) -> Router:
         signer = SessionSigner(_signing_keys(self._settings))
-        policy = SessionPolicy(self._tables, signer, self._rng)
+        policy = SessionPolicy(self._tables, signer, self._usage, self._rng)
         return Router(
             self._tables,
             policy,
@@ -229,7 +256,7 @@
         )
 
     def _ready(self) -> bool:
-        return self._tables.configuration is not None and not self._tables.me.stopping
+        return self._tables.configuration is not None and not self._shutdown.leaving
 
     def _observe(self, method: str, path: str, status: int, started: float) -> None:
         self._metrics.requests.labels(str(status)).inc()
@@ -255,6 +282,12 @@
     return HttpObjectStore(url.removeprefix("http://"), now, calls)
 
 
+def _make_ratings(settings: Settings, now: Callable[[], float]) -> RatingClient | None:
+    if settings.rating_url is None:
+        return None
+    return RatingClient(settings.rating_url.removeprefix("http://"), now)
+
+
 def _signing_keys(settings: Settings) -> tuple[SigningKey, ...]:
     if not settings.session_keys:
         _log.warning("no session keys: sessions end with this process")
--- a/masticfork/entry/answer.py
+++ b/masticfork/entry/answer.py
@@ -6,7 +6,7 @@
 from concurrent.futures import Executor
 
 import attrs
-from result import Err, Ok, Result
+from result import Err
 
 from masticfork.backends.engine import (
     EngineCall,
@@ -22,6 +22,7 @@
 from masticfork.core.ids import AttemptId, ServerName, digest
 from masticfork.core.manifest import BackendServer
 from masticfork.core.refusals import Reason, Refusal, RunState
+from masticfork.entry.frames import data_of
 from masticfork.entry.routing import PRIORITIES, Placement, Router
 
 MAX_ATTEMPTS = 3
@@ -238,7 +239,7 @@
         return None
 
     def _note_end(self, frame: Frame) -> None:
-        value = json.loads(frame.data)
+        value = json.loads(data_of(frame.raw))
         usage = value.get("usage")
         if usage is None:
             self._finish = frame.raw
@@ -290,16 +291,3 @@
     # Everything before the choices differs between attempts (id, time).
     position = frame.raw.find(b'"choices"')
     return frame.raw[position:] if position >= 0 else frame.raw
-
-
-def collect_text(frames: Iterator[Frame]) -> Result[str, CallFailure]:
-    """Join the text of all token frames."""
-    parts = []
-    for frame in frames:
-        try:
-            delta = json.loads(frame.data)["choices"][0]["delta"]
-        except (ValueError, LookupError, TypeError):
-            kind = FailureKind.MALFORMED_ANSWER
-            return Err(CallFailure(Stage.ANSWERING, kind, "frame"))
-        parts.append(delta.get("content") or "")
-    return Ok("".join(parts))
--- a/masticfork/entry/app.py
+++ b/masticfork/entry/app.py
@@ -17,6 +17,7 @@
 from masticfork.core.refusals import Reason, Refusal, RunState
 from masticfork.core.tables import Tables
 from masticfork.entry import parsing
+from masticfork.entry.active import ActiveRequests, CountedBody
 from masticfork.entry.parsing import Environ, Limits
 from masticfork.entry.responses import (
     Response,
@@ -86,6 +87,7 @@
     services: CallHandler
     journal: Journal
     limits: Limits
+    active: ActiveRequests
     ready: Callable[[], bool]
     observe: Callable[[str, str, int, float], None]
     now: Callable[[], float]
@@ -100,9 +102,11 @@
 
     def __call__(self, environ: Environ, start: StartResponse) -> Iterable[bytes]:
         """Answer one request."""
+        active = self._parts.active
+        active.enter()
         response = self._guarded(environ)
         start(status_line(response.status), list(response.headers))
-        return response.body
+        return CountedBody(response.body, active)
 
     def _guarded(self, environ: Environ) -> Response:
         started = self._parts.now()
--- a/masticfork/entry/parsing.py
+++ b/masticfork/entry/parsing.py
@@ -98,6 +98,7 @@
         named_by_caller=key is not None,
         team=team,
         deadline=deadline.ok_value,
+        received_at=now,
         session_token=environ.get("HTTP_MASTICFORK_SESSION"),
         traceparent=environ.get("HTTP_TRACEPARENT"),
     )
--- a/masticfork/entry/policy.py
+++ b/masticfork/entry/policy.py
@@ -12,18 +12,28 @@
 from masticfork.core.refusals import Reason, Refusal
 from masticfork.core.tables import Tables
 from masticfork.entry.routing import Placement
+from masticfork.systems.rollout_usage import RolloutUsage
 from masticfork.systems.sessions import Session, SessionSigner, new_session
-from masticfork.systems.versions import assign_version, version_usable
+from masticfork.systems.versions import (
+    Assignment,
+    assign_version,
+    version_usable,
+)
 
 
 class SessionPolicy:
     """Pins sessions to versions and picks the model where the caller leaves it."""
 
     def __init__(
-        self, tables: Tables, signer: SessionSigner, rng: random.Random
+        self,
+        tables: Tables,
+        signer: SessionSigner,
+        usage: RolloutUsage,
+        rng: random.Random,
     ) -> None:
         self._tables = tables
         self._signer = signer
+        self._usage = usage
         self._rng = rng
 
     def place(
@@ -48,18 +58,36 @@
         if isinstance(assigned, Err):
             return assigned
         assignment = assigned.ok_value
-        pinned = session.with_pin(model.ok_value, assignment.version)
-        reason = _reason(session, model.ok_value, assignment.version)
+        is_new = session.pinned(model.ok_value) is None
+        if is_new:
+            self._usage.new_session(configuration, model.ok_value)
+        version = self._permitted(assignment, not is_new, now)
+        if version is None:
+            message = "no proved version of the model is in service"
+            return Err(Refusal(Reason.NO_SERVER, message))
+        pinned = session.with_pin(model.ok_value, version)
         placement = Placement(
             session=pinned,
             session_token=self._signer.seal(pinned),
-            version=assignment.version,
-            reason=reason,
+            version=version,
+            reason=_reason(session, model.ok_value, version),
             moved_from=assignment.moved_from,
             candidates=candidates,
         )
         return Ok(placement)
 
+    def _permitted(
+        self, assignment: Assignment, pinned: bool, now: float
+    ) -> VersionId | None:
+        """Return the assigned version, or the proved one where no permit is left."""
+        if assignment.rollout is None:
+            return assignment.version
+        row = self._tables.rollouts.get(assignment.rollout)
+        if row is None:
+            # Nobody drives the roll-out yet: new sessions stay with the old version.
+            return assignment.version if pinned else assignment.without_permit
+        return self._usage.admit(row, assignment, pinned, now)
+
     def _session(self, call: ChatCall, now: float) -> Result[Session, Refusal]:
         token = call.head.session_token
         if token is None:
--- a/masticfork/systems/eligibility.py
+++ b/masticfork/systems/eligibility.py
@@ -6,7 +6,7 @@
 from masticfork.core.ids import ServerName, TeamName, VersionId, model_of
 from masticfork.core.refusals import Reason, Refusal
 from masticfork.core.rollouts import withdrawn_by_rollouts
-from masticfork.core.tables import ServerRow, Tables
+from masticfork.core.tables import Drain, ServerRow, Tables
 from masticfork.systems.sessions import Session
 from masticfork.systems.versions import unproved_in
 
@@ -97,11 +97,16 @@
     if pool is None or all(server.name != name for server in pool.servers):
         return _refuse(Reason.NO_SERVER, f"{name!r} does not serve {version!r}")
     row = tables.servers.get(name)
-    if row is None or not server_takes_work(row, now):
+    if row is None or not server_takes_work(row, now) or drained(tables, name):
         return _refuse(Reason.NO_SERVER, f"{name!r} takes no new work")
     return Ok(None)
 
 
+def drained(tables: Tables, name: ServerName) -> bool:
+    """Tell whether an operator drains the server."""
+    return Drain("server", name) in tables.drains
+
+
 def server_takes_work(row: ServerRow, now: float) -> bool:
     """Tell whether the server is neither leaving nor ejected."""
     ejected = row.ejected_until is not None and not row.ejected_until.expired(now)
--- a/masticfork/systems/placement.py
+++ b/masticfork/systems/placement.py
@@ -9,7 +9,7 @@
 from masticfork.core.ids import ServerName
 from masticfork.core.manifest import BackendServer
 from masticfork.core.tables import Tables
-from masticfork.systems.eligibility import server_takes_work
+from masticfork.systems.eligibility import drained, server_takes_work
 
 
 class InFlight:
@@ -87,6 +87,8 @@
     fit = []
     for server in servers:
         row = tables.servers.get(server.name)
-        if server.name not in tried and (row is None or server_takes_work(row, now)):
+        if server.name in tried or drained(tables, server.name):
+            continue
+        if row is None or server_takes_work(row, now):
             fit.append(server)
     return fit
--- /dev/null
+++ b/masticfork/systems/rollout_usage.py
@@ -0,0 +1,90 @@
+"""What one host counts of each roll-out, for its driver."""
+
+import threading
+from collections import Counter
+
+import attrs
+
+from masticfork.core.configuration import Configuration
+from masticfork.core.ids import HostName, ModelName, RolloutName, VersionId
+from masticfork.core.manifest import Rollout
+from masticfork.core.rollouts import HostUsage, RolloutRow, RolloutState, VersionCounts
+from masticfork.systems.rollout_permits import PermitCounter
+from masticfork.systems.versions import Assignment
+
+# An answer whose first token comes later counts as slow.
+FIRST_TOKEN_SECONDS = 0.78
+
+
+@attrs.frozen
+class AnswerOutcome:
+    """How one answer went."""
+
+    version: VersionId
+    failed: bool
+    # None where no token came.
+    first_token_seconds: float | None
+
+
+class RolloutUsage:
+    """Counts of this host, safe for threads; they only grow."""
+
+    def __init__(self, host: HostName) -> None:
+        self._host = host
+        self._lock = threading.Lock()
+        self._permits = PermitCounter(host)
+        self._sessions: Counter[RolloutName] = Counter()
+        self._answers: dict[VersionId, VersionCounts] = {}
+
+    def new_session(self, configuration: Configuration, model: ModelName) -> None:
+        """Count a session that has no pin for the model yet."""
+        with self._lock:
+            for rollout in configuration.manifest.rollouts:
+                if rollout.model == model:
+                    self._sessions[rollout.name] += 1
+
+    def admit(
+        self, row: RolloutRow, assignment: Assignment, pinned: bool, now: float
+    ) -> VersionId | None:
+        """Return the version that a session gets, with regard to permits.
+
+        None where the session may get neither the new version nor another one.
+        """
+        if pinned:
+            self._permits.count_pinned(row)
+            return assignment.version
+        if row.state is RolloutState.RUNNING and not row.capped:
+            self._permits.count_pinned(row)
+            return assignment.version
+        if self._permits.take(row, now):
+            return assignment.version
+        return assignment.without_permit
+
+    def observe(self, row: RolloutRow) -> None:
+        """Note a stored row."""
+        self._permits.observe(row)
+
+    def answered(self, outcome: AnswerOutcome) -> None:
+        """Count an answer that ended."""
+        first = outcome.first_token_seconds
+        slow = first is not None and first > FIRST_TOKEN_SECONDS
+        with self._lock:
+            counts = self._answers.get(outcome.version, VersionCounts())
+            self._answers[outcome.version] = VersionCounts(
+                counts.answered + 1,
+                counts.failed + outcome.failed,
+                counts.slow + slow,
+            )
+
+    def report(self, rollout: Rollout, now: float) -> HostUsage:
+        """Return what the driver of the roll-out gets to know."""
+        with self._lock:
+            return HostUsage(
+                host=self._host,
+                rollout=rollout.name,
+                at=now,
+                sessions=self._sessions[rollout.name],
+                started=self._permits.started(rollout.name),
+                new=self._answers.get(rollout.to_version, VersionCounts()),
+                old=self._answers.get(rollout.from_version, VersionCounts()),
+            )
--- /dev/null
+++ b/masticfork/systems/rollout_usage_test.py
@@ -0,0 +1,55 @@
+import attrs
+
+from masticfork.core.deadlines import Deadline
+from masticfork.core.ids import HostName, ModelName, RolloutName, VersionId
+from masticfork.core.manifest import Rollout
+from masticfork.core.rollouts import (
+    HostUsage,
+    PermitGrant,
+    RolloutRow,
+    VersionCounts,
+)
+from masticfork.systems.rollout_usage import AnswerOutcome, RolloutUsage
+from masticfork.systems.versions import Assignment
+
+OLD, NEW = VersionId("linen@1"), VersionId("linen@2")
+NAME = RolloutName("linen-2")
+HOST = HostName("entry-1")
+ROLLOUT = Rollout(NAME, ModelName("linen"), OLD, NEW)
+ASSIGNMENT = Assignment(NEW, None, NAME, OLD)
+
+
+def row(granted: int) -> RolloutRow:
+    grant = PermitGrant(HostUsage(HOST, NAME, 0.0), granted, Deadline(100.0))
+    return RolloutRow(NAME, ModelName("linen"), OLD, NEW, grants=(grant,))
+
+
+class TestAdmit:
+    def test_new_sessions_get_the_new_version_while_permits_last(self):
+        usage = RolloutUsage(HOST)
+        usage.observe(row(0))
+        given = [usage.admit(row(2), ASSIGNMENT, False, 1.0) for _ in range(3)]
+        assert given == [NEW, NEW, OLD]
+        assert usage.report(ROLLOUT, 1.0).started == 2
+
+    def test_a_pinned_session_keeps_the_new_version_and_is_counted(self):
+        usage = RolloutUsage(HOST)
+        usage.observe(row(0))
+        assert usage.admit(row(0), ASSIGNMENT, True, 1.0) == NEW
+        assert usage.report(ROLLOUT, 1.0).started == 1
+
+    def test_a_roll_out_without_cap_needs_no_permit(self):
+        usage = RolloutUsage(HOST)
+        free = attrs.evolve(row(0), capped=False)
+        assert usage.admit(free, ASSIGNMENT, False, 1.0) == NEW
+
+
+class TestReport:
+    def test_counts_answers_by_version(self):
+        usage = RolloutUsage(HOST)
+        usage.answered(AnswerOutcome(NEW, False, 0.1))
+        usage.answered(AnswerOutcome(NEW, True, None))
+        usage.answered(AnswerOutcome(OLD, False, 2.0))
+        report = usage.report(ROLLOUT, 1.0)
+        assert report.new == VersionCounts(2, 1, 0)
+        assert report.old == VersionCounts(1, 0, 1)
