--- a/masticfork/admin/drains_test.py
+++ b/masticfork/admin/drains_test.py
@@ -48,7 +48,9 @@
     def test_lost_answers_are_settled(self, calls: int):
         self.store.faults.lose_answers = calls
         assert self.drains.start("server", "a1", order("s1")).unwrap().active
-        assert self.store.get("drains/server/a1", FAR).unwrap().value["seen"] == ["s1"]
+        assert self.store.get("shared/drains/server/a1", FAR).unwrap().value[
+            "seen"
+        ] == ["s1"]
 
     def test_failures_are_told_apart(self):
         self.store.set_down(True)
