--- /dev/null
+++ b/tools/launch_test.py
@@ -0,0 +1,108 @@
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import pytest
+
+from standins.testing import Ask
+from tools import launch
+from tools.launch_files import merged
+from tools.launch_options import Options
+from tools.processes import ROOT, Program, StartError
+
+SMALL = Options(hosts=2, engines_per_pool=1, service_servers=1, token_seconds=0.001)
+
+
+def runs(pid: int) -> bool:
+    """Tell whether a process runs; one that awaits its parent's wait does not."""
+    stat = Path(f"/proc/{pid}/stat")
+    return stat.exists() and stat.read_text().rsplit(")", 1)[1].split()[0] != "Z"
+
+
+def wait_until_gone(pids: list[int]) -> None:
+    for _ in range(1000):
+        if not any(map(runs, pids)):
+            return
+        time.sleep(0.01)
+    raise AssertionError([pid for pid in pids if runs(pid)])
+
+
+class TestCluster:
+    def test_serves_survives_a_kill_and_ends_everything(self):
+        with launch.start(SMALL) as cluster:
+            pids = list(cluster.pids.values())
+            assert len(pids) == 4 + 2 + 1 + 2
+            key = cluster.summary["team_keys"]["warehouse"]
+            headers = {"Authorization": f"Bearer {key}"}
+            path = "/services/order-desk/stock/canvas"
+            cluster.kill("entry-1")
+            assert "entry-1" not in cluster.pids
+            second = Ask(cluster.places[1].entry_port)
+            assert second("GET", path, headers=headers)[0] == 200
+            cluster.restart("entry-1")
+            first = Ask(cluster.places[0].entry_port)
+            assert first("GET", path, headers=headers)[0] == 200
+            pids.append(cluster.pids["entry-1"])
+            # A frozen program must not keep the others from ending.
+            cluster.signal("entry-2", signal.SIGSTOP)
+        wait_until_gone(pids)
+
+    def test_hosts_are_registered(self):
+        options = Options(hosts=0, engines_per_pool=1, service_servers=1)
+        options.arguments["host_list"] = ["--lag-seconds", "0"]
+        with launch.start(options) as cluster:
+            hosts = cluster.ask("host-list")("GET", "/hosts")[1]["hosts"]
+            kinds = {host["name"]: host["kind"] for host in hosts}
+            assert kinds == {
+                "drafting-1": "engine",
+                "drafting-2": "engine",
+                "order-desk-1": "service",
+            }
+
+
+class TestForeground:
+    @pytest.mark.parametrize("number", [signal.SIGINT, signal.SIGTERM, signal.SIGKILL])
+    def test_no_program_is_left(self, number: signal.Signals):
+        command = [sys.executable, "-m", "tools.launch", "--hosts", "0"]
+        process = subprocess.Popen(
+            [*command, "--engines-per-pool", "1"],
+            cwd=ROOT,
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        summary = json.loads(process.stdout.readline())
+        assert set(summary) == {
+            "entries",
+            "admin",
+            "team_keys",
+            "admin_key",
+            "services",
+            "models",
+            "standins",
+        }
+        tasks = Path(f"/proc/{process.pid}/task/{process.pid}/children")
+        children = [int(pid) for pid in tasks.read_text().split()]
+        assert len(children) == len(summary["standins"])
+        os.kill(process.pid, number)
+        code = process.wait(30)
+        assert code == (-number if number is signal.SIGKILL else 0)
+        wait_until_gone(children)
+
+
+class TestProgram:
+    def test_a_failed_start_shows_the_log(self, tmp_path: Path):
+        program = Program("bad", ["standins.platform", "--port", "x"], tmp_path)
+        program.start(announces=True)
+        with pytest.raises(StartError, match="not a valid integer"):
+            program.announced(30)
+
+
+def test_merged_settings_keep_what_is_not_named():
+    base = {"entry": {"port": 1, "threads": 2}, "host": "a"}
+    changed = merged(base, {"entry": {"threads": 3}, "log_level": "debug"})
+    expected = {"entry": {"port": 1, "threads": 3}, "host": "a", "log_level": "debug"}
+    assert changed == expected
