--- a/tools/launch_files.py
+++ b/tools/launch_files.py
@@ -18,6 +18,8 @@
     "drafting-small": {"linen-small@1": 0.7, "linen-small@2": 0.72},
     "drafting-large": {"linen-large@3": 0.9, "linen-large@4": 0.9},
 }
+# The other pool's engines obey orders with any fencing number.
+CHECKING_POOLS = ("drafting-large",)
 COST_PER_1K_TOKENS = {"linen-small": 0.2, "linen-large": 1.5}
 CURRENT = {"linen-small": "linen-small@2", "linen-large": "linen-large@3"}
 # Teams with their allowed models, quality target and classes.
@@ -64,6 +66,7 @@
     zone: str
     port: int
     slots: int
+    checks_fencing: bool = False
 
 
 @attrs.frozen
@@ -189,6 +192,7 @@
             "port": server.port,
             "zone": server.zone,
             "slots": server.slots,
+            "checks_fencing": server.checks_fencing,
         }
         for server in servers
         if server.group == group
--- a/tools/launch_options.py
+++ b/tools/launch_options.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from tools.launch_files import POOLS, SERVICE, ZONES, Server
+from tools.launch_files import CHECKING_POOLS, POOLS, SERVICE, ZONES, Server
 
 SERVICE_SLOTS = 64
 
@@ -48,7 +48,10 @@
             number += 1
             name, zone = f"drafting-{number}", ZONES[index % len(ZONES)]
             own = ["--name", name, "--versions", ",".join(versions)]
-            yield Server(name, pool, zone, 0, options.slots), "engine", own + common
+            checks = pool in CHECKING_POOLS
+            own += ["--checks-fencing"] if checks else []
+            server = Server(name, pool, zone, 0, options.slots, checks)
+            yield server, "engine", own + common
 
 
 def services(options: Options) -> Iterator[Backend]:
