--- a/masticfork/systems/limits.py
+++ b/masticfork/systems/limits.py
@@ -24,13 +24,17 @@
     held: Share | None = None
     sent: Share | None = None
 
-    def reserved(self, now: float) -> Amounts:
+    def reserved(self, now: float, without_share: Amounts) -> Amounts:
         """Return the most that the host may be using."""
         amounts = Amounts(in_flight=self.request.in_use.in_flight)
-        for share in (self.held, self.sent):
-            if share is not None and not share.expires.expired(now):
-                amounts = amounts.most(share.amounts)
-        return amounts
+        alive = [
+            share
+            for share in (self.held, self.sent)
+            if share is not None and not share.expires.expired(now)
+        ]
+        for share in alive:
+            amounts = amounts.most(share.amounts)
+        return amounts if alive else amounts.most(without_share)
 
 
 class ShareOwner:
@@ -39,18 +43,26 @@
     A share lowered by a reply that may be lost still counts in full until the host
     confirms the lower one or it expires. A new owner knows no shares of the one
     before it; it counts what hosts tell that they hold, and grants nothing beyond
-    that before every share it has not heard of must have expired.
+    that before every share it has not heard of must have expired. What hosts may use
+    without a share is kept free for those that are known but hold none.
     """
 
     def __init__(
         self, team: TeamName, limits: Limits, fencing: int, now: float
     ) -> None:
         self._team = team
-        self._limits = _amounts_of(limits)
+        self._limits = amounts_of(limits)
         self._fencing = fencing
         self._all_known_at = Deadline.after(now, SHARE_SECONDS)
         self._claimants: dict[HostName, _Claimant] = {}
         self._number = 0
+        self._known: frozenset[HostName] = frozenset()
+        self._without_share = Amounts()
+
+    def know(self, hosts: frozenset[HostName], without_share: Amounts) -> None:
+        """Keep an amount free for each of these hosts that holds no share."""
+        self._known = hosts
+        self._without_share = without_share
 
     def grant(self, request: ShareRequest, now: float) -> Share:
         """Return the host's new share, which replaces the one it holds."""
@@ -58,7 +70,7 @@
         self._hear(request, now)
         fair = self._fair_amounts(request.host)
         free = self._free_for(request.host, now)
-        amounts = _least(fair, free)
+        amounts = least_of(fair, free)
         self._number += 1
         share = Share(
             self._team,
@@ -75,7 +87,7 @@
 
     def change_limits(self, limits: Limits) -> None:
         """Use other limits from the next grant on."""
-        self._limits = _amounts_of(limits)
+        self._limits = amounts_of(limits)
 
     def _hear(self, request: ShareRequest, now: float) -> None:
         known = self._claimants.get(request.host)
@@ -117,12 +129,17 @@
         others = Amounts()
         for name, claimant in self._claimants.items():
             if name != host:
-                others += claimant.reserved(now)
+                # A host that has gone is no longer known and uses nothing.
+                known = name in self._known
+                without = self._without_share if known else Amounts()
+                others += claimant.reserved(now, without)
+        for _ in self._known - self._claimants.keys() - {host}:
+            others += self._without_share
         free = _minus(self._limits, others)
         if self._all_known_at.expired(now):
             return free
         # Until then a host not heard of may use all that nobody else holds.
-        return _least(free, self._claimants[host].reserved(now))
+        return least_of(free, self._claimants[host].reserved(now, Amounts()))
 
 
 class ShareHolder:
@@ -161,7 +178,9 @@
     return attrs.evolve(last, amounts=amounts)
 
 
-def _amounts_of(limits: Limits) -> Amounts:
+def amounts_of(limits: Limits) -> Amounts:
+    """Return the limits as amounts, infinite where there is none."""
+
     def limit(value: float | None) -> float:
         return UNLIMITED if value is None else float(value)
 
@@ -185,7 +204,8 @@
     return UNLIMITED if limit == UNLIMITED else max(0.0, limit - used)
 
 
-def _least(first: Amounts, second: Amounts) -> Amounts:
+def least_of(first: Amounts, second: Amounts) -> Amounts:
+    """Return the lesser amount of each resource."""
     return Amounts(
         min(first.requests_per_second, second.requests_per_second),
         min(first.tokens_per_second, second.tokens_per_second),
--- a/masticfork/systems/pool_capacity.py
+++ b/masticfork/systems/pool_capacity.py
@@ -18,7 +18,7 @@
     """Return the number of entry hosts that share the pools, this one included."""
     others = (
         row
-        for row in tables.hosts.values()
+        for row in list(tables.hosts.values())
         if row.host != tables.me.host
         and row.state is not HostState.DEAD
         and not row.leaving
