--- a/masticfork/daemon/daemon.py
+++ b/masticfork/daemon/daemon.py
@@ -7,32 +7,58 @@
 from concurrent.futures import ThreadPoolExecutor
 
 import logbook
+from result import Err, Ok, Result
 
+from masticfork.admin.app import AdminApp
+from masticfork.admin.drains import Drains
+from masticfork.admin.submissions import Submissions
 from masticfork.backends.connections import ConnectionPool
 from masticfork.backends.engine import EngineClient
 from masticfork.backends.service import ServiceClient
+from masticfork.core.configuration import Configuration
 from masticfork.core.events import Journal
+from masticfork.core.findings import Findings
 from masticfork.core.ids import HostName, ZoneName
 from masticfork.core.tables import SelfRow, Tables
-from masticfork.daemon.configuration import ConfigurationWatch
+from masticfork.daemon.admin_backend import DaemonBackend
+from masticfork.daemon.answers import Answers
 from masticfork.daemon.listener import Listener, ListenerSettings
 from masticfork.daemon.metrics import Metrics
-from masticfork.daemon.ticker import Ticker
+from masticfork.daemon.shutdown import Shutdown, ShutdownSteps
+from masticfork.daemon.ticker import Ticker, log_finding
+from masticfork.entry.active import ActiveRequests
 from masticfork.entry.app import EntryApp, EntryParts
 from masticfork.entry.billing import VolatileBills
-from masticfork.entry.chat import ChatHandler, ChatParts
+from masticfork.entry.chat import ChatHandler
+from masticfork.entry.chat_answer import ChatParts
+from masticfork.entry.once import OnceHandler
 from masticfork.entry.parsing import Limits
 from masticfork.entry.policy import SessionPolicy
 from masticfork.entry.routing import Router
-from masticfork.entry.services import ServiceHandler, ServiceParts
+from masticfork.entry.services import (
+    RepeatableHandler,
+    ServiceHandler,
+    ServiceParts,
+)
+from masticfork.ledger.claims import ClaimBook
+from masticfork.peers.authentication import PeerKey
+from masticfork.peers.node import NodeSettings, PeerNode
+from masticfork.peers.records import LinkSettings
 from masticfork.platform.client import CallCounter, ObjectStore
 from masticfork.platform.embedded import EmbeddedStore
 from masticfork.platform.http import HttpObjectStore
+from masticfork.platform.ratings import RatingClient
+from masticfork.settings.manifest import parse_manifest
 from masticfork.settings.settings import Settings
 from masticfork.systems.placement import InFlight, TwoChoices
+from masticfork.systems.rollout_usage import RolloutUsage
 from masticfork.systems.sessions import SessionSigner, SigningKey
 
 BACKGROUND_THREADS = 16
+ADMIN_THREADS = 8
+SECONDS_PER_DAY = 86_400.0
+# A restarted host must carry a greater incarnation number than before.
+INCARNATIONS_PER_SECOND = 1000
 TRIAL_SECRET_BYTES = 32
 # The parser's own bounds lie above the checked ones, so that those answer first.
 PARSER_MARGIN = 2
@@ -61,11 +87,23 @@
         self._pool = ConnectionPool(now)
         self._background = ThreadPoolExecutor(BACKGROUND_THREADS, "background")
         self._in_flight = InFlight()
-        self._ticker = Ticker(self._tables, (), now)
-        self._watch = ConfigurationWatch(
-            self._store, self._tables, settings.confirm_seconds, now
+        self._active = ActiveRequests()
+        self._shutdown = Shutdown(self._tables, self._active, settings.shutdown, now)
+        self._node = self._make_node()
+        self._claims = ClaimBook(
+            self._store,
+            HostName(settings.host),
+            now,
+            settings.retention_days * SECONDS_PER_DAY,
+        )
+        self._ticker = Ticker(self._tables, (self._node,), now)
+        self._usage = RolloutUsage(HostName(settings.host))
+        self._ratings = _make_ratings(settings, now)
+        self._answers = Answers(
+            self._tables, self._metrics, self._usage, self._ratings, self._background
         )
         self._entry = self._make_entry()
+        self._admin = self._make_admin()
         self._stopped = threading.Event()
 
     @property
@@ -86,15 +124,31 @@
     def run(self) -> None:
         """Serve until `stop` is called."""
         self._ticker.start()
-        self._watch.start()
+        started = self._node.start()
+        if isinstance(started, Err):
+            _log.error("the peer link cannot listen", error=str(started.err_value))
+        self._admin.start()
         self._entry.start()
-        _log.info("started", entry_port=self._entry.port)
+        _log.info("started", entry_port=self._entry.port, admin_port=self._admin.port)
         self._stopped.wait()
-        self._entry.stop()
-        self._watch.stop()
-        self._ticker.stop()
-        self._background.shutdown(wait=False, cancel_futures=True)
-        self._pool.close()
+        self._shutdown.run(self._steps())
+
+    def _steps(self) -> ShutdownSteps:
+        return ShutdownSteps(
+            flush=(lambda _: self._flush_claims(),),
+            close=(
+                self._entry.stop,
+                self._admin.stop,
+                self._ticker.stop,
+                self._node.stop,
+                lambda: self._background.shutdown(wait=False, cancel_futures=True),
+                self._pool.close,
+            ),
+        )
+
+    def _flush_claims(self) -> None:
+        for finding in self._claims.flush():
+            log_finding(finding)
 
     def stop(self) -> None:
         """End `run`."""
@@ -110,6 +164,7 @@
             engines,
             VolatileBills(lambda _: None),
             self._journal,
+            self._answers,
             self._background,
             self._now,
         )
@@ -123,9 +178,12 @@
         parts = EntryParts(
             tables=self._tables,
             chat=ChatHandler(chat),
-            services=ServiceHandler(services),
+            services=ServiceHandler(
+                RepeatableHandler(services), OnceHandler(services, self._claims)
+            ),
             journal=self._journal,
             limits=limits,
+            active=self._active,
             ready=self._ready,
             observe=self._observe,
             now=self._now,
@@ -140,9 +198,54 @@
         )
         return Listener(EntryApp(parts), listening)
 
+    def _make_admin(self) -> Listener:
+        settings, entry = self._settings.admin, self._settings.entry
+        backend = DaemonBackend(
+            self._tables,
+            self._journal,
+            Drains(self._store, self._now),
+            self._advertised,
+            self._now,
+        )
+        submissions = Submissions(self._store, self._now)
+        keys = self._settings.admin_keys
+        app = AdminApp(backend, submissions, keys, self._now)
+        listening = ListenerSettings(
+            settings.host,
+            settings.port,
+            ADMIN_THREADS,
+            entry.max_body_bytes,
+            entry.max_header_bytes,
+            int(entry.idle_timeout_seconds),
+        )
+        return Listener(app, listening)
+
+    def _make_node(self) -> PeerNode:
+        settings = self._settings.peer
+        link = LinkSettings(
+            host=HostName(self._settings.host),
+            zone=ZoneName(self._settings.zone),
+            address=f"{settings.host}:{settings.port}",
+            keys=tuple(PeerKey(key.id, key.secret) for key in settings.keys),
+            incarnation=int(self._now() * INCARNATIONS_PER_SECOND),
+            seeds=settings.seeds,
+        )
+        return PeerNode(
+            NodeSettings(link, self._advertised, self._settings.confirm_seconds),
+            self._tables,
+            check_configuration,
+            self._store,
+            self._now,
+        )
+
+    @property
+    def _advertised(self) -> str:
+        peer = self._settings.peer
+        return peer.advertise or f"{peer.host}:{peer.port}"
+
     def _make_router(self) -> Router:
         signer = SessionSigner(_signing_keys(self._settings))
-        policy = SessionPolicy(self._tables, signer, self._rng)
+        policy = SessionPolicy(self._tables, signer, self._usage, self._rng)
         return Router(
             self._tables,
             policy,
@@ -153,12 +256,23 @@
         )
 
     def _ready(self) -> bool:
-        return self._tables.configuration is not None and not self._tables.me.stopping
+        return self._tables.configuration is not None and not self._shutdown.leaving
 
     def _observe(self, method: str, path: str, status: int, started: float) -> None:
         self._metrics.requests.labels(str(status)).inc()
 
 
+def check_configuration(
+    number: int, submission_id: str, text: str
+) -> Result[Configuration, Findings]:
+    """Check a manifest whole; findings where it may not be put in force."""
+    parsed = parse_manifest(text, f"configuration {number}")
+    if isinstance(parsed, Err):
+        return parsed
+    manifest, _ = parsed.ok_value
+    return Ok(Configuration(number, submission_id, manifest))
+
+
 def _make_store(
     settings: Settings, calls: CallCounter, now: Callable[[], float]
 ) -> ObjectStore:
@@ -168,6 +282,12 @@
     return HttpObjectStore(url.removeprefix("http://"), now, calls)
 
 
+def _make_ratings(settings: Settings, now: Callable[[], float]) -> RatingClient | None:
+    if settings.rating_url is None:
+        return None
+    return RatingClient(settings.rating_url.removeprefix("http://"), now)
+
+
 def _signing_keys(settings: Settings) -> tuple[SigningKey, ...]:
     if not settings.session_keys:
         _log.warning("no session keys: sessions end with this process")
