Drive roll-outs, spread their rows, list bills and leases

Cause: roll-outs were decided by nobody, administrators saw no bills and no leases. Ruled out: driving on every host (the lease decides; two candidates a duty try it). Before: none of it wired.

--- /dev/null
+++ b/masticfork/daemon/bill_reader.py
@@ -0,0 +1,65 @@
+"""Read bills back from the platform for administrators."""
+
+from collections.abc import Callable, Iterable
+
+from result import Err, Ok, Result
+
+from masticfork.admin.backend import BillQuery
+from masticfork.admin.problems import Problem, ProblemCode
+from masticfork.admin.views import BillPage, BillStep, BillView
+from masticfork.ledger.bill_records import Bill, merge_bills
+from masticfork.ledger.bill_store import read_batches
+from masticfork.platform.client import ObjectStore
+
+
+class BillReader:
+    """Lists the one bill of each request, in the order of their identities."""
+
+    def __init__(self, store: ObjectStore, now: Callable[[], float]) -> None:
+        self._store = store
+        self._now = now
+
+    def page(self, query: BillQuery) -> Result[BillPage, Problem]:
+        """Return a page of bills; `after` is the cursor of the page before."""
+        batches = read_batches(self._store, self._now)
+        if isinstance(batches, Err):
+            message = batches.err_value.message
+            return Err(Problem(ProblemCode.PLATFORM_DOWN, message))
+        bills = [bill for batch in batches.ok_value for bill in batch.bills]
+        wanted = _wanted(merge_bills(bills).values(), query)
+        page = wanted[: query.limit]
+        more = len(wanted) > len(page)
+        cursor = _cursor(page[-1]) if more else None
+        return Ok(BillPage(tuple(_view(bill) for bill in page), cursor))
+
+
+def _wanted(bills: Iterable[Bill], query: BillQuery) -> list[Bill]:
+    fit = [bill for bill in bills if not query.teams or bill.team in query.teams]
+    later = [bill for bill in fit if _cursor(bill) > query.after]
+    return sorted(later, key=_cursor)
+
+
+def _cursor(bill: Bill) -> str:
+    return f"{bill.team}/{bill.request_id}"
+
+
+def _view(bill: Bill) -> BillView:
+    steps = tuple(
+        BillStep(
+            step.attempt_id,
+            step.version,
+            step.prompt_tokens,
+            step.completion_tokens,
+            step.cost,
+        )
+        for step in bill.steps
+    )
+    return BillView(
+        bill.request_id,
+        bill.team,
+        bill.work_class.value,
+        bill.host,
+        bill.at,
+        bill.cost,
+        steps,
+    )
--- a/masticfork/daemon/rollout_driver.py
+++ b/masticfork/daemon/rollout_driver.py
@@ -10,41 +10,34 @@
 from cattrs.preconf.json import make_converter
 from result import Err
 
-from masticfork.core.deadlines import Deadline
 from masticfork.core.ids import RolloutName
 from masticfork.core.manifest import Rollout
-from masticfork.core.rollouts import HostUsage, RolloutRow
+from masticfork.core.rollouts import HostUsage
 from masticfork.core.tables import Tables
-from masticfork.daemon.shared import rollout_key, rollout_value
+from masticfork.daemon.rollout_store import RolloutStore
 from masticfork.daemon.ticker import log_finding
 from masticfork.peers.messages import Body, Evidence
-from masticfork.peers.object_relay import ObjectRelay
 from masticfork.peers.records import Sender
-from masticfork.platform.client import ErrorKind, ObjectStore
 from masticfork.platform.ratings import RatingClient
-from masticfork.platform.settle import (
-    Beaten,
-    Written,
-    create_settled,
-    update_settled,
-)
 from masticfork.systems.rollout_usage import RolloutUsage
 from masticfork.systems.rollouts import DriverLease, RolloutInbox, RolloutSystem
 
 USAGE_TOPIC = "rollout-usage"
 ROUND_SECONDS = 1.0
-WRITE_SECONDS = 2.0
 
 _CONVERTER = make_converter()
 _log = logbook.Logger("rollouts")
 
 
-class DutyLeases(Protocol):
+class Duties(Protocol):
     """Leases of control duties, held by one host at a time."""
 
     def hold(self, duty: str) -> DriverLease | None:
         """Return the lease where this host holds it, acquiring it if it is free."""
 
+    def release_all(self) -> None:
+        """Give all duties back, so that others need not wait for their end."""
+
 
 class Broadcaster(Protocol):
     """The part of the peer link that reaches all neighbours."""
@@ -60,9 +53,8 @@
         self,
         tables: Tables,
         system: RolloutSystem,
-        store: ObjectStore,
-        relay: ObjectRelay,
-        leases: DutyLeases,
+        store: RolloutStore,
+        leases: Duties,
         usage: RolloutUsage,
         ratings: RatingClient | None,
         link: Broadcaster,
@@ -71,7 +63,6 @@
         self._tables = tables
         self._system = system
         self._store = store
-        self._relay = relay
         self._leases = leases
         self._usage = usage
         self._ratings = ratings
@@ -92,6 +83,11 @@
         self._stopped.set()
         self._thread.join()
 
+    def hand_back(self) -> None:
+        """Stop driving and give the leases back."""
+        self.stop()
+        self._leases.release_all()
+
     def on_usage(self, sender: Sender, body: Evidence) -> None:
         """Take in another host's counts."""
         try:
@@ -120,7 +116,7 @@
         for finding in self._system.run(self._tables, self._now()):
             log_finding(finding)
         for row in list(self._system.proposals.values()):
-            self._store_row(row)
+            self._store.put(row)
 
     def _run(self) -> None:
         while not self._stopped.wait(ROUND_SECONDS):
@@ -166,23 +162,3 @@
         inbox.ratings += read.ok_value
         if read.ok_value:
             self._ratings_after = read.ok_value[-1].seq
-
-    def _store_row(self, row: RolloutRow) -> None:
-        """Write a proposal on the condition that the row it came from still stands."""
-        key, value = rollout_key(row.name), rollout_value(row)
-        deadline = Deadline.after(self._now(), WRITE_SECONDS)
-        known = self._relay.get(key)
-        if known is None:
-            settled = create_settled(self._store, key, value, deadline)
-        else:
-            settled = update_settled(self._store, key, value, known.version, deadline)
-        if isinstance(settled, Err):
-            if settled.err_value.kind is not ErrorKind.CONFLICT:
-                _log.warning("roll-out is not stored", error=settled.err_value.message)
-            return
-        outcome = settled.ok_value
-        if isinstance(outcome, Written):
-            self._relay.offer([outcome.stored])
-        elif isinstance(outcome, Beaten) and outcome.current is not None:
-            # An operator or another driver came first: go on from its row.
-            self._relay.offer([outcome.current])
--- a/masticfork/daemon/shared.py
+++ b/masticfork/daemon/shared.py
@@ -28,6 +28,14 @@
     return value
 
 
+def parse_rollout(stored: StoredObject) -> RolloutRow | None:
+    """Read a roll-out's row; none where the object is malformed."""
+    try:
+        return _CONVERTER.structure(stored.value, RolloutRow)
+    except (cattrs.BaseValidationError, ValueError, TypeError, KeyError):
+        return None
+
+
 class SharedTables:
     """Applies the newest version of each shared object."""
 
@@ -43,9 +51,8 @@
             self._apply_drain(stored)
 
     def _apply_rollout(self, stored: StoredObject) -> None:
-        try:
-            row = _CONVERTER.structure(stored.value, RolloutRow)
-        except (cattrs.BaseValidationError, ValueError, TypeError, KeyError):
+        row = parse_rollout(stored)
+        if row is None:
             _log.error("roll-out row is malformed", key=stored.key)
             return
         self._tables.rollouts[row.name] = row
--- a/masticfork/entry/chat_answer.py
+++ b/masticfork/entry/chat_answer.py
@@ -139,6 +139,7 @@
         if self._settled:
             return None
         self._settled = True
+        self._leave()
         future = self._parts.bills.submit(self._bill(outcome))
         try:
             future.result(timeout=BILL_SECONDS)
@@ -151,13 +152,17 @@
     def _close(self) -> None:
         """Cancel what still runs, and bill an answer whose caller went away."""
         self._run.close()
-        tokens = float(self._run.usage.completion_tokens)
-        self._parts.gate.leave(self._ticket, tokens or None)
+        self._leave()
         if not self._settled:
             self._settled = True
             self._parts.bills.submit(self._bill(CALLER_GONE))
             self._note_end(CALLER_GONE)
 
+    def _leave(self) -> None:
+        """Give the place in service back; a second call changes nothing."""
+        tokens = float(self._run.usage.completion_tokens)
+        self._parts.gate.leave(self._ticket, tokens or None)
+
     def _bill(self, outcome: str) -> Bill:
         tables = self._parts.tables
         return bill_of(
