--- a/masticfork/daemon/daemon.py
+++ b/masticfork/daemon/daemon.py
@@ -14,6 +14,7 @@
 from masticfork.admin.submissions import Submissions
 from masticfork.backends.connections import ConnectionPool
 from masticfork.backends.engine import EngineClient
+from masticfork.backends.pump import StreamPump
 from masticfork.backends.service import ServiceClient
 from masticfork.core.configuration import Configuration
 from masticfork.core.events import Journal
@@ -22,13 +23,20 @@
 from masticfork.core.tables import SelfRow, Tables
 from masticfork.daemon.admin_backend import DaemonBackend
 from masticfork.daemon.answers import Answers
+from masticfork.daemon.bill_reader import BillReader
+from masticfork.daemon.bills import BillService
+from masticfork.daemon.duties import DutyLeases
+from masticfork.daemon.lease_views import lease_views
 from masticfork.daemon.listener import Listener, ListenerSettings
 from masticfork.daemon.metrics import Metrics
+from masticfork.daemon.rollout_driver import USAGE_TOPIC, RolloutDriver
+from masticfork.daemon.rollout_store import RolloutStore
+from masticfork.daemon.shared import SharedTables
 from masticfork.daemon.shutdown import Shutdown, ShutdownSteps
 from masticfork.daemon.ticker import Ticker, log_finding
+from masticfork.daemon.topics import Topics
 from masticfork.entry.active import ActiveRequests
 from masticfork.entry.app import EntryApp, EntryParts
-from masticfork.entry.billing import VolatileBills
 from masticfork.entry.chat import ChatHandler
 from masticfork.entry.chat_answer import ChatParts
 from masticfork.entry.gate import Gate
@@ -42,8 +50,12 @@
     ServiceParts,
 )
 from masticfork.ledger.claims import ClaimBook
+from masticfork.ledger.leases import LeaseKeeper
 from masticfork.peers.authentication import PeerKey
+from masticfork.peers.messages import BillsWritten, Evidence, KeepBills
 from masticfork.peers.node import NodeSettings, PeerNode
+from masticfork.peers.object_relay import NEWS_TOPIC, VERSIONS_TOPIC, ObjectRelay
+from masticfork.peers.object_watch import ObjectWatch
 from masticfork.peers.records import LinkSettings
 from masticfork.platform.client import CallCounter, ObjectStore
 from masticfork.platform.embedded import EmbeddedStore
@@ -54,12 +66,17 @@
 from masticfork.systems.admission import FairAdmission
 from masticfork.systems.placement import InFlight, TwoChoices
 from masticfork.systems.pool_capacity import PoolCapacity
+from masticfork.systems.rollout_policies import SequentialPolicy
 from masticfork.systems.rollout_usage import RolloutUsage
+from masticfork.systems.rollouts import RolloutSystem
 from masticfork.systems.sessions import SessionSigner, SigningKey
 from masticfork.systems.team_limits import Unlimited
+from masticfork.systems.watchers import watches
 
 BACKGROUND_THREADS = 16
 ADMIN_THREADS = 8
+# How late a signal may be acted on.
+SIGNAL_SECONDS = 0.5
 SECONDS_PER_DAY = 86_400.0
 # A restarted host must carry a greater incarnation number than before.
 INCARNATIONS_PER_SECOND = 1000
@@ -93,21 +110,34 @@
         self._in_flight = InFlight()
         self._active = ActiveRequests()
         self._shutdown = Shutdown(self._tables, self._active, settings.shutdown, now)
+        self._pump = StreamPump(now)
+        self._usage = RolloutUsage(me.host)
+        self._objects = ObjectRelay(SharedTables(self._tables, self._usage))
+        self._topics = Topics()
+        self._leases = LeaseKeeper(self._store, me.host, now)
+        self._bills = BillService(self._store, self._tables, self._background, now)
         self._node = self._make_node()
+        self._bills.keeper.use(self._node.link)
+        self._objects.use(self._node.link)
+        self._object_watch = ObjectWatch(
+            self._store, self._objects, lambda: watches(self._tables), now
+        )
         self._claims = ClaimBook(
             self._store,
             HostName(settings.host),
             now,
             settings.retention_days * SECONDS_PER_DAY,
         )
-        self._admission = FairAdmission(Unlimited())
-        capacity = PoolCapacity(self._in_flight.at, self._admission.run_pools)
-        self._ticker = Ticker(self._tables, (self._node, capacity), now)
-        self._usage = RolloutUsage(HostName(settings.host))
         self._ratings = _make_ratings(settings, now)
         self._answers = Answers(
             self._tables, self._metrics, self._usage, self._ratings, self._background
         )
+        self._driver = self._make_driver()
+        self._register_topics()
+        self._admission = FairAdmission(Unlimited())
+        capacity = PoolCapacity(self._in_flight.at, self._admission.run_pools)
+        systems = (self._node, self._objects, capacity, self._bills)
+        self._ticker = Ticker(self._tables, systems, now)
         self._entry = self._make_entry()
         self._admin = self._make_admin()
         self._stopped = threading.Event()
@@ -130,23 +160,35 @@
     def run(self) -> None:
         """Serve until `stop` is called."""
         self._ticker.start()
+        self._bills.start()
         started = self._node.start()
         if isinstance(started, Err):
             _log.error("the peer link cannot listen", error=str(started.err_value))
+        self._object_watch.start()
+        self._driver.start()
         self._admin.start()
         self._entry.start()
         _log.info("started", entry_port=self._entry.port, admin_port=self._admin.port)
-        self._stopped.wait()
+        # A signal may reach another thread; its handler only runs once this one wakes.
+        while not self._stopped.wait(SIGNAL_SECONDS):
+            pass
         self._shutdown.run(self._steps())
 
     def _steps(self) -> ShutdownSteps:
         return ShutdownSteps(
-            flush=(lambda _: self._flush_claims(),),
+            flush=(
+                lambda _: self._flush_claims(),
+                self._bills.flush,
+                lambda _: self._driver.hand_back(),
+            ),
             close=(
+                self._object_watch.stop,
                 self._entry.stop,
                 self._admin.stop,
                 self._ticker.stop,
+                self._bills.stop,
                 self._node.stop,
+                self._pump.stop,
                 lambda: self._background.shutdown(wait=False, cancel_futures=True),
                 self._pool.close,
             ),
@@ -163,14 +205,14 @@
     def _make_entry(self) -> Listener:
         settings = self._settings.entry
         router = self._make_router()
-        engines = EngineClient(self._pool, self._now)
+        engines = EngineClient(self._pool, self._pump, self._now)
         gate = Gate(self._admission, self._now)
         chat = ChatParts(
             self._tables,
             router,
             engines,
             gate,
-            VolatileBills(lambda _: None),
+            self._bills.writer,
             self._journal,
             self._answers,
             self._background,
@@ -214,6 +256,9 @@
             self._tables,
             self._journal,
             Drains(self._store, self._now),
+            RolloutStore(self._store, self._objects, self._now),
+            BillReader(self._store, self._now),
+            lambda: lease_views(self._store, self._now),
             self._advertised,
             self._now,
         )
@@ -230,6 +275,23 @@
         )
         return Listener(app, listening)
 
+    def _make_driver(self) -> RolloutDriver:
+        return RolloutDriver(
+            self._tables,
+            RolloutSystem(SequentialPolicy()),
+            RolloutStore(self._store, self._objects, self._now),
+            DutyLeases(self._leases, self._tables),
+            self._usage,
+            self._ratings,
+            self._node.link,
+            self._now,
+        )
+
+    def _register_topics(self) -> None:
+        self._topics.register(NEWS_TOPIC, self._objects.on_news)
+        self._topics.register(VERSIONS_TOPIC, self._objects.on_versions)
+        self._topics.register(USAGE_TOPIC, self._driver.on_usage)
+
     def _make_node(self) -> PeerNode:
         settings = self._settings.peer
         link = LinkSettings(
@@ -246,6 +308,11 @@
             check_configuration,
             self._store,
             self._now,
+            {
+                KeepBills: self._bills.on_keep,
+                BillsWritten: self._bills.on_written,
+                Evidence: self._topics,
+            },
         )
 
     @property
--- a/masticfork/entry/app.py
+++ b/masticfork/entry/app.py
@@ -105,8 +105,14 @@
         active = self._parts.active
         active.enter()
         response = self._guarded(environ)
-        start(status_line(response.status), list(response.headers))
-        return CountedBody(response.body, active)
+        write = start(status_line(response.status), list(response.headers))
+        if response.stream is None:
+            return CountedBody(response.body, active)
+        try:
+            response.stream(write)
+        finally:
+            active.leave()
+        return ()
 
     def _guarded(self, environ: Environ) -> Response:
         started = self._parts.now()
--- a/masticfork/entry/chat.py
+++ b/masticfork/entry/chat.py
@@ -6,22 +6,30 @@
 from masticfork.core.events import Decided, Refused
 from masticfork.core.refusals import Refusal
 from masticfork.entry.answer import AnswerRun
-from masticfork.entry.chat_answer import ChatAnswer, ChatParts, StreamBody
+from masticfork.entry.chat_answer import ChatAnswer, ChatParts
 from masticfork.entry.gate import chat_admission
 from masticfork.entry.responses import Response, refusal_response
 from masticfork.entry.routing import Placement
 from masticfork.systems.admission_records import Ticket
 
+STREAM_HEADERS = (
+    ("Content-Type", "text/event-stream"),
+    ("Cache-Control", "no-store"),
+)
+
 
 class ChatHandler:
-    """Runs one chat request from its decision to its last byte."""
+    """Decides on a chat request, admits it and opens its answer."""
 
     def __init__(self, parts: ChatParts) -> None:
         self._parts = parts
 
     def handle(self, call: ChatCall) -> Response:
-        """Return the response; a streamed body runs while it is read."""
+        """Return the response; a streamed body runs while it is written."""
         parts = self._parts
+        unbillable = parts.bills.refusal()
+        if unbillable is not None:
+            return self._refuse(call, unbillable)
         placed = parts.router.place(call)
         if isinstance(placed, Err):
             return self._refuse(call, placed.err_value)
@@ -57,11 +65,7 @@
         answer = ChatAnswer(parts, call, placement, run, ticket)
         headers = _headers(call, placement)
         if call.stream:
-            stream_headers = (
-                ("Content-Type", "text/event-stream"),
-                ("Cache-Control", "no-store"),
-            )
-            return Response(200, stream_headers + headers, StreamBody(answer))
+            return Response(200, STREAM_HEADERS + headers, stream=answer.stream)
         return answer.plain().with_headers(*headers)
 
     def _note_decision(self, call: ChatCall, placement: Placement) -> None:
