Wire shared limits into the daemon

The daemon asked admission with no limits at all. It now shares the teams' limits through the holder of the duty 'limits', is ready once it knows what it may use, and gives the lease back at a shutdown.

--- a/masticfork/daemon/daemon.py
+++ b/masticfork/daemon/daemon.py
@@ -27,6 +27,7 @@
 from masticfork.daemon.bills import BillService
 from masticfork.daemon.duties import DutyLeases
 from masticfork.daemon.lease_views import lease_views
+from masticfork.daemon.limits import LimitSharing
 from masticfork.daemon.listener import Listener, ListenerSettings
 from masticfork.daemon.metrics import Metrics
 from masticfork.daemon.rollout_driver import USAGE_TOPIC, RolloutDriver
@@ -70,7 +71,6 @@
 from masticfork.systems.rollout_usage import RolloutUsage
 from masticfork.systems.rollouts import RolloutSystem
 from masticfork.systems.sessions import SessionSigner, SigningKey
-from masticfork.systems.team_limits import Unlimited
 from masticfork.systems.watchers import watches
 
 BACKGROUND_THREADS = 16
@@ -133,8 +133,11 @@
             self._tables, self._metrics, self._usage, self._ratings, self._background
         )
         self._driver = self._make_driver()
+        duties = DutyLeases(self._leases, self._tables)
+        self._sharing = LimitSharing(self._tables, duties, self._least_hosts, now)
+        self._admission = FairAdmission(self._sharing)
+        self._sharing.attach(self._admission, self._node.link)
         self._register_topics()
-        self._admission = FairAdmission(Unlimited())
         capacity = PoolCapacity(self._in_flight.at, self._admission.run_pools)
         systems = (self._node, self._objects, capacity, self._bills)
         self._ticker = Ticker(self._tables, systems, now)
@@ -166,6 +169,7 @@
             _log.error("the peer link cannot listen", error=str(started.err_value))
         self._object_watch.start()
         self._driver.start()
+        self._sharing.start()
         self._admin.start()
         self._entry.start()
         _log.info("started", entry_port=self._entry.port, admin_port=self._admin.port)
@@ -180,6 +184,7 @@
                 lambda _: self._flush_claims(),
                 self._bills.flush,
                 lambda _: self._driver.hand_back(),
+                lambda _: self._sharing.hand_back(),
             ),
             close=(
                 self._object_watch.stop,
@@ -291,6 +296,8 @@
         self._topics.register(NEWS_TOPIC, self._objects.on_news)
         self._topics.register(VERSIONS_TOPIC, self._objects.on_versions)
         self._topics.register(USAGE_TOPIC, self._driver.on_usage)
+        for topic, handler in self._sharing.topics.items():
+            self._topics.register(topic, handler)
 
     def _make_node(self) -> PeerNode:
         settings = self._settings.peer
@@ -315,6 +322,10 @@
             },
         )
 
+    @property
+    def _least_hosts(self) -> int:
+        return 1 + len(set(self._settings.peer.seeds) - {self._advertised})
+
     @property
     def _advertised(self) -> str:
         peer = self._settings.peer
@@ -333,7 +344,9 @@
         )
 
     def _ready(self) -> bool:
-        return self._tables.configuration is not None and not self._shutdown.leaving
+        known = self._tables.configuration is not None
+        settled = self._sharing.settled(self._now())
+        return known and settled and not self._shutdown.leaving
 
     def _observe(self, method: str, path: str, status: int, started: float) -> None:
         self._metrics.requests.labels(str(status)).inc()
--- a/masticfork/daemon/limits.py
+++ b/masticfork/daemon/limits.py
@@ -22,12 +22,12 @@
 from masticfork.peers.records import Sender
 from masticfork.peers.requests import Reply
 from masticfork.systems.limits import ShareOwner
+from masticfork.systems.rollouts import DriverLease
 from masticfork.systems.static_split import (
     HostShares,
     even_part,
     fleet_of,
 )
-from masticfork.systems.watchers import watches
 
 OWNER_TOPIC = "limits/owner"
 REQUEST_TOPIC = "limits/request"
@@ -52,6 +52,16 @@
         """Return what cannot be given back at once."""
 
 
+class Duties(Protocol):
+    """Holds the leases on control duties."""
+
+    def hold(self, duty: str) -> DriverLease | None:
+        """Return the lease while this host holds it; may call the platform."""
+
+    def release_all(self) -> None:
+        """Give all leases back."""
+
+
 class Carrier(Protocol):
     """Carries messages to other hosts."""
 
@@ -74,19 +84,18 @@
 class LimitSharing:
     """Knows this host's shares; owns all shares while it holds the lease.
 
-    `term` may call the platform: it returns the fencing number of the lease on the
-    duty while this host holds it, and none otherwise.
+    Only the thread of the rounds calls the platform, by `duties`.
     """
 
     def __init__(
         self,
         tables: Tables,
-        term: Callable[[], int | None],
+        duties: Duties,
         least_hosts: int,
         now: Callable[[], float],
     ) -> None:
         self._tables = tables
-        self._term = term
+        self._duties = duties
         self._least_hosts = least_hosts
         self._now = now
         self._lock = threading.Lock()
@@ -112,10 +121,11 @@
         """Ask and answer in the background."""
         self._thread.start()
 
-    def stop(self) -> None:
-        """End after the round under way."""
+    def hand_back(self) -> None:
+        """End after the round under way and give the lease back."""
         self._stopped.set()
         self._thread.join()
+        self._duties.release_all()
 
     def amounts(self, team: TeamName, now: float) -> Amounts:
         """Return what this host may use now; infinite where there is no limit."""
@@ -130,13 +140,13 @@
 
     def round(self) -> None:
         """Hold the lease where this host should, and renew this host's shares."""
-        fencing = self._term() if self._stands(self._now()) else None
+        lease = self._duties.hold(DUTY) if self._stands(self._now()) else None
         now = self._now()
         self._fleet = fleet_of(self._tables, self._least_hosts, now)
         asked = self._requests(now)
-        if fencing is not None:
-            self._take_office(fencing)
-            payload = json.dumps({"fencing": fencing}).encode()
+        if lease is not None:
+            self._take_office(lease.fencing)
+            payload = json.dumps({"fencing": lease.fencing}).encode()
             self._link.broadcast(Evidence(OWNER_TOPIC, payload))
             self._accept(self._grant(asked, now))
             return
@@ -248,11 +258,13 @@
 
     def _stands(self, now: float) -> bool:
         """Tell whether this host should hold the lease, or try to."""
+        if self._tables.me.stopping:
+            return False
         with self._lock:
             if self._fencing is not None:
                 return True
             owned = self._owner and not self._owner.until.expired(now)
-        return not owned and watches(self._tables)
+        return not owned
 
     def _limits_of(self, team: TeamName) -> Limits:
         row = self._team(team)
--- a/masticfork/daemon/limits_test.py
+++ b/masticfork/daemon/limits_test.py
@@ -20,6 +20,7 @@
 from masticfork.peers.messages import Evidence
 from masticfork.peers.records import Handlers, LinkSettings
 from masticfork.peers.requests import RequestError
+from masticfork.systems.rollouts import DriverLease
 
 LIMIT = 100.0
 TEAM = Team("team", (), (), 0.5, limits=Limits(requests_per_second=LIMIT))
@@ -35,9 +36,7 @@
         self.tables = Tables(SelfRow(name, "z"), CONFIGURATION)
         self.told = 0
         topics = Topics()
-        self.sharing = LimitSharing(
-            self.tables, lambda: fleet.term(name), len(fleet.names), fleet.clock
-        )
+        self.sharing = LimitSharing(self.tables, self, len(fleet.names), fleet.clock)
         for topic, handler in self.sharing.topics.items():
             topics.register(topic, handler)
 
@@ -54,6 +53,11 @@
         assert self.link.start() == Ok(None)
         self.sharing.attach(self, self)
 
+    def hold(self, duty):
+        if self.name != self.fleet.holder:
+            return None
+        return DriverLease(self.fleet.fencing, Deadline(1e9))
+
     def demand(self, team, now):
         return Amounts(requests_per_second=self.asked)
 
@@ -101,9 +105,6 @@
     def clock(self):
         return self.now
 
-    def term(self, name):
-        return self.fencing if name == self.holder else None
-
     def elect(self, name):
         self.holder, self.fencing = name, self.fencing + 1
 
