Follow the host list, expose metrics and probes, log each request

Cause: leaving servers were known only from drains; nothing could be seen. Ruled out: taking an outage of the list for an empty list (all would leave at once).

--- a/masticfork/core/tables.py
+++ b/masticfork/core/tables.py
@@ -91,6 +91,8 @@
     running: dict[RequestId, Deadline] = attrs.field(factory=dict)
     rollouts: dict[RolloutName, RolloutRow] = attrs.field(factory=dict)
     drains: frozenset[Drain] = frozenset()
+    # Backend servers that the platform's list tells to be leaving.
+    listed_leaving: frozenset[ServerName] = frozenset()
     # Until when versions that are not in roll-out may get new work without news.
     usable_until: Deadline | None = None
 
--- a/masticfork/daemon/daemon.py
+++ b/masticfork/daemon/daemon.py
@@ -26,9 +26,11 @@
 from masticfork.daemon.bill_reader import BillReader
 from masticfork.daemon.bills import BillService
 from masticfork.daemon.duties import DutyLeases
+from masticfork.daemon.host_list import HostListPoller
 from masticfork.daemon.lease_views import lease_views
 from masticfork.daemon.listener import Listener, ListenerSettings
 from masticfork.daemon.metrics import Metrics
+from masticfork.daemon.operations import OperationsApp
 from masticfork.daemon.rollout_driver import USAGE_TOPIC, RolloutDriver
 from masticfork.daemon.rollout_store import RolloutStore
 from masticfork.daemon.shared import SharedTables
@@ -43,6 +45,7 @@
 from masticfork.entry.once import OnceHandler
 from masticfork.entry.parsing import Limits
 from masticfork.entry.policy import SessionPolicy
+from masticfork.entry.responses import REASON_HEADER, Response
 from masticfork.entry.routing import Router
 from masticfork.entry.services import (
     RepeatableHandler,
@@ -132,6 +135,7 @@
         self._answers = Answers(
             self._tables, self._metrics, self._usage, self._ratings, self._background
         )
+        self._host_list = self._make_host_list()
         self._driver = self._make_driver()
         self._register_topics()
         self._admission = FairAdmission(Unlimited())
@@ -166,6 +170,8 @@
             _log.error("the peer link cannot listen", error=str(started.err_value))
         self._object_watch.start()
         self._driver.start()
+        if self._host_list is not None:
+            self._host_list.start()
         self._admin.start()
         self._entry.start()
         _log.info("started", entry_port=self._entry.port, admin_port=self._admin.port)
@@ -264,7 +270,8 @@
         )
         submissions = Submissions(self._store, self._now)
         keys = self._settings.admin_keys
-        app = AdminApp(backend, submissions, keys, self._now)
+        admin = AdminApp(backend, submissions, keys, self._now)
+        app = OperationsApp(admin, self._exposition, self._ready)
         listening = ListenerSettings(
             settings.host,
             settings.port,
@@ -275,6 +282,13 @@
         )
         return Listener(app, listening)
 
+    def _make_host_list(self) -> HostListPoller | None:
+        url = self._settings.host_list_url
+        if url is None:
+            return None
+        address = url.removeprefix("http://")
+        return HostListPoller(address, self._tables, self._node.listed)
+
     def _make_driver(self) -> RolloutDriver:
         return RolloutDriver(
             self._tables,
@@ -335,8 +349,21 @@
     def _ready(self) -> bool:
         return self._tables.configuration is not None and not self._shutdown.leaving
 
-    def _observe(self, method: str, path: str, status: int, started: float) -> None:
-        self._metrics.requests.labels(str(status)).inc()
+    def _observe(self, response: Response) -> None:
+        self._metrics.requests.labels(str(response.status)).inc()
+        reason = dict(response.headers).get(REASON_HEADER)
+        if reason is not None:
+            self._metrics.refusals.labels(reason).inc()
+
+    def _exposition(self) -> bytes:
+        configuration = self._tables.configuration
+        self._metrics.refresh(
+            self._in_flight.total(),
+            configuration.number if configuration else 0,
+            {kind.value: count for kind, count in self._calls.calls().items()},
+            self._node.link.counts,
+        )
+        return self._metrics.exposition()
 
 
 def check_configuration(
--- a/masticfork/daemon/metrics.py
+++ b/masticfork/daemon/metrics.py
@@ -3,6 +3,8 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 from prometheus_client.exposition import generate_latest
 
+from masticfork.peers.drops import LinkCounts
+
 SECONDS_BUCKETS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.78, 1, 2.5, 5, 10, 30)
 GAP_BUCKETS = (0.005, 0.01, 0.02, 0.04, 0.057, 0.08, 0.12, 0.25, 0.5, 1, 2)
 COST_BUCKETS = (0.0001, 0.001, 0.01, 0.1, 1, 10)
@@ -61,6 +63,33 @@
             ("kind",),
             registry=self.registry,
         )
+        self.peer_bytes = Gauge(
+            "masticfork_peer_bytes",
+            "Bytes of messages between hosts so far",
+            ("way", "kind"),
+            registry=self.registry,
+        )
+        self.peer_drops = Gauge(
+            "masticfork_peer_drops",
+            "Messages of peers dropped so far",
+            ("reason",),
+            registry=self.registry,
+        )
+
+    def refresh(
+        self, in_flight: int, number: int, calls: dict[str, int], peers: LinkCounts
+    ) -> None:
+        """Set the gauges from what the parts count themselves."""
+        self.in_flight.set(in_flight)
+        self.configuration.set(number)
+        for kind, count in calls.items():
+            self.platform_calls.labels(kind).set(count)
+        for kind, count in peers.sent_bytes.items():
+            self.peer_bytes.labels("sent", kind).set(count)
+        for kind, count in peers.received_bytes.items():
+            self.peer_bytes.labels("received", kind).set(count)
+        for reason, count in peers.dropped.items():
+            self.peer_drops.labels(reason.value).set(count)
 
     def exposition(self) -> bytes:
         """Return the metrics in the Prometheus text format."""
--- a/masticfork/entry/app.py
+++ b/masticfork/entry/app.py
@@ -20,6 +20,7 @@
 from masticfork.entry.active import ActiveRequests, CountedBody
 from masticfork.entry.parsing import Environ, Limits
 from masticfork.entry.responses import (
+    REASON_HEADER,
     Response,
     json_response,
     refusal_response,
@@ -89,7 +90,7 @@
     limits: Limits
     active: ActiveRequests
     ready: Callable[[], bool]
-    observe: Callable[[str, str, int, float], None]
+    observe: Callable[[Response], None]
     now: Callable[[], float]
 
 
@@ -115,7 +116,6 @@
         return ()
 
     def _guarded(self, environ: Environ) -> Response:
-        started = self._parts.now()
         path = environ["PATH_INFO"]
         try:
             response = self._respond(environ, path)
@@ -124,9 +124,21 @@
             _log.exception("request failed", reason="internal")
             refusal = Refusal(Reason.INTERNAL, "internal error", RunState.UNKNOWN)
             response = refusal_response(refusal, _is_openai(path), self._parts.now())
-        self._parts.observe(environ["REQUEST_METHOD"], path, response.status, started)
+        self._note(environ["REQUEST_METHOD"], path, response)
         return response
 
+    def _note(self, method: str, path: str, response: Response) -> None:
+        self._parts.observe(response)
+        headers = dict(response.headers)
+        _log.info(
+            "request",
+            method=method,
+            path=path,
+            status=response.status,
+            reason=headers.get(REASON_HEADER),
+            request_id=headers.get("Idempotency-Key"),
+        )
+
     def _respond(self, environ: Environ, path: str) -> Response:
         probe = self._probe(path)
         if probe is not None:
--- a/masticfork/entry/responses.py
+++ b/masticfork/entry/responses.py
@@ -8,6 +8,8 @@
 
 from masticfork.core.refusals import Refusal, RunState
 
+RUN_STATE_HEADER = "Masticfork-Run-State"
+REASON_HEADER = "Masticfork-Reason"
 PROBLEM_TYPE_PREFIX = "urn:masticfork:refusal:"
 # Refusals with these statuses tell the caller when to come back.
 RETRY_STATUSES = frozenset({409, 429, 503})
@@ -97,7 +99,10 @@
     else:
         response = _problem(refusal)
     retry = _retry_after(refusal, now)
-    extra = [("Masticfork-Run-State", refusal.run_state.value)]
+    extra = [
+        (RUN_STATE_HEADER, refusal.run_state.value),
+        (REASON_HEADER, refusal.reason.value),
+    ]
     if retry is not None:
         extra.append(("Retry-After", str(retry)))
     if openai and refusal.run_state is not RunState.NOT_RUN:
--- /dev/null
+++ b/masticfork/platform/host_list.py
@@ -0,0 +1,59 @@
+"""Client of the platform's lagging list of live and leaving hosts."""
+
+import http.client
+import json
+
+import attrs
+from result import Err, Ok, Result
+
+from masticfork.platform.client import ErrorKind, PlatformError
+
+CALL_SECONDS = 2.0
+_OK = 200
+
+
+@attrs.frozen
+class ListedAddress:
+    """One row of the list; `kind` is `entry`, `engine` or `service`."""
+
+    name: str
+    address: str
+    zone: str
+    kind: str
+    leaving: bool
+
+
+def read_host_list(address: str) -> Result[tuple[ListedAddress, ...], PlatformError]:
+    """Return the whole list from the service at `HOST:PORT`."""
+    connection = http.client.HTTPConnection(address, timeout=CALL_SECONDS)
+    try:
+        connection.request("GET", "/hosts")
+        answer = connection.getresponse()
+        content = answer.read()
+    except (OSError, http.client.HTTPException) as error:
+        return Err(PlatformError(ErrorKind.UNAVAILABLE, repr(error)))
+    finally:
+        connection.close()
+    if answer.status != _OK:
+        message = f"the host list answered {answer.status}"
+        return Err(PlatformError(ErrorKind.UNAVAILABLE, message))
+    return _parse(content)
+
+
+def _parse(content: bytes) -> Result[tuple[ListedAddress, ...], PlatformError]:
+    try:
+        rows = json.loads(content)["hosts"]
+        listed = tuple(
+            ListedAddress(
+                str(row["name"]),
+                str(row["address"]),
+                str(row["zone"]),
+                str(row["kind"]),
+                row["state"] == "leaving",
+            )
+            for row in rows
+        )
+    except (ValueError, KeyError, TypeError) as error:
+        message = f"the host list is malformed: {error!r}"
+        return Err(PlatformError(ErrorKind.UNAVAILABLE, message))
+    return Ok(listed)
--- a/masticfork/systems/eligibility.py
+++ b/masticfork/systems/eligibility.py
@@ -26,6 +26,9 @@
     configuration = tables.configuration
     if configuration is None:
         return _refuse(Reason.NO_CONFIGURATION, "no configuration is in force")
+    if tables.usable_until is not None and tables.usable_until.expired(now):
+        message = "nobody has confirmed the configuration for too long"
+        return _refuse(Reason.CONFIGURATION_STALE, message)
     checks = (
         _check_version(configuration, tables, team, version),
         _check_pin(session, team, version),
@@ -103,8 +106,8 @@
 
 
 def drained(tables: Tables, name: ServerName) -> bool:
-    """Tell whether an operator drains the server."""
-    return Drain("server", name) in tables.drains
+    """Tell whether an operator or the platform takes the server out of service."""
+    return Drain("server", name) in tables.drains or name in tables.listed_leaving
 
 
 def server_takes_work(row: ServerRow, now: float) -> bool:
