--- a/masticfork/ledger/bill_audit_test.py
+++ b/masticfork/ledger/bill_audit_test.py
@@ -1,7 +1,7 @@
 import random
 
 import pytest
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from masticfork.core.ids import RequestId, TeamName
@@ -66,6 +66,7 @@
         late = bill(1, host="b", at=2000.0)
         assert list(merge_bills([late, bill(1)]).values()) == [bill(1)]
 
+    @settings(derandomize=True, deadline=None)
     @given(
         st.lists(
             st.builds(
--- a/masticfork/ledger/claims_test.py
+++ b/masticfork/ledger/claims_test.py
@@ -25,6 +25,7 @@
 from masticfork.platform.http import HttpObjectStore
 from standins.common import serving
 from standins.platform import Platform
+from standins.testing import asker
 
 TEAM = TeamName("team")
 ANSWER = StoredAnswer.of(
@@ -292,6 +293,35 @@
         assert len(store.list("claims/", deadline).unwrap().items) == 1
 
 
+class TestOverHttp:
+    @pytest.fixture
+    def server(self):
+        with serving(Platform(), threads=8) as server:
+            yield server
+
+    @pytest.fixture
+    def hosts(self, server, clock):
+        clock.now = time.time()
+        store = HttpObjectStore(f"127.0.0.1:{server.port}", time.time)
+        yield tuple(ClaimBook(store, HostName(h), clock) for h in "ab")
+        store.close()
+
+    def test_outage_is_truly_not_run_and_leaves_the_key_free(
+        self, server, hosts, clock
+    ):
+        asker(server)("POST", "/_faults", {"down": True})
+        refusal = attempt(hosts[0], clock, "1").unwrap_err()
+        assert refusal.run_state is RunState.NOT_RUN
+        asker(server)("POST", "/_faults", {"down": False})
+        assert hosts[0].flush() == ()
+        assert isinstance(attempt(hosts[1], clock, "2").unwrap(), Claimed)
+
+    def test_lost_answer_is_settled(self, server, hosts, clock):
+        asker(server)("POST", "/_faults", {"lose_answers": 1})
+        claimed(hosts[0], clock, "1")
+        assert isinstance(attempt(hosts[1], clock, "2").unwrap(), Running)
+
+
 HOLDER = """
 import sys, time
 from masticfork.core.deadlines import Deadline
