--- a/masticfork/entry/answer.py
+++ b/masticfork/entry/answer.py
@@ -2,19 +2,14 @@
 
 import hashlib
 import json
-from collections.abc import Callable, Generator, Iterator
+from collections.abc import Callable
 from concurrent.futures import Executor
 
 import attrs
 from result import Err
 
-from masticfork.backends.engine import (
-    EngineCall,
-    EngineClient,
-    EngineStream,
-    Frame,
-    Usage,
-)
+from masticfork.backends.engine import EngineCall, EngineClient, Usage
+from masticfork.backends.engine_stream import EngineStream, Frame
 from masticfork.backends.failures import CallFailure, FailureKind, Stage
 from masticfork.core.calls import ChatCall
 from masticfork.core.deadlines import Deadline
@@ -28,6 +23,13 @@
 MAX_ATTEMPTS = 3
 MAX_RESUMES = 5
 CANCEL_SECONDS = 2.0
+CONTENT_DIGEST_BYTES = 16
+
+# No other attempt can mend these.
+_FINAL_KINDS = frozenset({FailureKind.CALLER_GONE, FailureKind.DIFFERENT_ANSWER})
+
+# Takes one frame; a failure tells that nobody wants more.
+Sink = Callable[[bytes], CallFailure | None]
 
 
 @attrs.frozen
@@ -74,17 +76,19 @@
         self._resumes = 0
         self._tried: frozenset[ServerName] = frozenset()
         self._offset = 0
-        self._content = hashlib.blake2b(digest_size=16)
+        self._content = hashlib.blake2b(digest_size=CONTENT_DIGEST_BYTES)
+        # Tokens that the caller got from an earlier attempt, and their digest.
+        self._seen = 0
+        self._seen_content = b""
         self._finish = b""
         self._usage_frame = b""
         self._usage = Usage()
         self._used: dict[AttemptId, AttemptUse] = {}
-        self.failure: Refusal | None = None
 
     @property
     def offset(self) -> int:
         """Return the tokens handed out so far."""
-        return self._offset
+        return max(self._offset, self._seen)
 
     @property
     def used(self) -> tuple[AttemptUse, ...]:
@@ -101,7 +105,7 @@
         """Return what the engine counted, or the tokens handed out so far."""
         if self._usage.completion_tokens:
             return self._usage
-        return Usage(completion_tokens=self._offset)
+        return Usage(completion_tokens=self.offset)
 
     def open(self) -> Refusal | None:
         """Start the first attempt that an engine accepts."""
@@ -117,18 +121,22 @@
             if self._attempts >= MAX_ATTEMPTS or self._expired():
                 return self._given_up(failure)
 
-    def frames(self) -> Iterator[Frame]:
-        """Yield the frames that carry tokens; afterwards see `failure`."""
+    def run(self, sink: Sink) -> Refusal | None:
+        """Hand each token's frame to the sink once; None where the answer is whole.
+
+        The sink is called on the thread that reads all streams and must not wait.
+        """
         while True:
-            failure = yield from self._relay()
+            failure = self._relay(sink)
             if failure is None:
                 self._release()
-                return
+                return None
             self._note_failure(failure)
+            if failure.kind in _FINAL_KINDS:
+                return Refusal(Reason.BACKEND_FAILED, failure.message, RunState.RAN)
             refusal = self._recover(failure)
             if refusal is not None:
-                self.failure = refusal
-                return
+                return refusal
 
     def close(self) -> None:
         """Cancel the generation where it has not ended."""
@@ -142,24 +150,29 @@
         deadline = Deadline.after(self._now(), CANCEL_SECONDS)
         self._background.submit(self._engines.cancel, server, attempt, deadline)
 
-    def _relay(self) -> Generator[Frame, None, CallFailure | None]:
-        stream = self._stream
-        if stream is None:
+    def _relay(self, sink: Sink) -> CallFailure | None:
+        if self._stream is None:
             return CallFailure(Stage.CONNECTING, FailureKind.CONNECTION, "no stream")
-        for item in stream.frames():
-            if isinstance(item, Err):
-                return item.err_value
-            frame = item.ok_value
-            if not frame.offset:
-                self._note_end(frame)
-            elif frame.offset == self._offset + 1:
-                self._offset = frame.offset
-                self._content.update(_content_of(frame))
-                yield frame
-            elif frame.offset > self._offset:
-                message = f"gap before token {frame.offset}"
-                kind = FailureKind.MALFORMED_ANSWER
-                return CallFailure(Stage.ANSWERING, kind, message)
+        failure = self._stream.relay(lambda frame: self._take(frame, sink))
+        if failure is None and self._offset < self._seen:
+            return _different()
+        return failure
+
+    def _take(self, frame: Frame, sink: Sink) -> CallFailure | None:
+        """Pass on a frame that follows the last one; runs on the pump's thread."""
+        if not frame.offset:
+            return self._note_end(frame)
+        if frame.offset <= self._offset:
+            return None
+        if frame.offset != self._offset + 1:
+            message = f"gap before token {frame.offset}"
+            return CallFailure(Stage.ANSWERING, FailureKind.MALFORMED_ANSWER, message)
+        self._offset = frame.offset
+        self._content.update(_content_of(frame))
+        if self._offset > self._seen:
+            return sink(frame.raw)
+        if self._offset == self._seen and self._content.digest() != self._seen_content:
+            return _different()
         return None
 
     def _recover(self, failure: CallFailure) -> Refusal | None:
@@ -185,27 +198,15 @@
         return self._start(server, self._attempt, self._offset)
 
     def _run_again(self) -> Refusal | None:
-        seen, content = self._offset, self._content.digest()
-        refusal = self.open()
-        if refusal is not None:
-            return attrs.evolve(refusal, run_state=RunState.UNKNOWN)
-        return self._skip(seen, content)
-
-    def _skip(self, seen: int, content: bytes) -> Refusal | None:
-        """Read past what the caller has seen and check that it is the same."""
+        """Start over on another engine; what the caller has seen is only compared."""
+        if self._offset > self._seen:
+            self._seen, self._seen_content = self._offset, self._content.digest()
         self._offset = 0
-        self._content = hashlib.blake2b(digest_size=16)
-        frames = self._relay()
-        while self._offset < seen:
-            if next(frames, None) is None:
-                return self._different()
-        # The generator is left at the caller's offset; the stream goes on from it.
-        return None if self._content.digest() == content else self._different()
-
-    def _different(self) -> Refusal:
-        self.close()
-        message = "the answer was cut and could not be continued as it began"
-        return Refusal(Reason.BACKEND_FAILED, message, RunState.RAN)
+        self._content = hashlib.blake2b(digest_size=CONTENT_DIGEST_BYTES)
+        refusal = self.open()
+        if refusal is not None and self._seen:
+            return attrs.evolve(refusal, run_state=RunState.RAN)
+        return refusal
 
     def _dispatch(self, server: BackendServer) -> CallFailure | None:
         self._attempts += 1
@@ -238,19 +239,24 @@
         self._stream, self._server = started.ok_value, server
         return None
 
-    def _note_end(self, frame: Frame) -> None:
-        value = json.loads(data_of(frame.raw))
-        usage = value.get("usage")
-        if usage is None:
-            self._finish = frame.raw
-            return
-        details = usage.get("prompt_tokens_details") or {}
+    def _note_end(self, frame: Frame) -> CallFailure | None:
+        try:
+            value = json.loads(data_of(frame.raw))
+            usage = value.get("usage")
+            if usage is None:
+                self._finish = frame.raw
+                return None
+            details = usage.get("prompt_tokens_details") or {}
+            self._usage = Usage(
+                int(usage["prompt_tokens"]),
+                int(usage["completion_tokens"]),
+                int(details.get("cached_tokens", 0)),
+            )
+        except (ValueError, LookupError, TypeError, AttributeError):
+            kind = FailureKind.MALFORMED_ANSWER
+            return CallFailure(Stage.ANSWERING, kind, "last frames")
         self._usage_frame = frame.raw
-        self._usage = Usage(
-            usage["prompt_tokens"],
-            usage["completion_tokens"],
-            details.get("cached_tokens", 0),
-        )
+        return None
 
     def _note_failure(self, failure: CallFailure) -> None:
         event = AttemptFailed(
@@ -271,7 +277,8 @@
         return self._call.head.deadline.expired(self._now())
 
     def _given_up(self, failure: CallFailure) -> Refusal:
-        state = RunState.UNKNOWN if self._offset else failure.run_state
+        # The caller has part of an answer, so something surely ran.
+        state = RunState.RAN if self.offset else failure.run_state
         if self._expired():
             return Refusal(Reason.DEADLINE_EXPIRED, "the deadline has passed", state)
         message = (
@@ -280,6 +287,11 @@
         return Refusal(Reason.BACKEND_FAILED, message, state)
 
 
+def _different() -> CallFailure:
+    message = "the answer could not be continued as it began"
+    return CallFailure(Stage.ANSWERING, FailureKind.DIFFERENT_ANSWER, message)
+
+
 def attempt_id(call: ChatCall, placement: Placement, number: int) -> AttemptId:
     """Return the attempt's identity, the same on every host that makes it."""
     head = call.head
--- a/masticfork/entry/chat_answer.py
+++ b/masticfork/entry/chat_answer.py
@@ -2,20 +2,22 @@
 
 import concurrent.futures
 import json
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from concurrent.futures import Executor
 
 import attrs
 from result import Err
 
-from masticfork.backends.engine import EngineClient, Frame
+from masticfork.backends.engine import EngineClient
+from masticfork.backends.failures import CallFailure, FailureKind, Stage
 from masticfork.core.calls import ChatCall
 from masticfork.core.events import Billed, Ended, Journal, Refused, Relayed
 from masticfork.core.refusals import Reason, Refusal, RunState
 from masticfork.core.tables import Tables
 from masticfork.entry.answer import AnswerRun
-from masticfork.entry.billing import BillSink, ChatBill, cost_of
+from masticfork.entry.billing import BillSink, bill_of
 from masticfork.entry.frames import data_of, text_of
+from masticfork.entry.gate import Gate
 from masticfork.entry.reports import (
     ANSWERED,
     CALLER_GONE,
@@ -25,13 +27,17 @@
 )
 from masticfork.entry.responses import (
     Response,
+    Write,
     json_response,
     openai_error,
     refusal_response,
 )
 from masticfork.entry.routing import Placement, Router
+from masticfork.ledger.bill_records import Bill
+from masticfork.systems.admission_records import Ticket
 
 DONE_FRAME = b"data: [DONE]\n\n"
+FRAME_END = b"\n\n"
 # Longest wait for a bill to be safe before the end of the answer is withheld.
 BILL_SECONDS = 5.0
 
@@ -43,6 +49,7 @@
     tables: Tables
     router: Router
     engines: EngineClient
+    gate: Gate
     bills: BillSink
     journal: Journal
     observer: AnswerObserver
@@ -51,57 +58,83 @@
 
 
 class ChatAnswer:
-    """An opened answer: its frames, its bill and its end."""
+    """An opened answer, streamed or plain; it ends once, whatever happens."""
 
     def __init__(
-        self, parts: ChatParts, call: ChatCall, placement: Placement, run: AnswerRun
+        self,
+        parts: ChatParts,
+        call: ChatCall,
+        placement: Placement,
+        run: AnswerRun,
+        ticket: Ticket,
     ) -> None:
         self._parts = parts
         self._call = call
         self._placement = placement
         self._run = run
+        self._ticket = ticket
         self._settled = False
         self._first_token_at: float | None = None
         self._keeps_text = parts.observer.wants_text(call, placement)
         self._frames: list[bytes] = []
 
-    def stream(self) -> Iterator[bytes]:
-        """Yield the answer as server-sent events."""
-        for frame in self._run.frames():
-            self._note_frame(frame)
-            yield frame.raw + b"\n\n"
-        refusal = self._run.failure or self.settle(ANSWERED)
+    def stream(self, write: Write) -> None:
+        """Write the answer as server-sent events."""
+        try:
+            self._stream(write)
+        finally:
+            self._close()
+
+    def plain(self) -> Response:
+        """Return the whole answer as one JSON body."""
+        try:
+            return self._plain()
+        finally:
+            self._close()
+
+    def _stream(self, write: Write) -> None:
+        def pass_on(raw: bytes) -> CallFailure | None:
+            self._note_frame(raw)
+            try:
+                write(raw + FRAME_END)
+            except Exception:
+                # The server has its own error for a connection that broke.
+                kind = FailureKind.CALLER_GONE
+                return CallFailure(Stage.ANSWERING, kind, "the caller has gone")
+            return None
+
+        refusal = self._run.run(pass_on) or self._settle(ANSWERED)
         if refusal is not None:
-            self.settle(CUT)
+            self._settle(CUT)
             self._note_refusal(refusal)
-            yield b"data: " + json.dumps(openai_error(refusal)).encode() + b"\n\n"
+            write(b"data: " + json.dumps(openai_error(refusal)).encode() + FRAME_END)
             return
         end = self._run.end
-        yield end.finish + b"\n\n"
+        write(end.finish + FRAME_END)
         if self._call.include_usage:
-            yield end.usage + b"\n\n"
-        yield DONE_FRAME
+            write(end.usage + FRAME_END)
+        write(DONE_FRAME)
 
-    def plain(self) -> Response:
-        """Return the whole answer as one JSON body."""
-        frames = []
-        for frame in self._run.frames():
-            self._note_frame(frame)
-            frames.append(frame.raw)
+    def _plain(self) -> Response:
+        frames: list[bytes] = []
+
+        def keep(raw: bytes) -> None:
+            self._note_frame(raw)
+            frames.append(raw)
+
+        refusal = self._run.run(keep)
         text = text_of(frames)
-        refusal = self._run.failure
         if refusal is None and isinstance(text, Err):
-            refusal = Refusal(
-                Reason.BACKEND_FAILED, "the answer is malformed", RunState.RAN
-            )
-        refusal = refusal or self.settle(ANSWERED)
+            message = "the answer is malformed"
+            refusal = Refusal(Reason.BACKEND_FAILED, message, RunState.RAN)
+        refusal = refusal or self._settle(ANSWERED)
         if refusal is not None:
-            self.settle(CUT)
+            self._settle(CUT)
             self._note_refusal(refusal)
             return refusal_response(refusal, openai=True, now=self._parts.now())
         return json_response(200, self._completion(text.unwrap()))
 
-    def settle(self, outcome: str) -> Refusal | None:
+    def _settle(self, outcome: str) -> Refusal | None:
         """Bill the answer once; refuse its end where the bill is not safe."""
         if self._settled:
             return None
@@ -115,36 +148,39 @@
         self._note_end(outcome)
         return None
 
-    def close(self) -> None:
-        """Cancel and bill an answer whose caller went away."""
+    def _close(self) -> None:
+        """Cancel what still runs, and bill an answer whose caller went away."""
         self._run.close()
+        tokens = float(self._run.usage.completion_tokens)
+        self._parts.gate.leave(self._ticket, tokens or None)
         if not self._settled:
             self._settled = True
             self._parts.bills.submit(self._bill(CALLER_GONE))
             self._note_end(CALLER_GONE)
 
-    def _bill(self, outcome: str) -> ChatBill:
-        used = self._run.used
-        return ChatBill(self._call, self._placement, used, outcome, self._cost())
-
-    def _cost(self) -> float:
-        configuration = self._parts.tables.configuration
-        if configuration is None:
-            return 0.0
-        tokens = self._run.usage.completion_tokens
-        return cost_of(configuration, self._placement.version, tokens)
+    def _bill(self, outcome: str) -> Bill:
+        tables = self._parts.tables
+        return bill_of(
+            self._call,
+            self._placement,
+            self._run.used,
+            tables.configuration,
+            outcome,
+            tables.me.host,
+            self._parts.now(),
+        )
 
-    def _note_frame(self, frame: Frame) -> None:
+    def _note_frame(self, raw: bytes) -> None:
         if self._first_token_at is None:
             self._first_token_at = self._parts.now()
         if self._keeps_text:
-            self._frames.append(frame.raw)
+            self._frames.append(raw)
 
     def _note_end(self, outcome: str) -> None:
         journal, now = self._parts.journal, self._parts.now()
         request = self._call.head.request_id
         journal.add(request, Relayed(now, self._run.offset))
-        cost, tokens = self._cost(), self._run.usage.completion_tokens
+        cost, tokens = self._bill(outcome).cost, self._run.usage.completion_tokens
         journal.add(request, Billed(now, cost, tokens))
         journal.add(request, Ended(now, outcome))
         report = AnswerReport(
@@ -169,18 +205,18 @@
         finish = json.loads(data_of(self._run.end.finish) or b"{}")
         choices = finish.get("choices") or [{}]
         usage = self._run.usage
+        message = {"role": "assistant", "content": text}
+        choice = {
+            "index": 0,
+            "message": message,
+            "finish_reason": choices[0].get("finish_reason"),
+        }
         return {
             "id": finish.get("id"),
             "object": "chat.completion",
             "created": int(self._parts.now()),
             "model": self._placement.version,
-            "choices": [
-                {
-                    "index": 0,
-                    "message": {"role": "assistant", "content": text},
-                    "finish_reason": choices[0].get("finish_reason"),
-                }
-            ],
+            "choices": [choice],
             "usage": {
                 "prompt_tokens": usage.prompt_tokens,
                 "completion_tokens": usage.completion_tokens,
@@ -188,18 +224,3 @@
                 "prompt_tokens_details": {"cached_tokens": usage.cached_tokens},
             },
         }
-
-
-class StreamBody:
-    """The body of a streamed answer, which ends the answer when closed."""
-
-    def __init__(self, answer: ChatAnswer) -> None:
-        self._answer = answer
-        self._parts = answer.stream()
-
-    def __iter__(self) -> Iterator[bytes]:
-        return self._parts
-
-    def close(self) -> None:
-        """End the answer, also where the caller has gone."""
-        self._answer.close()
