Bound retries by one budget for a request and a pool

Each request had three attempts whatever else failed, so a dead pool got three times its load. Retries now draw on a budget that first attempts feed (0.08 each, 20 saved); a request still has three attempts at most, none past its deadline, and non-idempotent calls only where they have surely not run. Ruled out: a budget without savings, as a server that dies fails all its requests at once.

--- a/masticfork/daemon/daemon.py
+++ b/masticfork/daemon/daemon.py
@@ -70,6 +70,7 @@
 from masticfork.systems.admission import FairAdmission
 from masticfork.systems.placement import InFlight, TwoChoices
 from masticfork.systems.pool_capacity import PoolCapacity
+from masticfork.systems.retries import BudgetedRetries
 from masticfork.systems.rollout_policies import SequentialPolicy
 from masticfork.systems.rollout_usage import RolloutUsage
 from masticfork.systems.rollouts import RolloutSystem
@@ -353,6 +354,7 @@
             policy,
             TwoChoices(self._in_flight),
             self._in_flight,
+            BudgetedRetries(),
             random.Random(self._rng.getrandbits(64)),
             self._now,
         )
--- a/masticfork/entry/answer.py
+++ b/masticfork/entry/answer.py
@@ -20,7 +20,6 @@
 from masticfork.entry.frames import data_of
 from masticfork.entry.routing import PRIORITIES, Placement, Router
 
-MAX_ATTEMPTS = 3
 MAX_RESUMES = 5
 CANCEL_SECONDS = 2.0
 CONTENT_DIGEST_BYTES = 16
@@ -69,6 +68,7 @@
         self._journal = journal
         self._background = background
         self._now = now
+        self._budget = router.budget_of(placement)
         self._stream: EngineStream | None = None
         self._server: BackendServer | None = None
         self._attempt = AttemptId("")
@@ -118,7 +118,7 @@
             failure = self._dispatch(chosen.ok_value)
             if failure is None:
                 return None
-            if self._attempts >= MAX_ATTEMPTS or self._expired():
+            if not self._again():
                 return self._given_up(failure)
 
     def run(self, sink: Sink) -> Refusal | None:
@@ -186,7 +186,7 @@
                 return None
             failure = resumed
             self._cancel(server, self._attempt)
-        if self._attempts >= MAX_ATTEMPTS or self._expired():
+        if not self._again():
             return self._given_up(failure)
         return self._run_again()
 
@@ -209,6 +209,8 @@
         return refusal
 
     def _dispatch(self, server: BackendServer) -> CallFailure | None:
+        if not self._attempts:
+            self._router.retries.first(self._budget)
         self._attempts += 1
         self._tried |= {server.name}
         attempt = attempt_id(self._call, self._placement, self._attempts)
@@ -273,6 +275,13 @@
         self._stream = None
         self._server = None
 
+    def _again(self) -> bool:
+        """Tell whether another attempt may follow; a generation may be repeated."""
+        deadline = self._call.head.deadline
+        return self._router.retries.again(
+            self._budget, self._attempts, deadline, self._now()
+        )
+
     def _expired(self) -> bool:
         return self._call.head.deadline.expired(self._now())
 
--- a/masticfork/entry/once.py
+++ b/masticfork/entry/once.py
@@ -16,9 +16,9 @@
 from masticfork.core.refusals import Reason, Refusal, RunState
 from masticfork.entry.responses import Response
 from masticfork.entry.services import (
-    MAX_ATTEMPTS,
     ServiceParts,
     dispatch,
+    may_try,
     passed_on,
     refusal_of,
     refuse,
@@ -110,7 +110,7 @@
         parts = self._parts
         tried: frozenset[ServerName] = frozenset()
         last: Refusal | None = None
-        while len(tried) < MAX_ATTEMPTS:
+        while may_try(parts, call, len(tried)):
             chosen = parts.router.choose(call.service.servers, tried)
             if isinstance(chosen, Err):
                 return Err(last or chosen.err_value)
--- a/masticfork/entry/routing.py
+++ b/masticfork/entry/routing.py
@@ -18,6 +18,8 @@
 from masticfork.core.tables import Tables
 from masticfork.systems.eligibility import check_dispatch
 from masticfork.systems.placement import InFlight, ServerChooser, available
+from masticfork.systems.pool_capacity import pool_key
+from masticfork.systems.retries import RetryPolicy
 from masticfork.systems.sessions import Session
 
 # When callers should come back while no server can take their work.
@@ -60,6 +62,7 @@
         policy: VersionPolicy,
         chooser: ServerChooser,
         in_flight: InFlight,
+        retries: RetryPolicy,
         rng: random.Random,
         now: Callable[[], float],
     ) -> None:
@@ -70,6 +73,7 @@
         self._rng_lock = threading.Lock()
         self._now = now
         self.in_flight = in_flight
+        self.retries = retries
 
     def place(self, call: ChatCall) -> Result[Placement, Refusal]:
         """Choose the version for a chat request."""
@@ -78,6 +82,13 @@
             return Err(Refusal(Reason.NO_CONFIGURATION, "no configuration yet"))
         return self._policy.place(configuration, call, self._now())
 
+    def budget_of(self, placement: Placement) -> str:
+        """Return the name of the retry budget of a version's pool."""
+        configuration = self._tables.configuration
+        versions = configuration.versions if configuration else {}
+        version = versions.get(placement.version)
+        return pool_key(version.pool if version else "")
+
     def choose_engine(
         self, team: Team, placement: Placement, tried: frozenset[ServerName]
     ) -> Result[BackendServer, Refusal]:
--- a/masticfork/entry/services.py
+++ b/masticfork/entry/services.py
@@ -17,8 +17,8 @@
 from masticfork.entry.gate import Gate, service_admission
 from masticfork.entry.responses import Response, refusal_response
 from masticfork.entry.routing import Router
+from masticfork.systems.pool_capacity import service_key
 
-MAX_ATTEMPTS = 3
 INTERNAL_ERROR = 500
 _DROPPED_ANSWER_HEADERS = frozenset(
     {"connection", "date", "keep-alive", "server", "transfer-encoding", "trailer"}
@@ -51,20 +51,18 @@
 
     def _run(self, call: ServiceCall) -> Result[ServiceAnswer, Refusal]:
         tried: frozenset[ServerName] = frozenset()
-        last = Refusal(Reason.NO_SERVER, "no server was tried")
-        for number in range(MAX_ATTEMPTS):
+        last: Refusal | None = None
+        while may_try(self._parts, call, len(tried)):
             chosen = self._parts.router.choose(call.service.servers, tried)
             if isinstance(chosen, Err):
-                return Err(last if number else chosen.err_value)
+                return Err(last or chosen.err_value)
             server = chosen.ok_value
             tried |= {server.name}
             answered = dispatch(self._parts, call, server, AttemptId(random_id("try")))
             if isinstance(answered, Ok):
                 return answered
             last = refusal_of(answered.err_value, call, self._parts.now())
-            if last.reason is Reason.DEADLINE_EXPIRED:
-                break
-        return Err(last)
+        return Err(last or Refusal(Reason.NO_SERVER, "no server was tried"))
 
 
 class Handler(Protocol):
@@ -130,6 +128,15 @@
     return answered
 
 
+def may_try(parts: ServiceParts, call: ServiceCall, attempts: int) -> bool:
+    """Tell whether a call may be sent, after as many attempts; count it if so."""
+    retries, budget = parts.router.retries, service_key(call.service.name)
+    if not attempts:
+        retries.first(budget)
+        return True
+    return retries.again(budget, attempts, call.head.deadline, parts.now())
+
+
 def backend_request(call: ServiceCall) -> Request:
     """Return the request as the service gets it."""
     headers = [*call.headers, ("Idempotency-Key", str(call.head.request_id))]
