--- /dev/null
+++ b/masticfork/daemon/base.py
@@ -0,0 +1,61 @@
+"""What all parts of a daemon share."""
+
+import random
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+
+from masticfork.core.events import Journal
+from masticfork.core.ids import HostName, ZoneName
+from masticfork.core.tables import SelfRow, Tables
+from masticfork.daemon.metrics import Metrics
+from masticfork.platform.client import CallCounter, ObjectStore
+from masticfork.platform.embedded import EmbeddedStore
+from masticfork.platform.http import HttpObjectStore
+from masticfork.platform.ratings import RatingClient
+from masticfork.settings.settings import Settings
+from masticfork.systems.placement import InFlight
+from masticfork.systems.rollout_usage import RolloutUsage
+
+BACKGROUND_THREADS = 16
+
+
+class Base:
+    """The tables, the clock, the platform and what only counts."""
+
+    def __init__(
+        self, settings: Settings, now: Callable[[], float], rng: random.Random
+    ) -> None:
+        self.settings = settings
+        self.now = now
+        self.rng = rng
+        me = SelfRow(HostName(settings.host), ZoneName(settings.zone))
+        self.tables = Tables(me)
+        self.metrics = Metrics()
+        self.journal = Journal()
+        self.calls = CallCounter()
+        self.store = _make_store(settings, self.calls, now)
+        self.ratings = _make_ratings(settings, now)
+        self.background = ThreadPoolExecutor(BACKGROUND_THREADS, "background")
+        self.in_flight = InFlight()
+        self.usage = RolloutUsage(me.host)
+
+    @property
+    def advertised(self) -> str:
+        """Return the address that other hosts dial."""
+        peer = self.settings.peer
+        return peer.advertise or f"{peer.host}:{peer.port}"
+
+
+def _make_store(
+    settings: Settings, calls: CallCounter, now: Callable[[], float]
+) -> ObjectStore:
+    url = settings.platform.url
+    if url is None:
+        return EmbeddedStore(now, calls)
+    return HttpObjectStore(url.removeprefix("http://"), now, calls)
+
+
+def _make_ratings(settings: Settings, now: Callable[[], float]) -> RatingClient | None:
+    if settings.rating_url is None:
+        return None
+    return RatingClient(settings.rating_url.removeprefix("http://"), now)
