Plan cascades from ratings with confidence bounds

Cause: each team and class of work has a quality target, and the cheapest way to reach it has to be learnt from late, missing and noisy ratings. A plan is one version, or a cheaper one whose answer is held back and escalated when its signal is one of those that were rated lowest. The policy takes the cheapest mix of two plans whose lower confidence bound reaches the target; what the strongest version gives above the target pays for trying others. Evidence fades when ratings stop, and then the strongest version answers.

--- a/masticfork/core/tables.py
+++ b/masticfork/core/tables.py
@@ -16,6 +16,7 @@
     ZoneName,
 )
 from masticfork.core.manifest import BackendServer
+from masticfork.core.quality import QualityKey, QualityRow
 from masticfork.core.rollouts import RolloutRow
 
 
@@ -83,6 +84,7 @@
     rollouts: dict[RolloutName, RolloutRow] = attrs.field(factory=dict)
     # Until when versions that are not in roll-out may get new work without news.
     usable_until: Deadline | None = None
+    quality: dict[QualityKey, QualityRow] = attrs.field(factory=dict)
 
 
 class System(Protocol):
--- /dev/null
+++ b/masticfork/systems/quality_test.py
@@ -0,0 +1,91 @@
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from masticfork.core.manifest import WorkClass
+from masticfork.core.quality import (
+    AnswerPath,
+    Moments,
+    QualityKey,
+    QualityRow,
+    Served,
+)
+from masticfork.systems.quality import (
+    EVIDENCE_HALF_LIFE_SECONDS,
+    RATING_PATIENCE_SECONDS,
+    add,
+    freshness,
+    path_estimate,
+    signal_shares,
+    version_estimate,
+    with_rating,
+    with_served,
+)
+
+KEY = QualityKey("frames", WorkClass.DRAFTING)
+PATH = AnswerPath("small@1", 3)
+
+
+def rated(*scores: float, path=PATH, row=None) -> QualityRow:
+    row = row or QualityRow(KEY)
+    for score in scores:
+        row = with_rating(row, path, score)
+    return row
+
+
+class TestMoments:
+    @given(st.lists(st.floats(0, 1), min_size=1, max_size=50))
+    def test_below_the_greatest_weight_they_are_exact(self, values):
+        moments = Moments()
+        for value in values:
+            moments = add(moments, value, 1000.0)
+        mean = sum(values) / len(values)
+        variance = sum((v - mean) ** 2 for v in values) / len(values)
+        assert moments.mean == pytest.approx(mean)
+        assert moments.variance == pytest.approx(variance, abs=1e-9)
+
+
+class TestEstimates:
+    def test_doubt_falls_with_ratings(self):
+        few = path_estimate(rated(*[0.9] * 5), PATH, 0.5, 1.0)
+        many = path_estimate(rated(*[0.9] * 500), PATH, 0.5, 1.0)
+        assert few.lower(1.0) < many.lower(1.0) < 0.9 < many.upper(1.0)
+        assert many.mean == pytest.approx(0.9, abs=0.01)
+
+    def test_a_version_is_the_mean_over_its_signals(self):
+        rng, row = random.Random(1), QualityRow(KEY)
+        scores = {0: 0.2, 3: 0.9}
+        for _ in range(2000):
+            signal = rng.choice([0, 3, 3])
+            path = AnswerPath("small@1", signal)
+            row = with_served(row, Served(KEY, path, 0.0))
+            row = with_rating(row, path, scores[signal])
+        assert sum(signal_shares(row, "small@1")) == pytest.approx(1.0)
+        estimate = version_estimate(row, "small@1", 0.5, 1.0)
+        assert estimate.mean == pytest.approx(2 / 3, abs=0.02)
+
+    def test_a_fall_is_believed_soon(self):
+        rng = random.Random(2)
+        good = [float(rng.random() < 0.9) for _ in range(1500)]
+        bad = [float(rng.random() < 0.4) for _ in range(80)]
+        row = rated(*bad, row=rated(*good))
+        assert path_estimate(row, PATH, 0.5, 1.0).mean < 0.6
+
+
+class TestSilence:
+    def test_evidence_fades_when_ratings_stop(self):
+        row = with_served(rated(*[0.9] * 500), Served(KEY, PATH, 100.0))
+        late = 100.0 + RATING_PATIENCE_SECONDS
+        assert freshness(row, late) == 1.0
+        assert freshness(row, late + EVIDENCE_HALF_LIFE_SECONDS) == 0.5
+        faded = path_estimate(row, PATH, 0.5, 0.01)
+        assert faded.variance > 10 * path_estimate(row, PATH, 0.5, 1.0).variance
+
+    def test_a_rating_makes_it_fresh_again(self):
+        row = with_served(rated(0.9), Served(KEY, PATH, 100.0))
+        assert freshness(rated(0.8, row=row), 1e9) == 1.0
+
+    def test_idle_time_without_answers_costs_nothing(self):
+        assert freshness(rated(0.9), 1e9) == 1.0
