Let peers forget bills that reach them after their batch is written

Cause: a batch can be written while its bills are on their way to a peer, or wait for an earlier message. The peer was told to forget before it got them and kept them until it was full.

Bills of a written batch are no longer sent, and the peer is told again after the message under way. Ruled out: judging by the callers' futures, since one given up by its caller looks like a written one.

Conclusion: what a peer holds is bounded by what is not written.

--- a/masticfork/ledger/bills.py
+++ b/masticfork/ledger/bills.py
@@ -90,7 +90,9 @@
         self._unwritten = 0
         self._next_write = Deadline(0.0)
         self._unkept: list[tuple[str, _Entry]] = []
-        self._keeping = False
+        # The batch of which bills are on their way to a peer.
+        self._keeping: str | None = None
+        self._forget_again: tuple[str, ...] = ()
         self._stopping = False
         self._write_lock = threading.Lock()
 
@@ -216,25 +218,33 @@
     def _done(self, batch: _Batch, left_out: set[Bill]) -> None:
         """Complete a written batch; bills left out of it go into a new one."""
         rest = [entry for entry in batch.entries if entry.bill in left_out]
+        keys = () if rest else (batch.key, *batch.earlier_keys)
         with self._changed:
             self._sealed.remove(batch)
             self._unwritten -= len(batch.entries) - len(rest)
             if rest:
                 self._sealed.appendleft(self._renamed(batch, rest))
-        if self._keeper is not None and not rest:
-            for key in (batch.key, *batch.earlier_keys):
-                self._keeper.forget(key)
+            self._unkept = [pair for pair in self._unkept if pair[0] not in keys]
+            if self._keeping in keys:
+                # The peer may get the bills after it was told to forget them.
+                self._forget_again = keys
+        self._forget(keys)
         for entry in batch.entries:
             if entry.bill not in left_out:
                 _complete(entry)
 
+    def _forget(self, keys: tuple[str, ...]) -> None:
+        if self._keeper is not None:
+            for key in keys:
+                self._keeper.forget(key)
+
     def _keep_more(self) -> None:
         """Send the bills that no peer holds, one group at a time."""
         with self._changed:
             if self._keeper is None or self._keeping or not self._unkept:
                 return
-            self._keeping = True
             key = self._unkept[0][0]
+            self._keeping = key
             group = [entry for batch, entry in self._unkept if batch == key]
             self._unkept = [pair for pair in self._unkept if pair[0] != key]
         kept = self._keeper.keep(key, tuple(entry.bill for entry in group))
@@ -242,7 +252,9 @@
 
     def _kept(self, group: list[_Entry], future: "Future[None]") -> None:
         with self._changed:
-            self._keeping = False
+            self._keeping = None
+            late, self._forget_again = self._forget_again, ()
+        self._forget(late)
         # Bills that no peer holds wait for their batch to be written.
         if not future.cancelled() and future.exception() is None:
             for entry in group:
--- a/masticfork/ledger/bills_test.py
+++ b/masticfork/ledger/bills_test.py
@@ -246,6 +246,22 @@
         writer.step()
         assert safe.done()
 
+    def test_peer_that_answers_after_the_write_keeps_nothing(
+        self, store, clock, held, link
+    ):
+        late = Future()
+        link.keep = lambda key, bills: late
+        writer = BillWriter(store, HOST, clock, 0.0, link)
+        writer.submit(bill(1))
+        waiting = writer.submit(bill(2))
+        writer.step()
+        assert waiting.done()
+        key = store.list("bills/", Deadline(2000)).unwrap().items[0].key
+        held.keep(HOST, key, (bill(1),))
+        link.keep = lambda *_: pytest.fail("a written bill was sent to a peer")
+        late.set_result(None)
+        assert held.count == 0
+
     def test_peer_writes_for_a_dead_host(self, writer, store, held):
         writer.submit(bill(1))
         writer.submit(bill(2))
