--- a/masticfork/daemon/daemon.py
+++ b/masticfork/daemon/daemon.py
@@ -23,11 +23,21 @@
 from masticfork.core.tables import SelfRow, Tables
 from masticfork.daemon.admin_backend import DaemonBackend
 from masticfork.daemon.answers import Answers
+from masticfork.daemon.bill_reader import BillReader
 from masticfork.daemon.bills import BillService
+from masticfork.daemon.duties import DutyLeases
+from masticfork.daemon.host_list import HostListPoller
+from masticfork.daemon.lease_views import lease_views
+from masticfork.daemon.limits import LimitSharing
 from masticfork.daemon.listener import Listener, ListenerSettings
 from masticfork.daemon.metrics import Metrics
+from masticfork.daemon.operations import OperationsApp
+from masticfork.daemon.rollout_driver import USAGE_TOPIC, RolloutDriver
+from masticfork.daemon.rollout_store import RolloutStore
+from masticfork.daemon.shared import SharedTables
 from masticfork.daemon.shutdown import Shutdown, ShutdownSteps
 from masticfork.daemon.ticker import Ticker, log_finding
+from masticfork.daemon.topics import Topics
 from masticfork.entry.active import ActiveRequests
 from masticfork.entry.app import EntryApp, EntryParts
 from masticfork.entry.chat import ChatHandler
@@ -36,6 +46,7 @@
 from masticfork.entry.once import OnceHandler
 from masticfork.entry.parsing import Limits
 from masticfork.entry.policy import SessionPolicy
+from masticfork.entry.responses import REASON_HEADER, Response
 from masticfork.entry.routing import Router
 from masticfork.entry.services import (
     RepeatableHandler,
@@ -43,9 +54,12 @@
     ServiceParts,
 )
 from masticfork.ledger.claims import ClaimBook
+from masticfork.ledger.leases import LeaseKeeper
 from masticfork.peers.authentication import PeerKey
-from masticfork.peers.messages import BillsWritten, KeepBills
+from masticfork.peers.messages import BillsWritten, Evidence, KeepBills
 from masticfork.peers.node import NodeSettings, PeerNode
+from masticfork.peers.object_relay import NEWS_TOPIC, VERSIONS_TOPIC, ObjectRelay
+from masticfork.peers.object_watch import ObjectWatch
 from masticfork.peers.records import LinkSettings
 from masticfork.platform.client import CallCounter, ObjectStore
 from masticfork.platform.embedded import EmbeddedStore
@@ -56,9 +70,12 @@
 from masticfork.systems.admission import FairAdmission
 from masticfork.systems.placement import InFlight, TwoChoices
 from masticfork.systems.pool_capacity import PoolCapacity
+from masticfork.systems.retries import BudgetedRetries
+from masticfork.systems.rollout_policies import SequentialPolicy
 from masticfork.systems.rollout_usage import RolloutUsage
+from masticfork.systems.rollouts import RolloutSystem
 from masticfork.systems.sessions import SessionSigner, SigningKey
-from masticfork.systems.team_limits import Unlimited
+from masticfork.systems.watchers import watches
 
 BACKGROUND_THREADS = 16
 ADMIN_THREADS = 8
@@ -98,23 +115,36 @@
         self._active = ActiveRequests()
         self._shutdown = Shutdown(self._tables, self._active, settings.shutdown, now)
         self._pump = StreamPump(now)
+        self._usage = RolloutUsage(me.host)
+        self._objects = ObjectRelay(SharedTables(self._tables, self._usage))
+        self._topics = Topics()
+        self._leases = LeaseKeeper(self._store, me.host, now)
         self._bills = BillService(self._store, self._tables, self._background, now)
         self._node = self._make_node()
         self._bills.keeper.use(self._node.link)
+        self._objects.use(self._node.link)
+        self._object_watch = ObjectWatch(
+            self._store, self._objects, lambda: watches(self._tables), now
+        )
         self._claims = ClaimBook(
             self._store,
             HostName(settings.host),
             now,
             settings.retention_days * SECONDS_PER_DAY,
         )
-        self._usage = RolloutUsage(HostName(settings.host))
         self._ratings = _make_ratings(settings, now)
         self._answers = Answers(
             self._tables, self._metrics, self._usage, self._ratings, self._background
         )
-        self._admission = FairAdmission(Unlimited())
+        self._host_list = self._make_host_list()
+        self._driver = self._make_driver()
+        duties = DutyLeases(self._leases, self._tables)
+        self._sharing = LimitSharing(self._tables, duties, self._least_hosts, now)
+        self._admission = FairAdmission(self._sharing)
+        self._sharing.attach(self._admission, self._node.link)
+        self._register_topics()
         capacity = PoolCapacity(self._in_flight.at, self._admission.run_pools)
-        systems = (self._node, capacity, self._bills)
+        systems = (self._node, self._objects, capacity, self._bills)
         self._ticker = Ticker(self._tables, systems, now)
         self._entry = self._make_entry()
         self._admin = self._make_admin()
@@ -142,6 +172,11 @@
         started = self._node.start()
         if isinstance(started, Err):
             _log.error("the peer link cannot listen", error=str(started.err_value))
+        self._object_watch.start()
+        self._driver.start()
+        self._sharing.start()
+        if self._host_list is not None:
+            self._host_list.start()
         self._admin.start()
         self._entry.start()
         _log.info("started", entry_port=self._entry.port, admin_port=self._admin.port)
@@ -152,8 +187,14 @@
 
     def _steps(self) -> ShutdownSteps:
         return ShutdownSteps(
-            flush=(lambda _: self._flush_claims(), self._bills.flush),
+            flush=(
+                lambda _: self._flush_claims(),
+                self._bills.flush,
+                lambda _: self._driver.hand_back(),
+                lambda _: self._sharing.hand_back(),
+            ),
             close=(
+                self._object_watch.stop,
                 self._entry.stop,
                 self._admin.stop,
                 self._ticker.stop,
@@ -227,12 +268,16 @@
             self._tables,
             self._journal,
             Drains(self._store, self._now),
+            RolloutStore(self._store, self._objects, self._now),
+            BillReader(self._store, self._now),
+            lambda: lease_views(self._store, self._now),
             self._advertised,
             self._now,
         )
         submissions = Submissions(self._store, self._now)
         keys = self._settings.admin_keys
-        app = AdminApp(backend, submissions, keys, self._now)
+        admin = AdminApp(backend, submissions, keys, self._now)
+        app = OperationsApp(admin, self._exposition, self._ready)
         listening = ListenerSettings(
             settings.host,
             settings.port,
@@ -243,6 +288,32 @@
         )
         return Listener(app, listening)
 
+    def _make_host_list(self) -> HostListPoller | None:
+        url = self._settings.host_list_url
+        if url is None:
+            return None
+        address = url.removeprefix("http://")
+        return HostListPoller(address, self._tables, self._node.listed)
+
+    def _make_driver(self) -> RolloutDriver:
+        return RolloutDriver(
+            self._tables,
+            RolloutSystem(SequentialPolicy()),
+            RolloutStore(self._store, self._objects, self._now),
+            DutyLeases(self._leases, self._tables),
+            self._usage,
+            self._ratings,
+            self._node.link,
+            self._now,
+        )
+
+    def _register_topics(self) -> None:
+        self._topics.register(NEWS_TOPIC, self._objects.on_news)
+        self._topics.register(VERSIONS_TOPIC, self._objects.on_versions)
+        self._topics.register(USAGE_TOPIC, self._driver.on_usage)
+        for topic, handler in self._sharing.topics.items():
+            self._topics.register(topic, handler)
+
     def _make_node(self) -> PeerNode:
         settings = self._settings.peer
         link = LinkSettings(
@@ -259,9 +330,17 @@
             check_configuration,
             self._store,
             self._now,
-            {KeepBills: self._bills.on_keep, BillsWritten: self._bills.on_written},
+            {
+                KeepBills: self._bills.on_keep,
+                BillsWritten: self._bills.on_written,
+                Evidence: self._topics,
+            },
         )
 
+    @property
+    def _least_hosts(self) -> int:
+        return 1 + len(set(self._settings.peer.seeds) - {self._advertised})
+
     @property
     def _advertised(self) -> str:
         peer = self._settings.peer
@@ -275,15 +354,31 @@
             policy,
             TwoChoices(self._in_flight),
             self._in_flight,
+            BudgetedRetries(),
             random.Random(self._rng.getrandbits(64)),
             self._now,
         )
 
     def _ready(self) -> bool:
-        return self._tables.configuration is not None and not self._shutdown.leaving
+        known = self._tables.configuration is not None
+        settled = self._sharing.settled(self._now())
+        return known and settled and not self._shutdown.leaving
+
+    def _observe(self, response: Response) -> None:
+        self._metrics.requests.labels(str(response.status)).inc()
+        reason = dict(response.headers).get(REASON_HEADER)
+        if reason is not None:
+            self._metrics.refusals.labels(reason).inc()
 
-    def _observe(self, method: str, path: str, status: int, started: float) -> None:
-        self._metrics.requests.labels(str(status)).inc()
+    def _exposition(self) -> bytes:
+        configuration = self._tables.configuration
+        self._metrics.refresh(
+            self._in_flight.total(),
+            configuration.number if configuration else 0,
+            {kind.value: count for kind, count in self._calls.calls().items()},
+            self._node.link.counts,
+        )
+        return self._metrics.exposition()
 
 
 def check_configuration(
