--- a/masticfork/backends/connections.py
+++ b/masticfork/backends/connections.py
@@ -38,6 +38,13 @@
     fresh: bool
     idle_until: Deadline
 
+    def renewed(self) -> "Connection":
+        """Return the connection for its next request, its answer read elsewhere."""
+        old = self.http
+        renewed = http.client.HTTPConnection(old.host, old.port)
+        renewed.sock = old.sock
+        return attrs.evolve(self, http=renewed)
+
 
 @attrs.frozen(eq=False)
 class Answer:
@@ -56,21 +63,23 @@
         self._idle: dict[tuple[str, int], list[Connection]] = defaultdict(list)
 
     def start(
-        self, server: BackendServer, request: Request, deadline: Deadline, fresh: bool
+        self,
+        server: BackendServer,
+        request: Request,
+        deadline: Deadline,
+        fresh: bool,
+        may_send: Callable[[], bool] = lambda: True,
     ) -> Result[Answer, CallFailure]:
         """Send a request and read the head of its answer.
 
-        `fresh` demands a new connection. A kept-alive connection that turns out
-        closed is reported like any other loss: the request may have arrived.
+        `fresh` demands a new connection; `may_send` is asked once it stands. A
+        kept-alive connection that turns out closed is reported like any other loss:
+        the request may have arrived.
         """
-        taken = self._take(server, deadline, fresh)
-        if isinstance(taken, Err):
-            return taken
-        connection = taken.ok_value
-        sent = self._send(connection, request)
+        sent = self.send(server, request, deadline, fresh, may_send)
         if isinstance(sent, Err):
-            connection.http.close()
             return sent
+        connection = sent.ok_value
         try:
             response = connection.http.getresponse()
         except TimeoutError:
@@ -81,6 +90,29 @@
             return Err(CallFailure(Stage.SENT, FailureKind.CONNECTION, repr(error)))
         return Ok(Answer(connection, response))
 
+    def send(
+        self,
+        server: BackendServer,
+        request: Request,
+        deadline: Deadline,
+        fresh: bool,
+        may_send: Callable[[], bool] = lambda: True,
+    ) -> Result[Connection, CallFailure]:
+        """Send a request; its answer is still to be read from the connection."""
+        taken = self._take(server, deadline, fresh)
+        if isinstance(taken, Err):
+            return taken
+        connection = taken.ok_value
+        if not may_send():
+            connection.http.close()
+            message = "the time to send has passed"
+            return Err(CallFailure(Stage.CONNECTING, FailureKind.TIMEOUT, message))
+        sent = self._send(connection, request)
+        if isinstance(sent, Err):
+            connection.http.close()
+            return sent
+        return Ok(connection)
+
     def give_back(self, server: BackendServer, connection: Connection) -> None:
         """Keep a connection whose answer was read to the end."""
         kept = attrs.evolve(
--- a/masticfork/entry/responses.py
+++ b/masticfork/entry/responses.py
@@ -2,13 +2,14 @@
 
 import json
 import math
-from collections.abc import Iterable, Iterator
-from typing import Protocol
+from collections.abc import Callable, Iterable
 
 import attrs
 
 from masticfork.core.refusals import Refusal, RunState
 
+RUN_STATE_HEADER = "Masticfork-Run-State"
+REASON_HEADER = "Masticfork-Reason"
 PROBLEM_TYPE_PREFIX = "urn:masticfork:refusal:"
 # Refusals with these statuses tell the caller when to come back.
 RETRY_STATUSES = frozenset({409, 429, 503})
@@ -45,14 +46,8 @@
 }
 
 
-class Body(Protocol):
-    """A body that is read once and then closed."""
-
-    def __iter__(self) -> Iterator[bytes]:
-        """Yield the parts in order."""
-
-    def close(self) -> None:
-        """Release what the body holds, read to the end or not."""
+# Sends a part of a body to the caller; OSError where the caller has gone.
+Write = Callable[[bytes], object]
 
 
 @attrs.frozen
@@ -62,6 +57,8 @@
     status: int
     headers: tuple[tuple[str, str], ...] = ()
     body: Iterable[bytes] = ()
+    # Writes the body as it comes, instead of `body`.
+    stream: Callable[[Write], None] | None = None
 
     def with_headers(self, *headers: tuple[str, str]) -> "Response":
         """Return the response with more headers."""
@@ -102,7 +99,10 @@
     else:
         response = _problem(refusal)
     retry = _retry_after(refusal, now)
-    extra = [("Masticfork-Run-State", refusal.run_state.value)]
+    extra = [
+        (RUN_STATE_HEADER, refusal.run_state.value),
+        (REASON_HEADER, refusal.reason.value),
+    ]
     if retry is not None:
         extra.append(("Retry-After", str(retry)))
     if openai and refusal.run_state is not RunState.NOT_RUN:
