Look at fewer rows each tick in a large fleet

Rows of live hosts whose deadlines lie ahead are passed over, and peers are chosen anew when a host comes or goes, or after five seconds, in place of every second.

--- a/masticfork/peers/node.py
+++ b/masticfork/peers/node.py
@@ -33,6 +33,8 @@
 from masticfork.systems.watchers import watches
 
 HEARTBEAT_SECONDS = 1.0
+# How often the choice of peers is looked at while no host comes or goes.
+CHOICE_SECONDS = 5.0
 # What waits for the next tick; more than this is dropped, oldest first.
 MAX_INBOX = 10_000
 
@@ -69,6 +71,8 @@
         self._gossip = Gossip()
         self._inbox: collections.deque[_Intake] = collections.deque(maxlen=MAX_INBOX)
         self._next_heartbeat = Deadline(0.0)
+        self._next_choice = Deadline(0.0)
+        self._chosen_among = 0
         # Replies are taken in here: checking a manifest would hold up a link.
         self._worker = ThreadPoolExecutor(1, thread_name_prefix="relay")
         tables.me = attrs.evolve(tables.me, incarnation=settings.link.incarnation)
@@ -131,7 +135,7 @@
         if self._next_heartbeat.expired(now):
             wait = self._settings.heartbeat_seconds
             self._next_heartbeat = Deadline.after(now, wait)
-            self._link.set_peers(_to_dial(tables))
+            self._choose(tables, now)
             self._link.broadcast(self._heartbeat(self._gossip.digest(tables, now)))
         return tuple(finding for some in findings for finding in some)
 
@@ -144,6 +148,14 @@
         reply = self._link.request(question.host, question.request, question.until)
         reply.add_done_callback(lambda done: self._on_reply(question, done))
 
+    def _choose(self, tables: Tables, now: float) -> None:
+        count = len(tables.hosts)
+        if count == self._chosen_among and not self._next_choice.expired(now):
+            return
+        self._chosen_among = count
+        self._next_choice = Deadline.after(now, CHOICE_SECONDS)
+        self._link.set_peers(_to_dial(tables))
+
     def _heartbeat(
         self, known: tuple[KnownHost, ...] = (), *, first: bool = False
     ) -> Heartbeat:
--- a/masticfork/systems/membership.py
+++ b/masticfork/systems/membership.py
@@ -44,6 +44,8 @@
         """Advance the states of hosts whose deadlines have passed."""
         findings = []
         for host, row in list(tables.hosts.items()):
+            if row.state is HostState.ALIVE and now < row.suspect_at.at:
+                continue
             forget_at = row.dead_at.at + self._settings.forget_seconds
             if now >= forget_at:
                 del tables.hosts[host]
