--- a/masticfork/core/tables.py
+++ b/masticfork/core/tables.py
@@ -45,6 +45,8 @@
     reported_running: int = 0
     reported_queued: int = 0
     reported_at: float = 0.0
+    # Until when a server that came back gets less than its share.
+    ramp_until: Deadline | None = None
 
 
 @attrs.frozen
