--- a/masticfork/core/tables.py
+++ b/masticfork/core/tables.py
@@ -16,6 +16,7 @@
     ZoneName,
 )
 from masticfork.core.manifest import BackendServer
+from masticfork.core.quality import QualityKey, QualityRow
 from masticfork.core.rollouts import RolloutRow
 
 
@@ -45,6 +46,8 @@
     reported_running: int = 0
     reported_queued: int = 0
     reported_at: float = 0.0
+    # Until when a server that came back gets less than its share.
+    ramp_until: Deadline | None = None
 
 
 @attrs.frozen
@@ -95,6 +98,7 @@
     listed_leaving: frozenset[ServerName] = frozenset()
     # Until when versions that are not in roll-out may get new work without news.
     usable_until: Deadline | None = None
+    quality: dict[QualityKey, QualityRow] = attrs.field(factory=dict)
 
 
 class System(Protocol):
