--- /dev/null
+++ b/proofs/__init__.py
@@ -0,0 +1,1 @@
+"""Proofs of what must hold under failure, with real processes."""
