Write pending outcomes of claims as soon as the platform takes them

An answer that came during an outage of the platform stayed on its host until that host shut down: the daemon only flushed claims then. A retry on another host was told that the request still runs, for as long as the claim's deadline. The stored answer itself was right all the time.

Before: a replay on another host did not come within 10 s of the end of the outage. After: the same test passes in 1.6 s whole. Claims past their retention are still never swept; that needs a lease and is not done here.

--- a/masticfork/daemon/daemon.py
+++ b/masticfork/daemon/daemon.py
@@ -25,6 +25,7 @@
 from masticfork.daemon.answers import Answers
 from masticfork.daemon.bill_reader import BillReader
 from masticfork.daemon.bills import BillService
+from masticfork.daemon.claims import ClaimFlusher
 from masticfork.daemon.duties import DutyLeases
 from masticfork.daemon.host_list import HostListPoller
 from masticfork.daemon.lease_views import lease_views
@@ -140,7 +141,8 @@
         self._register_topics()
         self._admission = FairAdmission(Unlimited())
         capacity = PoolCapacity(self._in_flight.at, self._admission.run_pools)
-        systems = (self._node, self._objects, capacity, self._bills)
+        flusher = ClaimFlusher(self._claims, self._background)
+        systems = (self._node, self._objects, capacity, self._bills, flusher)
         self._ticker = Ticker(self._tables, systems, now)
         self._entry = self._make_entry()
         self._admin = self._make_admin()
