--- a/masticfork/daemon/daemon.py
+++ b/masticfork/daemon/daemon.py
@@ -42,7 +42,8 @@
         self._base = Base(settings, now, rng or random.SystemRandom())
         self._control = ControlParts(self._base)
         self._serving = ServingParts(self._base, self._control)
-        self._ticker = Ticker(self._base.tables, self._control.systems, now)
+        systems = (*self._control.systems, self._serving.claim_flusher)
+        self._ticker = Ticker(self._base.tables, systems, now)
         self._admin = self._make_admin()
         self._stopped = threading.Event()
 
--- a/masticfork/daemon/serving.py
+++ b/masticfork/daemon/serving.py
@@ -12,6 +12,7 @@
 from masticfork.core.deadlines import Deadline
 from masticfork.daemon.answers import Answers
 from masticfork.daemon.base import Base
+from masticfork.daemon.claims import ClaimFlusher
 from masticfork.daemon.control import ControlParts
 from masticfork.daemon.listener import Listener, ListenerSettings
 from masticfork.daemon.shutdown import Shutdown
@@ -63,6 +64,7 @@
             base.now,
             base.settings.retention_days * SECONDS_PER_DAY,
         )
+        self.claim_flusher = ClaimFlusher(self._claims, base.background)
         self._answers = Answers(
             base.tables, base.metrics, base.usage, base.ratings, base.background
         )
