Plan requests by learnt quality; judge servers by the ends of calls

Cause: the model behind auto was chosen by declared quality alone; failing servers were tried again by every request; a request that waited in an engine's queue was not counted as in flight, so that this host sent more there. Ruled out: planning from all threads on shared rows without a lock (evidence would be lost between a read and a write). Plans of two steps need a signal of an answer's quality, which the engines do not give; the daemon dispatches the first step only.

--- a/masticfork/daemon/answers.py
+++ b/masticfork/daemon/answers.py
@@ -7,10 +7,12 @@
 
 from masticfork.core.calls import ChatCall
 from masticfork.core.ids import RequestId, VersionId, digest
+from masticfork.core.quality import QualityKey
 from masticfork.core.tables import Tables
 from masticfork.daemon.metrics import Metrics
+from masticfork.daemon.quality import Answered, QualityKeeper
 from masticfork.entry.frames import text_of
-from masticfork.entry.reports import ANSWERED, AnswerReport
+from masticfork.entry.reports import ANSWERED, CUT, AnswerReport
 from masticfork.entry.routing import Placement
 from masticfork.platform.ratings import RatingClient
 from masticfork.systems.rollout_usage import AnswerOutcome, RolloutUsage
@@ -30,12 +32,14 @@
         tables: Tables,
         metrics: Metrics,
         usage: RolloutUsage,
+        quality: QualityKeeper,
         ratings: RatingClient | None,
         background: Executor,
     ) -> None:
         self._tables = tables
         self._metrics = metrics
         self._usage = usage
+        self._quality = quality
         self._ratings = ratings
         self._background = background
 
@@ -50,10 +54,13 @@
     def ended(self, report: AnswerReport) -> None:
         """Count an answer, and ask for its rating where it is wanted."""
         first = report.first_token_seconds
-        failed = report.outcome == "cut"
+        failed = report.outcome == CUT
         self._usage.answered(AnswerOutcome(report.placement.version, failed, first))
         self._measure(report)
-        if report.frames and report.outcome == ANSWERED:
+        if report.outcome != ANSWERED:
+            return
+        self._quality.answered(_answered(report))
+        if report.frames:
             self._background.submit(self._ask_rating, report)
 
     def _in_rollout(self, version: VersionId) -> bool:
@@ -96,6 +103,17 @@
             _log.debug("rating not asked for", error=asked.err_value.message)
 
 
+def _answered(report: AnswerReport) -> Answered:
+    head = report.call.head
+    return Answered(
+        QualityKey(head.team.name, report.call.work_class),
+        report.placement.version,
+        report.ended_at - head.received_at,
+        report.ended_at,
+        bool(report.frames),
+    )
+
+
 def sampled(request_id: RequestId) -> bool:
     """Tell whether a request is among the share that is rated."""
     return int(digest("rating", request_id), 16) / _DIGEST_RANGE < SAMPLED_SHARE
--- a/masticfork/daemon/control.py
+++ b/masticfork/daemon/control.py
@@ -1,5 +1,7 @@
 """The control parts of a daemon: peers, shared objects, duties, bills, limits."""
 
+import random
+
 import logbook
 from result import Err, Ok, Result
 
@@ -12,6 +14,7 @@
 from masticfork.daemon.duties import DutyLeases
 from masticfork.daemon.host_list import HostListPoller
 from masticfork.daemon.limits import LimitSharing
+from masticfork.daemon.quality import QualityKeeper, RatingFeed
 from masticfork.daemon.rollout_driver import USAGE_TOPIC, RolloutDriver
 from masticfork.daemon.rollout_store import RolloutStore
 from masticfork.daemon.shared import SharedTables
@@ -25,6 +28,10 @@
 from masticfork.peers.records import LinkSettings
 from masticfork.settings.manifest import parse_manifest
 from masticfork.systems.admission import FairAdmission
+from masticfork.systems.cascades import LearntCascade
+from masticfork.systems.drains import Drains
+from masticfork.systems.health import Health
+from masticfork.systems.outcomes import CallEnds
 from masticfork.systems.pool_capacity import PoolCapacity
 from masticfork.systems.rollout_policies import SequentialPolicy
 from masticfork.systems.rollouts import RolloutSystem
@@ -43,6 +50,11 @@
         self._base = base
         tables, store, now = base.tables, base.store, base.now
         self._topics = Topics()
+        chance = random.Random(base.rng.getrandbits(64))
+        self.quality = QualityKeeper(LearntCascade(), chance)
+        self._feed = None
+        if base.ratings is not None:
+            self._feed = RatingFeed(base.ratings, self.quality.rated)
         self.objects = ObjectRelay(SharedTables(tables, base.usage))
         self.bills = BillService(store, tables, base.background, now)
         self.node = self._make_node()
@@ -51,6 +63,8 @@
         self._watch = ObjectWatch(store, self.objects, lambda: watches(tables), now)
         self._host_list = self._make_host_list()
         duties = DutyLeases(LeaseKeeper(store, tables.me.host, now), tables)
+        # Each of the two systems that judge servers takes every end of a call.
+        self.ends = (CallEnds(), CallEnds())
         self.rollouts = RolloutStore(store, self.objects, now)
         self._driver = self._make_driver(duties)
         self._sharing = LimitSharing(tables, duties, self._least_hosts, now)
@@ -68,7 +82,16 @@
         """Return the systems of these parts, in the order of a tick."""
         in_flight, admission = self._base.in_flight, self.admission
         capacity = PoolCapacity(in_flight.at, admission.run_pools)
-        return (self.node, self.objects, capacity, self.bills)
+        health, holds = Health(self.ends[0]), Drains(self.ends[1])
+        return (
+            self.node,
+            self.objects,
+            capacity,
+            self.bills,
+            health,
+            holds,
+            self.quality,
+        )
 
     def start(self) -> None:
         """Start every part in the background."""
@@ -79,6 +102,8 @@
         self._watch.start()
         self._driver.start()
         self._sharing.start()
+        if self._feed is not None:
+            self._feed.start()
         if self._host_list is not None:
             self._host_list.start()
 
@@ -90,6 +115,8 @@
     def stop(self) -> None:
         """Stop every part; bills are flushed before."""
         self._watch.stop()
+        if self._feed is not None:
+            self._feed.stop()
         if self._host_list is not None:
             self._host_list.stop()
         self.bills.stop()
--- a/masticfork/daemon/serving.py
+++ b/masticfork/daemon/serving.py
@@ -66,7 +66,12 @@
         )
         self.claim_flusher = ClaimFlusher(self._claims, base.background)
         self._answers = Answers(
-            base.tables, base.metrics, base.usage, base.ratings, base.background
+            base.tables,
+            base.metrics,
+            base.usage,
+            control.quality,
+            base.ratings,
+            base.background,
         )
         self.listener = self._make_entry()
 
@@ -139,7 +144,11 @@
     def _make_router(self) -> Router:
         signer = SessionSigner(_signing_keys(self._base.settings))
         policy = SessionPolicy(
-            self._base.tables, signer, self._base.usage, self._base.rng
+            self._base.tables,
+            signer,
+            self._base.usage,
+            self._control.quality,
+            self._base.rng,
         )
         return Router(
             self._base.tables,
@@ -147,6 +156,7 @@
             TwoChoices(self._base.in_flight),
             self._base.in_flight,
             BudgetedRetries(),
+            self._control.ends,
             random.Random(self._base.rng.getrandbits(64)),
             self._base.now,
         )
--- a/masticfork/entry/answer.py
+++ b/masticfork/entry/answer.py
@@ -128,6 +128,8 @@
         """
         while True:
             failure = self._relay(sink)
+            if self._server is not None:
+                self._router.ended(self._server, failure)
             if failure is None:
                 self._release()
                 return None
@@ -234,10 +236,12 @@
         )
         event = Dispatched(self._now(), attempt, server.name, offset)
         self._journal.add(head.request_id, event)
+        self._router.in_flight.enter(server.name)
         started = self._engines.start(server, call, head.deadline)
         if isinstance(started, Err):
+            self._router.in_flight.leave(server.name)
+            self._router.ended(server, started.err_value)
             return started.err_value
-        self._router.in_flight.enter(server.name)
         self._stream, self._server = started.ok_value, server
         return None
 
--- a/masticfork/entry/policy.py
+++ b/masticfork/entry/policy.py
@@ -1,17 +1,20 @@
 """Choose the version for a chat request: session, roll-outs, quality, cost."""
 
 import random
+from typing import Protocol
 
 from result import Err, Ok, Result
 
 from masticfork.core.calls import ChatCall
 from masticfork.core.configuration import Configuration
+from masticfork.core.deadlines import Deadline
 from masticfork.core.events import Candidate
-from masticfork.core.ids import ModelName, VersionId, model_of
-from masticfork.core.manifest import AUTO_MODEL, Team, Version
+from masticfork.core.ids import ModelName, TeamName, VersionId, model_of
+from masticfork.core.manifest import AUTO_MODEL, Team, Version, WorkClass
 from masticfork.core.refusals import Reason, Refusal
 from masticfork.core.tables import Tables
 from masticfork.entry.routing import Placement
+from masticfork.systems.cascades import Plan
 from masticfork.systems.rollout_usage import RolloutUsage
 from masticfork.systems.sessions import Session, SessionSigner, new_session
 from masticfork.systems.versions import (
@@ -21,6 +24,21 @@
 )
 
 
+class Planner(Protocol):
+    """Plans the steps that reach a team's quality at the lowest cost."""
+
+    def plan(
+        self,
+        tables: Tables,
+        team: TeamName,
+        work_class: WorkClass,
+        candidates: tuple[VersionId, ...],
+        deadline: Deadline,
+        now: float,
+    ) -> Plan:
+        """Return the plan for one request."""
+
+
 class SessionPolicy:
     """Pins sessions to versions and picks the model where the caller leaves it."""
 
@@ -29,11 +47,13 @@
         tables: Tables,
         signer: SessionSigner,
         usage: RolloutUsage,
+        planner: Planner,
         rng: random.Random,
     ) -> None:
         self._tables = tables
         self._signer = signer
         self._usage = usage
+        self._planner = planner
         self._rng = rng
 
     def place(
@@ -43,11 +63,11 @@
         opened = self._session(call, now)
         if isinstance(opened, Err):
             return opened
+        session = opened.ok_value
         candidates = self._candidates(configuration, call.head.team)
-        model = _chosen_model(configuration, call, candidates)
+        model = self._model(configuration, call, session, now)
         if isinstance(model, Err):
             return model
-        session = opened.ok_value
         assigned = assign_version(
             configuration,
             self._tables.rollouts,
@@ -76,6 +96,43 @@
         )
         return Ok(placement)
 
+    def _model(
+        self, configuration: Configuration, call: ChatCall, session: Session, now: float
+    ) -> Result[ModelName, Refusal]:
+        if call.model != AUTO_MODEL:
+            return _named_model(configuration, call)
+        versions = self._assignable(configuration, call, session)
+        if not versions:
+            message = "no version that the team may use is in service"
+            return Err(Refusal(Reason.MODEL_NOT_ALLOWED, message))
+        pinned = [v for v in versions if session.pinned(model_of(v)) == v]
+        if pinned:
+            return Ok(model_of(pinned[0]))
+        head = call.head
+        plan = self._planner.plan(
+            self._tables, head.team.name, call.work_class, versions, head.deadline, now
+        )
+        first = plan.steps[0].version if plan.steps else versions[0]
+        return Ok(model_of(first))
+
+    def _assignable(
+        self, configuration: Configuration, call: ChatCall, session: Session
+    ) -> tuple[VersionId, ...]:
+        """Return the version of each model that the session would get."""
+        found = []
+        for model in configuration.models:
+            assigned = assign_version(
+                configuration,
+                self._tables.rollouts,
+                call.head.team.name,
+                session,
+                model,
+            )
+            if isinstance(assigned, Ok):
+                version = assigned.ok_value
+                found.append(version.without_permit or version.version)
+        return tuple(found)
+
     def _permitted(
         self, assignment: Assignment, pinned: bool, now: float
     ) -> VersionId | None:
@@ -121,23 +178,6 @@
     )
 
 
-def _chosen_model(
-    configuration: Configuration, call: ChatCall, candidates: tuple[Candidate, ...]
-) -> Result[ModelName, Refusal]:
-    if call.model != AUTO_MODEL:
-        return _named_model(configuration, call)
-    cheapest = next((c for c in candidates if c.ruled_out_by is None), None)
-    if cheapest is not None:
-        return Ok(model_of(cheapest.version))
-    # Where nothing reaches the target, the best that is allowed answers.
-    below = [c for c in candidates if c.ruled_out_by == "below_quality_target"]
-    if not below:
-        message = "no version that the team may use is in service"
-        return Err(Refusal(Reason.MODEL_NOT_ALLOWED, message))
-    best = max(below, key=_quality)
-    return Ok(model_of(best.version))
-
-
 def _named_model(
     configuration: Configuration, call: ChatCall
 ) -> Result[ModelName, Refusal]:
@@ -146,10 +186,6 @@
     return Err(Refusal(Reason.MODEL_UNKNOWN, f"no model {call.model!r}"))
 
 
-def _quality(candidate: Candidate) -> float:
-    return candidate.expected_quality or 0.0
-
-
 def _reason(session: Session, model: ModelName, version: VersionId) -> str:
     pin = session.pinned(model)
     if pin is None:
--- a/masticfork/entry/routing.py
+++ b/masticfork/entry/routing.py
@@ -8,6 +8,7 @@
 import attrs
 from result import Err, Ok, Result
 
+from masticfork.backends.failures import CallFailure
 from masticfork.core.calls import ChatCall
 from masticfork.core.configuration import Configuration
 from masticfork.core.deadlines import Deadline
@@ -17,6 +18,7 @@
 from masticfork.core.refusals import Reason, Refusal
 from masticfork.core.tables import Tables
 from masticfork.systems.eligibility import check_dispatch
+from masticfork.systems.outcomes import CallEnds, outcome_of
 from masticfork.systems.placement import InFlight, ServerChooser, available
 from masticfork.systems.pool_capacity import pool_key
 from masticfork.systems.retries import RetryPolicy
@@ -63,18 +65,28 @@
         chooser: ServerChooser,
         in_flight: InFlight,
         retries: RetryPolicy,
+        ends: tuple[CallEnds, ...],
         rng: random.Random,
         now: Callable[[], float],
     ) -> None:
         self._tables = tables
         self._policy = policy
         self._chooser = chooser
+        self._ends = ends
         self._rng = rng
         self._rng_lock = threading.Lock()
         self._now = now
         self.in_flight = in_flight
         self.retries = retries
 
+    def ended(self, server: BackendServer, failure: CallFailure | None) -> None:
+        """Tell the systems that judge servers how a call ended."""
+        outcome = outcome_of(failure)
+        if outcome is None:
+            return
+        for ends in self._ends:
+            ends.add(server.name, outcome, self._now())
+
     def place(self, call: ChatCall) -> Result[Placement, Refusal]:
         """Choose the version for a chat request."""
         configuration = self._tables.configuration
--- a/masticfork/entry/services.py
+++ b/masticfork/entry/services.py
@@ -119,6 +119,7 @@
         )
     finally:
         parts.router.in_flight.leave(server.name)
+    parts.router.ended(server, answered.err())
     if isinstance(answered, Err):
         failure = answered.err_value
         event = AttemptFailed(
