--- a/features/steps/hosts.py
+++ b/features/steps/hosts.py
@@ -107,6 +107,7 @@
         "platform": {"embedded": True},
         "session_keys": [{"id": "s", "secret_hex": SECRET}],
         "admin_keys": [{"name": "operations", "role": "operator", **key_hash("admin")}],
+        "shutdown": {"not_ready_seconds": 0.01, "finish_seconds": 2},
         "log_level": "error",
     }
     return json.dumps(value)
@@ -140,7 +141,7 @@
     context.stack.callback(daemon.stop)
     value = {
         "submission_id": "features",
-        "manifest": json.dumps(manifest(small.port, large.port, orders.port)),
+        "manifest": manifest(small.port, large.port, orders.port),
     }
     deadline = Deadline.after(context.clock(), START_SECONDS)
     daemon.store.create(CONFIGURATION_KEY, value, deadline).unwrap()
--- a/masticfork/admin/status.py
+++ b/masticfork/admin/status.py
@@ -34,7 +34,7 @@
         pools=_pools(tables, configuration, now),
         services=_services(tables, configuration, now),
         leases=leases,
-        rollouts=tuple(map(_rollout_view, tuple(tables.rollouts.values()))),
+        rollouts=tuple(map(rollout_view, tuple(tables.rollouts.values()))),
     )
 
 
@@ -102,7 +102,8 @@
     return row.ejected_until is not None and not row.ejected_until.expired(now)
 
 
-def _rollout_view(row: RolloutRow) -> RolloutView:
+def rollout_view(row: RolloutRow) -> RolloutView:
+    """Return what administrators see of a roll-out."""
     return RolloutView(
         name=row.name,
         model=row.model,
--- /dev/null
+++ b/masticfork/daemon/admin_backend.py
@@ -0,0 +1,138 @@
+"""What the administration API sees and changes of this daemon."""
+
+from collections.abc import Callable
+
+import attrs
+from result import Err, Ok, Result
+
+from masticfork.admin.backend import BillQuery, Order
+from masticfork.admin.drains import Drains
+from masticfork.admin.problems import Problem, ProblemCode
+from masticfork.admin.status import rollout_view, status_of
+from masticfork.admin.views import (
+    BillPage,
+    DrainView,
+    Explanation,
+    LeaseView,
+    RolloutAction,
+    RolloutView,
+    Status,
+)
+from masticfork.core.events import Journal, Received
+from masticfork.core.ids import RequestId
+from masticfork.core.manifest import Rollout
+from masticfork.core.rollouts import RolloutRow
+from masticfork.core.tables import Tables
+from masticfork.daemon.bill_reader import BillReader
+from masticfork.daemon.rollout_store import RolloutStore
+from masticfork.systems.rollout_actions import Action, act
+from masticfork.systems.rollouts import new_row
+
+# Times that an order is tried against others of the same roll-out.
+MAX_TRIES = 4
+
+
+class DaemonBackend:
+    """Answers the administration API out of the tables and the platform."""
+
+    def __init__(
+        self,
+        tables: Tables,
+        journal: Journal,
+        drains: Drains,
+        rollouts: RolloutStore,
+        bills: BillReader,
+        leases: Callable[[], tuple[LeaseView, ...]],
+        address: str,
+        now: Callable[[], float],
+    ) -> None:
+        self._tables = tables
+        self._journal = journal
+        self._drains = drains
+        self._rollouts = rollouts
+        self._bills = bills
+        self._leases = leases
+        self._address = address
+        self._now = now
+
+    def status(self) -> Status:
+        """Return what this host knows now."""
+        leases = self._leases()
+        return status_of(self._tables, self._address, leases, self._now())
+
+    def change_rollout(
+        self, name: str, action: RolloutAction, order: Order
+    ) -> Result[RolloutView, Problem]:
+        """Change a roll-out's row, told apart from changes that came between."""
+        declared = self._declared(name)
+        if declared is None:
+            message = f"the manifest declares no roll-out {name!r}"
+            return Err(Problem(ProblemCode.NOT_FOUND, message))
+        for _ in range(MAX_TRIES):
+            changed = self._changed(declared, action, order)
+            if isinstance(changed, Err):
+                return changed
+            row, stands = changed.ok_value
+            if stands or self._rollouts.put(row):
+                return Ok(rollout_view(row))
+        message = f"roll-out {name!r} was changed by others at the same time"
+        return Err(Problem(ProblemCode.CONFLICT, message))
+
+    def _declared(self, name: str) -> Rollout | None:
+        configuration = self._tables.configuration
+        rollouts = configuration.manifest.rollouts if configuration else ()
+        return next((r for r in rollouts if r.name == name), None)
+
+    def _changed(
+        self, declared: Rollout, action: RolloutAction, order: Order
+    ) -> Result[tuple[RolloutRow, bool], Problem]:
+        """Return the row after the order, and whether it stands already."""
+        read = self._rollouts.read(declared.name)
+        if isinstance(read, Err):
+            message = read.err_value.message
+            return Err(Problem(ProblemCode.PLATFORM_DOWN, message))
+        row = read.ok_value
+        if row is None:
+            started = new_row(declared, 0, self._now())
+            if action is RolloutAction.START:
+                return Ok((started, False))
+            row = started
+        if action is RolloutAction.START:
+            return Ok((row, True))
+        operator = f"{order.actor.name} ({order.submission_id})"
+        if row.reason.endswith(f"by {operator}"):
+            return Ok((row, True))
+        acted = act(row, Action(action.value), operator)
+        if isinstance(acted, Err):
+            message = acted.err_value.message
+            return Err(Problem(ProblemCode.CONFLICT, message))
+        return Ok((acted.ok_value, False))
+
+    def start_drain(
+        self, kind: str, name: str, order: Order
+    ) -> Result[DrainView, Problem]:
+        """Give a server or host no new work."""
+        return self._drains.start(kind, name, order)
+
+    def end_drain(
+        self, kind: str, name: str, order: Order
+    ) -> Result[DrainView, Problem]:
+        """Let a server or host take work again."""
+        return self._drains.end(kind, name, order)
+
+    def bills(self, query: BillQuery) -> Result[BillPage, Problem]:
+        """Return a page of bills."""
+        return self._bills.page(query)
+
+    def explain(self, request_id: str) -> Result[Explanation, Problem]:
+        """Return the events of a request that this host served."""
+        events = self._journal.of(RequestId(request_id))
+        if not events:
+            message = f"this host has no events of request {request_id!r}"
+            return Err(Problem(ProblemCode.NOT_FOUND, message))
+        team = next((e.team for e in events if isinstance(e, Received)), "")
+        rows = tuple(
+            {"kind": type(event).__name__.lower(), **attrs.asdict(event)}
+            for event in events
+        )
+        return Ok(Explanation(request_id, team, rows))
--- a/masticfork/daemon/daemon.py
+++ b/masticfork/daemon/daemon.py
@@ -1,41 +1,31 @@
 """One daemon: builds its parts from the settings, starts and stops them."""
 
 import random
-import secrets
 import threading
 from collections.abc import Callable
-from concurrent.futures import ThreadPoolExecutor
 
 import logbook
 
-from masticfork.backends.connections import ConnectionPool
-from masticfork.backends.engine import EngineClient
-from masticfork.backends.service import ServiceClient
+from masticfork.admin.app import AdminApp
+from masticfork.admin.drains import Drains
+from masticfork.admin.submissions import Submissions
 from masticfork.core.events import Journal
-from masticfork.core.ids import HostName, ZoneName
-from masticfork.core.tables import SelfRow, Tables
-from masticfork.daemon.configuration import ConfigurationWatch
+from masticfork.daemon.admin_backend import DaemonBackend
+from masticfork.daemon.base import Base
+from masticfork.daemon.bill_reader import BillReader
+from masticfork.daemon.control import ControlParts
+from masticfork.daemon.lease_views import lease_views
 from masticfork.daemon.listener import Listener, ListenerSettings
-from masticfork.daemon.metrics import Metrics
+from masticfork.daemon.operations import OperationsApp
+from masticfork.daemon.serving import ServingParts
+from masticfork.daemon.shutdown import ShutdownSteps
 from masticfork.daemon.ticker import Ticker
-from masticfork.entry.app import EntryApp, EntryParts
-from masticfork.entry.billing import VolatileBills
-from masticfork.entry.chat import ChatHandler, ChatParts
-from masticfork.entry.parsing import Limits
-from masticfork.entry.policy import SessionPolicy
-from masticfork.entry.routing import Router
-from masticfork.entry.services import ServiceHandler, ServiceParts
-from masticfork.platform.client import CallCounter, ObjectStore
-from masticfork.platform.embedded import EmbeddedStore
-from masticfork.platform.http import HttpObjectStore
+from masticfork.platform.client import ObjectStore
 from masticfork.settings.settings import Settings
-from masticfork.systems.placement import InFlight, TwoChoices
-from masticfork.systems.sessions import SessionSigner, SigningKey
 
-BACKGROUND_THREADS = 16
-TRIAL_SECRET_BYTES = 32
-# The parser's own bounds lie above the checked ones, so that those answer first.
-PARSER_MARGIN = 2
+ADMIN_THREADS = 8
+# How late a signal may be acted on.
+SIGNAL_SECONDS = 0.5
 
 _log = logbook.Logger("daemon")
 
@@ -49,127 +39,94 @@
         now: Callable[[], float],
         rng: random.Random | None = None,
     ) -> None:
-        self._settings = settings
-        self._now = now
-        self._rng = rng or random.SystemRandom()
-        me = SelfRow(HostName(settings.host), ZoneName(settings.zone))
-        self._tables = Tables(me)
-        self._metrics = Metrics()
-        self._journal = Journal()
-        self._calls = CallCounter()
-        self._store = _make_store(settings, self._calls, now)
-        self._pool = ConnectionPool(now)
-        self._background = ThreadPoolExecutor(BACKGROUND_THREADS, "background")
-        self._in_flight = InFlight()
-        self._ticker = Ticker(self._tables, (), now)
-        self._watch = ConfigurationWatch(
-            self._store, self._tables, settings.confirm_seconds, now
-        )
-        self._entry = self._make_entry()
+        self._base = Base(settings, now, rng or random.SystemRandom())
+        self._control = ControlParts(self._base)
+        self._serving = ServingParts(self._base, self._control)
+        systems = (*self._control.systems, self._serving.claim_flusher)
+        self._ticker = Ticker(self._base.tables, systems, now)
+        self._admin = self._make_admin()
         self._stopped = threading.Event()
 
     @property
     def journal(self) -> Journal:
         """Return the events of the last requests."""
-        return self._journal
+        return self._base.journal
 
     @property
     def store(self) -> ObjectStore:
         """Return the platform's object API as this daemon sees it."""
-        return self._store
+        return self._base.store
 
     @property
     def entry_port(self) -> int:
         """Return the port for callers."""
-        return self._entry.port
+        return self._serving.listener.port
 
     def run(self) -> None:
         """Serve until `stop` is called."""
         self._ticker.start()
-        self._watch.start()
-        self._entry.start()
-        _log.info("started", entry_port=self._entry.port)
-        self._stopped.wait()
-        self._entry.stop()
-        self._watch.stop()
-        self._ticker.stop()
-        self._background.shutdown(wait=False, cancel_futures=True)
-        self._pool.close()
+        self._control.start()
+        self._admin.start()
+        self._serving.listener.start()
+        _log.info("started", entry_port=self.entry_port, admin_port=self._admin.port)
+        # A signal may reach another thread; its handler only runs once this one wakes.
+        while not self._stopped.wait(SIGNAL_SECONDS):
+            pass
+        self._serving.shutdown.run(self._steps())
 
     def stop(self) -> None:
         """End `run`."""
         self._stopped.set()
 
-    def _make_entry(self) -> Listener:
-        settings = self._settings.entry
-        router = self._make_router()
-        engines = EngineClient(self._pool, self._now)
-        chat = ChatParts(
-            self._tables,
-            router,
-            engines,
-            VolatileBills(lambda _: None),
-            self._journal,
-            self._background,
-            self._now,
-        )
-        client = ServiceClient(self._pool, self._now)
-        services = ServiceParts(router, client, self._journal, self._now)
-        limits = Limits(
-            settings.max_body_bytes,
-            settings.max_header_count,
-            settings.max_header_bytes,
+    def _steps(self) -> ShutdownSteps:
+        background = self._base.background
+        return ShutdownSteps(
+            flush=(
+                self._serving.flush,
+                self._control.bills.flush,
+                lambda _: self._control.hand_back(),
+            ),
+            close=(
+                self._serving.stop,
+                self._admin.stop,
+                self._ticker.stop,
+                self._control.stop,
+                lambda: background.shutdown(wait=False, cancel_futures=True),
+            ),
         )
-        parts = EntryParts(
-            tables=self._tables,
-            chat=ChatHandler(chat),
-            services=ServiceHandler(services),
-            journal=self._journal,
-            limits=limits,
-            ready=self._ready,
-            observe=self._observe,
-            now=self._now,
+
+    def _make_admin(self) -> Listener:
+        settings, entry = self._base.settings.admin, self._base.settings.entry
+        backend = DaemonBackend(
+            self._base.tables,
+            self._base.journal,
+            Drains(self._base.store, self._base.now),
+            self._control.rollouts,
+            BillReader(self._base.store, self._base.now),
+            lambda: lease_views(self._base.store, self._base.now),
+            self._base.advertised,
+            self._base.now,
         )
+        submissions = Submissions(self._base.store, self._base.now)
+        keys = self._base.settings.admin_keys
+        admin = AdminApp(backend, submissions, keys, self._base.now)
+        app = OperationsApp(admin, self._exposition, self._serving.ready)
         listening = ListenerSettings(
             settings.host,
             settings.port,
-            settings.threads,
-            settings.max_body_bytes * PARSER_MARGIN,
-            settings.max_header_bytes * PARSER_MARGIN,
-            int(settings.idle_timeout_seconds),
+            ADMIN_THREADS,
+            entry.max_body_bytes,
+            entry.max_header_bytes,
+            int(entry.idle_timeout_seconds),
         )
-        return Listener(EntryApp(parts), listening)
-
-    def _make_router(self) -> Router:
-        signer = SessionSigner(_signing_keys(self._settings))
-        policy = SessionPolicy(self._tables, signer, self._rng)
-        return Router(
-            self._tables,
-            policy,
-            TwoChoices(self._in_flight),
-            self._in_flight,
-            random.Random(self._rng.getrandbits(64)),
-            self._now,
+        return Listener(app, listening)
+
+    def _exposition(self) -> bytes:
+        configuration = self._base.tables.configuration
+        self._base.metrics.refresh(
+            self._base.in_flight.total(),
+            configuration.number if configuration else 0,
+            {kind.value: count for kind, count in self._base.calls.calls().items()},
+            self._control.node.link.counts,
         )
-
-    def _ready(self) -> bool:
-        return self._tables.configuration is not None and not self._tables.me.stopping
-
-    def _observe(self, method: str, path: str, status: int, started: float) -> None:
-        self._metrics.requests.labels(str(status)).inc()
-
-
-def _make_store(
-    settings: Settings, calls: CallCounter, now: Callable[[], float]
-) -> ObjectStore:
-    url = settings.platform.url
-    if url is None:
-        return EmbeddedStore(now, calls)
-    return HttpObjectStore(url.removeprefix("http://"), now, calls)
-
-
-def _signing_keys(settings: Settings) -> tuple[SigningKey, ...]:
-    if not settings.session_keys:
-        _log.warning("no session keys: sessions end with this process")
-        return (SigningKey("trial", secrets.token_bytes(TRIAL_SECRET_BYTES)),)
-    return tuple(SigningKey(key.id, key.secret) for key in settings.session_keys)
+        return self._base.metrics.exposition()
--- /dev/null
+++ b/masticfork/daemon/duties.py
@@ -0,0 +1,64 @@
+"""Which host takes which control duty."""
+
+import logbook
+from result import Err
+
+from masticfork.core.ids import HostName, digest
+from masticfork.core.tables import Tables
+from masticfork.ledger.lease_records import Held, Lease
+from masticfork.ledger.leases import LeaseKeeper
+from masticfork.systems.membership import live_hosts
+from masticfork.systems.rollouts import DriverLease
+
+# Hosts that try to take a duty; the others leave the platform alone.
+CANDIDATES = 2
+
+_log = logbook.Logger("duties")
+
+
+class DutyLeases:
+    """Takes a duty only on the hosts that rendezvous hashing ranks first.
+
+    Hosts may differ for a moment on who they are: the lease alone decides.
+    """
+
+    def __init__(self, keeper: LeaseKeeper, tables: Tables) -> None:
+        self._keeper = keeper
+        self._tables = tables
+        self._held: dict[str, Lease] = {}
+
+    def hold(self, duty: str) -> DriverLease | None:
+        """Return the lease where this host holds it, acquiring it if it is free."""
+        if self._keeper.held(duty) is None and not self._candidate(duty):
+            return None
+        outcome = self._keeper.hold(duty)
+        if isinstance(outcome, Err):
+            _log.warning("lease failed", duty=duty, error=outcome.err_value.message)
+            lease = self._keeper.held(duty)
+        else:
+            held = outcome.ok_value
+            lease = held.lease if isinstance(held, Held) else None
+        if lease is None:
+            self._held.pop(duty, None)
+            return None
+        self._held[duty] = lease
+        return DriverLease(lease.fencing, lease.until)
+
+    def release_all(self) -> None:
+        """Give all duties back, so that others need not wait for their end."""
+        for duty, lease in list(self._held.items()):
+            released = self._keeper.release(lease)
+            if isinstance(released, Err):
+                message = released.err_value.message
+                _log.warning("lease is not given back", duty=duty, error=message)
+        self._held.clear()
+
+    def _candidate(self, duty: str) -> bool:
+        me = self._tables.me.host
+        hosts = [me, *(row.host for row in live_hosts(self._tables))]
+        ranked = sorted(hosts, key=lambda host: _rank(duty, host))
+        return me in ranked[:CANDIDATES]
+
+
+def _rank(duty: str, host: HostName) -> str:
+    return digest("duty", duty, host)
--- a/masticfork/entry/routing.py
+++ b/masticfork/entry/routing.py
@@ -8,6 +8,7 @@
 import attrs
 from result import Err, Ok, Result
 
+from masticfork.backends.failures import CallFailure
 from masticfork.core.calls import ChatCall
 from masticfork.core.configuration import Configuration
 from masticfork.core.deadlines import Deadline
@@ -17,7 +18,10 @@
 from masticfork.core.refusals import Reason, Refusal
 from masticfork.core.tables import Tables
 from masticfork.systems.eligibility import check_dispatch
+from masticfork.systems.outcomes import CallEnds, outcome_of
 from masticfork.systems.placement import InFlight, ServerChooser, available
+from masticfork.systems.pool_capacity import pool_key
+from masticfork.systems.retries import RetryPolicy
 from masticfork.systems.sessions import Session
 
 # When callers should come back while no server can take their work.
@@ -60,16 +64,28 @@
         policy: VersionPolicy,
         chooser: ServerChooser,
         in_flight: InFlight,
+        retries: RetryPolicy,
+        ends: tuple[CallEnds, ...],
         rng: random.Random,
         now: Callable[[], float],
     ) -> None:
         self._tables = tables
         self._policy = policy
         self._chooser = chooser
+        self._ends = ends
         self._rng = rng
         self._rng_lock = threading.Lock()
         self._now = now
         self.in_flight = in_flight
+        self.retries = retries
+
+    def ended(self, server: BackendServer, failure: CallFailure | None) -> None:
+        """Tell the systems that judge servers how a call ended."""
+        outcome = outcome_of(failure)
+        if outcome is None:
+            return
+        for ends in self._ends:
+            ends.add(server.name, outcome, self._now())
 
     def place(self, call: ChatCall) -> Result[Placement, Refusal]:
         """Choose the version for a chat request."""
@@ -78,6 +94,13 @@
             return Err(Refusal(Reason.NO_CONFIGURATION, "no configuration yet"))
         return self._policy.place(configuration, call, self._now())
 
+    def budget_of(self, placement: Placement) -> str:
+        """Return the name of the retry budget of a version's pool."""
+        configuration = self._tables.configuration
+        versions = configuration.versions if configuration else {}
+        version = versions.get(placement.version)
+        return pool_key(version.pool if version else "")
+
     def choose_engine(
         self, team: Team, placement: Placement, tried: frozenset[ServerName]
     ) -> Result[BackendServer, Refusal]:
--- a/masticfork/entry/services.py
+++ b/masticfork/entry/services.py
@@ -1,6 +1,7 @@
 """Pass calls to plain services."""
 
 from collections.abc import Callable
+from typing import Protocol
 
 import attrs
 from result import Err, Ok, Result
@@ -13,10 +14,12 @@
 from masticfork.core.ids import AttemptId, ServerName, random_id
 from masticfork.core.manifest import BackendServer
 from masticfork.core.refusals import Reason, Refusal, RunState
+from masticfork.entry.gate import Gate, service_admission
 from masticfork.entry.responses import Response, refusal_response
 from masticfork.entry.routing import Router
+from masticfork.systems.pool_capacity import service_key
 
-MAX_ATTEMPTS = 3
+INTERNAL_ERROR = 500
 _DROPPED_ANSWER_HEADERS = frozenset(
     {"connection", "date", "keep-alive", "server", "transfer-encoding", "trailer"}
 )
@@ -28,11 +31,12 @@
 
     router: Router
     client: ServiceClient
+    gate: Gate
     journal: Journal
     now: Callable[[], float]
 
 
-class ServiceHandler:
+class RepeatableHandler:
     """Runs calls that may be repeated, with retries on other servers."""
 
     def __init__(self, parts: ServiceParts) -> None:
@@ -47,35 +51,75 @@
 
     def _run(self, call: ServiceCall) -> Result[ServiceAnswer, Refusal]:
         tried: frozenset[ServerName] = frozenset()
-        last = Refusal(Reason.NO_SERVER, "no server was tried")
-        for number in range(MAX_ATTEMPTS):
+        last: Refusal | None = None
+        while may_try(self._parts, call, len(tried)):
             chosen = self._parts.router.choose(call.service.servers, tried)
             if isinstance(chosen, Err):
-                return Err(last if number else chosen.err_value)
+                return Err(last or chosen.err_value)
             server = chosen.ok_value
             tried |= {server.name}
             answered = dispatch(self._parts, call, server, AttemptId(random_id("try")))
             if isinstance(answered, Ok):
                 return answered
             last = refusal_of(answered.err_value, call, self._parts.now())
-            if last.reason is Reason.DEADLINE_EXPIRED:
-                break
-        return Err(last)
+        return Err(last or Refusal(Reason.NO_SERVER, "no server was tried"))
+
+
+class Handler(Protocol):
+    """Answers calls of one kind of operation."""
+
+    def handle(self, call: ServiceCall) -> Response:
+        """Return the response to a call."""
+
+
+@attrs.frozen
+class ServiceHandler:
+    """Hands a call to the handler that fits its operation."""
+
+    _parts: ServiceParts
+    _repeatable: Handler
+    _once: Handler
+
+    def handle(self, call: ServiceCall) -> Response:
+        """Return the response to a call."""
+        handler = self._repeatable if call.operation.idempotent else self._once
+        entered = self._parts.gate.enter(service_admission(call))
+        if isinstance(entered, Err):
+            return refuse(self._parts, call, entered.err_value)
+        tokens = None
+        try:
+            response = handler.handle(call)
+            tokens = 0.0 if response.status < INTERNAL_ERROR else None
+            return response
+        finally:
+            self._parts.gate.leave(entered.ok_value, tokens)
 
 
 def dispatch(
-    parts: ServiceParts, call: ServiceCall, server: BackendServer, attempt: AttemptId
+    parts: ServiceParts,
+    call: ServiceCall,
+    server: BackendServer,
+    attempt: AttemptId,
+    may_send: Callable[[], bool] = lambda: True,
 ) -> Result[ServiceAnswer, CallFailure]:
-    """Send one attempt to one server and record what became of it."""
+    """Send one attempt to one server and record what became of it.
+
+    `may_send` is asked once the connection stands, right before the first byte.
+    """
     request_id = call.head.request_id
     parts.journal.add(request_id, Dispatched(parts.now(), attempt, server.name))
     parts.router.in_flight.enter(server.name)
     try:
         answered = parts.client.call(
-            server, backend_request(call), call.head.deadline, call.operation.idempotent
+            server,
+            backend_request(call),
+            call.head.deadline,
+            call.operation.idempotent,
+            may_send,
         )
     finally:
         parts.router.in_flight.leave(server.name)
+    parts.router.ended(server, answered.err())
     if isinstance(answered, Err):
         failure = answered.err_value
         event = AttemptFailed(
@@ -85,6 +129,15 @@
     return answered
 
 
+def may_try(parts: ServiceParts, call: ServiceCall, attempts: int) -> bool:
+    """Tell whether a call may be sent, after as many attempts; count it if so."""
+    retries, budget = parts.router.retries, service_key(call.service.name)
+    if not attempts:
+        retries.first(budget)
+        return True
+    return retries.again(budget, attempts, call.head.deadline, parts.now())
+
+
 def backend_request(call: ServiceCall) -> Request:
     """Return the request as the service gets it."""
     headers = [*call.headers, ("Idempotency-Key", str(call.head.request_id))]
