--- a/masticfork/systems/service_times.py
+++ b/masticfork/systems/service_times.py
@@ -8,7 +8,7 @@
 # and Control", SIGCOMM 1988, for the estimate of round-trip times.
 MEAN_GAIN = 1 / 8
 DEVIATION_GAIN = 1 / 4
-DEVIATIONS = 2.0
+DEVIATIONS = 4.0
 # Used before the first request has ended.
 FIRST_SECONDS = 0.1
 
