--- a/masticfork/peers/node.py
+++ b/masticfork/peers/node.py
@@ -11,8 +11,8 @@
 
 from masticfork.core.deadlines import Deadline
 from masticfork.core.findings import Findings
-from masticfork.core.hosts import HostReport, HostState, ListedHost
-from masticfork.core.ids import HostName
+from masticfork.core.hosts import NO_REGION, HostReport, HostState, ListedHost
+from masticfork.core.ids import HostName, ZoneName
 from masticfork.core.tables import Tables
 from masticfork.peers.configuration_relay import Check, ConfigurationRelay, Question
 from masticfork.peers.gossip import Gossip, known_host, report_of
@@ -20,9 +20,9 @@
 from masticfork.peers.messages import (
     Body,
     ConfigurationRequest,
-    Goodbye,
     Heartbeat,
     Hosts,
+    KnownHost,
 )
 from masticfork.peers.platform_watch import PlatformWatch
 from masticfork.peers.records import Handler, Handlers, LinkSettings, Sender
@@ -33,6 +33,8 @@
 from masticfork.systems.watchers import watches
 
 HEARTBEAT_SECONDS = 1.0
+# How often the choice of peers is looked at while no host comes or goes.
+CHOICE_SECONDS = 5.0
 # What waits for the next tick; more than this is dropped, oldest first.
 MAX_INBOX = 10_000
 
@@ -69,16 +71,19 @@
         self._gossip = Gossip()
         self._inbox: collections.deque[_Intake] = collections.deque(maxlen=MAX_INBOX)
         self._next_heartbeat = Deadline(0.0)
+        self._next_choice = Deadline(0.0)
+        self._chosen_among = 0
         # Replies are taken in here: checking a manifest would hold up a link.
         self._worker = ThreadPoolExecutor(1, thread_name_prefix="relay")
         tables.me = attrs.evolve(tables.me, incarnation=settings.link.incarnation)
         bodies: dict[type[Any], Handler] = dict(handlers or {})
         bodies[Heartbeat] = self._on_heartbeat
         bodies[Hosts] = self._on_hosts
-        bodies[Goodbye] = self._on_goodbye
         bodies[ConfigurationRequest] = self._on_request
         self._link = PeerLink(
-            settings.link, Handlers(bodies, self._on_linked, self._on_unlinked), now
+            settings.link,
+            Handlers(bodies, self._on_linked, self._on_unlinked, self._on_parted),
+            now,
         )
         self._relay = ConfigurationRelay(tables, check, self, settings.confirm_seconds)
         self._watch = None
@@ -130,7 +135,7 @@
         if self._next_heartbeat.expired(now):
             wait = self._settings.heartbeat_seconds
             self._next_heartbeat = Deadline.after(now, wait)
-            self._link.set_peers(_to_dial(tables))
+            self._choose(tables, now)
             self._link.broadcast(self._heartbeat(self._gossip.digest(tables, now)))
         return tuple(finding for some in findings for finding in some)
 
@@ -143,12 +148,22 @@
         reply = self._link.request(question.host, question.request, question.until)
         reply.add_done_callback(lambda done: self._on_reply(question, done))
 
-    def _heartbeat(self, known: tuple[Any, ...] = ()) -> Heartbeat:
+    def _choose(self, tables: Tables, now: float) -> None:
+        count = len(tables.hosts)
+        if count == self._chosen_among and not self._next_choice.expired(now):
+            return
+        self._chosen_among = count
+        self._next_choice = Deadline.after(now, CHOICE_SECONDS)
+        self._link.set_peers(_to_dial(tables))
+
+    def _heartbeat(
+        self, known: tuple[KnownHost, ...] = (), *, first: bool = False
+    ) -> Heartbeat:
         me = self._tables.me
         return Heartbeat(
-            zone=me.zone,
-            region=me.region,
-            address=self._settings.advertise,
+            zone=me.zone if first else ZoneName(""),
+            region=me.region if first else NO_REGION,
+            address=self._settings.advertise if first else "",
             leaving=me.stopping,
             configuration_number=self._relay.number,
             known=known,
@@ -168,7 +183,7 @@
         self._report(self._relay.replied(question, reply, self._now()))
 
     def _on_linked(self, sender: Sender) -> None:
-        self._link.send(sender.host, self._heartbeat())
+        self._link.send(sender.host, self._heartbeat(first=True))
 
         def tell_all(tables: Tables, now: float) -> Findings:
             rows = [row for row in tables.hosts.values() if row.incarnation]
@@ -207,7 +222,7 @@
 
         self._inbox.append(take)
 
-    def _on_goodbye(self, sender: Sender, body: Goodbye) -> None:
+    def _on_parted(self, sender: Sender) -> None:
         host = sender.host
         self._inbox.append(lambda t, now: self._membership.parted(t, host, now))
 
