Hedge slow lookups within the budgets

A lookup that met a paused server waited for it. Lookups of plain services are now sent to a second server after the observed 95th percentile, within a budget of 5% and that of retries; the first answer counts. Other calls are not hedged, and a call never queues for a thread.

--- /dev/null
+++ b/bench/experiments/retries.py
@@ -0,0 +1,134 @@
+"""Measure attempts at a dead pool and what retries and hedges mend, over seeds."""
+
+import random
+import statistics
+from collections.abc import Callable, Sequence
+
+import attrs
+import click
+
+from masticfork.core.deadlines import Deadline
+from masticfork.systems.hedging import HedgePolicy, NoHedges, PercentileHedges
+from masticfork.systems.retries import BudgetedRetries, FixedRetries, RetryPolicy
+
+POOL = "pool/p"
+RATE = 50.0
+# The pool works, then is dead for a while, then works again.
+DEAD_FROM_SECONDS, DEAD_UNTIL_SECONDS, END_SECONDS = 30.0, 60.0, 90.0
+SERVERS = 8
+# Part of the attempts that fail while the pool works.
+FAILING = 0.01
+PATIENCE_SECONDS = 5.0
+RETRIES: dict[str, Callable[[], RetryPolicy]] = {
+    "budget": BudgetedRetries,
+    "fixed": FixedRetries,
+}
+HEDGES: dict[str, Callable[[], HedgePolicy]] = {
+    "hedged": PercentileHedges,
+    "not hedged": NoHedges,
+}
+LOOKUPS = 20_000
+LOOKUP_SECONDS = 0.005
+# Part of the lookups that meet a pause of their server, and how long it is.
+PAUSED, PAUSE_SECONDS = 0.02, 0.2
+
+
+@attrs.define
+class Attempts:
+    """Requests and attempts of one seed."""
+
+    dead_requests: int = 0
+    dead_attempts: int = 0
+    dead_answered: int = 0
+    requests: int = 0
+    answered: int = 0
+
+    @property
+    def amplification(self) -> float:
+        """Return the attempts a request while the pool is dead."""
+        return self.dead_attempts / self.dead_requests
+
+    @property
+    def dead_success(self) -> float:
+        """Return the answered part of the requests while servers are dead."""
+        return self.dead_answered / self.dead_requests
+
+    @property
+    def success(self) -> float:
+        """Return the answered part of the requests while the pool works."""
+        return self.answered / self.requests
+
+
+def dead_pool(policy: RetryPolicy, dead_servers: int, seed: int) -> Attempts:
+    """Run requests at a pool of which some servers die for a while."""
+    rng, counts, now = random.Random(seed), Attempts(), 0.0
+    while (now := now + rng.expovariate(RATE)) < END_SECONDS:
+        dead = DEAD_FROM_SECONDS <= now < DEAD_UNTIL_SECONDS
+        deadline = Deadline.after(now, PATIENCE_SECONDS)
+        policy.first(POOL)
+        servers = rng.sample(range(SERVERS), SERVERS)
+        attempts = 1
+        while not (answered := _answers(rng, servers[attempts], dead, dead_servers)):
+            if not policy.again(POOL, attempts, deadline, now):
+                break
+            attempts += 1
+        if dead:
+            counts.dead_requests += 1
+            counts.dead_attempts += attempts
+            counts.dead_answered += answered
+        else:
+            counts.requests += 1
+            counts.answered += answered
+    return counts
+
+
+def _answers(rng: random.Random, server: int, dead: bool, dead_servers: int) -> bool:
+    return not (dead and server < dead_servers) and rng.random() >= FAILING
+
+
+def lookups(policy: HedgePolicy, seed: int) -> tuple[float, float]:
+    """Return the 99th percentile of lookups, in seconds, and hedges a lookup."""
+    rng, hedges, seconds = random.Random(seed), 0, []
+    for _ in range(LOOKUPS):
+        taken = _lookup(rng)
+        delay = policy.delay_seconds(POOL)
+        if delay is not None and taken > delay and policy.take(POOL):
+            hedges += 1
+            taken = min(taken, delay + _lookup(rng))
+        policy.observe(POOL, taken)
+        seconds.append(taken)
+    return sorted(seconds)[int(0.99 * LOOKUPS)], hedges / LOOKUPS
+
+
+def _lookup(rng: random.Random) -> float:
+    pause = PAUSE_SECONDS if rng.random() < PAUSED else 0.0
+    return pause + LOOKUP_SECONDS * (0.5 + 0.5 * rng.expovariate(1.0))
+
+
+def _spread(values: Sequence[float]) -> str:
+    return f"{statistics.fmean(values):.3f} (most {max(values):.3f})"
+
+
+@click.command()
+@click.option("--seeds", default=100, show_default=True)
+def main(seeds: int) -> None:
+    """Print the attempts at a dead pool and the tail of lookups."""
+    for name, make in RETRIES.items():
+        for dead_servers in (SERVERS, 1):
+            runs = [dead_pool(make(), dead_servers, seed) for seed in range(seeds)]
+            click.echo(
+                f"{name:10} {dead_servers} of {SERVERS} dead: attempts a request "
+                f"{_spread([run.amplification for run in runs])}, answered "
+                f"{statistics.fmean(run.dead_success for run in runs):.3f}, while "
+                f"all work {statistics.fmean(run.success for run in runs):.4f}"
+            )
+    for name, make_hedges in HEDGES.items():
+        tails = [lookups(make_hedges(), seed) for seed in range(min(seeds, 20))]
+        click.echo(
+            f"{name:10} lookups p99 {_spread([p99 * 1000 for p99, _ in tails])} ms, "
+            f"hedges a lookup {_spread([sent for _, sent in tails])}"
+        )
+
+
+if __name__ == "__main__":
+    main()
--- a/masticfork/daemon/serving.py
+++ b/masticfork/daemon/serving.py
@@ -22,6 +22,7 @@
 from masticfork.entry.chat import ChatHandler
 from masticfork.entry.chat_answer import ChatParts
 from masticfork.entry.gate import Gate
+from masticfork.entry.hedged import HedgedDispatch
 from masticfork.entry.once import OnceHandler
 from masticfork.entry.parsing import Limits
 from masticfork.entry.policy import SessionPolicy
@@ -34,6 +35,7 @@
 )
 from masticfork.ledger.claims import ClaimBook
 from masticfork.settings.settings import Settings
+from masticfork.systems.hedging import PercentileHedges
 from masticfork.systems.placement import TwoChoices
 from masticfork.systems.retries import BudgetedRetries
 from masticfork.systems.sessions import SessionSigner, SigningKey
@@ -116,7 +118,9 @@
             chat=ChatHandler(chat),
             services=ServiceHandler(
                 services,
-                RepeatableHandler(services),
+                RepeatableHandler(
+                    services, HedgedDispatch(services, PercentileHedges())
+                ),
                 OnceHandler(services, self._claims),
             ),
             journal=self._base.journal,
--- a/masticfork/entry/services.py
+++ b/masticfork/entry/services.py
@@ -11,7 +11,7 @@
 from masticfork.backends.service import ServiceAnswer, ServiceClient
 from masticfork.core.calls import ServiceCall
 from masticfork.core.events import AttemptFailed, Dispatched, Ended, Journal, Refused
-from masticfork.core.ids import AttemptId, ServerName, random_id
+from masticfork.core.ids import AttemptId, ServerName
 from masticfork.core.manifest import BackendServer
 from masticfork.core.refusals import Reason, Refusal, RunState
 from masticfork.entry.gate import Gate, service_admission
@@ -36,11 +36,21 @@
     now: Callable[[], float]
 
 
+class Sender(Protocol):
+    """Sends one attempt at a call that may be repeated."""
+
+    def send(
+        self, call: ServiceCall, server: BackendServer, tried: frozenset[ServerName]
+    ) -> Result[ServiceAnswer, CallFailure]:
+        """Return the answer of the server, or of another that was not tried."""
+
+
 class RepeatableHandler:
     """Runs calls that may be repeated, with retries on other servers."""
 
-    def __init__(self, parts: ServiceParts) -> None:
+    def __init__(self, parts: ServiceParts, sender: Sender) -> None:
         self._parts = parts
+        self._sender = sender
 
     def handle(self, call: ServiceCall) -> Response:
         """Return the service's answer or a refusal."""
@@ -57,8 +67,8 @@
             if isinstance(chosen, Err):
                 return Err(last or chosen.err_value)
             server = chosen.ok_value
+            answered = self._sender.send(call, server, tried)
             tried |= {server.name}
-            answered = dispatch(self._parts, call, server, AttemptId(random_id("try")))
             if isinstance(answered, Ok):
                 return answered
             last = refusal_of(answered.err_value, call, self._parts.now())
