Cancel the generation of a streaming caller that goes away

While a thread answers, its connection is out of the poll, and waitress leaves a broken send to the poll to notice. So nobody noticed, and the engine generated the whole answer for nobody. The channel now notes the broken send itself and ends the request; the poll closes it afterwards.

--- a/masticfork/daemon/listener.py
+++ b/masticfork/daemon/listener.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 import attrs
-from waitress.channel import HTTPChannel
+from waitress.channel import ClientDisconnected, HTTPChannel
 from waitress.server import create_server
 from waitress.task import ErrorTask, WSGITask
 
@@ -70,6 +70,27 @@
 
     task_class = KeepAliveTask
     error_task_class = TypedErrorTask
+    # Whether the caller's end was found closed while nobody polls the connection.
+    _broken = False
+
+    def send(self, data: bytes, do_close: bool = True) -> int:
+        """Return the bytes that the connection took, and note where it broke."""
+        try:
+            return int(self.socket.send(data))
+        except BlockingIOError:
+            return 0
+        except OSError:
+            self._broken = True
+            if do_close:
+                self.handle_close()
+            return 0
+
+    def write_soon(self, data: bytes) -> int:
+        """Add to what is sent; ClientDisconnected where the caller has gone."""
+        written = 0 if self._broken else int(super().write_soon(data))
+        if self._broken:
+            raise ClientDisconnected
+        return written
 
     def service(self) -> None:
         """Answer the request at hand with the connection out of the poll."""
