--- a/proofs/calling.py
+++ b/proofs/calling.py
@@ -103,9 +103,9 @@
         """Ask for the stock of an item."""
         return self.call(host, "GET", f"/services/{SERVICE}/stock/canvas")
 
-    def chat(self, host: int, text: str, **headers: str) -> Answer:
+    def chat(self, host: int, text: str, model: str = MODEL, **headers: str) -> Answer:
         """Ask for a plain answer of a model."""
-        return self.call(host, "POST", CHAT_PATH, chat_body(text), **headers)
+        return self.call(host, "POST", CHAT_PATH, chat_body(text, model), **headers)
 
     def stream(
         self, host: int, text: str, key: str | None = None, model: str = MODEL
