--- a/masticfork/daemon/bills.py
+++ b/masticfork/daemon/bills.py
@@ -1,6 +1,7 @@
 """Keep bills at the platform and at peers in other availability zones."""
 
 import threading
+import zlib
 from collections.abc import Callable
 from concurrent.futures import Executor, Future
 
@@ -13,7 +14,7 @@
 from masticfork.core.tables import HostRow, Tables
 from masticfork.daemon.ticker import log_finding
 from masticfork.ledger.bill_records import Bill, decode_bills, encode_bills
-from masticfork.ledger.bills import BillWriter
+from masticfork.ledger.bills import MAX_BATCH_BYTES, BillWriter
 from masticfork.ledger.held_bills import HeldBills
 from masticfork.peers.link import PeerLink
 from masticfork.peers.messages import BillsWritten, Body, KeepBills, KeepBillsAck
@@ -48,7 +49,7 @@
         if host is None or self._link is None:
             kept.set_exception(NotKeptError("no peer in another zone"))
             return kept
-        message = KeepBills(batch_key, encode_bills(bills))
+        message = KeepBills(batch_key, zlib.compress(encode_bills(bills)))
         deadline = Deadline.after(self._now(), KEEP_SECONDS)
         reply = self._link.request(host, message, deadline)
         reply.add_done_callback(lambda done: _settle(kept, done))
@@ -115,7 +116,8 @@
 
     def on_keep(self, sender: Sender, body: KeepBills) -> Body:
         """Hold bills for another host."""
-        bills = decode_bills(body.bills)
+        content = _decompressed(body.bills)
+        bills = decode_bills(content)
         if isinstance(bills, Err):
             return KeepBillsAck(body.batch_id, False)
         self._incarnations[sender.host] = sender.incarnation
@@ -148,6 +150,16 @@
             log_finding(finding)
 
 
+def _decompressed(data: bytes) -> bytes:
+    """Return the bills' text, or nothing where it is malformed or too long."""
+    parser = zlib.decompressobj()
+    try:
+        content = parser.decompress(data, MAX_BATCH_BYTES)
+    except zlib.error:
+        return b""
+    return content if parser.eof else b""
+
+
 def _settle(kept: "Future[None]", done: "Future[Reply]") -> None:
     reply = done.result()
     acknowledged = not isinstance(reply, Err) and reply.ok_value
