Adopt the generation that a lost entry host left running

Cause: after a host's death the caller's retry ran the whole answer again while the engine went on with the first one for nobody. Ruled out: asking the engines on each request (a round of calls for nothing); waiting for missed heartbeats (a retry comes within milliseconds, the broken link tells).

--- a/masticfork/backends/engine.py
+++ b/masticfork/backends/engine.py
@@ -36,8 +36,9 @@
     body: dict[str, object]
     priority: int
     traceparent: str | None = None
-    # Tokens that have arrived already; the engine sends those after them.
-    offset: int = 0
+    # Tokens that have arrived already, where a known generation is resumed: the
+    # engine sends those after them. None starts a new generation.
+    resume_after: int | None = None
 
 
 @attrs.frozen
@@ -151,8 +152,8 @@
     ]
     if call.traceparent:
         headers.append(("traceparent", call.traceparent))
-    if call.offset:
-        headers.append(("Last-Event-ID", str(call.offset)))
+    if call.resume_after is not None:
+        headers.append(("Last-Event-ID", str(call.resume_after)))
     return Request("POST", CHAT_PATH, tuple(headers), json.dumps(body).encode())
 
 
--- a/masticfork/core/events.py
+++ b/masticfork/core/events.py
@@ -46,7 +46,8 @@
     at: float
     attempt: AttemptId
     server: ServerName
-    offset: int = 0
+    # Tokens after which a known generation was resumed; none for a new one.
+    resume_after: int | None = None
 
 
 @attrs.frozen
--- a/masticfork/daemon/serving.py
+++ b/masticfork/daemon/serving.py
@@ -18,6 +18,7 @@
 from masticfork.daemon.shutdown import Shutdown
 from masticfork.daemon.ticker import log_finding
 from masticfork.entry.active import ActiveRequests
+from masticfork.entry.adoption import LostHostAdoption
 from masticfork.entry.app import EntryApp, EntryParts
 from masticfork.entry.chat import ChatHandler
 from masticfork.entry.chat_answer import ChatParts
@@ -102,6 +103,7 @@
             self._base.tables,
             router,
             engines,
+            self._make_adopter(engines),
             gate,
             self._control.bills.writer,
             self._base.journal,
@@ -145,6 +147,15 @@
         )
         return Listener(EntryApp(parts), listening)
 
+    def _make_adopter(self, engines: EngineClient) -> LostHostAdoption:
+        return LostHostAdoption(
+            self._base.tables,
+            engines,
+            lambda: self._control.node.link.linked,
+            self._base.background,
+            self._base.now,
+        )
+
     def _make_router(self) -> Router:
         signer = SessionSigner(_signing_keys(self._base.settings))
         policy = SessionPolicy(
--- a/masticfork/entry/answer.py
+++ b/masticfork/entry/answer.py
@@ -17,6 +17,7 @@
 from masticfork.core.ids import AttemptId, ServerName, digest
 from masticfork.core.manifest import BackendServer
 from masticfork.core.refusals import Reason, Refusal, RunState
+from masticfork.entry.adoption import Adopter
 from masticfork.entry.frames import data_of
 from masticfork.entry.routing import PRIORITIES, Placement, Router
 
@@ -57,6 +58,7 @@
         placement: Placement,
         router: Router,
         engines: EngineClient,
+        adopter: Adopter,
         journal: Journal,
         background: Executor,
         now: Callable[[], float],
@@ -65,6 +67,7 @@
         self._placement = placement
         self._router = router
         self._engines = engines
+        self._adopter = adopter
         self._journal = journal
         self._background = background
         self._now = now
@@ -108,7 +111,9 @@
         return Usage(completion_tokens=self.offset)
 
     def open(self) -> Refusal | None:
-        """Start the first attempt that an engine accepts."""
+        """Start the first attempt that an engine accepts, or go on with a lost one."""
+        if not self._attempts and self._adopt():
+            return None
         while True:
             chosen = self._router.choose_engine(
                 self._call.head.team, self._placement, self._tried
@@ -121,6 +126,24 @@
             if not self._again():
                 return self._given_up(failure)
 
+    def _adopt(self) -> bool:
+        """Resume, from its first token, what a lost host left running."""
+        attempt = attempt_id(self._call, self._placement, 1)
+        servers = self._router.engines_of(self._placement.version)
+        server = self._adopter.find(self._call, servers, attempt)
+        if server is None:
+            return False
+        checked = self._router.check(self._call.head.team, self._placement, server)
+        if isinstance(checked, Err):
+            return False
+        self._router.retries.first(self._budget)
+        self._attempts += 1
+        self._tried |= {server.name}
+        failure = self._start(server, attempt, 0)
+        if failure is not None:
+            self._note_failure(failure)
+        return failure is None
+
     def run(self, sink: Sink) -> Refusal | None:
         """Hand each token's frame to the sink once; None where the answer is whole.
 
@@ -216,13 +239,13 @@
         self._attempts += 1
         self._tried |= {server.name}
         attempt = attempt_id(self._call, self._placement, self._attempts)
-        failure = self._start(server, attempt, 0)
+        failure = self._start(server, attempt, None)
         if failure is not None:
             self._note_failure(failure)
         return failure
 
     def _start(
-        self, server: BackendServer, attempt: AttemptId, offset: int
+        self, server: BackendServer, attempt: AttemptId, resume_after: int | None
     ) -> CallFailure | None:
         head = self._call.head
         self._attempt = attempt
@@ -232,9 +255,9 @@
             body=self._call.body,
             priority=PRIORITIES[self._call.work_class],
             traceparent=head.traceparent,
-            offset=offset,
+            resume_after=resume_after,
         )
-        event = Dispatched(self._now(), attempt, server.name, offset)
+        event = Dispatched(self._now(), attempt, server.name, resume_after)
         self._journal.add(head.request_id, event)
         self._router.in_flight.enter(server.name)
         started = self._engines.start(server, call, head.deadline)
--- a/masticfork/entry/chat.py
+++ b/masticfork/entry/chat.py
@@ -54,6 +54,7 @@
             placement,
             parts.router,
             parts.engines,
+            parts.adopter,
             parts.journal,
             parts.background,
             parts.now,
--- a/masticfork/entry/chat_answer.py
+++ b/masticfork/entry/chat_answer.py
@@ -14,6 +14,7 @@
 from masticfork.core.events import Billed, Ended, Journal, Refused, Relayed
 from masticfork.core.refusals import Reason, Refusal, RunState
 from masticfork.core.tables import Tables
+from masticfork.entry.adoption import Adopter
 from masticfork.entry.answer import AnswerRun
 from masticfork.entry.billing import BillSink, bill_of
 from masticfork.entry.frames import data_of, text_of
@@ -49,6 +50,7 @@
     tables: Tables
     router: Router
     engines: EngineClient
+    adopter: Adopter
     gate: Gate
     bills: BillSink
     journal: Journal
--- a/masticfork/entry/routing.py
+++ b/masticfork/entry/routing.py
@@ -118,6 +118,14 @@
         checked = self.check(team, placement, chosen.ok_value)
         return checked.and_then(lambda _: chosen)
 
+    def engines_of(self, version: VersionId) -> tuple[BackendServer, ...]:
+        """Return all engines of the version's pool, fit or not."""
+        configuration = self._tables.configuration
+        known = configuration.versions.get(version) if configuration else None
+        if configuration is None or known is None:
+            return ()
+        return configuration.pools[known.pool].servers
+
     def check(
         self, team: Team, placement: Placement, server: BackendServer
     ) -> Result[None, Refusal]:
