Bind permits to the host that reported, not to its name

Cause: a host took the permits of its first row as used up, since a host under its name may have used them before. But hosts report before the first row exists, so the first row already grants: all first permits were lost and held the cap until the rating patience ran out. A report now tells when the host began, and a permit is good only for the host of that report.

Ruled out: trusting the count over a restart (a replaced host would use the same permits again, so exposure could pass the cap).

--- a/bench/experiments/rollout_world.py
+++ b/bench/experiments/rollout_world.py
@@ -149,7 +149,7 @@
 
     def _host_tick(self, name: str, sessions: int, row: RolloutRow, now: float) -> None:
         counter = self._counters[name]
-        counter.observe(row)
+        counter.begin(0.0)
         entered = 0
         for _ in range(sessions):
             if row.state is not RolloutState.RUNNING:
--- a/masticfork/core/rollouts.py
+++ b/masticfork/core/rollouts.py
@@ -85,6 +85,8 @@
     rollout: RolloutName
     # Seconds since the Unix epoch.
     at: float
+    # When the host made its first report; tells it from one before under its name.
+    began: float = 0.0
     # New sessions of the model, with the old or the new version.
     sessions: int = 0
     # Answers of the new version that were started.
--- a/masticfork/systems/rollout_evidence.py
+++ b/masticfork/systems/rollout_evidence.py
@@ -91,13 +91,12 @@
     new, old, sessions, overdrawn = VersionCounts(), VersionCounts(), 0, 0
     grants = {grant.host: grant for grant in row.grants}
     for usage in sorted(usages, key=lambda u: u.host):
-        first = HostUsage(usage.host, usage.rollout, -math.inf)
-        grant = grants.get(usage.host, PermitGrant(first))
-        if usage.at <= grant.seen.at:
+        grant = _grant_for(usage, grants.get(usage.host))
+        if usage.began < grant.seen.began or usage.at <= grant.seen.at:
             continue
         new = _plus(new, _since(usage.new, grant.seen.new))
         old = _plus(old, _since(usage.old, grant.seen.old))
-        sessions += _grown(usage.sessions, grant.seen.sessions)
+        sessions += usage.sessions - grant.seen.sessions
         # A session that keeps its version is served without a permit, and counted.
         overdrawn += max(0, usage.started - grant.granted)
         granted = max(grant.granted, usage.started)
@@ -216,18 +215,20 @@
     return min(bad, counts.answered)
 
 
-def _grown(count: int, seen: int) -> int:
-    # A host that was replaced under its name counts from zero again.
-    return count - seen if count >= seen else count
+def _grant_for(usage: HostUsage, known: PermitGrant | None) -> PermitGrant:
+    if known is not None and usage.began <= known.seen.began:
+        return known
+    # A host that began anew counts from zero and can't use what it held before,
+    # which stays counted as started.
+    first = HostUsage(usage.host, usage.rollout, -math.inf, usage.began)
+    return PermitGrant(first)
 
 
 def _since(counts: VersionCounts, seen: VersionCounts) -> VersionCounts:
-    if counts.answered < seen.answered:
-        return counts
     return VersionCounts(
         counts.answered - seen.answered,
-        max(0, counts.failed - seen.failed),
-        max(0, counts.slow - seen.slow),
+        counts.failed - seen.failed,
+        counts.slow - seen.slow,
     )
 
 
--- a/masticfork/systems/rollout_permits.py
+++ b/masticfork/systems/rollout_permits.py
@@ -1,6 +1,7 @@
 """Permits for answers of an unproved version: granted by the driver, kept by hosts."""
 
 import threading
+from collections import Counter
 
 import attrs
 
@@ -61,40 +62,46 @@
     def __init__(self, host: HostName) -> None:
         self._host = host
         self._lock = threading.Lock()
-        self._started: dict[RolloutName, int] = {}
+        self._began: float | None = None
+        self._started: Counter[RolloutName] = Counter()
 
-    def observe(self, row: RolloutRow) -> None:
-        """Note a row; a host that was replaced can't know what it had used before."""
+    def begin(self, now: float) -> float:
+        """Return when the first report was made, which is `now` for the first."""
         with self._lock:
-            self._started_in(row)
+            if self._began is None:
+                self._began = now
+            return self._began
 
     def take(self, row: RolloutRow, now: float) -> bool:
         """Use one permit for an answer, where one is at hand."""
         with self._lock:
-            started = self._started_in(row)
             held = row.grant_of(self._host)
             if row.state is not RolloutState.RUNNING or held is None:
                 return False
+            # Permits of a host before this one under its name may be used up.
+            if held.seen.began != self._began:
+                return False
             if held.expires is None or held.expires.expired(now):
                 return False
-            if started >= held.granted:
+            if self._started[row.name] >= held.granted:
                 return False
-            self._started[row.name] = started + 1
+            self._started[row.name] += 1
             return True
 
     def count_pinned(self, row: RolloutRow) -> None:
         """Count an answer of a session that keeps the new version."""
         with self._lock:
-            self._started[row.name] = self._started_in(row) + 1
+            self._started[row.name] += 1
+
+    def forget(self, rollout: RolloutName) -> None:
+        """Drop the count of a roll-out that ended."""
+        with self._lock:
+            self._started.pop(rollout, None)
 
     def started(self, rollout: RolloutName) -> int:
         """Return the answers started, for the host's report."""
         with self._lock:
-            return self._started.get(rollout, 0)
-
-    def _started_in(self, row: RolloutRow) -> int:
-        held = row.grant_of(self._host)
-        return self._started.setdefault(row.name, held.granted if held else 0)
+            return self._started[rollout]
 
 
 def _returned(grant: PermitGrant) -> bool:
--- a/masticfork/systems/rollout_usage.py
+++ b/masticfork/systems/rollout_usage.py
@@ -61,8 +61,12 @@
         return assignment.without_permit
 
     def observe(self, row: RolloutRow) -> None:
-        """Note a stored row."""
-        self._permits.observe(row)
+        """Forget the counts of a roll-out that ended."""
+        if not row.ended:
+            return
+        self._permits.forget(row.name)
+        with self._lock:
+            self._sessions.pop(row.name, None)
 
     def answered(self, outcome: AnswerOutcome) -> None:
         """Count an answer that ended."""
@@ -83,6 +87,7 @@
                 host=self._host,
                 rollout=rollout.name,
                 at=now,
+                began=self._permits.begin(now),
                 sessions=self._sessions[rollout.name],
                 started=self._permits.started(rollout.name),
                 new=self._answers.get(rollout.to_version, VersionCounts()),
--- a/masticfork/systems/rollout_usage_test.py
+++ b/masticfork/systems/rollout_usage_test.py
@@ -7,6 +7,7 @@
     HostUsage,
     PermitGrant,
     RolloutRow,
+    RolloutState,
     VersionCounts,
 )
 from masticfork.systems.rollout_usage import AnswerOutcome, RolloutUsage
@@ -27,14 +28,14 @@
 class TestAdmit:
     def test_new_sessions_get_the_new_version_while_permits_last(self):
         usage = RolloutUsage(HOST)
-        usage.observe(row(0))
+        usage.report(ROLLOUT, 0.0)
         given = [usage.admit(row(2), ASSIGNMENT, False, 1.0) for _ in range(3)]
         assert given == [NEW, NEW, OLD]
         assert usage.report(ROLLOUT, 1.0).started == 2
 
     def test_a_pinned_session_keeps_the_new_version_and_is_counted(self):
         usage = RolloutUsage(HOST)
-        usage.observe(row(0))
+        usage.report(ROLLOUT, 0.0)
         assert usage.admit(row(0), ASSIGNMENT, True, 1.0) == NEW
         assert usage.report(ROLLOUT, 1.0).started == 1
 
@@ -43,8 +44,22 @@
         free = attrs.evolve(row(0), capped=False)
         assert usage.admit(free, ASSIGNMENT, False, 1.0) == NEW
 
+    def test_permits_before_the_first_report_are_another_hosts(self):
+        usage = RolloutUsage(HOST)
+        assert usage.admit(row(2), ASSIGNMENT, False, 1.0) == OLD
+        usage.report(ROLLOUT, 1.0)
+        assert usage.admit(row(2), ASSIGNMENT, False, 1.0) == OLD
+
 
 class TestReport:
+    def test_an_ended_roll_out_is_forgotten(self):
+        usage = RolloutUsage(HOST)
+        usage.admit(row(0), ASSIGNMENT, True, 1.0)
+        usage.observe(row(0))
+        assert usage.report(ROLLOUT, 1.0).started == 1
+        usage.observe(attrs.evolve(row(0), state=RolloutState.DONE))
+        assert usage.report(ROLLOUT, 1.0).started == 0
+
     def test_counts_answers_by_version(self):
         usage = RolloutUsage(HOST)
         usage.answered(AnswerOutcome(NEW, False, 0.1))
--- a/masticfork/systems/rollouts_test.py
+++ b/masticfork/systems/rollouts_test.py
@@ -30,6 +30,7 @@
 from masticfork.systems.worlds_test import NOW, ROLLOUT, manifest, tables
 
 POLICY = SequentialPolicy()
+BEGAN = 1.0
 
 
 def ratings(*scores, version="draft@2", after=0):
@@ -47,8 +48,8 @@
     return attrs.evolve(row, **fields)
 
 
-def usage(host, at=NOW, sessions=50, started=0, **fields):
-    return HostUsage(host, "enter", at, sessions, started, **fields)
+def usage(host, at=NOW, sessions=50, started=0, began=BEGAN, **fields):
+    return HostUsage(host, "enter", at, began, sessions, started, **fields)
 
 
 def step(row, scores=(), usages=(), now=NOW):
@@ -130,19 +131,31 @@
     def test_a_host_uses_what_it_holds_until_the_deadline(self):
         row, _ = step(known_row(), usages=[usage("h1"), usage("h2")])
         counter = PermitCounter("h1")
-        counter.observe(new_row(ROLLOUT, 1, NOW))
+        counter.begin(BEGAN)
         held = row.grant_of("h1").granted
         took = [counter.take(row, NOW) for _ in range(held + 2)]
         assert took == [True] * held + [False, False]
         late = PermitCounter("h2")
-        late.observe(new_row(ROLLOUT, 1, NOW))
+        late.begin(BEGAN)
         assert not late.take(row, NOW + 11)
 
     def test_a_replaced_host_does_not_use_permits_again(self):
         row, _ = step(known_row(), usages=[usage("h1")])
+        held = row.started
         replaced = PermitCounter("h1")
-        replaced.observe(row)
-        assert not replaced.take(row, NOW)
+        began = replaced.begin(NOW + 1)
+        assert not replaced.take(row, NOW + 1)
+        report = usage("h1", NOW + 1, sessions=9, began=began)
+        row, _ = step(attrs.evolve(row, share=0.0), usages=[report], now=NOW + 1)
+        # What the host before held stays counted, so the cap is used up.
+        assert (row.started, row.grant_of("h1").granted) == (held, 0)
+        assert not replaced.take(row, NOW + 1)
+
+    def test_a_report_of_the_host_before_is_ignored(self):
+        row, _ = step(known_row(), usages=[usage("h1", began=5.0, sessions=9)])
+        before = usage("h1", NOW + 9, began=4.0, sessions=99, started=7)
+        after, _ = step(row, usages=[before], now=NOW + 1)
+        assert (after.sessions, after.started) == (9, row.started)
 
     def test_pinned_answers_count_without_a_permit(self):
         counter = PermitCounter("h1")
