Give whole requests in flight to hosts

A limit of one request in flight was split into parts below one over four hosts, so that every request was refused for ever. Parts are now whole, and what rounding leaves goes where demand is least met. The links of the sharing tests are chosen ones, since a clock that is moved on lets unchosen links be closed.

--- a/masticfork/daemon/limits_test.py
+++ b/masticfork/daemon/limits_test.py
@@ -20,6 +20,7 @@
 from masticfork.peers.messages import Evidence
 from masticfork.peers.records import Handlers, LinkSettings
 from masticfork.peers.requests import RequestError
+from masticfork.peers.selection import PeerAddress
 from masticfork.systems.rollouts import DriverLease
 
 LIMIT = 100.0
@@ -91,6 +92,13 @@
         self.addresses, self.cut = [], set()
         self.holder, self.fencing = names[0], 1
         self.hosts = [Host(name, self) for name in names]
+        peers = [
+            PeerAddress(name, "z", address)
+            for name, address in zip(names, self.addresses, strict=True)
+        ]
+        for host in self.hosts:
+            # Links that were not chosen close as the clock goes on.
+            host.link.set_peers(peers)
         for host in self.hosts:
             others = len(names) - 1
             wait_until(lambda host=host, n=others: len(host.link.linked) == n)
--- a/masticfork/systems/limits.py
+++ b/masticfork/systems/limits.py
@@ -6,7 +6,7 @@
 from masticfork.core.ids import HostName, TeamName
 from masticfork.core.limits import Amounts, Share, ShareRequest
 from masticfork.core.manifest import Limits
-from masticfork.systems.water_filling import divide
+from masticfork.systems.water_filling import divide, whole_parts
 
 SHARE_SECONDS = 3.0
 # A host that has asked for nothing this long no longer counts as a claimant.
@@ -118,7 +118,11 @@
             if limit == UNLIMITED:
                 return UNLIMITED
             wanted = {name: getattr(d, resource) for name, d in demands.items()}
-            return divide(limit, wanted)[host]
+            parts = divide(limit, wanted)
+            # A part of a request in flight is of no use to anyone.
+            if resource == "in_flight":
+                parts = whole_parts(parts, wanted)
+            return parts[host]
 
         return Amounts(
             part("requests_per_second"), part("tokens_per_second"), part("in_flight")
--- a/masticfork/systems/limits_test.py
+++ b/masticfork/systems/limits_test.py
@@ -6,7 +6,7 @@
 from masticfork.core.limits import Amounts, Share, ShareRequest
 from masticfork.core.manifest import Limits
 from masticfork.systems.limits import SHARE_SECONDS, ShareHolder, ShareOwner
-from masticfork.systems.water_filling import divide
+from masticfork.systems.water_filling import divide, whole_parts
 
 TEAM = TeamName("kremnica")
 LIMIT = 100.0
@@ -74,6 +74,20 @@
         assert shares["b"] >= 5.0
 
 
+class TestWholeParts:
+    @given(st.dictionaries(st.text(min_size=1), st.floats(0, 1e3), min_size=1))
+    def test_are_whole_and_keep_the_sum(self, demands):
+        parts = divide(7.0, demands)
+        whole = whole_parts(parts, demands)
+        assert sum(whole.values()) == 7
+        assert all(part == int(part) for part in whole.values())
+
+    def test_a_limit_of_one_goes_to_the_host_that_asks(self):
+        demands = {"a": 0.0, "b": 0.0, "c": 1.0, "d": 0.0}
+        whole = whole_parts(divide(1.0, demands), demands)
+        assert whole == {"a": 0, "b": 0, "c": 1, "d": 0}
+
+
 class TestShareOwner:
     @settings(max_examples=300, deadline=None)
     @given(
--- a/masticfork/systems/water_filling.py
+++ b/masticfork/systems/water_filling.py
@@ -1,5 +1,6 @@
 """Max-min fair division of an amount by demand."""
 
+import math
 from collections.abc import Mapping
 from typing import TypeVar
 
@@ -10,6 +11,22 @@
 EVEN_PART = 0.2
 
 
+def whole_parts(
+    parts: Mapping[Name, float], demands: Mapping[Name, float]
+) -> dict[Name, float]:
+    """Round parts to whole numbers of the same sum, rounded down.
+
+    What rounding leaves goes to the names whose demand is least met.
+    """
+    whole = {name: float(math.floor(part)) for name, part in parts.items()}
+    # Sums of parts are off by rounding errors of floating point.
+    left = math.floor(sum(parts.values()) + 1e-6) - sum(whole.values())
+    unmet = sorted(parts, key=lambda name: (whole[name] - demands[name], name))
+    for name in unmet[: max(0, int(left))]:
+        whole[name] += 1.0
+    return whole
+
+
 def divide(amount: float, demands: Mapping[Name, float]) -> dict[Name, float]:
     """Divide the amount: an even part, max-min fair by demand, the rest evenly.
 
