--- a/bench/registry.py
+++ b/bench/registry.py
@@ -29,7 +29,9 @@
 class Experiment(Protocol):
     """Something that can be measured."""
 
-    name: str
+    @property
+    def name(self) -> str:
+        """Return what it is asked for by."""
 
     def run(self, seed: int, *, short: bool) -> Iterator[Point]:
         """Yield a point for each of its settings."""
