Refuse messages whose content is neither text nor parts

A number as the content was passed on, and the engine ran it. Before: 200 and one generation for the content 7. After: 400 malformed, not run.

--- a/masticfork/entry/parsing.py
+++ b/masticfork/entry/parsing.py
@@ -223,6 +223,8 @@
         return f"`messages` must be a list of 1 to {MAX_MESSAGES}"
     if not all(isinstance(m, dict) and "role" in m for m in messages):
         return "each message must be an object with a `role`"
+    if not all(isinstance(m.get("content"), str | list | None) for m in messages):
+        return "`content` must be a string or a list of parts"
     if not isinstance(value.get("stream", False), bool | None):
         return "`stream` must be true or false"
     if not isinstance(value.get("stream_options"), dict | None):
