Let callers read the answer to a request that is too large

The parser refuses a body beyond twice the limit, or headers beyond twice theirs, before it has read them. The close over unread bytes reset the connection, and a caller that sends first and reads then lost the answer. After a refusal the connection is now shut down on our side, the rest is dropped up to 64 MiB, and it closes when the caller's end does or after the idle timeout.

Before: ECONNRESET for a body of ten times and headers of five times the limit.

--- a/masticfork/daemon/listener.py
+++ b/masticfork/daemon/listener.py
@@ -1,6 +1,7 @@
 """HTTP listeners on waitress, with typed errors for requests it rejects."""
 
 import json
+import socket
 import threading
 from collections.abc import Callable, Iterable
 from typing import Any
@@ -19,6 +20,8 @@
 BACKLOG = 1024
 CONNECTION_LIMIT = 4096
 STOP_SECONDS = 5.0
+# Read and dropped of a refused request, so that the caller sees its answer.
+MAX_DROPPED_BYTES = 64 << 20
 
 
 @attrs.frozen
@@ -48,6 +51,7 @@
         self.response_headers.append(("Content-Length", str(len(body))))
         self.response_headers.append(("Connection", "close"))
         self.close_on_finish = True
+        self.channel.refused = True
         self.content_length = len(body)
         self.write(body)
 
@@ -70,8 +74,12 @@
 
     task_class = KeepAliveTask
     error_task_class = TypedErrorTask
+    # Whether a request was refused before it was read to its end.
+    refused = False
     # Whether the caller's end was found closed while nobody polls the connection.
     _broken = False
+    # Bytes dropped since our end was shut down; none while it is open.
+    _dropped: int | None = None
 
     def send(self, data: bytes, do_close: bool = True) -> int:
         """Return the bytes that the connection took, and note where it broke."""
@@ -92,6 +100,36 @@
             raise ClientDisconnected
         return written
 
+    def readable(self) -> bool:
+        """Tell whether to wait for bytes, also for those to drop."""
+        return self._dropped is not None or bool(super().readable())
+
+    def handle_read(self) -> None:
+        """Read a part of a request, or drop a part of a refused one."""
+        if self._dropped is None:
+            super().handle_read()
+            return
+        self._dropped += len(self.recv(self.adj.recv_bytes))
+        if self.connected and self._dropped > MAX_DROPPED_BYTES:
+            self.handle_close()
+
+    def handle_close(self) -> None:
+        """Close; after a refusal, shut our end first and wait for the caller's.
+
+        A close over unread bytes would reset the connection, and the caller might
+        lose the answer. The idle timeout ends the wait.
+        """
+        ended = self._broken or not self.connected or self._dropped is not None
+        if ended or not self.refused:
+            super().handle_close()
+            return
+        self._dropped = 0
+        self.will_close = False
+        try:
+            self.socket.shutdown(socket.SHUT_WR)
+        except OSError:
+            super().handle_close()
+
     def service(self) -> None:
         """Answer the request at hand with the connection out of the poll."""
         polled, descriptor = self.server.polled, self.socket.fileno()
