Leave a silent engine for another one without asking it again

After 10 s without a frame the run tried to resume on the same engine, and waited 10 s more for its head. Now it is cancelled there and runs again on another engine, which is checked against what the caller has; only the last engine that is left is asked to resume. Cut connections resume as before.

--- a/masticfork/entry/answer.py
+++ b/masticfork/entry/answer.py
@@ -179,9 +179,8 @@
         """Resume on the same engine, or run again where that is impossible."""
         server = self._server
         self._release()
-        if server is not None and self._resumes < MAX_RESUMES and not self._expired():
-            self._resumes += 1
-            resumed = self._resume(server)
+        if server is not None and not self._expired():
+            resumed = self._resume(server) if self._may_resume(failure) else failure
             if resumed is None:
                 return None
             failure = resumed
@@ -190,7 +189,20 @@
             return self._given_up(failure)
         return self._run_again()
 
+    def _may_resume(self, failure: CallFailure) -> bool:
+        """Tell whether to ask the same engine for the rest."""
+        if self._resumes >= MAX_RESUMES:
+            return False
+        if failure.kind is not FailureKind.TIMEOUT:
+            return True
+        # A silent engine would be waited for once more: only the last one is.
+        other = self._router.choose_engine(
+            self._call.head.team, self._placement, self._tried
+        )
+        return isinstance(other, Err) or self._attempts >= MAX_ATTEMPTS
+
     def _resume(self, server: BackendServer) -> CallFailure | None:
+        self._resumes += 1
         checked = self._router.check(self._call.head.team, self._placement, server)
         if isinstance(checked, Err):
             message = checked.err_value.message
