--- a/masticfork/entry/answer.py
+++ b/masticfork/entry/answer.py
@@ -20,6 +20,7 @@
 from masticfork.entry.adoption import Adopter
 from masticfork.entry.frames import data_of
 from masticfork.entry.routing import PRIORITIES, Placement, Router
+from masticfork.systems.retries import MAX_ATTEMPTS
 
 MAX_RESUMES = 5
 CANCEL_SECONDS = 2.0
