Make two proofs fail without their mechanism

The stream under way when a host stops now lasts 6 s: a shorter one was finished by the listener's own wait, also with the wait for active requests taken out. All answers of the platform are lost around the submission: two lost ones were used up by other writes of the hosts.

--- a/proofs/calling.py
+++ b/proofs/calling.py
@@ -108,11 +108,16 @@
         return self.call(host, "POST", CHAT_PATH, chat_body(text, model), **headers)
 
     def stream(
-        self, host: int, text: str, key: str | None = None, model: str = MODEL
+        self,
+        host: int,
+        text: str,
+        key: str | None = None,
+        model: str = MODEL,
+        max_tokens: int | None = None,
     ) -> "ChatStream":
         """Ask for a streamed answer of a model."""
         connection = self.connect(host)
-        body = chat_body(text, model) | {"stream": True}
+        body = chat_body(text, model) | {"stream": True, "max_tokens": max_tokens}
         headers = {"Idempotency-Key": key or new_key()}
         self._send(connection, "POST", CHAT_PATH, body, headers)
         return ChatStream(connection, text)
--- a/proofs/configuration_test.py
+++ b/proofs/configuration_test.py
@@ -92,7 +92,8 @@
 
 class TestSubmission:
     def test_a_lost_answer_is_settled_by_reading_back(self, cluster, platform):
-        platform(lose_answers=2)
+        # Other writes of the hosts lose their answers too.
+        platform(lose_answers=20)
         identity, manifest = new_key(), changed(cluster)
         status, body = submit(cluster, manifest, 0, identity)
         platform(lose_answers=0)
--- a/proofs/shutdown_test.py
+++ b/proofs/shutdown_test.py
@@ -12,11 +12,13 @@
 from tools.launch_options import Options
 
 TOKENS = 20
+# Six seconds, longer than anything that a stop waits for beside its requests.
+LONG_TOKENS = 300
 OPTIONS = Options(
     hosts=4,
     engines_per_pool=2,
     service_servers=1,
-    tokens=TOKENS,
+    tokens=LONG_TOKENS,
     token_seconds=0.02,
     first_token_seconds=0,
     settings={"shutdown": {"not_ready_seconds": 0.6, "finish_seconds": 10}},
@@ -96,7 +98,8 @@
         return kinds[self.sent % len(kinds)]
 
     def _stream(self, host):
-        stream = self._caller.stream(host, f"rolling {new_key()}").read_all()
+        text = f"rolling {new_key()}"
+        stream = self._caller.stream(host, text, max_tokens=TOKENS).read_all()
         whole = stream.whole and stream.content == stream.expected
         return (whole and stream.tokens == TOKENS) or (stream.status, stream.content)
 
@@ -144,9 +147,18 @@
             return caller.call(0, "GET", "/readyz").status == 503
 
         wait_for(not_ready, 5, "not ready")
+
+        def refused():
+            answer = caller.reserve(0, key)
+            return answer if answer.status == 503 else None
+
+        key = new_key()
+        answer = wait_for(refused, 5, "refused")
+        assert answer.run_state == "not_run"
+        assert int(answer.headers["retry-after"]) >= 1
         stream.read_all()
         assert stream.whole
-        assert (stream.tokens, stream.content) == (TOKENS, stream.expected)
+        assert (stream.tokens, stream.content) == (LONG_TOKENS, stream.expected)
         assert cluster.stop("entry-1", STOP_SECONDS)
         cluster.restart("entry-1")
 
