Try held-off servers in growing steps

A fixed hold of 30 s after two failed connections would have closed a service with one server for that long after a blip. Holds now start at 1 s and double, to 30 s where the server cannot be connected to and 5 s where it refuses; a load report still ends a hold at once.

--- a/masticfork/systems/drains.py
+++ b/masticfork/systems/drains.py
@@ -17,9 +17,10 @@
 # A single failed connection may be a lost packet; a single refusal a full queue.
 UNREACHABLE_IN_ROW = 2
 REFUSED_IN_ROW = 3
-# The server is tried again after this time, or on a load report.
-UNREACHABLE_SECONDS = 30.0
-REFUSED_SECONDS = 5.0
+# The server is tried again after a time that doubles, or on a load report.
+FIRST_HOLD_SECONDS = 1.0
+LONGEST_UNREACHABLE_SECONDS = 30.0
+LONGEST_REFUSED_SECONDS = 5.0
 
 
 @attrs.frozen
@@ -29,6 +30,7 @@
     outcome: Outcome
     length: int
     last_at: float
+    holds: int = 0
 
 
 class Drains:
@@ -61,26 +63,31 @@
             return False
         last = self._streaks.get(end.server)
         same = last is not None and last.outcome is end.outcome
-        length = last.length + 1 if last is not None and same else 1
-        self._streaks[end.server] = _Streak(end.outcome, length, end.at)
-        if end.outcome is Outcome.UNREACHABLE:
-            return length >= UNREACHABLE_IN_ROW
-        return length >= REFUSED_IN_ROW
+        if last is None or not same:
+            last = _Streak(end.outcome, 0, end.at)
+        streak = attrs.evolve(last, length=last.length + 1, last_at=end.at)
+        self._streaks[end.server] = streak
+        unreachable = end.outcome is Outcome.UNREACHABLE
+        return streak.length >= (UNREACHABLE_IN_ROW if unreachable else REFUSED_IN_ROW)
 
     def _hold(
         self, tables: Tables, row: ServerRow, streak: _Streak, now: float
     ) -> Findings:
+        if row.ejected_until is not None and not row.ejected_until.expired(now):
+            return ()
+        name = row.server.name
+        seconds = FIRST_HOLD_SECONDS * 2.0 ** min(streak.holds, 10)
         unreachable = streak.outcome is Outcome.UNREACHABLE
-        seconds = UNREACHABLE_SECONDS if unreachable else REFUSED_SECONDS
-        until = Deadline.after(streak.last_at, seconds)
-        held = row.ejected_until is not None and not row.ejected_until.expired(now)
-        if row.ejected_until is None or until > row.ejected_until:
-            row = attrs.evolve(row, ejected_until=until)
-            tables.servers[row.server.name] = row
-        if held:
+        longest = (
+            LONGEST_UNREACHABLE_SECONDS if unreachable else LONGEST_REFUSED_SECONDS
+        )
+        until = Deadline.after(now, min(seconds, longest))
+        self._streaks[name] = attrs.evolve(streak, holds=streak.holds + 1)
+        tables.servers[name] = attrs.evolve(row, ejected_until=until)
+        if streak.holds:
             return ()
         code = f"server_{streak.outcome.value}"
-        place = Place("servers", row.server.name)
+        place = Place("servers", name)
         message = f"{streak.length} calls in a row were {streak.outcome.value}"
         return (Finding(code, place, message, Severity.WARNING),)
 
