Give up only links to hosts that are known to be live

Only a link to a host that is told to be live and is not chosen is given up now. A test sets no peers and finds all links standing.

--- a/masticfork/peers/link.py
+++ b/masticfork/peers/link.py
@@ -64,7 +64,8 @@
             self._establish,
         )
         self._chosen: tuple[PeerAddress, ...] = ()
-        self._known: frozenset[str] = frozenset()
+        self._live: frozenset[HostName] = frozenset()
+        self._live_addresses: frozenset[str] = frozenset()
         self._next_prune = Deadline.after(now(), settings.prune_seconds)
         self._stopping = threading.Event()
         # Two threads a connection, one a handshake, one to accept, one to maintain.
@@ -98,7 +99,8 @@
         """Tell the live hosts, among which the link chooses whom it dials."""
         live = tuple(peers)
         self._chosen = choose_peers(self._settings.host, self._settings.zone, live)
-        self._known = frozenset(peer.address for peer in live)
+        self._live = frozenset(peer.host for peer in live)
+        self._live_addresses = frozenset(peer.address for peer in live)
 
     def start(self) -> Result[None, OSError]:
         """Listen and dial; the error is that of binding the address."""
@@ -261,20 +263,20 @@
         linked = self.linked
         wanted = {peer.address for peer in self._chosen if peer.host not in linked}
         few = len(linked) < MIN_LINKS
-        seeds = self._settings.seeds
-        wanted |= {seed for seed in seeds if few or seed not in self._known}
+        live = self._live_addresses
+        wanted |= {seed for seed in self._settings.seeds if few or seed not in live}
         return wanted - {self._settings.address}
 
     def _prune(self) -> None:
-        """Close one link that this host dialled and does not choose any more.
+        """Close one link to a live host that this host dialled and does not choose.
 
         The peer dials again where it chose this host. Without this, the seeds would
         keep a link to every host that started with their help.
         """
-        chosen = {peer.host for peer in self._chosen}
+        unchosen = self._live - {peer.host for peer in self._chosen}
         for connection in self._registry.connections:
             peer = connection.peer
-            if connection.dialled and peer.sender not in chosen:
+            if connection.dialled and peer.sender in unchosen:
                 self._offer(connection, Goodbye(), encode_message(Message(Goodbye())))
                 connection.drain()
                 self._handlers.parted(Sender(peer.sender, peer.incarnation))
--- a/masticfork/peers/link_test.py
+++ b/masticfork/peers/link_test.py
@@ -180,6 +180,10 @@
             parted=lambda s: parted.append(("a", s.host)),
         )
         wait_until(lambda: len(a.linked) == 3)
+        # Who is not known to be live is not given up.
+        a.set_peers([])
+        time.sleep(0.3)
+        assert (len(a.linked), parted) == (3, [])
         others = [PeerAddress(f"x{n}", "z1", free_address()) for n in range(9)]
         known = [PeerAddress(f"b{n}", "z9", at) for n, at in enumerate(addresses)]
         a.set_peers([*others, *known])
