--- a/masticfork/entry/hedged_test.py
+++ b/masticfork/entry/hedged_test.py
@@ -58,6 +58,9 @@
         left = [server for server in servers if server.name not in tried]
         return Ok(left[0]) if left else Err(None)
 
+    def ended(self, server, failure):
+        pass
+
     def call(self, server, request, deadline, idempotent, may_send):
         self.called.append(server.name)
         if server is SLOW:
