--- a/masticfork/entry/answer.py
+++ b/masticfork/entry/answer.py
@@ -17,8 +17,10 @@
 from masticfork.core.ids import AttemptId, ServerName, digest
 from masticfork.core.manifest import BackendServer
 from masticfork.core.refusals import Reason, Refusal, RunState
+from masticfork.entry.adoption import Adopter
 from masticfork.entry.frames import data_of
 from masticfork.entry.routing import PRIORITIES, Placement, Router
+from masticfork.systems.retries import MAX_ATTEMPTS
 
 MAX_RESUMES = 5
 CANCEL_SECONDS = 2.0
@@ -57,6 +59,7 @@
         placement: Placement,
         router: Router,
         engines: EngineClient,
+        adopter: Adopter,
         journal: Journal,
         background: Executor,
         now: Callable[[], float],
@@ -65,6 +68,7 @@
         self._placement = placement
         self._router = router
         self._engines = engines
+        self._adopter = adopter
         self._journal = journal
         self._background = background
         self._now = now
@@ -108,7 +112,9 @@
         return Usage(completion_tokens=self.offset)
 
     def open(self) -> Refusal | None:
-        """Start the first attempt that an engine accepts."""
+        """Start the first attempt that an engine accepts, or go on with a lost one."""
+        if not self._attempts and self._adopt():
+            return None
         while True:
             chosen = self._router.choose_engine(
                 self._call.head.team, self._placement, self._tried
@@ -121,6 +127,24 @@
             if not self._again():
                 return self._given_up(failure)
 
+    def _adopt(self) -> bool:
+        """Resume, from its first token, what a lost host left running."""
+        attempt = attempt_id(self._call, self._placement, 1)
+        servers = self._router.engines_of(self._placement.version)
+        server = self._adopter.find(self._call, servers, attempt)
+        if server is None:
+            return False
+        checked = self._router.check(self._call.head.team, self._placement, server)
+        if isinstance(checked, Err):
+            return False
+        self._router.retries.first(self._budget)
+        self._attempts += 1
+        self._tried |= {server.name}
+        failure = self._start(server, attempt, 0)
+        if failure is not None:
+            self._note_failure(failure)
+        return failure is None
+
     def run(self, sink: Sink) -> Refusal | None:
         """Hand each token's frame to the sink once; None where the answer is whole.
 
@@ -181,9 +205,8 @@
         """Resume on the same engine, or run again where that is impossible."""
         server = self._server
         self._release()
-        if server is not None and self._resumes < MAX_RESUMES and not self._expired():
-            self._resumes += 1
-            resumed = self._resume(server)
+        if server is not None and not self._expired():
+            resumed = self._resume(server) if self._may_resume(failure) else failure
             if resumed is None:
                 return None
             failure = resumed
@@ -192,7 +215,20 @@
             return self._given_up(failure)
         return self._run_again()
 
+    def _may_resume(self, failure: CallFailure) -> bool:
+        """Tell whether to ask the same engine for the rest."""
+        if self._resumes >= MAX_RESUMES:
+            return False
+        if failure.kind is not FailureKind.TIMEOUT:
+            return True
+        # A silent engine would be waited for once more: only the last one is.
+        other = self._router.choose_engine(
+            self._call.head.team, self._placement, self._tried
+        )
+        return isinstance(other, Err) or self._attempts >= MAX_ATTEMPTS
+
     def _resume(self, server: BackendServer) -> CallFailure | None:
+        self._resumes += 1
         checked = self._router.check(self._call.head.team, self._placement, server)
         if isinstance(checked, Err):
             message = checked.err_value.message
@@ -216,13 +252,13 @@
         self._attempts += 1
         self._tried |= {server.name}
         attempt = attempt_id(self._call, self._placement, self._attempts)
-        failure = self._start(server, attempt, 0)
+        failure = self._start(server, attempt, None)
         if failure is not None:
             self._note_failure(failure)
         return failure
 
     def _start(
-        self, server: BackendServer, attempt: AttemptId, offset: int
+        self, server: BackendServer, attempt: AttemptId, resume_after: int | None
     ) -> CallFailure | None:
         head = self._call.head
         self._attempt = attempt
@@ -232,9 +268,9 @@
             body=self._call.body,
             priority=PRIORITIES[self._call.work_class],
             traceparent=head.traceparent,
-            offset=offset,
+            resume_after=resume_after,
         )
-        event = Dispatched(self._now(), attempt, server.name, offset)
+        event = Dispatched(self._now(), attempt, server.name, resume_after)
         self._journal.add(head.request_id, event)
         self._router.in_flight.enter(server.name)
         started = self._engines.start(server, call, head.deadline)
