Bound the waiting requests of a host over all its pools

Each waiting request holds a thread of the listener, and a bound for each pool let a few slow pools take all 600. At most 300 now wait at a host; the least urgent of the largest team in the longest queue gives way, and of equally urgent ones the new one. A free slot is always used.

--- a/masticfork/systems/admission.py
+++ b/masticfork/systems/admission.py
@@ -14,17 +14,20 @@
     Ticket,
     Verdict,
 )
-from masticfork.systems.pool_queue import MAX_WAITING, PoolQueue
+from masticfork.systems.pool_queue import PoolQueue
 from masticfork.systems.team_limits import ShareSource, TeamLimits
 
 # Requests in service of a pool before its capacity is known.
 FIRST_SLOTS = 8
+# Requests that wait at this host; each holds one of the listener's threads.
+MAX_WAITING = 300
 
 
 class FairAdmission:
     """Admits by team limits, class, deadline and fairness; safe for threads."""
 
     def __init__(self, shares: ShareSource, max_waiting: int = MAX_WAITING) -> None:
+        """Let at most `max_waiting` requests wait, over all pools."""
         self._lock = threading.Lock()
         self._limits = TeamLimits(shares)
         self._pools: dict[str, PoolQueue] = {}
@@ -102,11 +105,14 @@
         idle = pool.in_service < pool.slots and not pool.waiting
         if start > start_by and not idle:
             return pool.refusal(now + start - start_by, now)
-        if pool.waiting >= self._max_waiting:
-            victim = pool.displaced_by(ticket)
+        waiting = sum(other.waiting for other in self._pools.values())
+        if waiting >= self._max_waiting and not idle:
+            # A slow pool must not take the threads that callers of others need.
+            longest = max(self._pools.values(), key=lambda other: other.waiting)
+            victim = longest.displaced_by(ticket)
             if victim is None:
                 return pool.refusal(start, now)
-            self._refuse(pool, victim, now)
+            self._refuse(longest, victim, now)
         pool.push(ticket)
         return None
 
--- a/masticfork/systems/admission_test.py
+++ b/masticfork/systems/admission_test.py
@@ -2,6 +2,7 @@
 
 import threading
 
+import attrs
 from hypothesis import given
 from hypothesis import strategies as st
 from result import Err, Ok
@@ -167,6 +168,32 @@
         assert given_up.verdict.result(0).is_err()
         assert admission.admit(request(deadline=70.0), 0.0).is_err()
 
+    def test_a_full_queue_takes_a_small_teams_work_for_a_large_teams(self):
+        admission = with_slots(1, FairAdmission(Unlimited(), max_waiting=2))
+        admission.admit(request(), 0.0).unwrap()
+        large = [admission.admit(request(), 0.0).unwrap() for _ in range(2)]
+        assert admission.admit(request("b", deadline=2e9), 0.0).is_ok()
+        assert [ticket.verdict.done() for ticket in large].count(True) == 1
+
+    def test_a_slow_pool_gives_way_to_urgent_work_of_another(self):
+        admission = with_slots(1, FairAdmission(Unlimited(), max_waiting=2))
+        admission.run_pools({"q": 1}, 0.0)
+        lookup = attrs.evolve(request(kind=WorkClass.LOOKUP), pool="q")
+        for asked in (request(), lookup):
+            admission.admit(asked, 0.0).unwrap()
+        drafts = [admission.admit(request(), 0.0).unwrap() for _ in range(2)]
+        assert admission.admit(lookup, 0.0).is_ok()
+        assert [draft.verdict.done() for draft in drafts].count(True) == 1
+        assert admission.admit(request(), 0.0).is_err()
+
+    def test_a_full_queue_refuses_no_work_that_a_free_slot_takes(self):
+        admission = with_slots(1, FairAdmission(Unlimited(), max_waiting=1))
+        admission.run_pools({"q": 1}, 0.0)
+        for _ in range(2):
+            admission.admit(request(), 0.0).unwrap()
+        free = admission.admit(attrs.evolve(request(deadline=2e9), pool="q"), 0.0)
+        assert in_service(free.unwrap())
+
     def test_a_waiting_thread_is_woken(self):
         admission = with_slots(1)
         first = admission.admit(request(), 0.0).unwrap()
--- a/masticfork/systems/pool_queue.py
+++ b/masticfork/systems/pool_queue.py
@@ -9,7 +9,6 @@
 from masticfork.systems.admission_records import AdmissionRequest, Ticket
 from masticfork.systems.service_times import ServiceTimes
 
-MAX_WAITING = 200
 # A team that is further behind its fair part than this many service times of each
 # slot is served before more urgent classes of other teams.
 MAX_LAG = 2.0
@@ -126,7 +125,8 @@
         counts = {name: len(tickets) for name, tickets in self._waiting.items()}
         counts[team] = counts.get(team, 0) + 1
         largest = max(counts, key=lambda name: (counts[name], name == team))
-        victim = max([*self._waiting.get(largest, []), ticket], key=urgency)
+        # Of equally urgent ones the new request is given up.
+        victim = max([ticket, *self._waiting.get(largest, [])], key=urgency)
         if largest != team:
             victim = self._waiting[largest][-1]
         if victim is ticket:
