Measure one host's ticks at the plan's numbers of hosts and servers

24 processes on one machine say little of 1,100 rows, so the tables are filled and the ticks timed without links. A fleet with a partial mesh is left alone longer before it is measured: after 4 s its links were still being pruned (goodbye messages were seen at 16 and 24 hosts).

--- a/bench/registry.py
+++ b/bench/registry.py
@@ -14,6 +14,7 @@
 from bench.relay import measure
 from bench.results import Point, flat
 from bench.slopes import Servers, Slopes
+from bench.tables import TickCost
 
 RELAY_RATE = 36.0
 SHORT_RELAY_RATE = 10.0
@@ -97,6 +98,7 @@
         Added("reservation", ReservationCall()),
         Slopes(),
         Servers(),
+        TickCost(),
     ]
     found += [Simulated(name) for name in SIMULATED if _exists(name)]
     if _exists(Retries.name):
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -22,6 +22,8 @@
 LOAD_SECONDS = 6.0
 # Links of the start are pruned and news is told before anything is measured.
 SETTLE_SECONDS = 4.0
+LARGE_SETTLE_SECONDS = 15.0
+LARGE_HOSTS = 9
 # Chats a second at each host.
 CHAT_RATE = 2.0
 CHAT_TOKENS = 16
@@ -45,7 +47,7 @@
         """Yield a point for each number of hosts."""
         for count in SHORT_HOSTS if short else HOSTS:
             with start(_options(count)) as cluster:
-                time.sleep(SETTLE_SECONDS)
+                time.sleep(settle_seconds(count))
                 figures = {
                     "idle": idle(cluster),
                     "load": loaded(cluster, seed),
@@ -73,6 +75,11 @@
             yield Point({"servers": count, "hosts": SERVER_HOSTS}, flat(figures))
 
 
+def settle_seconds(hosts: int) -> float:
+    """Return how long a fleet is left alone; a partial mesh takes longer."""
+    return LARGE_SETTLE_SECONDS if hosts >= LARGE_HOSTS else SETTLE_SECONDS
+
+
 def idle(cluster: Cluster) -> dict[str, float]:
     """Return what a host uses without requests."""
     before = usage(cluster)
