--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -9,7 +9,7 @@
 from bench.load import StreamLoad, StreamLoader
 from bench.results import Point, flat
 from tools.launch import Cluster, start
-from tools.launch_files import LOOPBACK, ZONES
+from tools.launch_files import ZONES
 from tools.launch_options import Json, Options
 
 HOSTS = (2, 4, 8, 16, 24)
@@ -134,7 +134,8 @@
     extra = [
         {
             "name": f"worker-{number}",
-            "host": LOOPBACK,
+            # A manifest names each address once.
+            "host": f"127.1.{number // 250}.{number % 250 + 1}",
             "port": CLOSED_PORT,
             "zone": ZONES[number % len(ZONES)],
             "slots": 16,
