--- a/bench/main.py
+++ b/bench/main.py
@@ -8,7 +8,7 @@
 from bench.results import compare, conditions, read, record, to_line
 
 # What `make bench` runs; the simulated experiments have commands of their own.
-SHORT = ("lookup", "reservation", "relay", "slopes", "servers", "tables")
+SHORT = ("lookup", "reservation", "relay", "slopes", "servers", "tables", "mesh")
 DEFAULT_SEED = 1
 FILE = click.Path(path_type=Path, exists=True, dir_okay=False)
 OUT = click.Path(path_type=Path, dir_okay=False)
--- a/bench/main_test.py
+++ b/bench/main_test.py
@@ -12,6 +12,7 @@
 from bench.load import Histogram
 from bench.main import SHORT, main
 from bench.registry import experiments, means
+from bench.mesh import hops, mesh
 from bench.results import (
     Conditions,
     Point,
@@ -23,6 +24,7 @@
     to_line,
 )
 from bench.slopes import POOL, changed, with_servers
+from masticfork.core.ids import HostName
 
 
 def slope(hosts: int, cpu: float) -> Record:
@@ -155,6 +157,20 @@
         assert figures["added_ms_p50"] == pytest.approx(2.0, abs=0.01)
 
 
+class TestMesh:
+    def test_a_small_fleet_is_a_full_mesh(self) -> None:
+        links = mesh(4)
+        assert [len(near) for near in links.values()] == [3, 3, 3, 3]
+
+    def test_hops_reach_every_host_of_a_large_fleet(self) -> None:
+        links = mesh(60)
+        assert len(hops(links, min(links))) == 59
+
+    def test_hops_are_the_shortest(self) -> None:
+        a, b, c = map(HostName, "abc")
+        assert hops({a: {b}, b: {a, c}, c: {b}}, a) == [1, 2]
+
+
 class TestManifests:
     MANIFEST = {
         "models": [{"name": "m", "versions": [{"id": "1"}, {"id": "2"}]}],
--- a/bench/registry.py
+++ b/bench/registry.py
@@ -11,6 +11,7 @@
 import attrs
 
 from bench.calls import Added, LookupCall, ReservationCall
+from bench.mesh import Mesh
 from bench.relay import measure
 from bench.results import Point, flat
 from bench.slopes import Servers, Slopes
@@ -99,6 +100,7 @@
         Slopes(),
         Servers(),
         TickCost(),
+        Mesh(),
     ]
     found += [Simulated(name) for name in SIMULATED if _exists(name)]
     if _exists(Retries.name):
