--- a/bench/main_test.py
+++ b/bench/main_test.py
@@ -11,8 +11,8 @@
 from bench.fleet import Usage, per_act, per_host, samples
 from bench.load import Histogram
 from bench.main import SHORT, main
-from bench.registry import experiments, means
 from bench.mesh import hops, mesh
+from bench.registry import experiments, means
 from bench.results import (
     Conditions,
     Point,
