--- a/bench/tables.py
+++ b/bench/tables.py
@@ -4,6 +4,7 @@
 seconds are run over them.
 """
 
+import json
 import time
 import tracemalloc
 from collections.abc import Callable, Iterator, Mapping
@@ -11,6 +12,7 @@
 from result import Err, Result
 
 from bench.results import Point
+from bench.slopes import with_servers
 from masticfork.core.configuration import Configuration
 from masticfork.core.deadlines import Deadline
 from masticfork.core.findings import Findings
@@ -22,12 +24,15 @@
 from masticfork.daemon.ticker import TICK_SECONDS
 from masticfork.ledger.leases import LeaseKeeper
 from masticfork.peers.authentication import PeerKey
+from masticfork.peers.manifest_copy import pack_manifest
 from masticfork.peers.node import NodeSettings, PeerNode
 from masticfork.peers.records import LinkSettings
 from masticfork.platform.embedded import EmbeddedStore
+from masticfork.settings.manifest import parse_manifest
 from masticfork.systems.drains import Drains
 from masticfork.systems.health import Health
 from masticfork.systems.outcomes import CallEnds
+from tools.launch_files import POOLS, SERVICE, Secrets, Server, manifest_object
 
 # Hosts with backend servers; the last pair is the plan's.
 SIZES = ((4, 15), (24, 68), (275, 775), (550, 1550), (1100, 3100))
@@ -69,7 +74,25 @@
     figures = {"rows_mb": round(memory, 3)}
     for name, (step, interval) in _steps(tables).items():
         figures[f"cpu_ms_a_second.{name}"] = _spent(step, interval, seconds)
-    return figures
+    return figures | _manifest(servers)
+
+
+def _manifest(servers: int) -> dict[str, float]:
+    """Return the size of a manifest and the time to parse and check it."""
+    keys = Secrets.new()
+    plain = [
+        Server(f"server-{number}", group, "zilina", number + 1, 8)
+        for number, group in enumerate((*POOLS, SERVICE))
+    ]
+    text = json.dumps(with_servers(manifest_object(keys, plain), servers))
+    begun = time.process_time()
+    parse_manifest(text, "bench").unwrap()
+    parsed = time.process_time() - begun
+    return {
+        "manifest_bytes": len(text),
+        "manifest_packed_bytes": len(pack_manifest(text)),
+        "manifest_parse_ms": round(1000 * parsed, 1),
+    }
 
 
 def fill(tables: Tables, hosts: int, servers: int) -> None:
