--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -9,7 +9,7 @@
 from bench.load import StreamLoad, StreamLoader
 from bench.results import Point, flat
 from tools.launch import Cluster, start
-from tools.launch_files import LOOPBACK, ZONES
+from tools.launch_files import ZONES
 from tools.launch_options import Json, Options
 
 HOSTS = (2, 4, 8, 16, 24)
@@ -22,6 +22,8 @@
 LOAD_SECONDS = 6.0
 # Links of the start are pruned and news is told before anything is measured.
 SETTLE_SECONDS = 4.0
+LARGE_SETTLE_SECONDS = 15.0
+LARGE_HOSTS = 9
 # Chats a second at each host.
 CHAT_RATE = 2.0
 CHAT_TOKENS = 16
@@ -45,7 +47,7 @@
         """Yield a point for each number of hosts."""
         for count in SHORT_HOSTS if short else HOSTS:
             with start(_options(count)) as cluster:
-                time.sleep(SETTLE_SECONDS)
+                time.sleep(settle_seconds(count))
                 figures = {
                     "idle": idle(cluster),
                     "load": loaded(cluster, seed),
@@ -73,6 +75,11 @@
             yield Point({"servers": count, "hosts": SERVER_HOSTS}, flat(figures))
 
 
+def settle_seconds(hosts: int) -> float:
+    """Return how long a fleet is left alone; a partial mesh takes longer."""
+    return LARGE_SETTLE_SECONDS if hosts >= LARGE_HOSTS else SETTLE_SECONDS
+
+
 def idle(cluster: Cluster) -> dict[str, float]:
     """Return what a host uses without requests."""
     before = usage(cluster)
@@ -127,7 +134,8 @@
     extra = [
         {
             "name": f"worker-{number}",
-            "host": LOOPBACK,
+            # A manifest names each address once.
+            "host": f"127.1.{number // 250}.{number % 250 + 1}",
             "port": CLOSED_PORT,
             "zone": ZONES[number % len(ZONES)],
             "slots": 16,
