--- a/masticfork/daemon/control.py
+++ b/masticfork/daemon/control.py
@@ -11,6 +11,7 @@
 from masticfork.core.tables import System
 from masticfork.daemon.base import Base
 from masticfork.daemon.bills import BillService
+from masticfork.daemon.claim_sweep import ClaimSweeper
 from masticfork.daemon.duties import DutyLeases
 from masticfork.daemon.host_list import HostListPoller
 from masticfork.daemon.limits import LimitSharing
@@ -68,6 +69,7 @@
         self.ends = (CallEnds(), CallEnds())
         self.rollouts = RolloutStore(store, self.objects, now)
         self._driver = self._make_driver(duties)
+        self._sweeper = ClaimSweeper(store, duties, now)
         self._sharing = LimitSharing(tables, duties, self._least_hosts, now)
         self.admission = FairAdmission(self._sharing)
         self._sharing.attach(self.admission, self.node.link)
@@ -102,6 +104,7 @@
             _log.error("the peer link cannot listen", error=str(started.err_value))
         self._watch.start()
         self._driver.start()
+        self._sweeper.start()
         self._sharing.start()
         if self._feed is not None:
             self._feed.start()
@@ -116,6 +119,7 @@
     def stop(self) -> None:
         """Stop every part; bills are flushed before."""
         self._watch.stop()
+        self._sweeper.stop()
         if self._feed is not None:
             self._feed.stop()
         if self._host_list is not None:
--- a/masticfork/daemon/serving.py
+++ b/masticfork/daemon/serving.py
@@ -168,7 +168,7 @@
         return Router(
             self._base.tables,
             policy,
-            TwoChoices(self._base.in_flight),
+            TwoChoices(self._base.in_flight, self._base.now),
             self._base.in_flight,
             BudgetedRetries(),
             self._control.ends,
--- a/masticfork/systems/placement.py
+++ b/masticfork/systems/placement.py
@@ -3,13 +3,14 @@
 import random
 import threading
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Protocol
 
 from masticfork.core.ids import ServerName
 from masticfork.core.manifest import BackendServer
 from masticfork.core.tables import Tables
 from masticfork.systems.eligibility import drained, server_takes_work
+from masticfork.systems.health import HealthSettings, ramp_weight
 
 
 class InFlight:
@@ -55,8 +56,15 @@
     Balancing", IEEE TPDS 12(10), 2001.
     """
 
-    def __init__(self, in_flight: InFlight) -> None:
+    def __init__(
+        self,
+        in_flight: InFlight,
+        now: Callable[[], float],
+        health: HealthSettings | None = None,
+    ) -> None:
         self._in_flight = in_flight
+        self._now = now
+        self._health = health or HealthSettings()
 
     def choose(
         self, tables: Tables, servers: Sequence[BackendServer], rng: random.Random
@@ -70,11 +78,16 @@
         return first
 
     def _load(self, tables: Tables, server: BackendServer) -> float:
+        """Return the load for each slot, as if this request were there.
+
+        A server that comes back counts only a part of its slots while it warms up.
+        """
         row = tables.servers.get(server.name)
         reported = row.reported_running + row.reported_queued if row else 0
         # Own requests are in the report too, once it is recent enough.
-        load = max(reported, self._in_flight.at(server.name))
-        return load / server.slots
+        load = max(reported, self._in_flight.at(server.name)) + 1
+        weight = ramp_weight(row, self._now(), self._health) if row else 1.0
+        return load / (server.slots * weight)
 
 
 def available(
--- /dev/null
+++ b/masticfork/systems/placement_test.py
@@ -0,0 +1,55 @@
+import random
+from collections import Counter
+
+from masticfork.core.deadlines import Deadline
+from masticfork.core.ids import HostName, ServerName, ZoneName
+from masticfork.core.manifest import BackendServer
+from masticfork.core.tables import SelfRow, ServerRow, Tables
+from masticfork.systems.health import HealthSettings
+from masticfork.systems.placement import InFlight, TwoChoices, available
+
+ZONE = ZoneName("zilina")
+SERVERS = tuple(
+    BackendServer(ServerName(f"drafting-{n}"), "127.0.0.1", 9000 + n, ZONE)
+    for n in range(3)
+)
+
+
+def tables(**rows: ServerRow) -> Tables:
+    made = Tables(SelfRow(HostName("entry-1"), ZONE))
+    for server in SERVERS:
+        made.servers[server.name] = ServerRow(server)
+    made.servers.update({ServerName(name): row for name, row in rows.items()})
+    return made
+
+
+class TestTwoChoices:
+    def test_prefers_the_server_with_fewer_requests(self):
+        in_flight = InFlight()
+        for _ in range(5):
+            in_flight.enter(SERVERS[0].name)
+        chooser, rng = TwoChoices(in_flight, lambda: 0.0), random.Random(1)
+        chosen = [chooser.choose(tables(), SERVERS[:2], rng) for _ in range(20)]
+        assert set(chosen) == {SERVERS[1]}
+
+    def test_a_server_that_comes_back_gets_little_at_first(self):
+        ramp = HealthSettings().ramp_seconds
+        row = ServerRow(SERVERS[0], ramp_until=Deadline(ramp))
+        back, rng, counts = tables(**{"drafting-0": row}), random.Random(1), Counter()
+        in_flight = InFlight()
+        chooser = TwoChoices(in_flight, lambda: 0.0)
+        for _ in range(12):
+            chosen = chooser.choose(back, SERVERS, rng)
+            in_flight.enter(chosen.name)
+            counts[chosen.name] += 1
+        assert counts[SERVERS[0].name] <= 1
+
+
+class TestAvailable:
+    def test_leaves_out_tried_leaving_and_ejected_servers(self):
+        leaving = ServerRow(SERVERS[0], leaving=True)
+        ejected = ServerRow(SERVERS[1], ejected_until=Deadline(10.0))
+        made = tables(**{"drafting-0": leaving, "drafting-1": ejected})
+        assert available(made, SERVERS, frozenset(), 5.0) == [SERVERS[2]]
+        tried = frozenset({SERVERS[2].name})
+        assert available(made, SERVERS, tried, 10.0) == [SERVERS[1]]
