Read engines' load, and judge pools and servers each second

Ruled out: each host asking every engine (16 at most are asked); writing rows from the threads that ask (a row changed by a system meanwhile would be lost). Before: reported_at stayed 0.

--- a/masticfork/daemon/control.py
+++ b/masticfork/daemon/control.py
@@ -33,6 +33,7 @@
 from masticfork.systems.drains import Drains
 from masticfork.systems.health import Health
 from masticfork.systems.outcomes import CallEnds
+from masticfork.systems.paced import Paced
 from masticfork.systems.pool_capacity import PoolCapacity
 from masticfork.systems.rollout_policies import SequentialPolicy
 from masticfork.systems.rollouts import RolloutSystem
@@ -40,6 +41,8 @@
 
 # A restarted host must carry a greater incarnation number than before.
 INCARNATIONS_PER_SECOND = 1000
+# How often pools and servers are judged as a whole, which costs a look at each row.
+JUDGE_SECONDS = 1.0
 
 _log = logbook.Logger("daemon")
 
@@ -89,9 +92,9 @@
         return (
             self.node,
             self.objects,
-            capacity,
+            Paced(capacity, JUDGE_SECONDS),
             self.bills,
-            health,
+            Paced(health, JUDGE_SECONDS),
             holds,
             self.quality,
         )
--- a/masticfork/daemon/daemon.py
+++ b/masticfork/daemon/daemon.py
@@ -42,7 +42,11 @@
         self._base = Base(settings, now, rng or random.SystemRandom())
         self._control = ControlParts(self._base)
         self._serving = ServingParts(self._base, self._control)
-        systems = (*self._control.systems, self._serving.claim_flusher)
+        systems = (
+            *self._control.systems,
+            self._serving.claim_flusher,
+            self._serving.load_reports,
+        )
         self._ticker = Ticker(self._base.tables, systems, now)
         self._admin = self._make_admin()
         self._stopped = threading.Event()
--- a/masticfork/daemon/serving.py
+++ b/masticfork/daemon/serving.py
@@ -15,6 +15,7 @@
 from masticfork.daemon.claims import ClaimFlusher
 from masticfork.daemon.control import ControlParts
 from masticfork.daemon.listener import Listener, ListenerSettings
+from masticfork.daemon.load_reports import LoadReports
 from masticfork.daemon.shutdown import Shutdown
 from masticfork.daemon.ticker import log_finding
 from masticfork.entry.active import ActiveRequests
@@ -76,6 +77,8 @@
             base.ratings,
             base.background,
         )
+        self._engines = EngineClient(self._pool, self._pump, base.now)
+        self.load_reports = LoadReports(self._engines, base.background, base.now)
         self.listener = self._make_entry()
 
     def ready(self) -> bool:
@@ -97,7 +100,7 @@
     def _make_entry(self) -> Listener:
         settings = self._base.settings.entry
         router = self._make_router()
-        engines = EngineClient(self._pool, self._pump, self._base.now)
+        engines = self._engines
         gate = Gate(self._control.admission, self._base.now)
         chat = ChatParts(
             self._base.tables,
