--- a/bench/tables.py
+++ b/bench/tables.py
@@ -19,6 +19,7 @@
 from masticfork.core.hosts import ListedHost, RegionName
 from masticfork.core.ids import HostName, ZoneName
 from masticfork.core.tables import HostRow, SelfRow, Tables
+from masticfork.daemon.control import JUDGE_SECONDS
 from masticfork.daemon.duties import DutyLeases
 from masticfork.daemon.ticker import TICK_SECONDS
 from masticfork.ledger.leases import LeaseKeeper
@@ -134,9 +135,9 @@
 
     return {
         "node": (lambda now: node.run(tables, now), TICK_SECONDS),
-        "health": (lambda now: health.run(tables, now), TICK_SECONDS),
+        "health": (lambda now: health.run(tables, now), JUDGE_SECONDS),
         "drains": (lambda now: drains.run(tables, now), TICK_SECONDS),
-        "pool_capacity": (lambda now: capacity.run(tables, now), TICK_SECONDS),
+        "pool_capacity": (lambda now: capacity.run(tables, now), JUDGE_SECONDS),
         "duties": (hold, ROUND_SECONDS),
         "node_with_host_list": (take_list, LIST_SECONDS),
     }
