Choose servers by prefix locality and load

Cause: prompts went to servers that did not hold their prefixes, though the engines tell what they hold.

--- a/masticfork/backends/engine.py
+++ b/masticfork/backends/engine.py
@@ -50,6 +50,15 @@
     cached_tokens: int = 0
 
 
+@attrs.frozen
+class CacheEvents:
+    """Prefixes that an engine stored and removed, and the last event's number."""
+
+    stored: tuple[str, ...]
+    removed: tuple[str, ...]
+    following: int
+
+
 class EngineClient:
     """Starts, resumes and cancels generations on engines."""
 
@@ -105,6 +114,14 @@
         done = self._exchange(server, "GET", "/v1/load", deadline)
         return done.map(lambda answer: answer[1])
 
+    def cache_events(
+        self, server: BackendServer, after: int, deadline: Deadline
+    ) -> Result[CacheEvents, CallFailure]:
+        """Read the events of the engine's prefix cache that follow a number."""
+        path = f"/v1/cache-events?after={after}"
+        done = self._exchange(server, "GET", path, deadline)
+        return done.map(lambda answer: _cache_events(answer[1], after))
+
     def _exchange(
         self, server: BackendServer, method: str, path: str, deadline: Deadline
     ) -> Result[tuple[int, dict[str, object]], CallFailure]:
@@ -157,6 +174,19 @@
     return Request("POST", CHAT_PATH, tuple(headers), json.dumps(body).encode())
 
 
+def _cache_events(body: dict[str, object], after: int) -> CacheEvents:
+    rows = body.get("events")
+    events = [r for r in rows if isinstance(r, dict)] if isinstance(rows, list) else []
+    # Of several events of a prefix only the last one counts.
+    kinds = {str(row.get("prefix")): row.get("kind") for row in events}
+    following = body.get("next")
+    return CacheEvents(
+        tuple(prefix for prefix, kind in kinds.items() if kind == "stored"),
+        tuple(prefix for prefix, kind in kinds.items() if kind == "removed"),
+        following if isinstance(following, int) else after,
+    )
+
+
 def _read_json(answer: Answer) -> dict[str, object]:
     try:
         return _parse_json(answer.response.read())
--- a/masticfork/daemon/load_reports.py
+++ b/masticfork/daemon/load_reports.py
@@ -1,4 +1,4 @@
-"""Read the load that engines report and put it in the table of servers."""
+"""Read what engines report of their load and of their prefix caches."""
 
 import collections
 import threading
@@ -14,6 +14,7 @@
 from masticfork.core.ids import HostName, ServerName, digest
 from masticfork.core.manifest import BackendServer
 from masticfork.core.tables import Tables
+from masticfork.systems.prefixes import PrefixTable
 
 ROUND_SECONDS = 1.0
 CALL_SECONDS = 0.5
@@ -36,9 +37,16 @@
     """Asks in the background and writes the table in the tick."""
 
     def __init__(
-        self, engines: EngineClient, background: Executor, now: Callable[[], float]
+        self,
+        engines: EngineClient,
+        prefixes: PrefixTable,
+        background: Executor,
+        now: Callable[[], float],
     ) -> None:
         self._engines = engines
+        self._prefixes = prefixes
+        # The last cache event seen of each engine.
+        self._seen: dict[ServerName, int] = {}
         self._background = background
         self._now = now
         self._next_round = Deadline(0.0)
@@ -68,6 +76,7 @@
         try:
             deadline = Deadline.after(self._now(), CALL_SECONDS)
             read = self._engines.load(server, deadline)
+            self._read_cache(server, deadline)
         finally:
             with self._lock:
                 self._asked.discard(server.name)
@@ -78,6 +87,16 @@
             report = LoadReport(server.name, running, queued, self._now())
             self._reports.append(report)
 
+    def _read_cache(self, server: BackendServer, deadline: Deadline) -> None:
+        after = self._seen.get(server.name, 0)
+        read = self._engines.cache_events(server, after, deadline)
+        if isinstance(read, Err):
+            return
+        events = read.ok_value
+        self._seen[server.name] = events.following
+        self._prefixes.stored(server.name, events.stored)
+        self._prefixes.removed(server.name, events.removed)
+
 
 def _apply(tables: Tables, report: LoadReport) -> None:
     row = tables.servers.get(report.server)
--- a/masticfork/daemon/load_reports_test.py
+++ b/masticfork/daemon/load_reports_test.py
@@ -2,12 +2,14 @@
 
 from result import Err, Ok
 
+from masticfork.backends.engine import CacheEvents
 from masticfork.backends.failures import CallFailure, FailureKind, Stage
 from masticfork.core.configuration import Configuration
 from masticfork.core.ids import HostName, PoolName, ServerName, ZoneName
 from masticfork.core.manifest import BackendServer, Manifest, Pool
 from masticfork.core.tables import SelfRow, Tables
 from masticfork.daemon.load_reports import MAX_ENGINES, ROUND_SECONDS, LoadReports
+from masticfork.systems.prefixes import PrefixTable
 from masticfork.systems.servers import put_in_force
 
 ZONE = ZoneName("zilina")
@@ -22,6 +24,9 @@
         self.asked.append(server.name)
         return self.answer
 
+    def cache_events(self, server, after, deadline):
+        return Ok(CacheEvents(("held",), (), after + 1))
+
 
 def world(answer, count=2):
     servers = tuple(
@@ -36,7 +41,7 @@
 
 def two_rounds(tables, engines):
     with ThreadPoolExecutor(1) as background:
-        reports = LoadReports(engines, background, lambda: 7.0)
+        reports = LoadReports(engines, PrefixTable(), background, lambda: 7.0)
         reports.run(tables, 0.0)
     reports.run(tables, ROUND_SECONDS / 2)
 
--- a/masticfork/daemon/serving.py
+++ b/masticfork/daemon/serving.py
@@ -38,7 +38,8 @@
 from masticfork.ledger.claims import ClaimBook
 from masticfork.settings.settings import Settings
 from masticfork.systems.hedging import PercentileHedges
-from masticfork.systems.placement import TwoChoices
+from masticfork.systems.placement import PrefixLocality, ServerLoad
+from masticfork.systems.prefixes import PrefixTable
 from masticfork.systems.retries import BudgetedRetries
 from masticfork.systems.sessions import SessionSigner, SigningKey
 
@@ -78,7 +79,10 @@
             base.background,
         )
         self._engines = EngineClient(self._pool, self._pump, base.now)
-        self.load_reports = LoadReports(self._engines, base.background, base.now)
+        self._prefixes = PrefixTable()
+        self.load_reports = LoadReports(
+            self._engines, self._prefixes, base.background, base.now
+        )
         self.listener = self._make_entry()
 
     def ready(self) -> bool:
@@ -171,7 +175,9 @@
         return Router(
             self._base.tables,
             policy,
-            TwoChoices(self._base.in_flight, self._base.now),
+            PrefixLocality(
+                ServerLoad(self._base.in_flight, self._base.now), self._prefixes
+            ),
             self._base.in_flight,
             BudgetedRetries(),
             self._control.ends,
--- a/masticfork/entry/answer.py
+++ b/masticfork/entry/answer.py
@@ -20,6 +20,7 @@
 from masticfork.entry.adoption import Adopter
 from masticfork.entry.frames import data_of
 from masticfork.entry.routing import PRIORITIES, Placement, Router
+from masticfork.systems.prefixes import prompt_of
 from masticfork.systems.retries import MAX_ATTEMPTS
 
 MAX_RESUMES = 5
@@ -73,6 +74,7 @@
         self._background = background
         self._now = now
         self._budget = router.budget_of(placement)
+        self._prompt = prompt_of(placement.version, _text_of(call.body))
         self._stream: EngineStream | None = None
         self._server: BackendServer | None = None
         self._attempt = AttemptId("")
@@ -117,7 +119,7 @@
             return None
         while True:
             chosen = self._router.choose_engine(
-                self._call.head.team, self._placement, self._tried
+                self._call.head.team, self._placement, self._tried, self._prompt
             )
             if isinstance(chosen, Err):
                 return chosen.err_value
@@ -336,6 +338,14 @@
         return Refusal(Reason.BACKEND_FAILED, message, state)
 
 
+def _text_of(body: dict[str, object]) -> str:
+    messages = body.get("messages")
+    contents = (
+        [m.get("content") for m in messages] if isinstance(messages, list) else []
+    )
+    return "".join(content for content in contents if isinstance(content, str))
+
+
 def _different() -> CallFailure:
     message = "the answer could not be continued as it began"
     return CallFailure(Stage.ANSWERING, FailureKind.DIFFERENT_ANSWER, message)
--- a/masticfork/entry/routing.py
+++ b/masticfork/entry/routing.py
@@ -21,6 +21,7 @@
 from masticfork.systems.outcomes import CallEnds, outcome_of
 from masticfork.systems.placement import InFlight, ServerChooser, available
 from masticfork.systems.pool_capacity import pool_key
+from masticfork.systems.prefixes import NO_PROMPT, Prompt
 from masticfork.systems.retries import RetryPolicy
 from masticfork.systems.sessions import Session
 
@@ -102,7 +103,11 @@
         return pool_key(version.pool if version else "")
 
     def choose_engine(
-        self, team: Team, placement: Placement, tried: frozenset[ServerName]
+        self,
+        team: Team,
+        placement: Placement,
+        tried: frozenset[ServerName],
+        prompt: Prompt = NO_PROMPT,
     ) -> Result[BackendServer, Refusal]:
         """Choose an engine of the version's pool and check the dispatch."""
         configuration = self._tables.configuration
@@ -112,7 +117,7 @@
         if configuration is None or version is None:
             return Err(Refusal(Reason.MODEL_NOT_ALLOWED, "the version has gone"))
         servers = configuration.pools[version.pool].servers
-        chosen = self.choose(servers, tried)
+        chosen = self.choose(servers, tried, prompt)
         if isinstance(chosen, Err):
             return chosen
         checked = self.check(team, placement, chosen.ok_value)
@@ -140,7 +145,10 @@
         )
 
     def choose(
-        self, servers: tuple[BackendServer, ...], tried: frozenset[ServerName]
+        self,
+        servers: tuple[BackendServer, ...],
+        tried: frozenset[ServerName],
+        prompt: Prompt = NO_PROMPT,
     ) -> Result[BackendServer, Refusal]:
         """Choose one of the servers that may take new work."""
         now = self._now()
@@ -152,4 +160,4 @@
             )
             return Err(refusal)
         with self._rng_lock:
-            return Ok(self._chooser.choose(self._tables, fit, self._rng))
+            return Ok(self._chooser.choose(self._tables, fit, prompt, self._rng))
--- a/masticfork/systems/placement.py
+++ b/masticfork/systems/placement.py
@@ -1,5 +1,6 @@
 """Choose the backend server for one attempt."""
 
+import itertools
 import random
 import threading
 from collections import Counter
@@ -11,6 +12,15 @@
 from masticfork.core.tables import Tables
 from masticfork.systems.eligibility import drained, server_takes_work
 from masticfork.systems.health import HealthSettings, ramp_weight
+from masticfork.systems.prefixes import PrefixTable, Prompt
+
+# Servers drawn at random, and servers taken for what they hold.
+DRAWN = 2
+# Time of an ordinary answer, for the wait in a full server's queue.
+ANSWER_SECONDS = 4.0
+# What a server that is full but for one slot loses against an empty one.
+BUSY_SECONDS = 0.2
+PREFILL_SECONDS_PER_CHARACTER = 0.0002
 
 
 class InFlight:
@@ -44,17 +54,17 @@
     """Picks one of the servers that may take an attempt."""
 
     def choose(
-        self, tables: Tables, servers: Sequence[BackendServer], rng: random.Random
+        self,
+        tables: Tables,
+        servers: Sequence[BackendServer],
+        prompt: Prompt,
+        rng: random.Random,
     ) -> BackendServer:
         """Return one of `servers`, which is not empty."""
 
 
-class TwoChoices:
-    """Take the less loaded of two servers drawn at random.
-
-    Source: M. Mitzenmacher, "The Power of Two Choices in Randomized Load
-    Balancing", IEEE TPDS 12(10), 2001.
-    """
+class ServerLoad:
+    """The load of servers as this host knows it."""
 
     def __init__(
         self,
@@ -66,19 +76,8 @@
         self._now = now
         self._health = health or HealthSettings()
 
-    def choose(
-        self, tables: Tables, servers: Sequence[BackendServer], rng: random.Random
-    ) -> BackendServer:
-        """Return the server with the lower load per slot."""
-        if len(servers) == 1:
-            return servers[0]
-        first, second = rng.sample(servers, 2)
-        if self._load(tables, second) < self._load(tables, first):
-            return second
-        return first
-
-    def _load(self, tables: Tables, server: BackendServer) -> float:
-        """Return the load for each slot, as if this request were there.
+    def per_slot(self, tables: Tables, server: BackendServer) -> float:
+        """Return the load for each slot, as if one more request were there.
 
         A server that comes back counts only a part of its slots while it warms up.
         """
@@ -90,6 +89,100 @@
         return load / (server.slots * weight)
 
 
+class RoundRobin:
+    """Baseline: each server in turn."""
+
+    def __init__(self) -> None:
+        self._turns = itertools.count()
+
+    def choose(
+        self,
+        tables: Tables,
+        servers: Sequence[BackendServer],
+        prompt: Prompt,
+        rng: random.Random,
+    ) -> BackendServer:
+        """Return the next server."""
+        return servers[next(self._turns) % len(servers)]
+
+
+class LeastLoaded:
+    """Baseline: the least loaded server, as far as this host knows."""
+
+    def __init__(self, load: ServerLoad) -> None:
+        self._load = load
+
+    def choose(
+        self,
+        tables: Tables,
+        servers: Sequence[BackendServer],
+        prompt: Prompt,
+        rng: random.Random,
+    ) -> BackendServer:
+        """Return the server with the lowest load per slot."""
+        return min(servers, key=lambda server: self._load.per_slot(tables, server))
+
+
+class TwoChoices:
+    """Take the less loaded of two servers drawn at random.
+
+    Source: M. Mitzenmacher, "The Power of Two Choices in Randomized Load
+    Balancing", IEEE TPDS 12(10), 2001.
+    """
+
+    def __init__(self, load: ServerLoad) -> None:
+        self._load = load
+
+    def choose(
+        self,
+        tables: Tables,
+        servers: Sequence[BackendServer],
+        prompt: Prompt,
+        rng: random.Random,
+    ) -> BackendServer:
+        """Return the server with the lower load per slot."""
+        drawn = rng.sample(servers, min(DRAWN, len(servers)))
+        return min(drawn, key=lambda server: self._load.per_slot(tables, server))
+
+
+class PrefixLocality:
+    """Weigh the wait at a server against the prefill that its cache spares.
+
+    The candidates are two servers drawn at random and the two that hold most of the
+    prompt: drawing keeps hosts with the same stale report from herding.
+    """
+
+    def __init__(self, load: ServerLoad, table: PrefixTable) -> None:
+        self._load = load
+        self._table = table
+
+    def choose(
+        self,
+        tables: Tables,
+        servers: Sequence[BackendServer],
+        prompt: Prompt,
+        rng: random.Random,
+    ) -> BackendServer:
+        """Return the candidate with the earliest expected first token."""
+        candidates = rng.sample(servers, min(DRAWN, len(servers)))
+        if prompt.prefixes:
+            held = [s for s in servers if self._table.held(s.name, prompt)]
+            rng.shuffle(held)
+            held.sort(key=lambda s: -self._table.held(s.name, prompt))
+            candidates += held[:DRAWN]
+        chosen = min(candidates, key=lambda s: self._expected(tables, s, prompt))
+        self._table.stored(chosen.name, (prefix.hash for prefix in prompt.prefixes))
+        return chosen
+
+    def _expected(self, tables: Tables, server: BackendServer, prompt: Prompt) -> float:
+        """Return the seconds to the first token, without what all servers share."""
+        load = self._load.per_slot(tables, server)
+        # A slot becomes free, on average, after a part of an answer's time.
+        wait = max(0.0, load - 1.0) * ANSWER_SECONDS + load * BUSY_SECONDS
+        uncached = prompt.characters - self._table.held(server.name, prompt)
+        return wait + uncached * PREFILL_SECONDS_PER_CHARACTER
+
+
 def available(
     tables: Tables,
     servers: Sequence[BackendServer],
--- a/masticfork/systems/placement_test.py
+++ b/masticfork/systems/placement_test.py
@@ -2,11 +2,18 @@
 from collections import Counter
 
 from masticfork.core.deadlines import Deadline
-from masticfork.core.ids import HostName, ServerName, ZoneName
+from masticfork.core.ids import HostName, ServerName, VersionId, ZoneName
 from masticfork.core.manifest import BackendServer
 from masticfork.core.tables import SelfRow, ServerRow, Tables
 from masticfork.systems.health import HealthSettings
-from masticfork.systems.placement import InFlight, TwoChoices, available
+from masticfork.systems.placement import (
+    InFlight,
+    PrefixLocality,
+    ServerLoad,
+    TwoChoices,
+    available,
+)
+from masticfork.systems.prefixes import NO_PROMPT, PrefixTable, prompt_of
 
 ZONE = ZoneName("zilina")
 SERVERS = tuple(
@@ -28,8 +35,10 @@
         in_flight = InFlight()
         for _ in range(5):
             in_flight.enter(SERVERS[0].name)
-        chooser, rng = TwoChoices(in_flight, lambda: 0.0), random.Random(1)
-        chosen = [chooser.choose(tables(), SERVERS[:2], rng) for _ in range(20)]
+        chooser, rng = TwoChoices(ServerLoad(in_flight, lambda: 0.0)), random.Random(1)
+        chosen = [
+            chooser.choose(tables(), SERVERS[:2], NO_PROMPT, rng) for _ in range(20)
+        ]
         assert set(chosen) == {SERVERS[1]}
 
     def test_a_server_that_comes_back_gets_little_at_first(self):
@@ -37,14 +46,40 @@
         row = ServerRow(SERVERS[0], ramp_until=Deadline(ramp))
         back, rng, counts = tables(**{"drafting-0": row}), random.Random(1), Counter()
         in_flight = InFlight()
-        chooser = TwoChoices(in_flight, lambda: 0.0)
+        chooser = TwoChoices(ServerLoad(in_flight, lambda: 0.0))
         for _ in range(12):
-            chosen = chooser.choose(back, SERVERS, rng)
+            chosen = chooser.choose(back, SERVERS, NO_PROMPT, rng)
             in_flight.enter(chosen.name)
             counts[chosen.name] += 1
         assert counts[SERVERS[0].name] <= 1
 
 
+class TestPrefixLocality:
+    def test_goes_where_the_prompt_is_held_unless_the_wait_is_longer(self):
+        in_flight, table = InFlight(), PrefixTable()
+        chooser = PrefixLocality(ServerLoad(in_flight, lambda: 0.0), table)
+        prompt, rng = prompt_of(VersionId("linen@1"), "x" * 4096), random.Random(1)
+        first = chooser.choose(tables(), SERVERS, prompt, rng)
+        again = [chooser.choose(tables(), SERVERS, prompt, rng) for _ in range(10)]
+        assert set(again) == {first}
+        for _ in range(2 * first.slots):
+            in_flight.enter(first.name)
+        assert chooser.choose(tables(), SERVERS, prompt, rng) != first
+
+
+class TestPrefixTable:
+    def test_tells_the_longest_prefix_that_is_held(self):
+        table, name = PrefixTable(), SERVERS[0].name
+        prompt = prompt_of(VersionId("linen@1"), "x" * 1500)
+        assert [p.characters for p in prompt.prefixes] == [256, 512, 1024]
+        table.stored(name, [prefix.hash for prefix in prompt.prefixes])
+        assert table.held(name, prompt) == 1024
+        table.removed(name, [prompt.prefixes[-1].hash])
+        assert table.held(name, prompt) == 512
+        other = prompt_of(VersionId("linen@2"), "x" * 1500)
+        assert table.held(name, other) == 0
+
+
 class TestAvailable:
     def test_leaves_out_tried_leaving_and_ejected_servers(self):
         leaving = ServerRow(SERVERS[0], leaving=True)
