--- a/bench/experiments/cascades.py
+++ b/bench/experiments/cascades.py
@@ -26,8 +26,8 @@
     LearntCascade,
 )
 
-# Cost is compared from here on; quality from the start.
-WARM_UP_SECONDS = 900.0
+# Cost is compared after this share of the time; quality from the start.
+WARM_UP_SHARE = 0.25
 POLICIES: dict[str, CascadePolicy] = {
     "learnt": LearntCascade(),
     "strongest": AlwaysStrongest(),
@@ -63,7 +63,7 @@
     """Run one seed."""
     requests = requests_of(scenario, seed)
     outcomes = World(scenario, POLICIES[policy], seed).run(requests)
-    warm = [o for o in outcomes if o.request.at >= WARM_UP_SECONDS]
+    warm = [o for o in outcomes if o.request.at >= scenario.seconds * WARM_UP_SHARE]
     late = [o for o in outcomes if o.request.at >= scenario.seconds * 0.65]
     groups = _by_key(outcomes)
     plan_oracle = clairvoyant = 0.0
--- a/masticfork/systems/cascades.py
+++ b/masticfork/systems/cascades.py
@@ -73,7 +73,7 @@
 
     standard_errors: float = 0.7
     # Kept above the target, against the noise of the answers themselves.
-    margin: float = 0.005
+    margin: float = 0.004
     # With staler evidence the strongest version answers.
     least_fresh: float = 0.25
     # Rated answers of each cheaper version before its plans are judged.
