Make one loop and one record serve where logic stood twice

Cause: four parts had the same thread with a pause and a stop; each chooser repeated five parameters. Ruled out: a scheduler for all loops on one thread (each waits on another system).

--- a/bench/experiments/server_choice.py
+++ b/bench/experiments/server_choice.py
@@ -20,6 +20,7 @@
 from masticfork.core.manifest import BackendServer
 from masticfork.core.tables import SelfRow, ServerRow, Tables
 from masticfork.systems.placement import (
+    Choice,
     InFlight,
     LeastLoaded,
     PrefixLocality,
@@ -163,7 +164,8 @@
         if self._sees_all:
             self._show_all(router)
         servers = [engine.server for engine in self._engines]
-        chosen = router.chooser.choose(router.tables, servers, prompt, self._rng)
+        choice = Choice(router.tables, servers, prompt, self._rng)
+        chosen = router.chooser.choose(choice)
         engine = next(e for e in self._engines if e.server == chosen)
         router.in_flight.enter(chosen.name)
         request = Request(router, self._now, prompt)
--- a/masticfork/daemon/claim_sweep.py
+++ b/masticfork/daemon/claim_sweep.py
@@ -1,6 +1,5 @@
 """Delete expired claims, one page at a time, on the host that has the duty."""
 
-import threading
 from collections.abc import Callable
 
 import logbook
@@ -8,6 +7,7 @@
 
 from masticfork.core.deadlines import Deadline
 from masticfork.daemon.duties import DutyLeases
+from masticfork.daemon.loops import Loop
 from masticfork.ledger.claim_sweep import sweep_claims
 from masticfork.platform.client import ObjectStore
 
@@ -19,7 +19,7 @@
 
 
 class ClaimSweeper:
-    """Sweeps on a thread of its own, since each page waits on the platform."""
+    """Goes through all claims, one page a step."""
 
     def __init__(
         self, store: ObjectStore, duties: DutyLeases, now: Callable[[], float]
@@ -28,16 +28,7 @@
         self._duties = duties
         self._now = now
         self._after = ""
-        self._stopped = threading.Event()
-        self._thread = threading.Thread(target=self._run, name="sweep", daemon=True)
-
-    def start(self) -> None:
-        """Sweep in the background."""
-        self._thread.start()
-
-    def stop(self) -> None:
-        """End after the page under way."""
-        self._stopped.set()
+        self.loop = Loop("sweep", SWEEP_SECONDS, self.step)
 
     def step(self) -> None:
         """Sweep one page where this host has the duty."""
@@ -52,10 +43,3 @@
         self._after = swept.ok_value.after
         if swept.ok_value.deleted:
             _log.info("expired claims deleted", count=swept.ok_value.deleted)
-
-    def _run(self) -> None:
-        while not self._stopped.wait(SWEEP_SECONDS):
-            try:
-                self.step()
-            except Exception:
-                _log.exception("sweep failed")
--- a/masticfork/daemon/control.py
+++ b/masticfork/daemon/control.py
@@ -106,13 +106,13 @@
         if isinstance(started, Err):
             _log.error("the peer link cannot listen", error=str(started.err_value))
         self._watch.start()
-        self._driver.start()
-        self._sweeper.start()
+        self._driver.loop.start()
+        self._sweeper.loop.start()
         self._sharing.start()
         if self._feed is not None:
-            self._feed.start()
+            self._feed.loop.start()
         if self._host_list is not None:
-            self._host_list.start()
+            self._host_list.loop.start()
 
     def hand_back(self) -> None:
         """Give every duty back, so that other hosts take over at once."""
@@ -122,11 +122,11 @@
     def stop(self) -> None:
         """Stop every part; bills are flushed before."""
         self._watch.stop()
-        self._sweeper.stop()
+        self._sweeper.loop.stop()
         if self._feed is not None:
-            self._feed.stop()
+            self._feed.loop.stop()
         if self._host_list is not None:
-            self._host_list.stop()
+            self._host_list.loop.stop()
         self.bills.stop()
         self.node.stop()
 
--- a/masticfork/daemon/host_list.py
+++ b/masticfork/daemon/host_list.py
@@ -1,6 +1,5 @@
 """Follow the platform's list of live and leaving hosts."""
 
-import threading
 from collections.abc import Callable, Iterable
 
 import logbook
@@ -9,6 +8,7 @@
 from masticfork.core.hosts import ListedHost
 from masticfork.core.ids import HostName, ServerName, ZoneName
 from masticfork.core.tables import Tables
+from masticfork.daemon.loops import Loop
 from masticfork.platform.host_list import ListedAddress, read_host_list
 
 POLL_SECONDS = 1.0
@@ -18,7 +18,7 @@
 
 
 class HostListPoller:
-    """Reads the list on a thread of its own and hands it to membership and tables."""
+    """Reads the list and hands it to membership and tables."""
 
     def __init__(
         self,
@@ -29,25 +29,15 @@
         self._address = address
         self._tables = tables
         self._listed = listed
-        self._stopped = threading.Event()
-        self._thread = threading.Thread(target=self._run, name="hosts", daemon=True)
-
-    def start(self) -> None:
-        """Poll in the background."""
-        self._thread.start()
-
-    def stop(self) -> None:
-        """End after the poll under way."""
-        self._stopped.set()
-
-    def _run(self) -> None:
-        while not self._stopped.wait(POLL_SECONDS):
-            read = read_host_list(self._address)
-            if isinstance(read, Err):
-                # What was last known stays: an outage makes no host live or leaving.
-                _log.debug("host list not read", error=read.err_value.message)
-                continue
-            self._take(read.ok_value)
+        self.loop = Loop("hosts", POLL_SECONDS, self._step)
+
+    def _step(self) -> None:
+        read = read_host_list(self._address)
+        if isinstance(read, Err):
+            # What was last known stays: an outage makes no host live or leaving.
+            _log.debug("host list not read", error=read.err_value.message)
+            return
+        self._take(read.ok_value)
 
     def _take(self, rows: tuple[ListedAddress, ...]) -> None:
         self._listed(
--- a/masticfork/daemon/quality.py
+++ b/masticfork/daemon/quality.py
@@ -15,6 +15,7 @@
 from masticfork.core.quality import AnswerPath, QualityKey, QualityRow, Served
 from masticfork.core.ratings import Rating
 from masticfork.core.tables import Tables
+from masticfork.daemon.loops import Loop
 from masticfork.platform.ratings import RatingClient
 from masticfork.systems.cascades import CascadePolicy, CascadeSystem, Plan, plan
 from masticfork.systems.quality import with_rating, with_seconds, with_served
@@ -92,7 +93,7 @@
 
 
 class RatingFeed:
-    """Reads the rating service's list on a thread of its own."""
+    """Reads the rating service's list as it grows."""
 
     def __init__(
         self, client: RatingClient, take: Callable[[Iterable[Rating]], None]
@@ -100,26 +101,16 @@
         self._client = client
         self._take = take
         self._after = 0
-        self._stopped = threading.Event()
-        self._thread = threading.Thread(target=self._run, name="ratings", daemon=True)
-
-    def start(self) -> None:
-        """Read in the background."""
-        self._thread.start()
-
-    def stop(self) -> None:
-        """End after the call under way."""
-        self._stopped.set()
-
-    def _run(self) -> None:
-        while not self._stopped.wait(POLL_SECONDS):
-            read = self._client.read(self._after)
-            if isinstance(read, Err):
-                _log.debug("ratings not read", error=read.err_value.message)
-                continue
-            if read.ok_value:
-                self._after = read.ok_value[-1].seq
-                self._take(read.ok_value)
+        self.loop = Loop("ratings", POLL_SECONDS, self._step)
+
+    def _step(self) -> None:
+        read = self._client.read(self._after)
+        if isinstance(read, Err):
+            _log.debug("ratings not read", error=read.err_value.message)
+            return
+        if read.ok_value:
+            self._after = read.ok_value[-1].seq
+            self._take(read.ok_value)
 
 
 def _add_answer(tables: Tables, answer: Answered) -> None:
--- a/masticfork/daemon/rollout_driver.py
+++ b/masticfork/daemon/rollout_driver.py
@@ -14,6 +14,7 @@
 from masticfork.core.manifest import Rollout
 from masticfork.core.rollouts import HostUsage
 from masticfork.core.tables import Tables
+from masticfork.daemon.loops import Loop
 from masticfork.daemon.rollout_store import RolloutStore
 from masticfork.daemon.ticker import log_finding
 from masticfork.peers.messages import Body, Evidence
@@ -71,21 +72,11 @@
         self._lock = threading.Lock()
         self._heard: list[HostUsage] = []
         self._ratings_after = 0
-        self._stopped = threading.Event()
-        self._thread = threading.Thread(target=self._run, name="rollouts", daemon=True)
-
-    def start(self) -> None:
-        """Drive in the background."""
-        self._thread.start()
-
-    def stop(self) -> None:
-        """End after the round under way."""
-        self._stopped.set()
-        self._thread.join()
+        self.loop = Loop("rollouts", ROUND_SECONDS, self.round)
 
     def hand_back(self) -> None:
         """Stop driving and give the leases back."""
-        self.stop()
+        self.loop.stop(wait=True)
         self._leases.release_all()
 
     def on_usage(self, sender: Sender, body: Evidence) -> None:
@@ -118,13 +109,6 @@
         for row in list(self._system.proposals.values()):
             self._store.put(row)
 
-    def _run(self) -> None:
-        while not self._stopped.wait(ROUND_SECONDS):
-            try:
-                self.round()
-            except Exception:
-                _log.exception("roll-out round failed")
-
     def _declared(self) -> tuple[Rollout, ...]:
         configuration = self._tables.configuration
         return configuration.manifest.rollouts if configuration else ()
--- a/masticfork/entry/routing.py
+++ b/masticfork/entry/routing.py
@@ -19,7 +19,7 @@
 from masticfork.core.tables import Tables
 from masticfork.systems.eligibility import check_dispatch
 from masticfork.systems.outcomes import CallEnds, outcome_of
-from masticfork.systems.placement import InFlight, ServerChooser, available
+from masticfork.systems.placement import Choice, InFlight, ServerChooser, available
 from masticfork.systems.pool_capacity import pool_key
 from masticfork.systems.prefixes import NO_PROMPT, Prompt
 from masticfork.systems.retries import RetryPolicy
@@ -160,4 +160,5 @@
             )
             return Err(refusal)
         with self._rng_lock:
-            return Ok(self._chooser.choose(self._tables, fit, prompt, self._rng))
+            choice = Choice(self._tables, fit, prompt, self._rng)
+            return Ok(self._chooser.choose(choice))
--- a/masticfork/systems/placement.py
+++ b/masticfork/systems/placement.py
@@ -7,6 +7,8 @@
 from collections.abc import Callable, Sequence
 from typing import Protocol
 
+import attrs
+
 from masticfork.core.ids import ServerName
 from masticfork.core.manifest import BackendServer
 from masticfork.core.tables import Tables
@@ -50,17 +52,26 @@
         return sum(self._counts.values())
 
 
+@attrs.frozen
+class Choice:
+    """What a server is chosen by."""
+
+    tables: Tables
+    # Servers that may get the request; not empty.
+    servers: Sequence[BackendServer]
+    prompt: Prompt
+    rng: random.Random
+
+    def draw(self) -> list[BackendServer]:
+        """Return a few of the servers at random."""
+        return self.rng.sample(self.servers, min(DRAWN, len(self.servers)))
+
+
 class ServerChooser(Protocol):
     """Picks one of the servers that may take an attempt."""
 
-    def choose(
-        self,
-        tables: Tables,
-        servers: Sequence[BackendServer],
-        prompt: Prompt,
-        rng: random.Random,
-    ) -> BackendServer:
-        """Return one of `servers`, which is not empty."""
+    def choose(self, choice: Choice) -> BackendServer:
+        """Return one of the servers."""
 
 
 class ServerLoad:
@@ -95,15 +106,9 @@
     def __init__(self) -> None:
         self._turns = itertools.count()
 
-    def choose(
-        self,
-        tables: Tables,
-        servers: Sequence[BackendServer],
-        prompt: Prompt,
-        rng: random.Random,
-    ) -> BackendServer:
+    def choose(self, choice: Choice) -> BackendServer:
         """Return the next server."""
-        return servers[next(self._turns) % len(servers)]
+        return choice.servers[next(self._turns) % len(choice.servers)]
 
 
 class LeastLoaded:
@@ -112,15 +117,9 @@
     def __init__(self, load: ServerLoad) -> None:
         self._load = load
 
-    def choose(
-        self,
-        tables: Tables,
-        servers: Sequence[BackendServer],
-        prompt: Prompt,
-        rng: random.Random,
-    ) -> BackendServer:
+    def choose(self, choice: Choice) -> BackendServer:
         """Return the server with the lowest load per slot."""
-        return min(servers, key=lambda server: self._load.per_slot(tables, server))
+        return min(choice.servers, key=lambda s: self._load.per_slot(choice.tables, s))
 
 
 class TwoChoices:
@@ -133,16 +132,10 @@
     def __init__(self, load: ServerLoad) -> None:
         self._load = load
 
-    def choose(
-        self,
-        tables: Tables,
-        servers: Sequence[BackendServer],
-        prompt: Prompt,
-        rng: random.Random,
-    ) -> BackendServer:
+    def choose(self, choice: Choice) -> BackendServer:
         """Return the server with the lower load per slot."""
-        drawn = rng.sample(servers, min(DRAWN, len(servers)))
-        return min(drawn, key=lambda server: self._load.per_slot(tables, server))
+        drawn = choice.draw()
+        return min(drawn, key=lambda s: self._load.per_slot(choice.tables, s))
 
 
 class PrefixLocality:
@@ -156,29 +149,23 @@
         self._load = load
         self._table = table
 
-    def choose(
-        self,
-        tables: Tables,
-        servers: Sequence[BackendServer],
-        prompt: Prompt,
-        rng: random.Random,
-    ) -> BackendServer:
+    def choose(self, choice: Choice) -> BackendServer:
         """Return the candidate with the earliest expected first token."""
-        candidates = rng.sample(servers, min(DRAWN, len(servers)))
-        if prompt.prefixes:
-            held = [s for s in servers if self._table.held(s.name, prompt)]
-            rng.shuffle(held)
-            held.sort(key=lambda s: -self._table.held(s.name, prompt))
-            candidates += held[:DRAWN]
-        chosen = min(candidates, key=lambda s: self._expected(tables, s, prompt))
+        prompt, candidates = choice.prompt, choice.draw()
+        held = [s for s in choice.servers if self._table.held(s.name, prompt)]
+        choice.rng.shuffle(held)
+        held.sort(key=lambda s: -self._table.held(s.name, prompt))
+        candidates += held[:DRAWN]
+        chosen = min(candidates, key=lambda s: self._expected(choice, s))
         self._table.stored(chosen.name, (prefix.hash for prefix in prompt.prefixes))
         return chosen
 
-    def _expected(self, tables: Tables, server: BackendServer, prompt: Prompt) -> float:
+    def _expected(self, choice: Choice, server: BackendServer) -> float:
         """Return the seconds to the first token, without what all servers share."""
-        load = self._load.per_slot(tables, server)
+        load = self._load.per_slot(choice.tables, server)
         # A slot becomes free, on average, after a part of an answer's time.
         wait = max(0.0, load - 1.0) * ANSWER_SECONDS + load * BUSY_SECONDS
+        prompt = choice.prompt
         uncached = prompt.characters - self._table.held(server.name, prompt)
         return wait + uncached * PREFILL_SECONDS_PER_CHARACTER
 
--- a/masticfork/systems/placement_test.py
+++ b/masticfork/systems/placement_test.py
@@ -7,6 +7,7 @@
 from masticfork.core.tables import SelfRow, ServerRow, Tables
 from masticfork.systems.health import HealthSettings
 from masticfork.systems.placement import (
+    Choice,
     InFlight,
     PrefixLocality,
     ServerLoad,
@@ -37,7 +38,8 @@
             in_flight.enter(SERVERS[0].name)
         chooser, rng = TwoChoices(ServerLoad(in_flight, lambda: 0.0)), random.Random(1)
         chosen = [
-            chooser.choose(tables(), SERVERS[:2], NO_PROMPT, rng) for _ in range(20)
+            chooser.choose(Choice(tables(), SERVERS[:2], NO_PROMPT, rng))
+            for _ in range(20)
         ]
         assert set(chosen) == {SERVERS[1]}
 
@@ -48,7 +50,7 @@
         in_flight = InFlight()
         chooser = TwoChoices(ServerLoad(in_flight, lambda: 0.0))
         for _ in range(12):
-            chosen = chooser.choose(back, SERVERS, NO_PROMPT, rng)
+            chosen = chooser.choose(Choice(back, SERVERS, NO_PROMPT, rng))
             in_flight.enter(chosen.name)
             counts[chosen.name] += 1
         assert counts[SERVERS[0].name] <= 1
@@ -59,12 +61,14 @@
         in_flight, table = InFlight(), PrefixTable()
         chooser = PrefixLocality(ServerLoad(in_flight, lambda: 0.0), table)
         prompt, rng = prompt_of(VersionId("linen@1"), "x" * 4096), random.Random(1)
-        first = chooser.choose(tables(), SERVERS, prompt, rng)
-        again = [chooser.choose(tables(), SERVERS, prompt, rng) for _ in range(10)]
+        first = chooser.choose(Choice(tables(), SERVERS, prompt, rng))
+        again = [
+            chooser.choose(Choice(tables(), SERVERS, prompt, rng)) for _ in range(10)
+        ]
         assert set(again) == {first}
         for _ in range(2 * first.slots):
             in_flight.enter(first.name)
-        assert chooser.choose(tables(), SERVERS, prompt, rng) != first
+        assert chooser.choose(Choice(tables(), SERVERS, prompt, rng)) != first
 
 
 class TestPrefixTable:
