--- a/masticfork/daemon/control.py
+++ b/masticfork/daemon/control.py
@@ -33,6 +33,7 @@
 from masticfork.systems.drains import Drains
 from masticfork.systems.health import Health
 from masticfork.systems.outcomes import CallEnds
+from masticfork.systems.paced import Paced
 from masticfork.systems.pool_capacity import PoolCapacity
 from masticfork.systems.rollout_policies import SequentialPolicy
 from masticfork.systems.rollouts import RolloutSystem
@@ -40,6 +41,8 @@
 
 # A restarted host must carry a greater incarnation number than before.
 INCARNATIONS_PER_SECOND = 1000
+# How often pools and servers are judged as a whole, which costs a look at each row.
+JUDGE_SECONDS = 1.0
 
 _log = logbook.Logger("daemon")
 
@@ -89,9 +92,9 @@
         return (
             self.node,
             self.objects,
-            capacity,
+            Paced(capacity, JUDGE_SECONDS),
             self.bills,
-            health,
+            Paced(health, JUDGE_SECONDS),
             holds,
             self.quality,
         )
@@ -103,13 +106,13 @@
         if isinstance(started, Err):
             _log.error("the peer link cannot listen", error=str(started.err_value))
         self._watch.start()
-        self._driver.start()
-        self._sweeper.start()
+        self._driver.loop.start()
+        self._sweeper.loop.start()
         self._sharing.start()
         if self._feed is not None:
-            self._feed.start()
+            self._feed.loop.start()
         if self._host_list is not None:
-            self._host_list.start()
+            self._host_list.loop.start()
 
     def hand_back(self) -> None:
         """Give every duty back, so that other hosts take over at once."""
@@ -119,11 +122,11 @@
     def stop(self) -> None:
         """Stop every part; bills are flushed before."""
         self._watch.stop()
-        self._sweeper.stop()
+        self._sweeper.loop.stop()
         if self._feed is not None:
-            self._feed.stop()
+            self._feed.loop.stop()
         if self._host_list is not None:
-            self._host_list.stop()
+            self._host_list.loop.stop()
         self.bills.stop()
         self.node.stop()
 
--- a/masticfork/daemon/serving.py
+++ b/masticfork/daemon/serving.py
@@ -15,6 +15,7 @@
 from masticfork.daemon.claims import ClaimFlusher
 from masticfork.daemon.control import ControlParts
 from masticfork.daemon.listener import Listener, ListenerSettings
+from masticfork.daemon.load_reports import LoadReports
 from masticfork.daemon.shutdown import Shutdown
 from masticfork.daemon.ticker import log_finding
 from masticfork.entry.active import ActiveRequests
@@ -37,7 +38,8 @@
 from masticfork.ledger.claims import ClaimBook
 from masticfork.settings.settings import Settings
 from masticfork.systems.hedging import PercentileHedges
-from masticfork.systems.placement import TwoChoices
+from masticfork.systems.placement import PrefixLocality, ServerLoad
+from masticfork.systems.prefixes import PrefixTable
 from masticfork.systems.retries import BudgetedRetries
 from masticfork.systems.sessions import SessionSigner, SigningKey
 
@@ -76,6 +78,11 @@
             base.ratings,
             base.background,
         )
+        self._engines = EngineClient(self._pool, self._pump, base.now)
+        self._prefixes = PrefixTable()
+        self.load_reports = LoadReports(
+            self._engines, self._prefixes, base.background, base.now
+        )
         self.listener = self._make_entry()
 
     def ready(self) -> bool:
@@ -97,7 +104,7 @@
     def _make_entry(self) -> Listener:
         settings = self._base.settings.entry
         router = self._make_router()
-        engines = EngineClient(self._pool, self._pump, self._base.now)
+        engines = self._engines
         gate = Gate(self._control.admission, self._base.now)
         chat = ChatParts(
             self._base.tables,
@@ -168,7 +175,9 @@
         return Router(
             self._base.tables,
             policy,
-            TwoChoices(self._base.in_flight, self._base.now),
+            PrefixLocality(
+                ServerLoad(self._base.in_flight, self._base.now), self._prefixes
+            ),
             self._base.in_flight,
             BudgetedRetries(),
             self._control.ends,
