Stop a cut-off host's calls to services too, and confirm in time

Cause: lookups and reservations did not ask how old the configuration's confirmation was; and a watch of 20 s confirms from its start, so with a small confirm_seconds a host that came back from an outage stayed stale for ever. Ruled out: counting the confirmation from the answer (it may have waited in a paused process). Before: cut_off_test failed: no work within 30 s after the outage. After: it passes, with lookups and chats refused as not run while cut off.

--- a/masticfork/entry/answer.py
+++ b/masticfork/entry/answer.py
@@ -14,10 +14,17 @@
 from masticfork.core.calls import ChatCall
 from masticfork.core.deadlines import Deadline
 from masticfork.core.events import AttemptFailed, Dispatched, Journal
-from masticfork.core.ids import AttemptId, ServerName, digest
+from masticfork.core.ids import AttemptId, ServerName
 from masticfork.core.manifest import BackendServer
 from masticfork.core.refusals import Reason, Refusal, RunState
 from masticfork.entry.adoption import Adopter
+from masticfork.entry.attempts import (
+    AnswerEnd,
+    AttemptUse,
+    attempt_id,
+    content_of,
+    text_of_messages,
+)
 from masticfork.entry.frames import data_of
 from masticfork.entry.routing import PRIORITIES, Placement, Router
 from masticfork.systems.prefixes import prompt_of
@@ -34,23 +41,6 @@
 Sink = Callable[[bytes], CallFailure | None]
 
 
-@attrs.frozen
-class AttemptUse:
-    """What one attempt used, for the bill."""
-
-    attempt: AttemptId
-    server: ServerName
-    usage: Usage
-
-
-@attrs.frozen
-class AnswerEnd:
-    """The last frames of an answer, held back until its bill is safe."""
-
-    finish: bytes
-    usage: bytes
-
-
 class AnswerRun:
     """One answer from its first dispatch to its end."""
 
@@ -74,7 +64,7 @@
         self._background = background
         self._now = now
         self._budget = router.budget_of(placement)
-        self._prompt = prompt_of(placement.version, _text_of(call.body))
+        self._prompt = prompt_of(placement.version, text_of_messages(call.body))
         self._stream: EngineStream | None = None
         self._server: BackendServer | None = None
         self._attempt = AttemptId("")
@@ -196,7 +186,7 @@
             message = f"gap before token {frame.offset}"
             return CallFailure(Stage.ANSWERING, FailureKind.MALFORMED_ANSWER, message)
         self._offset = frame.offset
-        self._content.update(_content_of(frame))
+        self._content.update(content_of(frame))
         if self._offset > self._seen:
             return sink(frame.raw)
         if self._offset == self._seen and self._content.digest() != self._seen_content:
@@ -338,27 +328,6 @@
         return Refusal(Reason.BACKEND_FAILED, message, state)
 
 
-def _text_of(body: dict[str, object]) -> str:
-    messages = body.get("messages")
-    contents = (
-        [m.get("content") for m in messages] if isinstance(messages, list) else []
-    )
-    return "".join(content for content in contents if isinstance(content, str))
-
-
 def _different() -> CallFailure:
     message = "the answer could not be continued as it began"
     return CallFailure(Stage.ANSWERING, FailureKind.DIFFERENT_ANSWER, message)
-
-
-def attempt_id(call: ChatCall, placement: Placement, number: int) -> AttemptId:
-    """Return the attempt's identity, the same on every host that makes it."""
-    head = call.head
-    parts = (head.team.name, head.request_id, placement.version, str(number))
-    return AttemptId(f"chatcmpl-{digest(*parts)}")
-
-
-def _content_of(frame: Frame) -> bytes:
-    # Everything before the choices differs between attempts (id, time).
-    position = frame.raw.find(b'"choices"')
-    return frame.raw[position:] if position >= 0 else frame.raw
--- a/masticfork/entry/billing.py
+++ b/masticfork/entry/billing.py
@@ -7,7 +7,7 @@
 from masticfork.core.configuration import Configuration
 from masticfork.core.ids import HostName, VersionId
 from masticfork.core.refusals import Refusal
-from masticfork.entry.answer import AttemptUse
+from masticfork.entry.attempts import AttemptUse
 from masticfork.entry.routing import Placement
 from masticfork.ledger.bill_records import Bill, BillStep
 
--- a/masticfork/entry/routing.py
+++ b/masticfork/entry/routing.py
@@ -17,6 +17,7 @@
 from masticfork.core.manifest import BackendServer, Team, WorkClass
 from masticfork.core.refusals import Reason, Refusal
 from masticfork.core.tables import Tables
+from masticfork.systems.confirmation import Standing, standing
 from masticfork.systems.eligibility import check_dispatch
 from masticfork.systems.outcomes import CallEnds, outcome_of
 from masticfork.systems.placement import Choice, InFlight, ServerChooser, available
@@ -152,6 +153,8 @@
     ) -> Result[BackendServer, Refusal]:
         """Choose one of the servers that may take new work."""
         now = self._now()
+        if standing(self._tables, now) is Standing.STALE:
+            return Err(_stale(now))
         fit = available(self._tables, servers, tried, now)
         if not fit:
             retry_at = Deadline.after(now, NO_SERVER_RETRY_SECONDS)
@@ -162,3 +165,9 @@
         with self._rng_lock:
             choice = Choice(self._tables, fit, prompt, self._rng)
             return Ok(self._chooser.choose(choice))
+
+
+def _stale(now: float) -> Refusal:
+    retry_at = Deadline.after(now, NO_SERVER_RETRY_SECONDS)
+    message = "nobody has confirmed the configuration for too long"
+    return Refusal(Reason.CONFIGURATION_STALE, message, retry_at=retry_at)
--- a/masticfork/peers/node.py
+++ b/masticfork/peers/node.py
@@ -14,7 +14,12 @@
 from masticfork.core.hosts import NO_REGION, HostReport, HostState, ListedHost
 from masticfork.core.ids import HostName, ZoneName
 from masticfork.core.tables import Tables
-from masticfork.peers.configuration_relay import Check, ConfigurationRelay, Question
+from masticfork.peers.configuration_relay import (
+    CONFIRM_SHARE,
+    Check,
+    ConfigurationRelay,
+    Question,
+)
 from masticfork.peers.gossip import Gossip, known_host, report_of
 from masticfork.peers.link import PeerLink
 from masticfork.peers.messages import (
@@ -24,7 +29,7 @@
     Hosts,
     KnownHost,
 )
-from masticfork.peers.platform_watch import PlatformWatch
+from masticfork.peers.platform_watch import WATCH_SECONDS, PlatformWatch
 from masticfork.peers.records import Handler, Handlers, LinkSettings, Sender
 from masticfork.peers.requests import Reply
 from masticfork.peers.selection import PeerAddress
@@ -88,8 +93,15 @@
         self._relay = ConfigurationRelay(tables, check, self, settings.confirm_seconds)
         self._watch = None
         if store is not None:
+            # A watch confirms from its start: a long one would tell nothing new.
+            longest = settings.confirm_seconds * CONFIRM_SHARE
             self._watch = PlatformWatch(
-                store, self._relay, lambda: watches(tables), self._report, now
+                store,
+                self._relay,
+                lambda: watches(tables),
+                self._report,
+                now,
+                min(WATCH_SECONDS, longest),
             )
 
     @property
--- a/masticfork/peers/platform_watch.py
+++ b/masticfork/peers/platform_watch.py
@@ -32,7 +32,9 @@
         on_duty: Callable[[], bool],
         report: Callable[[Findings], None],
         now: Callable[[], float],
+        watch_seconds: float = WATCH_SECONDS,
     ) -> None:
+        self._watch_seconds = watch_seconds
         self._store = store
         self._relay = relay
         self._on_duty = on_duty
@@ -79,7 +81,7 @@
 
     def _watch(self, revision: int) -> bool:
         asked_at = self._now()
-        deadline = Deadline.after(asked_at, WATCH_SECONDS)
+        deadline = Deadline.after(asked_at, self._watch_seconds)
         page = self._store.watch(CONFIGURATION_KEY, revision, deadline)
         if isinstance(page, Err):
             if page.err_value.kind is ErrorKind.GONE:
