--- a/masticfork/core/configuration.py
+++ b/masticfork/core/configuration.py
@@ -13,10 +13,6 @@
 from masticfork.core.manifest import Manifest, Model, Pool, Service, Team, Version
 
 
-def _by_name(rows: tuple) -> dict:  # type: ignore[type-arg]
-    return {row.name: row for row in rows}
-
-
 @attrs.frozen(eq=False)
 class Configuration:
     """A checked manifest under the platform's version number."""
@@ -35,10 +31,10 @@
     def __attrs_post_init__(self) -> None:
         put = object.__setattr__
         manifest = self.manifest
-        put(self, "teams", _by_name(manifest.teams))
-        put(self, "models", _by_name(manifest.models))
-        put(self, "pools", _by_name(manifest.pools))
-        put(self, "services", _by_name(manifest.services))
+        put(self, "teams", {row.name: row for row in manifest.teams})
+        put(self, "models", {row.name: row for row in manifest.models})
+        put(self, "pools", {row.name: row for row in manifest.pools})
+        put(self, "services", {row.name: row for row in manifest.services})
         versions = (v for model in manifest.models for v in model.versions)
         put(self, "versions", {version.id: version for version in versions})
         put(self, "withdrawn", frozenset(manifest.withdrawn))
