Follow versions that turn bad within the cascades

Now signals fade, the window is 150 ratings with the standard error that fits a fading mean, a path that fell restarts with little weight, and what the newest ratings lie below the target is added to the aim.

--- a/masticfork/core/quality.py
+++ b/masticfork/core/quality.py
@@ -81,8 +81,10 @@
 
     key: QualityKey
     ratings: dict[AnswerPath, PathRatings] = attrs.field(factory=dict)
-    # How often a version's first answer showed each signal.
-    signals: dict[VersionId, tuple[int, ...]] = attrs.field(factory=dict)
+    # How often a version's first answer showed each signal; old ones fade.
+    signals: dict[VersionId, tuple[float, ...]] = attrs.field(factory=dict)
+    # The newest ratings of all answers, whatever their path.
+    realised: Moments = Moments()
     # Seconds that whole answers of a version took.
     seconds: dict[VersionId, Moments] = attrs.field(factory=dict)
     # When the first answer was served after the last rating came.
--- a/masticfork/systems/cascades.py
+++ b/masticfork/systems/cascades.py
@@ -26,7 +26,7 @@
     single,
     valued_plans,
 )
-from masticfork.systems.quality import freshness, rated_weight
+from masticfork.systems.quality import freshness, rated_weight, shortfall
 
 # Answers of one class are of like length, so prices compare as costs do.
 _TIME_STANDARD_ERRORS = 2.0
@@ -74,6 +74,8 @@
     standard_errors: float = 0.7
     # Kept above the target, against the noise of the answers themselves.
     margin: float = 0.004
+    # Added to the aim for each unit that the newest ratings lie below the target.
+    feedback: float = 2.0
     # With staler evidence the strongest version answers.
     least_fresh: float = 0.25
     # Rated answers of each cheaper version before its plans are judged.
@@ -95,7 +97,7 @@
         # Without ratings nothing is learnt by trying, and nothing known holds.
         if fresh < self.least_fresh:
             return PlanMix(strongest.steps, strongest.steps)
-        aim = target + self.margin
+        aim = target + self.margin + self.feedback * shortfall(row, target)
         mix, cost = self._cheapest(plans, aim)
         explored = self._to_explore(row, plans, aim, cost)
         if explored is None or explored.steps == mix.main:
--- a/masticfork/systems/quality.py
+++ b/masticfork/systems/quality.py
@@ -15,12 +15,18 @@
 
 # Signals of an answer, from 0 (poor) to the last (good).
 SIGNALS = 4
-LONG_WEIGHT = 1500.0
-RECENT_WEIGHT = 50.0
+LONG_WEIGHT = 1000.0
+RESTART_WEIGHT = 30.0
+SIGNALS_WEIGHT = 400.0
+REALISED_WEIGHT = 300.0
+LEAST_REALISED = 100.0
+# A mean whose old values fade by 1/w varies as one of 2w values.
+FADED_WORTH = 2.0
+RECENT_WEIGHT = 150.0
 # Recent ratings lower by so many standard errors, and a step for the skew of few bad
 # ones, replace the long mean.
-DRIFT_STANDARD_ERRORS = 4.0
-DRIFT_LEAST_FALL = 0.05
+DRIFT_STANDARD_ERRORS = 3.0
+DRIFT_LEAST_FALL = 0.015
 SECONDS_WEIGHT = 200.0
 PRIOR_WEIGHT = 2.0
 # A few equal scores say little of the spread.
@@ -51,8 +57,9 @@
     """Count an answer's signal, and note that its rating is awaited."""
     path = served.path
     version = path.version if path.first is None else path.first
-    counts = row.signals.get(version, (0,) * SIGNALS)
-    counts = tuple(n + (i == path.signal) for i, n in enumerate(counts))
+    counts = row.signals.get(version, (0.0,) * SIGNALS)
+    fading = min(1.0, SIGNALS_WEIGHT / (sum(counts) + 1.0))
+    counts = tuple(fading * (n + (i == path.signal)) for i, n in enumerate(counts))
     since = served.at if row.unrated_since is None else row.unrated_since
     signals = {**row.signals, version: counts}
     return attrs.evolve(row, signals=signals, unrated_since=since)
@@ -64,9 +71,11 @@
     long = add(before.long, score, LONG_WEIGHT)
     recent = add(before.recent, score, RECENT_WEIGHT)
     if _fell(long, recent):
-        long = recent
+        # The recent mean still holds some older ratings, so it weighs little.
+        long = attrs.evolve(recent, weight=RESTART_WEIGHT)
     ratings = {**row.ratings, path: PathRatings(long, recent)}
-    return attrs.evolve(row, ratings=ratings, unrated_since=None)
+    realised = add(row.realised, score, REALISED_WEIGHT)
+    return attrs.evolve(row, ratings=ratings, realised=realised, unrated_since=None)
 
 
 def with_seconds(row: QualityRow, version: VersionId, seconds: float) -> QualityRow:
@@ -97,6 +106,16 @@
     return math.pow(0.5, half_lives)
 
 
+def shortfall(row: QualityRow, target: float) -> float:
+    """Return by how much the newest ratings lie below the target, doubt apart."""
+    realised = row.realised
+    if realised.weight < LEAST_REALISED:
+        return 0.0
+    variance = max(LEAST_VARIANCE, realised.variance)
+    error = math.sqrt(variance / (FADED_WORTH * realised.weight))
+    return max(0.0, target - realised.mean - error / 2.0)
+
+
 def path_estimate(
     row: QualityRow, path: AnswerPath, prior: float, fresh: float
 ) -> Estimate:
@@ -120,7 +139,7 @@
 
 def signal_shares(row: QualityRow, version: VersionId) -> tuple[float, ...]:
     """Return the expected share of each signal in the version's first answers."""
-    counts = row.signals.get(version, (0,) * SIGNALS)
+    counts = row.signals.get(version, (0.0,) * SIGNALS)
     total = sum(counts) + SIGNALS
     return tuple((count + 1.0) / total for count in counts)
 
@@ -153,9 +172,9 @@
 
 
 def _fell(long: Moments, recent: Moments) -> bool:
-    if recent.weight < RECENT_WEIGHT or long.weight < 2 * RECENT_WEIGHT:
+    if recent.weight < RECENT_WEIGHT or long.weight <= RECENT_WEIGHT:
         return False
     variance = max(LEAST_VARIANCE, long.variance, recent.variance)
-    error = math.sqrt(variance / recent.weight)
+    error = math.sqrt(variance / (FADED_WORTH * recent.weight))
     fall = long.mean - recent.mean
     return fall > DRIFT_LEAST_FALL + DRIFT_STANDARD_ERRORS * error
--- a/masticfork/systems/quality_test.py
+++ b/masticfork/systems/quality_test.py
@@ -18,6 +18,7 @@
     add,
     freshness,
     path_estimate,
+    shortfall,
     signal_shares,
     version_estimate,
     with_rating,
@@ -74,6 +75,17 @@
         assert path_estimate(row, PATH, 0.5, 1.0).mean < 0.6
 
 
+class TestShortfall:
+    def test_ratings_below_the_target_are_told_beyond_their_doubt(self):
+        rng = random.Random(3)
+        row = rated(*[float(rng.random() < 0.7) for _ in range(400)])
+        assert shortfall(row, 0.6) == 0.0
+        assert 0.1 < shortfall(row, 0.9) < 0.3
+
+    def test_a_few_ratings_tell_nothing(self):
+        assert shortfall(rated(*[0.1] * 20), 0.9) == 0.0
+
+
 class TestSilence:
     def test_evidence_fades_when_ratings_stop(self):
         row = with_served(rated(*[0.9] * 500), Served(KEY, PATH, 100.0))
