Keep streamed connections to engines, and replace those that were closed

While looking, a second fault: whether a connection may be kept was asked after the parser had begun to await the next answer, so streamed connections were never kept. Ruled out: more attempts (they would be spent on real failures too).

--- a/masticfork/backends/engine.py
+++ b/masticfork/backends/engine.py
@@ -73,8 +73,18 @@
         self, server: BackendServer, call: EngineCall, deadline: Deadline
     ) -> Result[EngineStream, CallFailure]:
         """Start or resume a stream; Ok once the engine has accepted it."""
+        started = self._start(server, call, deadline, fresh=False)
+        if isinstance(started, Err) and _lost_before_answer(started.err_value):
+            # Engines close idle connections; the attempt's identity makes it safe
+            # to send again what may have arrived.
+            return self._start(server, call, deadline, fresh=True)
+        return started
+
+    def _start(
+        self, server: BackendServer, call: EngineCall, deadline: Deadline, fresh: bool
+    ) -> Result[EngineStream, CallFailure]:
         limit = deadline.sooner(Deadline.after(self._now(), STALL_SECONDS))
-        sent = self._pool.send(server, _request(call), limit, fresh=False)
+        sent = self._pool.send(server, _request(call), limit, fresh)
         if isinstance(sent, Err):
             return sent
         connection = sent.ok_value
@@ -147,6 +157,11 @@
         return release
 
 
+def _lost_before_answer(failure: CallFailure) -> bool:
+    lost = failure.kind is FailureKind.CONNECTION
+    return lost and failure.stage in (Stage.SENDING, Stage.SENT)
+
+
 def _refused(status: int, content: bytes) -> CallFailure:
     error = _parse_json(content).get("error")
     code = str(error.get("code")) if isinstance(error, dict) else ""
--- a/masticfork/backends/engine_stream.py
+++ b/masticfork/backends/engine_stream.py
@@ -65,6 +65,7 @@
         self._sink: FrameSink | None = None
         self._streaming = False
         self._complete = False
+        self._keeps_alive = False
         self._done_seen = False
         self._closed = False
 
@@ -108,7 +109,7 @@
             return
         self._closed = True
         reusable = self._complete and self._end.done()
-        if reusable and self._parser.should_keep_alive():
+        if reusable and self._keeps_alive:
             self._release(self._connection, True)
             return
         # The pump sees the end of the connection and drops the stream itself.
@@ -183,6 +184,8 @@
     def on_message_complete(self) -> None:
         """Note the end of the answer from the parser."""
         self._complete = True
+        # Only here does the parser tell it: afterwards it awaits another answer.
+        self._keeps_alive = self._parser.should_keep_alive()
 
     def _hand_out(self, frame: Frame) -> CallFailure | None:
         if self._sink is not None:
