Measure the wait for a place in service

Cause: the issue on seeing names queueing; no histogram told it. Ruled out: counting it from events afterwards (a refused request has no event of it). Before: none.

--- a/masticfork/daemon/metrics.py
+++ b/masticfork/daemon/metrics.py
@@ -33,6 +33,7 @@
             buckets=GAP_BUCKETS,
             registry=self.registry,
         )
+        self.queueing = self._seconds("queueing", "Wait for a place in service")
         self.total = self._seconds("total", "Time from request to end of answer")
         self.cost = Histogram(
             "masticfork_cost",
--- a/masticfork/daemon/serving.py
+++ b/masticfork/daemon/serving.py
@@ -37,6 +37,7 @@
 )
 from masticfork.ledger.claims import ClaimBook
 from masticfork.settings.settings import Settings
+from masticfork.systems.admission_records import AdmissionRequest
 from masticfork.systems.hedging import PercentileHedges
 from masticfork.systems.placement import PrefixLocality, ServerLoad
 from masticfork.systems.prefixes import PrefixTable
@@ -105,7 +106,7 @@
         settings = self._base.settings.entry
         router = self._make_router()
         engines = self._engines
-        gate = Gate(self._control.admission, self._base.now)
+        gate = Gate(self._control.admission, self._base.now, self._waited)
         chat = ChatParts(
             self._base.tables,
             router,
@@ -185,6 +186,10 @@
             self._base.now,
         )
 
+    def _waited(self, request: AdmissionRequest, seconds: float) -> None:
+        labels = (request.team, request.work_class.value)
+        self._base.metrics.queueing.labels(*labels).observe(seconds)
+
     def _observe(self, response: Response) -> None:
         self._base.metrics.requests.labels(str(response.status)).inc()
         reason = dict(response.headers).get(REASON_HEADER)
--- a/masticfork/entry/gate.py
+++ b/masticfork/entry/gate.py
@@ -14,21 +14,31 @@
 from masticfork.systems.pool_capacity import pool_key, service_key
 
 
+def _ignore(request: AdmissionRequest, seconds: float) -> None:
+    """Do nothing."""
+
+
 @attrs.frozen
 class Gate:
     """Makes the calling thread wait for admission and gives back its place."""
 
     _admission: Admission
     _now: Callable[[], float]
+    # Takes the seconds that an admitted request waited.
+    _waited: Callable[[AdmissionRequest, float], None] = _ignore
 
     def enter(self, request: AdmissionRequest) -> Result[Ticket, Refusal]:
         """Return the ticket of a request that may be served now, or a refusal."""
-        admitted = self._admission.admit(request, self._now())
+        asked_at = self._now()
+        admitted = self._admission.admit(request, asked_at)
         if isinstance(admitted, Err):
             return admitted
         ticket = admitted.ok_value
         verdict = wait(self._admission, ticket, self._now())
-        return verdict.and_then(lambda _: Ok(ticket))
+        if isinstance(verdict, Err):
+            return verdict
+        self._waited(request, self._now() - asked_at)
+        return Ok(ticket)
 
     def leave(self, ticket: Ticket, tokens: float | None = None) -> None:
         """Tell that the request is no longer served and what it generated.
