Remove a record and a table that nothing reads

Cause: both were made before the parts that replaced them (routing, active requests). Ruled out: keeping them for later. Before: found by a search for names that stand once. After: linter and types clean, the tests of systems and entry pass. Conclusion: removed.

--- a/masticfork/core/calls.py
+++ b/masticfork/core/calls.py
@@ -5,7 +5,6 @@
 from masticfork.core.deadlines import Deadline
 from masticfork.core.ids import ModelName, RequestId
 from masticfork.core.manifest import (
-    BackendServer,
     Operation,
     Service,
     Team,
@@ -53,11 +52,3 @@
     path: str
     headers: tuple[tuple[str, str], ...] = attrs.field(repr=False)
     body: bytes = attrs.field(repr=False)
-
-
-@attrs.frozen
-class Target:
-    """A backend server chosen for one attempt."""
-
-    server: BackendServer
-    reason: str
--- a/masticfork/core/tables.py
+++ b/masticfork/core/tables.py
@@ -10,7 +10,6 @@
 from masticfork.core.hosts import NO_REGION, HostState, RegionName
 from masticfork.core.ids import (
     HostName,
-    RequestId,
     RolloutName,
     ServerName,
     ZoneName,
@@ -91,7 +90,6 @@
     confirmed_until: Deadline | None = None
     servers: dict[ServerName, ServerRow] = attrs.field(factory=dict)
     hosts: dict[HostName, HostRow] = attrs.field(factory=dict)
-    running: dict[RequestId, Deadline] = attrs.field(factory=dict)
     rollouts: dict[RolloutName, RolloutRow] = attrs.field(factory=dict)
     drains: frozenset[Drain] = frozenset()
     # Backend servers that the platform's list tells to be leaving.
