Make an answer's bill once

Cause: read through the whole change: each answer built its bill twice, once to be kept and once for the events and the report, on the path to the end of the answer. Ruled out: keeping the cost as state of its own (the bill holds it). Before: two bills an answer. Conclusion: behaviour unchanged.

--- a/masticfork/entry/chat_answer.py
+++ b/masticfork/entry/chat_answer.py
@@ -142,13 +142,14 @@
             return None
         self._settled = True
         self._leave()
-        future = self._parts.bills.submit(self._bill(outcome))
+        bill = self._bill(outcome)
+        future = self._parts.bills.submit(bill)
         try:
             future.result(timeout=BILL_SECONDS)
         except (concurrent.futures.TimeoutError, concurrent.futures.CancelledError):
             message = "the answer is whole but its bill could not be kept"
             return Refusal(Reason.BILL_NOT_KEPT, message, RunState.RAN)
-        self._note_end(outcome)
+        self._note_end(bill)
         return None
 
     def _close(self) -> None:
@@ -157,8 +158,9 @@
         self._leave()
         if not self._settled:
             self._settled = True
-            self._parts.bills.submit(self._bill(CALLER_GONE))
-            self._note_end(CALLER_GONE)
+            bill = self._bill(CALLER_GONE)
+            self._parts.bills.submit(bill)
+            self._note_end(bill)
 
     def _leave(self) -> None:
         """Give the place in service back; a second call changes nothing."""
@@ -183,18 +185,18 @@
         if self._keeps_text:
             self._frames.append(raw)
 
-    def _note_end(self, outcome: str) -> None:
+    def _note_end(self, bill: Bill) -> None:
         journal, now = self._parts.journal, self._parts.now()
         request = self._call.head.request_id
         journal.add(request, Relayed(now, self._run.offset))
-        cost, tokens = self._bill(outcome).cost, self._run.usage.completion_tokens
-        journal.add(request, Billed(now, cost, tokens))
-        journal.add(request, Ended(now, outcome))
+        tokens = self._run.usage.completion_tokens
+        journal.add(request, Billed(now, bill.cost, tokens))
+        journal.add(request, Ended(now, bill.outcome))
         report = AnswerReport(
             self._call,
             self._placement,
-            outcome,
-            cost,
+            bill.outcome,
+            bill.cost,
             tokens,
             self._first_token_at,
             now,
