Drop the closing of bodies that have nothing to close

Cause: bodies were iterators once; since streams write to the caller themselves each body is a tuple of bytes, and the look for its close method was dead. Ruled out: keeping it for later kinds of bodies. Before: a branch that nothing reached. Conclusion: behaviour unchanged.

--- a/masticfork/entry/active.py
+++ b/masticfork/entry/active.py
@@ -49,9 +49,4 @@
         if self._closed:
             return
         self._closed = True
-        try:
-            close = getattr(self._parts, "close", None)
-            if close is not None:
-                close()
-        finally:
-            self._active.leave()
+        self._active.leave()
