Move the product's store clients to masticfork/store; lay out the platform path

The clients that lived there serve the product's own interface. Ruled out: two folders named platform, since Python's module would be shadowed and one client must serve.

--- a/masticfork/admin/app_test.py
+++ b/masticfork/admin/app_test.py
@@ -24,7 +24,7 @@
     Status,
 )
 from masticfork.core.deadlines import Deadline
-from masticfork.platform.embedded import EmbeddedStore
+from masticfork.store.embedded import EmbeddedStore
 from masticfork.settings.keys import new_key_hash
 from masticfork.settings.settings import AdminKey, Role
 
--- a/masticfork/admin/configuration_calls.py
+++ b/masticfork/admin/configuration_calls.py
@@ -23,7 +23,7 @@
 )
 from masticfork.core.deadlines import Deadline
 from masticfork.core.findings import Finding
-from masticfork.platform.client import ErrorKind
+from masticfork.store.client import ErrorKind
 from masticfork.settings.settings import Role
 
 # Time in seconds within which configurations must be read.
--- a/masticfork/admin/configuration_store.py
+++ b/masticfork/admin/configuration_store.py
@@ -14,14 +14,14 @@
     submission_key,
 )
 from masticfork.core.deadlines import Deadline
-from masticfork.platform.client import (
+from masticfork.store.client import (
     ErrorKind,
     JsonObject,
     ObjectStore,
     PlatformError,
     StoredObject,
 )
-from masticfork.platform.settle import create_settled, delete_settled
+from masticfork.store.settle import create_settled, delete_settled
 
 # Replaced configurations that are kept for history and for repeated submissions.
 KEPT_CONFIGURATIONS = 1000
--- a/masticfork/admin/configurations.py
+++ b/masticfork/admin/configurations.py
@@ -7,7 +7,7 @@
 
 from masticfork.core.configuration import Configuration
 from masticfork.core.findings import Finding, Findings, Place
-from masticfork.platform.client import JsonObject, StoredObject
+from masticfork.store.client import JsonObject, StoredObject
 from masticfork.settings.manifest import parse_manifest_object
 from masticfork.settings.settings import Role
 
--- a/masticfork/admin/drains.py
+++ b/masticfork/admin/drains.py
@@ -9,14 +9,14 @@
 from masticfork.admin.problems import Problem, ProblemCode
 from masticfork.admin.views import DrainView
 from masticfork.core.deadlines import Deadline
-from masticfork.platform.client import (
+from masticfork.store.client import (
     ErrorKind,
     JsonObject,
     ObjectStore,
     PlatformError,
     StoredObject,
 )
-from masticfork.platform.settle import Beaten, create_settled, update_settled
+from masticfork.store.settle import Beaten, create_settled, update_settled
 
 DRAIN_PREFIX = "shared/drains/"
 
--- a/masticfork/admin/drains_test.py
+++ b/masticfork/admin/drains_test.py
@@ -6,7 +6,7 @@
 from masticfork.admin.drains import Drains
 from masticfork.admin.problems import ProblemCode
 from masticfork.core.deadlines import Deadline
-from masticfork.platform.embedded import EmbeddedStore
+from masticfork.store.embedded import EmbeddedStore
 from masticfork.settings.settings import Role
 
 FAR = Deadline(1e12)
--- a/masticfork/admin/submissions.py
+++ b/masticfork/admin/submissions.py
@@ -25,13 +25,13 @@
 from masticfork.admin.manifest_diff import Change, manifest_diff
 from masticfork.core.deadlines import Deadline
 from masticfork.core.findings import Findings
-from masticfork.platform.client import (
+from masticfork.store.client import (
     ErrorKind,
     JsonObject,
     ObjectStore,
     StoredObject,
 )
-from masticfork.platform.settle import (
+from masticfork.store.settle import (
     Beaten,
     Settled,
     create_settled,
--- a/masticfork/admin/submissions_test.py
+++ b/masticfork/admin/submissions_test.py
@@ -26,8 +26,8 @@
     Submissions,
 )
 from masticfork.core.deadlines import Deadline
-from masticfork.platform.client import ErrorKind, PlatformError
-from masticfork.platform.embedded import EmbeddedStore
+from masticfork.store.client import ErrorKind, PlatformError
+from masticfork.store.embedded import EmbeddedStore
 from masticfork.settings.settings import Role
 
 FAR = Deadline(1e12)
--- a/masticfork/daemon/answers.py
+++ b/masticfork/daemon/answers.py
@@ -14,7 +14,7 @@
 from masticfork.entry.frames import text_of
 from masticfork.entry.reports import ANSWERED, CUT, AnswerReport
 from masticfork.entry.routing import Placement
-from masticfork.platform.ratings import RatingClient
+from masticfork.store.ratings import RatingClient
 from masticfork.systems.rollout_usage import AnswerOutcome, RolloutUsage
 
 # Share of answers that are rated where no roll-out needs them.
--- a/masticfork/daemon/bill_reader.py
+++ b/masticfork/daemon/bill_reader.py
@@ -9,7 +9,7 @@
 from masticfork.admin.views import BillPage, BillStep, BillView
 from masticfork.ledger.bill_records import Bill, merge_bills
 from masticfork.ledger.bill_store import read_batches
-from masticfork.platform.client import ObjectStore
+from masticfork.store.client import ObjectStore
 
 
 class BillReader:
--- a/masticfork/daemon/bills.py
+++ b/masticfork/daemon/bills.py
@@ -20,7 +20,7 @@
 from masticfork.peers.messages import BillsWritten, Body, KeepBills, KeepBillsAck
 from masticfork.peers.records import Sender
 from masticfork.peers.requests import Reply
-from masticfork.platform.client import ObjectStore
+from masticfork.store.client import ObjectStore
 
 KEEP_SECONDS = 1.0
 RECOVER_SECONDS = 2.0
--- a/masticfork/daemon/claim_sweep.py
+++ b/masticfork/daemon/claim_sweep.py
@@ -9,7 +9,7 @@
 from masticfork.daemon.duties import DutyLeases
 from masticfork.daemon.loops import Loop
 from masticfork.ledger.claim_sweep import sweep_claims
-from masticfork.platform.client import ObjectStore
+from masticfork.store.client import ObjectStore
 
 DUTY = "claim-sweep"
 SWEEP_SECONDS = 30.0
--- a/masticfork/daemon/claim_sweep_test.py
+++ b/masticfork/daemon/claim_sweep_test.py
@@ -7,7 +7,7 @@
 from masticfork.daemon.duties import DutyLeases
 from masticfork.ledger.claims import ClaimBook
 from masticfork.ledger.leases import LeaseKeeper
-from masticfork.platform.embedded import EmbeddedStore
+from masticfork.store.embedded import EmbeddedStore
 
 HOST = HostName("entry-1")
 RETENTION_SECONDS = 100.0
--- a/masticfork/daemon/daemon.py
+++ b/masticfork/daemon/daemon.py
@@ -20,7 +20,7 @@
 from masticfork.daemon.serving import ServingParts
 from masticfork.daemon.shutdown import ShutdownSteps
 from masticfork.daemon.ticker import Ticker
-from masticfork.platform.client import ObjectStore
+from masticfork.store.client import ObjectStore
 from masticfork.settings.settings import Settings
 
 ADMIN_THREADS = 8
--- a/masticfork/daemon/host_list.py
+++ b/masticfork/daemon/host_list.py
@@ -9,7 +9,7 @@
 from masticfork.core.ids import HostName, ServerName, ZoneName
 from masticfork.core.tables import Tables
 from masticfork.daemon.loops import Loop
-from masticfork.platform.host_list import ListedAddress, read_host_list
+from masticfork.store.host_list import ListedAddress, read_host_list
 
 POLL_SECONDS = 1.0
 ENTRY_KIND = "entry"
--- a/masticfork/daemon/lease_views.py
+++ b/masticfork/daemon/lease_views.py
@@ -7,7 +7,7 @@
 from masticfork.admin.views import LeaseView
 from masticfork.core.deadlines import Deadline
 from masticfork.ledger.lease_records import LEASE_PREFIX, parse_lease
-from masticfork.platform.client import ObjectStore, StoredObject
+from masticfork.store.client import ObjectStore, StoredObject
 
 READ_SECONDS = 2.0
 
--- a/masticfork/daemon/quality.py
+++ b/masticfork/daemon/quality.py
@@ -16,7 +16,7 @@
 from masticfork.core.ratings import Rating
 from masticfork.core.tables import Tables
 from masticfork.daemon.loops import Loop
-from masticfork.platform.ratings import RatingClient
+from masticfork.store.ratings import RatingClient
 from masticfork.systems.cascades import CascadePolicy, CascadeSystem, Plan, plan
 from masticfork.systems.quality import with_rating, with_seconds, with_served
 
--- a/masticfork/daemon/rollout_driver.py
+++ b/masticfork/daemon/rollout_driver.py
@@ -19,7 +19,7 @@
 from masticfork.daemon.ticker import log_finding
 from masticfork.peers.messages import Body, Evidence
 from masticfork.peers.records import Sender
-from masticfork.platform.ratings import RatingClient
+from masticfork.store.ratings import RatingClient
 from masticfork.systems.rollout_usage import RolloutUsage
 from masticfork.systems.rollouts import DriverLease, RolloutInbox, RolloutSystem
 
--- a/masticfork/daemon/rollout_store.py
+++ b/masticfork/daemon/rollout_store.py
@@ -10,13 +10,13 @@
 from masticfork.core.rollouts import RolloutRow
 from masticfork.daemon.shared import parse_rollout, rollout_key, rollout_value
 from masticfork.peers.object_relay import ObjectRelay
-from masticfork.platform.client import (
+from masticfork.store.client import (
     ErrorKind,
     ObjectStore,
     PlatformError,
     StoredObject,
 )
-from masticfork.platform.settle import Written, create_settled, update_settled
+from masticfork.store.settle import Written, create_settled, update_settled
 
 WRITE_SECONDS = 2.0
 
--- a/masticfork/daemon/shared.py
+++ b/masticfork/daemon/shared.py
@@ -8,7 +8,7 @@
 from masticfork.core.ids import RolloutName
 from masticfork.core.rollouts import RolloutRow
 from masticfork.core.tables import Drain, Tables
-from masticfork.platform.client import JsonObject, StoredObject
+from masticfork.store.client import JsonObject, StoredObject
 from masticfork.systems.rollout_usage import RolloutUsage
 
 ROLLOUT_PREFIX = "shared/rollouts/"
--- a/masticfork/ledger/bill_audit.py
+++ b/masticfork/ledger/bill_audit.py
@@ -16,7 +16,7 @@
     merge_bills,
 )
 from masticfork.ledger.bill_store import read_batches
-from masticfork.platform.client import ObjectStore, PlatformError
+from masticfork.store.client import ObjectStore, PlatformError
 
 
 @attrs.frozen
--- a/masticfork/ledger/bill_records.py
+++ b/masticfork/ledger/bill_records.py
@@ -21,7 +21,7 @@
     random_id,
 )
 from masticfork.core.manifest import WorkClass
-from masticfork.platform.client import JsonObject, StoredObject
+from masticfork.store.client import JsonObject, StoredObject
 
 BILL_PREFIX = "bills/"
 
--- a/masticfork/ledger/bill_store.py
+++ b/masticfork/ledger/bill_store.py
@@ -12,8 +12,8 @@
     batch_value,
     parse_batch,
 )
-from masticfork.platform.client import ErrorKind, ObjectStore, PlatformError
-from masticfork.platform.settle import Written, create_settled
+from masticfork.store.client import ErrorKind, ObjectStore, PlatformError
+from masticfork.store.settle import Written, create_settled
 
 # Batches read by one call; each may hold close to a megabyte.
 PAGE_BATCHES = 10
--- a/masticfork/ledger/bills.py
+++ b/masticfork/ledger/bills.py
@@ -25,7 +25,7 @@
     new_batch_key,
 )
 from masticfork.ledger.bill_store import write_batch
-from masticfork.platform.client import ErrorKind, ObjectStore
+from masticfork.store.client import ErrorKind, ObjectStore
 
 # Greatest size of a batch's bills; the object stays under the platform's limit.
 MAX_BATCH_BYTES = 900_000
--- a/masticfork/ledger/bills_test.py
+++ b/masticfork/ledger/bills_test.py
@@ -24,9 +24,9 @@
 from masticfork.ledger.bill_store import read_batches
 from masticfork.ledger.bills import MAX_BATCH_BYTES, BillWriter
 from masticfork.ledger.held_bills import HeldBills
-from masticfork.platform.client import CallKind, ErrorKind, PlatformError
-from masticfork.platform.embedded import EmbeddedStore
-from masticfork.platform.http import HttpObjectStore
+from masticfork.store.client import CallKind, ErrorKind, PlatformError
+from masticfork.store.embedded import EmbeddedStore
+from masticfork.store.http import HttpObjectStore
 from standins.common import serving
 from standins.platform import Platform
 
@@ -308,7 +308,7 @@
 sys.path.insert(0, sys.argv[2])
 from masticfork.ledger.bills import BillWriter
 from masticfork.ledger.bills_test import bill
-from masticfork.platform.http import HttpObjectStore
+from masticfork.store.http import HttpObjectStore
 writer = BillWriter(HttpObjectStore(sys.argv[1], time.time), "a", time.time)
 threading.Thread(target=writer.run, daemon=True).start()
 for number in range(100_000):
--- a/masticfork/ledger/claim_records.py
+++ b/masticfork/ledger/claim_records.py
@@ -11,7 +11,7 @@
 from masticfork.core.deadlines import Deadline
 from masticfork.core.ids import AttemptId, HostName, TeamName, digest
 from masticfork.ledger.clocks import MAX_CLOCK_DIFFERENCE_SECONDS
-from masticfork.platform.client import JsonObject, StoredObject
+from masticfork.store.client import JsonObject, StoredObject
 
 CLAIM_PREFIX = "claims/"
 
--- a/masticfork/ledger/claim_sweep.py
+++ b/masticfork/ledger/claim_sweep.py
@@ -5,8 +5,8 @@
 
 from masticfork.core.deadlines import Deadline
 from masticfork.ledger.claim_records import CLAIM_PREFIX, parse_claim
-from masticfork.platform.client import ObjectStore, PlatformError
-from masticfork.platform.settle import delete_settled
+from masticfork.store.client import ObjectStore, PlatformError
+from masticfork.store.settle import delete_settled
 
 # Claims read by one step; a claim may hold close to a megabyte.
 SWEEP_PAGE_ITEMS = 20
--- a/masticfork/ledger/claims.py
+++ b/masticfork/ledger/claims.py
@@ -37,8 +37,8 @@
     claim_value,
     parse_claim,
 )
-from masticfork.platform.client import ErrorKind, ObjectStore, PlatformError
-from masticfork.platform.settle import (
+from masticfork.store.client import ErrorKind, ObjectStore, PlatformError
+from masticfork.store.settle import (
     Settled,
     Written,
     create_settled,
--- a/masticfork/ledger/claims_property_test.py
+++ b/masticfork/ledger/claims_property_test.py
@@ -14,7 +14,7 @@
 from masticfork.ledger.claim_outcomes import Claimed, NotRun, Ran, Replay
 from masticfork.ledger.claim_records import StoredAnswer
 from masticfork.ledger.claims import ClaimBook
-from masticfork.platform.embedded import EmbeddedStore
+from masticfork.store.embedded import EmbeddedStore
 
 HOSTS = (0, 1)
 FAULTS = ("lose_answers", "lose_requests", "delay_writes", "land", "down", "crash")
--- a/masticfork/ledger/claims_test.py
+++ b/masticfork/ledger/claims_test.py
@@ -21,8 +21,8 @@
 from masticfork.ledger.claim_records import MAX_STORED_BODY_BYTES, StoredAnswer
 from masticfork.ledger.claim_sweep import SWEEP_PAGE_ITEMS, sweep_claims
 from masticfork.ledger.claims import ClaimBook
-from masticfork.platform.embedded import EmbeddedStore
-from masticfork.platform.http import HttpObjectStore
+from masticfork.store.embedded import EmbeddedStore
+from masticfork.store.http import HttpObjectStore
 from standins.common import serving
 from standins.platform import Platform
 from standins.testing import asker
@@ -326,7 +326,7 @@
 import sys, time
 from masticfork.core.deadlines import Deadline
 from masticfork.ledger.claims import ClaimBook
-from masticfork.platform.http import HttpObjectStore
+from masticfork.store.http import HttpObjectStore
 book = ClaimBook(HttpObjectStore(sys.argv[1], time.time), "child", time.time)
 deadline = Deadline.after(time.time(), float(sys.argv[2]))
 claim = book.claim("team", "key", "body", "child-1", deadline).unwrap().claim
--- a/masticfork/ledger/fencing.py
+++ b/masticfork/ledger/fencing.py
@@ -8,14 +8,14 @@
 from result import Err, Ok, Result
 
 from masticfork.core.deadlines import Deadline
-from masticfork.platform.client import (
+from masticfork.store.client import (
     ErrorKind,
     JsonObject,
     ObjectStore,
     PlatformError,
     StoredObject,
 )
-from masticfork.platform.settle import Written, create_settled, update_settled
+from masticfork.store.settle import Written, create_settled, update_settled
 
 FENCING_FIELD = "fencing"
 VALUE_FIELD = "value"
--- a/masticfork/ledger/held_bills.py
+++ b/masticfork/ledger/held_bills.py
@@ -10,7 +10,7 @@
 from masticfork.core.ids import HostName
 from masticfork.ledger.bill_records import Bill, BillBatch, new_batch_key
 from masticfork.ledger.bill_store import write_batch
-from masticfork.platform.client import ObjectStore
+from masticfork.store.client import ObjectStore
 
 # Bills held for all other hosts together; beyond it, none is taken.
 MAX_HELD_BILLS = 50_000
--- a/masticfork/ledger/lease_records.py
+++ b/masticfork/ledger/lease_records.py
@@ -6,7 +6,7 @@
 
 from masticfork.core.deadlines import Deadline
 from masticfork.core.ids import HostName
-from masticfork.platform.client import JsonObject, StoredObject
+from masticfork.store.client import JsonObject, StoredObject
 
 LEASE_PREFIX = "leases/"
 
--- a/masticfork/ledger/leases.py
+++ b/masticfork/ledger/leases.py
@@ -25,13 +25,13 @@
     lease_value,
     parse_lease,
 )
-from masticfork.platform.client import (
+from masticfork.store.client import (
     ErrorKind,
     ObjectStore,
     PlatformError,
     StoredObject,
 )
-from masticfork.platform.settle import (
+from masticfork.store.settle import (
     Settled,
     Written,
     create_settled,
--- a/masticfork/ledger/leases_test.py
+++ b/masticfork/ledger/leases_test.py
@@ -19,10 +19,10 @@
 from masticfork.ledger.fencing import Stale, fenced_value, put_fenced
 from masticfork.ledger.lease_records import Held, HeldElsewhere
 from masticfork.ledger.leases import DEFAULT_LEASE_SECONDS, LeaseKeeper
-from masticfork.platform.client import CallKind, ErrorKind
-from masticfork.platform.embedded import EmbeddedStore
-from masticfork.platform.http import HttpObjectStore
-from masticfork.platform.settle import Written
+from masticfork.store.client import CallKind, ErrorKind
+from masticfork.store.embedded import EmbeddedStore
+from masticfork.store.http import HttpObjectStore
+from masticfork.store.settle import Written
 from standins.common import serving
 from standins.engine import Engine, Settings
 from standins.platform import Platform
@@ -298,7 +298,7 @@
 from masticfork.core.deadlines import Deadline
 from masticfork.ledger.fencing import put_fenced
 from masticfork.ledger.leases import LeaseKeeper
-from masticfork.platform.http import HttpObjectStore
+from masticfork.store.http import HttpObjectStore
 from standins.testing import Ask
 store = HttpObjectStore(sys.argv[1], time.time)
 checked, unchecked = (Ask(int(port)) for port in sys.argv[2:4])
--- a/masticfork/peers/node.py
+++ b/masticfork/peers/node.py
@@ -33,7 +33,7 @@
 from masticfork.peers.records import Handler, Handlers, LinkSettings, Sender
 from masticfork.peers.requests import Reply
 from masticfork.peers.selection import PeerAddress
-from masticfork.platform.client import ObjectStore
+from masticfork.store.client import ObjectStore
 from masticfork.systems.membership import Membership
 from masticfork.systems.watchers import watches
 
--- a/masticfork/peers/node_test.py
+++ b/masticfork/peers/node_test.py
@@ -16,7 +16,7 @@
 from masticfork.peers.node import NodeSettings, PeerNode
 from masticfork.peers.platform_watch import CONFIGURATION_KEY
 from masticfork.peers.records import LinkSettings
-from masticfork.platform.embedded import EmbeddedStore
+from masticfork.store.embedded import EmbeddedStore
 from masticfork.systems.confirmation import Standing, standing
 
 MANIFEST = Manifest((), (), ())
--- a/masticfork/peers/object_relay.py
+++ b/masticfork/peers/object_relay.py
@@ -19,7 +19,7 @@
 from masticfork.core.tables import Tables
 from masticfork.peers.messages import Body, Evidence
 from masticfork.peers.records import Sender
-from masticfork.platform.client import StoredObject
+from masticfork.store.client import StoredObject
 
 SHARED_PREFIX = "shared/"
 NEWS_TOPIC = "objects"
--- a/masticfork/peers/object_relay_test.py
+++ b/masticfork/peers/object_relay_test.py
@@ -12,7 +12,7 @@
     ObjectRelay,
 )
 from masticfork.peers.records import Sender
-from masticfork.platform.client import StoredObject
+from masticfork.store.client import StoredObject
 
 SENDER = Sender(HostName("other"), 1)
 
--- a/masticfork/peers/object_watch.py
+++ b/masticfork/peers/object_watch.py
@@ -7,7 +7,7 @@
 
 from masticfork.core.deadlines import Deadline
 from masticfork.peers.object_relay import SHARED_PREFIX, ObjectRelay
-from masticfork.platform.client import ErrorKind, ObjectStore, StoredObject
+from masticfork.store.client import ErrorKind, ObjectStore, StoredObject
 
 READ_SECONDS = 5.0
 WATCH_SECONDS = 20.0
--- a/masticfork/peers/platform_watch.py
+++ b/masticfork/peers/platform_watch.py
@@ -10,7 +10,7 @@
 from masticfork.core.deadlines import Deadline
 from masticfork.core.findings import Findings
 from masticfork.peers.configuration_relay import ConfigurationRelay
-from masticfork.platform.client import ErrorKind, ObjectStore
+from masticfork.store.client import ErrorKind, ObjectStore
 
 CONFIGURATION_KEY = "configuration/current"
 READ_SECONDS = 5.0
--- a/masticfork/peers/platform_watch_test.py
+++ b/masticfork/peers/platform_watch_test.py
@@ -14,8 +14,8 @@
 from masticfork.peers.configuration_relay_test import Box
 from masticfork.peers.link_test import wait_until
 from masticfork.peers.platform_watch import CONFIGURATION_KEY, PlatformWatch
-from masticfork.platform.client import CallCounter, CallKind
-from masticfork.platform.embedded import EmbeddedStore
+from masticfork.store.client import CallCounter, CallKind
+from masticfork.store.embedded import EmbeddedStore
 from masticfork.systems.confirmation import Standing, standing
 
 
--- a/masticfork/platform/contract_test.py
+++ b/masticfork/store/contract_test.py
@@ -8,15 +8,15 @@
 from result import Err, Result
 
 from masticfork.core.deadlines import Deadline
-from masticfork.platform.client import (
+from masticfork.store.client import (
     MAX_VALUE_BYTES,
     CallKind,
     ErrorKind,
     ObjectStore,
     PlatformError,
 )
-from masticfork.platform.embedded import EmbeddedStore
-from masticfork.platform.http import HttpObjectStore
+from masticfork.store.embedded import EmbeddedStore
+from masticfork.store.http import HttpObjectStore
 from standins.common import serving
 from standins.platform import Platform
 
--- a/masticfork/platform/embedded.py
+++ b/masticfork/store/embedded.py
@@ -11,7 +11,7 @@
 from result import Err, Ok, Result
 
 from masticfork.core.deadlines import Deadline
-from masticfork.platform.client import (
+from masticfork.store.client import (
     MAX_PAGE_ITEMS,
     MAX_VALUE_BYTES,
     CallCounter,
--- a/masticfork/platform/embedded_test.py
+++ b/masticfork/store/embedded_test.py
@@ -2,8 +2,8 @@
 import time
 
 from masticfork.core.deadlines import Deadline
-from masticfork.platform.client import ErrorKind
-from masticfork.platform.embedded import EmbeddedStore
+from masticfork.store.client import ErrorKind
+from masticfork.store.embedded import EmbeddedStore
 
 LATER = Deadline(time.time() + 600)
 
--- a/masticfork/platform/host_list.py
+++ b/masticfork/store/host_list.py
@@ -6,7 +6,7 @@
 import attrs
 from result import Err, Ok, Result
 
-from masticfork.platform.client import ErrorKind, PlatformError
+from masticfork.store.client import ErrorKind, PlatformError
 
 CALL_SECONDS = 2.0
 _OK = 200
--- a/masticfork/platform/http.py
+++ b/masticfork/store/http.py
@@ -13,7 +13,7 @@
 from result import Err, Ok, Result
 
 from masticfork.core.deadlines import Deadline
-from masticfork.platform.client import (
+from masticfork.store.client import (
     MAX_PAGE_ITEMS,
     MAX_VALUE_BYTES,
     CallCounter,
@@ -25,7 +25,7 @@
     StoredObject,
     WatchPage,
 )
-from masticfork.platform.connections import (
+from masticfork.store.connections import (
     Answer,
     Call,
     ConnectionPool,
--- a/masticfork/platform/http_test.py
+++ b/masticfork/store/http_test.py
@@ -7,8 +7,8 @@
 import pytest
 
 from masticfork.core.deadlines import Deadline
-from masticfork.platform.client import CallKind, ErrorKind
-from masticfork.platform.http import HttpObjectStore
+from masticfork.store.client import CallKind, ErrorKind
+from masticfork.store.http import HttpObjectStore
 
 
 def status(code: int, body: bytes = b"{}", headers: bytes = b"") -> bytes:
--- a/masticfork/platform/ratings.py
+++ b/masticfork/store/ratings.py
@@ -11,7 +11,7 @@
 from masticfork.core.ids import RequestId, TeamName, VersionId
 from masticfork.core.manifest import WorkClass
 from masticfork.core.ratings import Rating
-from masticfork.platform.client import ErrorKind, PlatformError
+from masticfork.store.client import ErrorKind, PlatformError
 
 CALL_SECONDS = 2.0
 PAGE_RATINGS = 500
--- a/masticfork/platform/settle_test.py
+++ b/masticfork/store/settle_test.py
@@ -1,9 +1,9 @@
 import pytest
 
 from masticfork.core.deadlines import Deadline
-from masticfork.platform.client import ErrorKind
-from masticfork.platform.embedded import EmbeddedStore
-from masticfork.platform.settle import (
+from masticfork.store.client import ErrorKind
+from masticfork.store.embedded import EmbeddedStore
+from masticfork.store.settle import (
     Beaten,
     Written,
     create_settled,
--- a/proofs/bills_test.py
+++ b/proofs/bills_test.py
@@ -14,7 +14,7 @@
 from masticfork.ledger.bill_audit import Counts, Generation
 from masticfork.ledger.bill_audit import audit as audit_batches
 from masticfork.ledger.bill_records import BillIdentity
-from masticfork.platform.http import HttpObjectStore
+from masticfork.store.http import HttpObjectStore
 from proofs.calling import TEAM, Caller, new_key, wait_for
 from proofs.counting import engine_names, generations, set_faults
 from tools import launch
