--- a/masticfork/relay/channel.py
+++ b/masticfork/relay/channel.py
@@ -81,8 +81,8 @@
                 data = data[self._sock.send(data) :]
             except BlockingIOError:
                 pass
-            except OSError:
-                self._loop.call_after(0.0, lambda: self._end(error))
+            except OSError as error:
+                self._end_soon(error)
                 return
         if data:
             self._out += data
