Refuse what a stopping host cannot finish

Ruled out: closing the connections at once, since callers may send on them until they see the close. Now a stopping host answers 503 (not run, come back at once, elsewhere) where the usual time of a request passes the end.

--- a/masticfork/relay/entry.py
+++ b/masticfork/relay/entry.py
@@ -10,7 +10,7 @@
 from masticfork.core.backend_servers import Address
 from masticfork.core.findings import Finding
 from masticfork.core.forwarding import CallerHead, CallerRequest, Dispatch, Header
-from masticfork.core.routes import CallerLimits, Route
+from masticfork.core.routes import CallerLimits, Route, RouteKind
 from masticfork.platform import names, wire
 from masticfork.platform.objects import Changes, Listing, PlatformObjects
 from masticfork.platform.route_format import decode_route_table
@@ -50,8 +50,18 @@
 NOTICE_TIME = 2.6
 # Time in seconds before the end of the grace period at which all connections close.
 STOP_MARGIN = 0.4
+# Time in seconds that a stopping host leaves a stream; most end within it. One that may
+# outlast the grace period is refused, since it would be cut.
+STREAM_TIME = 5.0
+# The same for other requests.
+PLAIN_TIME = 0.5
+# Time in seconds after which a caller may come back to another host.
+RETURN_TO_ANOTHER = 0.05
 # Descriptors left to the store, the listeners and the log.
 RESERVED_DESCRIPTORS = 264
+# Time in seconds after which a caller may come back to a host that knows no
+# configuration yet.
+UNREADY_PAUSE = 0.5
 # The hosts that share the slack of the budget until peers tell how many there are.
 DEFAULT_HOSTS = 4
 # The most urgent rank and the least urgent one that engines know.
@@ -229,6 +239,8 @@
             return http.HTTPStatus.UNAUTHORIZED
         if not request.head.attempt_id:
             return http.HTTPStatus.BAD_REQUEST
+        if self._stops_before(route):
+            return http.HTTPStatus.SERVICE_UNAVAILABLE
         priority = route.priority
         if team is not None and team.priority is not None:
             priority = team.priority
@@ -246,12 +258,21 @@
             deadline=request.arrived_at + wait,
         )
 
+    def _stops_before(self, route: Route) -> bool:
+        """Tell whether the host may stop before a request of the route has ended."""
+        now, stop_at = self._loop.now, self._stop_at
+        if stop_at is None or now < self._quiet_at:
+            return False
+        streams = route.kind is RouteKind.STREAM
+        return now + (STREAM_TIME if streams else PLAIN_TIME) > stop_at
+
     def _turn_away(
         self, caller: CallerConnection, request: CallerRequest, status: http.HTTPStatus
     ) -> Exchange:
         attempt_id = request.head.attempt_id
         unready = status is http.HTTPStatus.SERVICE_UNAVAILABLE
-        headers = self.refusal_headers(attempt_id, 0.5 if unready else None)
+        pause = RETURN_TO_ANOTHER if self.stopping else UNREADY_PAUSE
+        headers = self.refusal_headers(attempt_id, pause if unready else None)
         table = self._tables.routes
         self.log(
             "refused",
