--- a/bench/tables.py
+++ b/bench/tables.py
@@ -27,8 +27,8 @@
 from masticfork.peers.manifest_copy import pack_manifest
 from masticfork.peers.node import NodeSettings, PeerNode
 from masticfork.peers.records import LinkSettings
-from masticfork.store.embedded import EmbeddedStore
 from masticfork.settings.manifest import parse_manifest
+from masticfork.store.embedded import EmbeddedStore
 from masticfork.systems.admission import FairAdmission
 from masticfork.systems.drains import Drains
 from masticfork.systems.health import Health
--- a/masticfork/relay/caller.py
+++ b/masticfork/relay/caller.py
@@ -21,7 +21,7 @@
 LINGER = 1.0
 
 
-class Exchange(Protocol):
+class CallerExchange(Protocol):
     """Carries one request to its final answer."""
 
     def on_caller_gone(self) -> None:
@@ -45,7 +45,9 @@
     def decode_head(self, headers: list[Header]) -> CallerHead:
         """Return what the headers of a request say."""
 
-    def begin(self, caller: "CallerConnection", request: CallerRequest) -> Exchange:
+    def begin(
+        self, caller: "CallerConnection", request: CallerRequest
+    ) -> CallerExchange:
         """Start to carry a request."""
 
     def refusal_headers(self, attempt_id: bytes) -> list[Header]:
@@ -79,7 +81,7 @@
         self._parser = httptools.HttpRequestParser(self)
         self._incoming: _Incoming | None = None
         self._queue: deque[tuple[CallerRequest, bool]] = deque()
-        self._exchange: Exchange | None = None
+        self._exchange: CallerExchange | None = None
         self._chunked = False
         self._close_after = False
         self._refused = False
--- a/masticfork/relay/entry.py
+++ b/masticfork/relay/entry.py
@@ -16,11 +16,11 @@
 from masticfork.platform.route_format import decode_route_table
 from masticfork.platform.server_format import decode_rollout, decode_server
 from masticfork.platform.settings_file import EntrySettings
-from masticfork.relay.caller import CallerConnection
+from masticfork.relay.caller import CallerConnection, CallerExchange
 from masticfork.relay.channel import CALLER_UNACKNOWLEDGED_MS, Channel, listen
 from masticfork.relay.exchange import CallRecord, Exchange
 from masticfork.relay.followers import Follower
-from masticfork.relay.logs import BoundedJsonHandler, entry_logger
+from masticfork.relay.logs import LogSink, entry_logger
 from masticfork.relay.loop import Loop
 from masticfork.relay.metrics import RelayMetrics
 from masticfork.relay.plain_page import PageListener
@@ -71,9 +71,9 @@
 class EntryHost:
     """Wires listeners, tables, decisions and the store's followers."""
 
-    def __init__(self, settings: EntrySettings, handler: BoundedJsonHandler) -> None:
+    def __init__(self, settings: EntrySettings, log_sink: LogSink) -> None:
         self._settings = settings
-        self._handler = handler
+        self._log_sink = log_sink
         self._logger = entry_logger()
         self._loop = Loop()
         self._metrics = RelayMetrics()
@@ -136,8 +136,8 @@
         self._tables.sweep()
         self._sessions.sweep(self._loop.now)
         self._keeper.run(self._loop.now)
-        self._handler.flush()
-        self._metrics.dropped_lines.inc(self._handler.take_dropped())
+        self._log_sink.flush()
+        self._metrics.dropped_lines.inc(self._log_sink.take_dropped())
         self._metrics.connections.set(len(self._callers))
         if self._stop_at is not None:
             self._continue_stop()
@@ -216,7 +216,7 @@
         spread = None if retry_after is None else retry_after * random.uniform(0.6, 1.6)
         return wire.encode_refusal(attempt_id, spread)
 
-    def begin(self, caller: CallerConnection, request: CallerRequest) -> Exchange:
+    def begin(self, caller: CallerConnection, request: CallerRequest) -> CallerExchange:
         """Start to carry a request, or refuse it."""
         exchange = self._admit(caller, request)
         if isinstance(exchange, http.HTTPStatus):
@@ -268,7 +268,7 @@
 
     def _turn_away(
         self, caller: CallerConnection, request: CallerRequest, status: http.HTTPStatus
-    ) -> Exchange:
+    ) -> CallerExchange:
         attempt_id = request.head.attempt_id
         unready = status is http.HTTPStatus.SERVICE_UNAVAILABLE
         pause = RETURN_TO_ANOTHER if self.stopping else UNREADY_PAUSE
@@ -278,7 +278,7 @@
             "refused",
             request=attempt_id.decode("latin-1"),
             status=status.value,
-            host=request.host,
+            asked_host=request.host,
             path=request.path,
             version=None if table is None else table.version,
         )
--- a/masticfork/relay/followers.py
+++ b/masticfork/relay/followers.py
@@ -4,6 +4,7 @@
 import threading
 import time
 from collections.abc import Callable
+from functools import partial
 from typing import Protocol
 
 from result import Err
@@ -62,7 +63,7 @@
             if error is None:
                 self._pause = LEAST_PAUSE
                 continue
-            self._post(lambda e=error: self._sink.on_store_failure(self._kind, e))
+            self._post(partial(self._sink.on_store_failure, self._kind, error))
             if error.kind is ErrorKind.GONE:
                 self._revision = None
                 continue
--- a/masticfork/relay/logs.py
+++ b/masticfork/relay/logs.py
@@ -3,7 +3,7 @@
 import os
 import sys
 from collections import deque
-from typing import Any
+from typing import Any, Protocol
 
 import logbook
 
@@ -16,6 +16,16 @@
 MAX_LINES_PER_SECOND = 1500
 
 
+class LogSink(Protocol):
+    """Where lines wait until they are written."""
+
+    def flush(self) -> None:
+        """Write what can be written now."""
+
+    def take_dropped(self) -> int:
+        """Return the lines dropped since the last time."""
+
+
 class BoundedJsonHandler(JsonLineHandler):
     """Write records without blocking; tell how many were dropped."""
 
--- /dev/null
+++ b/masticfork/systems/failed_calls_test.py
@@ -0,0 +1,58 @@
+import pytest
+
+from masticfork.core.routes import Route, RouteKind, ServiceShare
+from masticfork.systems.failed_calls import (
+    CallHistory,
+    CallOutcome,
+    FollowUp,
+    follow_up,
+)
+
+
+def route(kind, resumable=False, attempts=3):
+    return Route(
+        name="r",
+        host="a",
+        path_prefix="/",
+        kind=kind,
+        timeout=2.0,
+        target=0.2,
+        max_attempts=attempts,
+        priority=0,
+        public=True,
+        resumable=resumable,
+        models=(),
+        services=(ServiceShare("s", 1.0),),
+    )
+
+
+ONCE = [route(RouteKind.NON_IDEMPOTENT), route(RouteKind.STREAM)]
+OFTEN = [route(RouteKind.IDEMPOTENT), route(RouteKind.STREAM, resumable=True)]
+MAY_HAVE_RUN = [o for o in CallOutcome if not o.surely_not_run]
+
+
+class TestFollowUp:
+    @pytest.mark.parametrize("outcome", MAY_HAVE_RUN)
+    @pytest.mark.parametrize("row", ONCE)
+    def test_what_may_have_run_is_not_sent_again(self, row, outcome):
+        history = CallHistory(sent=1, may_have_run=True)
+        assert follow_up(row, history, outcome, 1.0) is FollowUp.FAIL
+
+    @pytest.mark.parametrize("outcome", [CallOutcome.UNSENT, CallOutcome.REFUSED])
+    @pytest.mark.parametrize("row", ONCE + OFTEN)
+    def test_what_has_not_run_goes_to_another_server(self, row, outcome):
+        assert follow_up(row, CallHistory(sent=1), outcome, 1.0) is FollowUp.AGAIN
+
+    @pytest.mark.parametrize("outcome", MAY_HAVE_RUN)
+    @pytest.mark.parametrize("row", OFTEN)
+    def test_what_may_be_repeated_goes_to_another_server(self, row, outcome):
+        history = CallHistory(sent=1, may_have_run=True)
+        assert follow_up(row, history, outcome, 1.0) is FollowUp.AGAIN
+
+    @pytest.mark.parametrize("row", ONCE + OFTEN)
+    @pytest.mark.parametrize(("sent", "left"), [(3, 1.0), (1, 0.0)])
+    def test_a_refusal_is_said_only_of_what_has_not_run(self, row, sent, left):
+        refused = CallOutcome.REFUSED
+        clean, unclean = CallHistory(sent), CallHistory(sent, may_have_run=True)
+        assert follow_up(row, clean, refused, left) is FollowUp.REFUSE
+        assert follow_up(row, unclean, refused, left) is FollowUp.FAIL
--- /dev/null
+++ b/masticfork/systems/retry_budget_test.py
@@ -0,0 +1,65 @@
+from collections import deque
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from masticfork.systems.retry_budget import UnboundedRepeats, WindowedRepeats
+
+SHARE, SLACK, WINDOW = 0.9, 52.0, 10.0
+
+
+class TestWindowedRepeats:
+    @given(
+        st.integers(1, 8),
+        st.lists(
+            st.tuples(st.integers(0, 7), st.booleans(), st.floats(0.0, 0.4)),
+            max_size=300,
+        ),
+    )
+    def test_all_hosts_together_stay_within_the_bound(self, hosts, steps):
+        budgets = [WindowedRepeats(SHARE, SLACK, WINDOW) for _ in range(hosts)]
+        for budget in budgets:
+            budget.hosts = hosts
+        firsts, repeats, now = deque(), deque(), 0.0
+        for host, is_first, pause in steps:
+            now += pause
+            budget = budgets[host % hosts]
+            if is_first:
+                budget.first("llm", now)
+                firsts.append(now)
+            elif budget.again("llm", now, 0.0):
+                repeats.append(now)
+                recent = sum(at > now - WINDOW for at in repeats)
+                # The bound counts the firsts of this window or the one before it.
+                asked = sum(at > now - 2 * WINDOW for at in firsts)
+                assert recent <= SHARE * asked + SLACK
+
+    def test_a_burst_of_failures_is_cut_off(self):
+        budget = WindowedRepeats(SHARE, SLACK, WINDOW)
+        budget.hosts = 4
+        allowed = sum(budget.again("llm", 1.0, 0.0) for _ in range(100))
+        assert 0 < allowed <= SLACK / 4
+
+    def test_a_reserve_is_left_to_failed_calls(self):
+        budget = WindowedRepeats(SHARE, SLACK, WINDOW)
+        while budget.again("llm", 1.0, 0.5):
+            pass
+        assert budget.again("llm", 1.0, 0.0)
+
+    def test_repeats_are_forgotten_after_the_window(self):
+        budget = WindowedRepeats(SHARE, SLACK, WINDOW)
+        while budget.again("llm", 1.0, 0.0):
+            pass
+        assert budget.again("llm", 1.5 + WINDOW, 0.0)
+
+    def test_services_do_not_share(self):
+        budget = WindowedRepeats(SHARE, SLACK, WINDOW)
+        while budget.again("llm", 1.0, 0.0):
+            pass
+        assert budget.again("desk", 1.0, 0.0)
+
+
+class TestUnboundedRepeats:
+    def test_is_a_baseline(self):
+        budget = UnboundedRepeats()
+        assert all(budget.again("llm", 0.0, 0.0) for _ in range(1000))
--- a/masticfork/systems/server_choice.py
+++ b/masticfork/systems/server_choice.py
@@ -26,6 +26,8 @@
 FAILURE_WEIGHT = 0.25
 # Seconds after which half of a server's bad record is forgotten.
 FAILURE_HALF_LIFE = 2.0
+# A share of failures below this one counts as none.
+LEAST_FAILURE_SHARE = 0.01
 # Seconds that a server is avoided after it could not be reached.
 UNREACHABLE_SECONDS = 1.0
 # Seconds after its last use for which a prompt part is taken as kept by a server.
@@ -61,7 +63,8 @@
     def failure_share(self, now: float) -> float:
         """Return the recent share of failures, which fades with time."""
         age = max(0.0, now - self.failures_at)
-        return self.failures * 0.5 ** (age / FAILURE_HALF_LIFE)
+        share = self.failures * float(0.5 ** (age / FAILURE_HALF_LIFE))
+        return share if share >= LEAST_FAILURE_SHARE else 0.0
 
     def record(self, failed: bool, now: float) -> None:
         """Take in the outcome of a call."""
--- /dev/null
+++ b/masticfork/systems/version_shift_test.py
@@ -0,0 +1,123 @@
+import attrs
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from masticfork.core.backend_servers import (
+    RolloutProgress,
+    RolloutState,
+    VersionRollout,
+)
+from masticfork.systems.version_shift import (
+    DONE_AT,
+    STEP_SHARES,
+    Evidence,
+    advance,
+    is_bad,
+    is_final,
+    takes_new_version,
+)
+
+GOOD = Evidence(good=40.0)
+NONE = Evidence()
+
+
+def rollout(state=RolloutState.RUNNING, step=0, duration=24.0):
+    return VersionRollout(
+        "llm", "v2", duration, 7, 5, RolloutProgress(state, step, 100.0)
+    )
+
+
+class TestAdvance:
+    def test_an_order_starts_with_the_first_step(self):
+        due = advance(rollout(RolloutState.ORDERED), 0.1, NONE, NONE)
+        assert (due.state, due.step) == (RolloutState.RUNNING, 0)
+
+    @pytest.mark.parametrize(
+        ("elapsed", "step", "expected"),
+        [(11.9, 0, 0), (12.1, 0, 1), (12.1, 1, 1), (15.0, 1, 2), (15.0, 2, 2)],
+    )
+    def test_steps_begin_at_their_part_of_the_time(self, elapsed, step, expected):
+        assert advance(rollout(step=step), elapsed, GOOD, GOOD).step == expected
+
+    def test_a_version_without_answers_waits(self):
+        assert advance(rollout(), 13.0, NONE, GOOD).step == 0
+
+    def test_a_good_version_is_done_in_time_even_without_answers(self):
+        progress = RolloutProgress()
+        order = rollout(RolloutState.ORDERED)
+        times = [tenth / 10 for tenth in range(240)]
+        for elapsed in times:
+            order = attrs.evolve(order, progress=progress)
+            progress = advance(order, elapsed, NONE, NONE)
+        assert progress.state is RolloutState.DONE
+
+    def test_done_only_after_the_last_step(self):
+        late = DONE_AT * 24.0 + 0.1
+        assert advance(rollout(step=1), late, GOOD, GOOD).state is RolloutState.RUNNING
+        assert advance(rollout(step=2), late, GOOD, GOOD).state is RolloutState.DONE
+
+    def test_a_bad_version_is_withdrawn_at_any_step(self):
+        bad = Evidence(good=4.0, bad=4.0)
+        for step in range(len(STEP_SHARES)):
+            due = advance(rollout(step=step), 13.0, bad, GOOD)
+            assert due.state is RolloutState.ROLLED_BACK
+
+    @given(
+        st.sampled_from([RolloutState.DONE, RolloutState.ROLLED_BACK]),
+        st.floats(0, 100),
+        st.integers(0, 50),
+    )
+    def test_an_end_is_final(self, state, elapsed, bad):
+        order = rollout(state, 2)
+        assert advance(order, elapsed, Evidence(bad=bad), GOOD) == order.progress
+
+
+class TestIsBad:
+    @pytest.mark.parametrize(
+        ("new", "old", "expected"),
+        [
+            (Evidence(good=3, bad=3), GOOD, True),
+            (Evidence(good=0, bad=2), GOOD, False),
+            (Evidence(good=30, bad=3), GOOD, False),
+            # Both versions fail alike: the cause lies elsewhere.
+            (Evidence(good=5, bad=5), Evidence(good=5, bad=5), False),
+        ],
+    )
+    def test_needs_answers_a_share_and_an_excess(self, new, old, expected):
+        assert is_bad(new, old) is expected
+
+    def test_a_good_past_does_not_excuse_a_version_that_turns_bad(self):
+        new = Evidence()
+        for second in range(12):
+            for _ in range(4):
+                new.add(False, float(second))
+        found = 0
+        while not is_bad(new, GOOD) and found < 40:
+            found += 1
+            new.add(True, 12.0 + found / 4)
+        assert found <= 15
+
+
+class TestTakesNewVersion:
+    def test_share_of_new_sessions_follows_the_step(self):
+        for step, share in enumerate(STEP_SHARES):
+            order = rollout(step=step)
+            taken = sum(takes_new_version(order, f"s{n}", None) for n in range(2000))
+            assert taken == pytest.approx(2000 * share, abs=60)
+
+    def test_sessions_keep_their_version_in_the_first_half(self):
+        order = rollout(step=0)
+        assert not any(takes_new_version(order, f"s{n}", "v1") for n in range(200))
+        assert all(takes_new_version(order, f"s{n}", "v2") for n in range(200))
+
+    def test_a_session_never_moves_back_while_the_version_is_good(self):
+        for step in range(len(STEP_SHARES)):
+            assert takes_new_version(rollout(step=step), "s", "v2")
+        assert takes_new_version(rollout(RolloutState.DONE, 2), "s", "v2")
+
+    @pytest.mark.parametrize("state", [RolloutState.ORDERED, RolloutState.ROLLED_BACK])
+    def test_no_session_runs_on_a_version_that_may_not_be_used(self, state):
+        order = rollout(state)
+        assert not any(takes_new_version(order, f"s{n}", "v2") for n in range(100))
+        assert is_final(order.progress) == (state is RolloutState.ROLLED_BACK)
