Let hosts tell each other of their work, and copy the store's objects

Digests by datagram (pycapnp): calls at each server, evidence of roll-outs, versions known. A host whose store calls fail fetches a peer's copy, newer revisions only. Roll-outs are judged on the evidence of all hosts, and done once nothing runs on the old version.

--- /dev/null
+++ b/masticfork/core/digests.py
@@ -0,0 +1,42 @@
+"""What entry hosts tell each other of their work."""
+
+import attrs
+
+
+@attrs.frozen
+class LoadShare:
+    """One host's calls at one server."""
+
+    running: int
+    # Prompt tokens, weighed by the model, that the server has not read yet.
+    pending_work: float
+
+
+@attrs.frozen
+class RolloutEvidence:
+    """One host's answers of both versions during a roll-out."""
+
+    service: str
+    created: int
+    new_good: float
+    new_bad: float
+    old_good: float
+    old_bad: float
+    old_running: int
+
+
+@attrs.frozen
+class Digest:
+    """One host's work at one moment."""
+
+    host: str
+    # Start of the host's process in Unix milliseconds.
+    incarnation: int
+    sequence: int
+    # Version of the configuration in force, 0 for none.
+    configuration: int
+    # The store's revision up to which the host knows the servers.
+    servers: int
+    # By hash of the server's identifier.
+    loads: dict[int, LoadShare]
+    rollouts: tuple[RolloutEvidence, ...]
--- /dev/null
+++ b/masticfork/relay/digest_codec.py
@@ -0,0 +1,87 @@
+"""The coding of digests by Cap'n Proto."""
+
+import zlib
+from pathlib import Path
+
+import capnp
+from result import Err, Ok, Result
+
+from masticfork.core.digests import Digest, LoadShare, RolloutEvidence
+
+# Pending work is told in steps of this many tokens.
+PENDING_STEP = 1000.0
+_MOST_16_BITS = 0xFFFF
+
+_schema = capnp.load(str(Path(__file__).with_name("digest.capnp")))
+
+
+def server_key(server_id: str) -> int:
+    """Return the short name of a server in digests."""
+    return zlib.crc32(server_id.encode())
+
+
+def encode_digest(digest: Digest) -> bytes:
+    """Return the datagram of a digest."""
+    message = _schema.Digest.new_message(
+        host=digest.host,
+        incarnation=digest.incarnation,
+        sequence=digest.sequence,
+        configuration=digest.configuration,
+        servers=digest.servers,
+        loads=[
+            {
+                "server": server,
+                "running": min(_MOST_16_BITS, max(0, load.running)),
+                "pending": min(
+                    _MOST_16_BITS, max(0, round(load.pending_work / PENDING_STEP))
+                ),
+            }
+            for server, load in digest.loads.items()
+        ],
+        rollouts=[
+            {
+                "service": row.service,
+                "created": row.created,
+                "newGood": row.new_good,
+                "newBad": row.new_bad,
+                "oldGood": row.old_good,
+                "oldBad": row.old_bad,
+                "oldRunning": min(_MOST_16_BITS, max(0, row.old_running)),
+            }
+            for row in digest.rollouts
+        ],
+    )
+    return bytes(message.to_bytes_packed())
+
+
+def decode_digest(data: bytes) -> Result[Digest, str]:
+    """Return the digest in a datagram, or why there is none."""
+    try:
+        row = _schema.Digest.from_bytes_packed(data)
+        return Ok(
+            Digest(
+                host=row.host,
+                incarnation=row.incarnation,
+                sequence=row.sequence,
+                configuration=row.configuration,
+                servers=row.servers,
+                loads={
+                    load.server: LoadShare(load.running, load.pending * PENDING_STEP)
+                    for load in row.loads
+                },
+                rollouts=tuple(
+                    RolloutEvidence(
+                        service=part.service,
+                        created=part.created,
+                        new_good=part.newGood,
+                        new_bad=part.newBad,
+                        old_good=part.oldGood,
+                        old_bad=part.oldBad,
+                        old_running=part.oldRunning,
+                    )
+                    for part in row.rollouts
+                ),
+            )
+        )
+    except (capnp.KjException, ValueError) as error:
+        return Err(str(error).split("\n", 1)[0])
--- a/masticfork/relay/entry.py
+++ b/masticfork/relay/entry.py
@@ -1,6 +1,7 @@
 """One entry host: accepts callers, follows the store, serves until it is stopped."""
 
 import http
+import json
 import random
 import selectors
 import time
@@ -8,22 +9,32 @@
 from result import Err
 
 from masticfork.core.backend_servers import Address
+from masticfork.core.digests import Digest, LoadShare
 from masticfork.core.findings import Finding
 from masticfork.core.forwarding import CallerHead, CallerRequest, Dispatch, Header
 from masticfork.core.routes import CallerLimits, Route, RouteKind
 from masticfork.platform import names, wire
 from masticfork.platform.objects import Changes, Listing, PlatformObjects
 from masticfork.platform.route_format import decode_route_table
-from masticfork.platform.server_format import decode_rollout, decode_server
+from masticfork.platform.server_format import (
+    decode_host,
+    decode_rollout,
+    decode_server,
+)
 from masticfork.platform.settings_file import EntrySettings
 from masticfork.relay.caller import CallerConnection, CallerExchange
 from masticfork.relay.channel import CALLER_UNACKNOWLEDGED_MS, Channel, listen
+from masticfork.relay.digest_codec import server_key
 from masticfork.relay.exchange import CallRecord, Exchange
 from masticfork.relay.followers import Follower
+from masticfork.relay.loads_elsewhere import LoadsElsewhere
 from masticfork.relay.logs import LogSink, entry_logger
 from masticfork.relay.loop import Loop
 from masticfork.relay.metrics import RelayMetrics
+from masticfork.relay.mirror import KindMirror, to_json
+from masticfork.relay.peers import Peers
 from masticfork.relay.plain_page import PageListener
+from masticfork.relay.registration import Registration
 from masticfork.relay.rollout_keeper import RolloutKeeper
 from masticfork.relay.server_call import CallSink, ServerCall
 from masticfork.relay.session_versions import SessionVersions
@@ -39,6 +50,8 @@
     Work,
 )
 
+# Kinds of which each host keeps a copy for its peers.
+MIRRORED = (names.KIND_CONFIG, names.KIND_SERVERS, names.KIND_ROLLOUTS)
 BACKLOG = 1024
 # Pause in seconds between runs of the tick.
 TICK = 0.25
@@ -87,11 +100,25 @@
         self._repeats.hosts = DEFAULT_HOSTS
         self._sessions = SessionVersions(bounds.session)
         self._objects = PlatformObjects(settings.store, time.monotonic)
+        self._mirrors = {kind: KindMirror() for kind in MIRRORED}
+        self._peers = Peers(
+            self._loop, self._peer_address, settings.host, self._count_load, self.log
+        )
         self._keeper = RolloutKeeper(
-            self._loop, self._objects, self._tables, settings.host, self.log
+            self._loop,
+            self._objects,
+            self._tables,
+            settings.host,
+            self.log,
+            self._peers.evidence,
+        )
+        self._registration = Registration(
+            self._objects, settings.host, self._peer_address
         )
         self._callers: set[CallerConnection] = set()
         self._exchanges: set[Exchange] = set()
+        self._hosts = KindMirror()
+        self._elsewhere = LoadsElsewhere(self._tables)
         self._stop_at: float | None = None
         self._quiet_at = 0.0
         self._store_failed_at = float("-inf")
@@ -104,8 +131,10 @@
         """Serve until stopped."""
         self._loop.register(self._front, selectors.EVENT_READ, self)
         PageListener(self._loop, self._settings.ready, self._ready_page)
-        for kind in (names.KIND_CONFIG, names.KIND_SERVERS, names.KIND_ROLLOUTS):
+        PageListener(self._loop, self._peer_address, self._copy_page)
+        for kind in (*MIRRORED, names.KIND_HOSTS):
             Follower(kind, self._objects, self._loop, self).start()
+        self._registration.start()
         self._loop.call_after(TICK, self._tick)
         self.log("started", zone=self._settings.zone, store=self._settings.store)
         self._loop.run()
@@ -136,6 +165,11 @@
         self._tables.sweep()
         self._sessions.sweep(self._loop.now)
         self._keeper.run(self._loop.now)
+        self._repeats.hosts = max(DEFAULT_HOSTS, self._peers.sharing_hosts)
+        self._elsewhere.apply()
+        self._peers.tell(self._digest())
+        if self._failing:
+            self._peers.copy_from_newest(self._knows_more, self._take_copy)
         self._log_sink.flush()
         self._metrics.dropped_lines.inc(self._log_sink.take_dropped())
         self._metrics.connections.set(len(self._callers))
@@ -156,6 +190,57 @@
         ready = self._tables.complete and self._stop_at is None
         return (200 if ready else 503), b""
 
+    # Peers.
+
+    @property
+    def _peer_address(self) -> Address:
+        return Address(self._settings.front.host, self._settings.peer_ports[0])
+
+    def _digest(self) -> Digest:
+        table = self._tables.routes
+        return Digest(
+            host=self._settings.host,
+            incarnation=0,
+            sequence=0,
+            configuration=0 if table is None else table.version,
+            servers=self._mirrors[names.KIND_SERVERS].revision,
+            loads={
+                server_key(row.server.id): LoadShare(
+                    row.load.running, row.load.pending_work
+                )
+                for row in self._tables.rows
+                if row.load.running
+            },
+            rollouts=self._keeper.evidence(),
+        )
+
+    def _count_load(self, server: int, share: LoadShare, sign: int) -> None:
+        """Add a peer's calls at a server, or take them back."""
+        self._elsewhere.count(server, share, sign)
+
+    def _copy_page(self, path: bytes) -> tuple[int, bytes]:
+        if not self._tables.complete:
+            return 503, b""
+        return 200, json.dumps(to_json(self._mirrors)).encode()
+
+    def _knows_more(self, digest: Digest) -> bool:
+        table = self._tables.routes
+        version = 0 if table is None else table.version
+        lost_servers = names.KIND_SERVERS in self._failing
+        known = self._mirrors[names.KIND_SERVERS].revision
+        return digest.configuration > version or (
+            lost_servers and digest.servers > known
+        )
+
+    def _take_copy(self, copied: dict[str, Listing]) -> None:
+        """Take from a peer's copy what is newer than what this host knows."""
+        for kind, listing in copied.items():
+            mirror = self._mirrors.get(kind)
+            if mirror is None or listing.revision <= mirror.revision:
+                continue
+            self.log("copy taken", kind=kind, revision=listing.revision)
+            self._take_listing(kind, listing)
+
     # Callers.
 
     @property
@@ -378,6 +463,15 @@
     def on_listing(self, kind: str, listing: Listing) -> None:
         """Take all objects of a kind."""
         self._regain(kind)
+        mirror = self._mirrors.get(kind)
+        if mirror is None:
+            self._hosts.take_listing(listing)
+            self._tell_hosts()
+        elif listing.revision >= mirror.revision:
+            self._take_listing(kind, listing)
+
+    def _take_listing(self, kind: str, listing: Listing) -> None:
+        self._mirrors[kind].take_listing(listing)
         if kind == names.KIND_CONFIG:
             for found in listing.objects:
                 self._take_configuration(found.name, found.spec)
@@ -400,6 +494,12 @@
     def on_changes(self, kind: str, changes: Changes) -> None:
         """Take changes of a kind."""
         self._regain(kind)
+        mirror = self._mirrors.get(kind)
+        if mirror is None:
+            self._hosts.take_changes(changes)
+            self._tell_hosts()
+            return
+        mirror.take_changes(changes)
         for change in changes.changes:
             found = change.object
             if kind == names.KIND_CONFIG and not change.deleted:
@@ -421,6 +521,18 @@
                 else:
                     self._tables.put_rollout(order.ok_value)
 
+    def _tell_hosts(self) -> None:
+        decoded = {
+            name: decode_host(found) for name, found in self._hosts.objects.items()
+        }
+        self._peers.set_hosts(
+            {
+                name: address.ok_value
+                for name, address in decoded.items()
+                if not isinstance(address, Err)
+            }
+        )
+
     def on_store_failure(self, kind: str, error: PlatformError) -> None:
         """Take the failure of a call to the store."""
         self._store_failed_at = self._loop.now
--- a/masticfork/relay/rollout_keeper.py
+++ b/masticfork/relay/rollout_keeper.py
@@ -15,6 +15,7 @@
     VersionRollout,
 )
 from masticfork.core.deadlines import Deadline
+from masticfork.core.digests import RolloutEvidence
 from masticfork.platform import names
 from masticfork.platform.objects import PlatformObject, PlatformObjects
 from masticfork.platform.server_format import decode_rollout, encode_progress
@@ -65,8 +66,10 @@
         tables: Tables,
         host: str,
         log: Callable[..., None],
+        elsewhere: Callable[[str, int], list[RolloutEvidence]],
     ) -> None:
         self._loop = loop
+        self._elsewhere = elsewhere
         self._objects = objects
         self._tables = tables
         self._host = host
@@ -104,16 +107,67 @@
         watched = self._watch(rollout)
         evidence = watched.new if server.version == rollout.target else watched.old
         evidence.add(bad, now)
-        if not watched.bad and is_bad(watched.new, watched.old):
-            watched.bad = True
-            self._log(
-                "version found bad",
-                service=server.service,
-                target=rollout.target,
-                bad=round(watched.new.bad, 2),
-                good=round(watched.new.good, 2),
-                old_bad_share=round(watched.old.bad_share, 3),
+        if bad:
+            self._judge(rollout, watched)
+
+    def evidence(self) -> tuple[RolloutEvidence, ...]:
+        """Return this host's evidence of all roll-outs under way."""
+        rows = []
+        for rollout in self._tables.rollouts.values():
+            if is_final(rollout.progress):
+                continue
+            watched = self._watch(rollout)
+            rows.append(
+                RolloutEvidence(
+                    service=rollout.service,
+                    created=rollout.created,
+                    new_good=watched.new.good,
+                    new_bad=watched.new.bad,
+                    old_good=watched.old.good,
+                    old_bad=watched.old.bad,
+                    old_running=self._old_running(rollout),
+                )
             )
+        return tuple(rows)
+
+    def _old_running(self, rollout: VersionRollout) -> int:
+        return sum(
+            row.load.running
+            for row in self._tables.rows
+            if row.server.service == rollout.service
+            and row.server.version != rollout.target
+        )
+
+    def _combined(
+        self, rollout: VersionRollout, watched: _Watched
+    ) -> tuple[Evidence, Evidence, int]:
+        """Return the evidence of all hosts, and the requests on the old version."""
+        told = self._elsewhere(rollout.service, rollout.created)
+        new = Evidence(
+            watched.new.good + sum(row.new_good for row in told),
+            watched.new.bad + sum(row.new_bad for row in told),
+        )
+        old = Evidence(
+            watched.old.good + sum(row.old_good for row in told),
+            watched.old.bad + sum(row.old_bad for row in told),
+        )
+        running = self._old_running(rollout) + sum(row.old_running for row in told)
+        return new, old, running
+
+    def _judge(self, rollout: VersionRollout, watched: _Watched) -> None:
+        """Stop sending to a version that all hosts' answers show as bad."""
+        new, old, _ = self._combined(rollout, watched)
+        if watched.bad or not is_bad(new, old):
+            return
+        watched.bad = True
+        self._log(
+            "version found bad",
+            service=rollout.service,
+            target=rollout.target,
+            bad=round(new.bad, 2),
+            good=round(new.good, 2),
+            old_bad_share=round(old.bad_share, 3),
+        )
 
     def run(self, now: float) -> None:
         """Write what is due."""
@@ -126,7 +180,9 @@
         if watched.writing or now < watched.write_after:
             return
         elapsed = now - watched.ordered_at
-        due = advance(rollout, elapsed, watched.new, watched.old)
+        self._judge(rollout, watched)
+        new, old, old_running = self._combined(rollout, watched)
+        due = advance(rollout, elapsed, new, old, old_running)
         if watched.bad:
             due = attrs.evolve(due, state=RolloutState.ROLLED_BACK)
         if due == rollout.progress:
--- a/masticfork/systems/version_shift.py
+++ b/masticfork/systems/version_shift.py
@@ -22,6 +22,8 @@
 # still runs on the old version then is lost, so the last step lasts a third.
 STEP_STARTS = (0.0, 0.5, 0.62)
 DONE_AT = 0.92
+# Part of the time from which it is done as soon as nothing runs on the old version.
+DONE_FROM = 0.75
 # Answers of the new version without which it is not moved on, and the time, as a part
 # of the whole, after which it is moved on nevertheless.
 LEAST_ANSWERS = 4
@@ -82,7 +84,11 @@
 
 
 def advance(
-    rollout: VersionRollout, elapsed: float, new: Evidence, old: Evidence
+    rollout: VersionRollout,
+    elapsed: float,
+    new: Evidence,
+    old: Evidence,
+    old_running: int = 0,
 ) -> RolloutProgress:
     """Return the progress that is due, the same one if nothing is."""
     progress = rollout.progress
@@ -93,8 +99,10 @@
     if progress.state is RolloutState.ORDERED:
         return attrs.evolve(progress, state=RolloutState.RUNNING, step=0)
     part = elapsed / rollout.duration
-    if part >= DONE_AT and progress.step == len(STEP_SHARES) - 1:
-        return attrs.evolve(progress, state=RolloutState.DONE)
+    if progress.step == len(STEP_SHARES) - 1:
+        drained = part >= DONE_FROM and old_running == 0
+        if drained or part >= DONE_AT:
+            return attrs.evolve(progress, state=RolloutState.DONE)
     following = progress.step + 1
     if following < len(STEP_SHARES) and part >= STEP_STARTS[following]:
         proved = new.total >= LEAST_ANSWERS or part >= PATIENCE
--- a/standins/entry_world.py
+++ b/standins/entry_world.py
@@ -220,13 +220,13 @@
     with ExitStack() as stack:
         log = stack.enter_context(logbook.TestHandler().applicationbound())
         served = stack.enter_context(serving(store))
-        front, ready = free_address(), free_address()
+        front, ready, peer = free_address(), free_address(), free_address()
         settings = EntrySettings(
             host="host-1",
             zone="zone-a",
             front=front,
             ready=ready,
-            peer_ports=(0, 0),
+            peer_ports=(peer.port, peer.port),
             store=f"{LOOPBACK}:{served.port}",
             memory_mb=256,
             file_descriptors=4096,
