Expect the preferred servers of a prompt to keep its shared parts

Cause: a host sees a quarter of the requests for a prompt, so own sends seldom told that a server keeps it, and equal prompts were spread over three servers.

--- a/masticfork/systems/server_choice.py
+++ b/masticfork/systems/server_choice.py
@@ -12,6 +12,9 @@
 
 # Servers that are preferred for a prompt, the same ones on all hosts.
 PREFERRED = 3
+# Part of a prompt's shared tokens that the preferred servers are expected to keep, by
+# rank, where this host does not know: other hosts send them the same prompts.
+EXPECTED_KEPT = (0.7, 0.2, 0.0)
 # Prompt tokens that an engine reads in a second with a model of pace 1. The sheets of
 # the deployments give 51,000 and 61,000.
 PREFILL_TOKENS_PER_SECOND = 55_000.0
@@ -138,11 +141,15 @@
                 reachable, key=lambda load: _plain(load, zone, now), default=None
             )
         preferred = _preference(work, reachable)
-        return min(
-            preferred[:PREFERRED] + _least_loaded(preferred),
-            key=lambda load: expected_delay(load, work, zone, now),
-            default=None,
+        candidates = list(zip(preferred, EXPECTED_KEPT, strict=False))
+        candidates += ((load, 0.0) for load in _least_loaded(preferred))
+        if not candidates:
+            return None
+        best = min(
+            candidates,
+            key=lambda pair: expected_delay(pair[0], work, zone, now, pair[1]),
         )
+        return best[0]
 
 
 class Rotation:
@@ -159,15 +166,23 @@
         return loads[self._next % len(loads)] if loads else None
 
 
-def unread_work(load: ServerLoad, work: Work, now: float) -> float:
-    """Return the prompt tokens that a server has to read, weighed by pace."""
-    kept = load.kept_tokens(work.model or "", work.prompt, now)
-    return max(0, work.prompt_tokens - kept) * work.pace
+def unread_work(
+    load: ServerLoad, work: Work, now: float, expected: float = 0.0
+) -> float:
+    """Return the prompt tokens that a server has to read, weighed by pace.
 
+    `expected` is the part of the shared tokens that it likely keeps at least.
+    """
+    kept = float(load.kept_tokens(work.model or "", work.prompt, now))
+    shared = sum(part.tokens for part in work.prompt[:-1])
+    return max(0.0, work.prompt_tokens - max(kept, expected * shared)) * work.pace
 
-def expected_delay(load: ServerLoad, work: Work, zone: str, now: float) -> float:
+
+def expected_delay(
+    load: ServerLoad, work: Work, zone: str, now: float, expected: float = 0.0
+) -> float:
     """Return the expected seconds to the first token of a call to an engine."""
-    unread = unread_work(load, work, now)
+    unread = unread_work(load, work, now, expected)
     waiting = load.pending_work + load.pending_elsewhere
     running = load.running + load.running_elsewhere
     delay = (unread + waiting) / PREFILL_TOKENS_PER_SECOND
