Serve with both versions side by side once the new one is proved

Cause: the new version's engines idled for half of a roll-out while the old ones queued. Now the trial (8% of new sessions) ends with eight good answers; then half of the new sessions go to the new version until 0.66 of the time. Sessions under way stay.

--- a/masticfork/core/digests.py
+++ b/masticfork/core/digests.py
@@ -8,6 +8,8 @@
     """One host's calls at one server."""
 
     running: int
+    # Running calls, weighed by the work of their models.
+    busy: float
     # Prompt tokens, weighed by the model, that the server has not read yet.
     pending_work: float
 
--- a/masticfork/relay/digest.capnp
+++ b/masticfork/relay/digest.capnp
@@ -21,6 +21,8 @@
   running @1 :UInt16;
   # Prompt tokens that the server has not read yet, weighed by the model, in thousands.
   pending @2 :UInt16;
+  # Running calls, weighed by the model, in tenths.
+  busy @3 :UInt16;
 }
 
 struct Rollout {
--- a/masticfork/relay/digest_codec.py
+++ b/masticfork/relay/digest_codec.py
@@ -10,6 +10,8 @@
 
 # Pending work is told in steps of this many tokens.
 PENDING_STEP = 1000.0
+# Weighed calls are told in steps of this size.
+BUSY_STEP = 0.1
 _MOST_16_BITS = 0xFFFF
 
 _schema = capnp.load(str(Path(__file__).with_name("digest.capnp")))
@@ -32,6 +34,7 @@
             {
                 "server": server,
                 "running": min(_MOST_16_BITS, max(0, load.running)),
+                "busy": min(_MOST_16_BITS, max(0, round(load.busy / BUSY_STEP))),
                 "pending": min(
                     _MOST_16_BITS, max(0, round(load.pending_work / PENDING_STEP))
                 ),
@@ -66,7 +69,11 @@
                 configuration=row.configuration,
                 servers=row.servers,
                 loads={
-                    load.server: LoadShare(load.running, load.pending * PENDING_STEP)
+                    load.server: LoadShare(
+                        load.running,
+                        load.busy * BUSY_STEP,
+                        load.pending * PENDING_STEP,
+                    )
                     for load in row.loads
                 },
                 rollouts=tuple(
--- a/masticfork/relay/entry.py
+++ b/masticfork/relay/entry.py
@@ -206,7 +206,7 @@
             servers=self._mirrors[names.KIND_SERVERS].revision,
             loads={
                 server_key(row.server.id): LoadShare(
-                    row.load.running, row.load.pending_work
+                    row.load.running, row.load.busy, row.load.pending_work
                 )
                 for row in self._tables.rows
                 if row.load.running
@@ -417,6 +417,7 @@
         """Take in the outcome of a call."""
         load, now = record.row.load, self._loop.now
         load.running -= 1
+        load.busy -= record.work.pace
         load.pending_work -= record.unread
         outcome = record.outcome
         service = record.row.server.service
--- a/masticfork/relay/exchange.py
+++ b/masticfork/relay/exchange.py
@@ -217,6 +217,14 @@
             self._size = larger
             self._fail_call(CallOutcome.DROPPED, f"confidence {head.confidence}")
             return
+        self.host.log(
+            "answer begins",
+            request=self.attempt_id,
+            server=record.row.server.id,
+            status=head.status,
+            confidence=head.confidence,
+            seconds=round(record.head_at - record.started_at, 3),
+        )
         self._head = self._head or head
         self._watch_silence()
 
@@ -300,6 +308,7 @@
             resume_after=dispatch.resume_after,
         )
         row.load.running += 1
+        row.load.busy += work.pace
         row.load.pending_work += unread
         record.call = self.host.open_call(row, self, self.request, dispatch)
         self._watch_silence()
--- a/masticfork/relay/loads_elsewhere.py
+++ b/masticfork/relay/loads_elsewhere.py
@@ -10,6 +10,7 @@
 @attrs.define
 class _Sum:
     running: int = 0
+    busy: float = 0.0
     pending_work: float = 0.0
 
 
@@ -24,6 +25,7 @@
         """Add one host's calls at a server, or take them back."""
         total = self._sums.setdefault(server, _Sum())
         total.running += sign * share.running
+        total.busy += sign * share.busy
         total.pending_work += sign * share.pending_work
         if total.running <= 0 and total.pending_work <= 0.0:
             del self._sums[server]
@@ -33,4 +35,5 @@
         for row in self._tables.rows:
             total = self._sums.get(server_key(row.server.id))
             row.load.running_elsewhere = 0 if total is None else total.running
+            row.load.busy_elsewhere = 0.0 if total is None else total.busy
             row.load.pending_elsewhere = 0.0 if total is None else total.pending_work
--- a/masticfork/systems/server_choice.py
+++ b/masticfork/systems/server_choice.py
@@ -14,14 +14,14 @@
 PREFERRED = 3
 # Part of a prompt's shared tokens that the preferred servers are expected to keep, by
 # rank, where this host does not know: other hosts send them the same prompts.
-EXPECTED_KEPT = (0.7, 0.2, 0.0)
+EXPECTED_KEPT = (0.9, 0.2, 0.0)
 # Prompt tokens that an engine reads in a second with a model of pace 1. The sheets of
 # the deployments give 51,000 and 61,000.
 PREFILL_TOKENS_PER_SECOND = 55_000.0
 # Relative work of reading a token by size of the model, smallest first.
 SIZE_PACES = (0.3, 0.8, 3.0)
-# Seconds that one more running request adds to the first token of the next.
-SECONDS_PER_RUNNING = 0.012
+# Seconds that one more running request of pace 1 adds to the first token of the next.
+SECONDS_PER_BUSY = 0.004
 # Seconds of expected delay at which a failing server is taken as good as a sound one;
 # multiplied by its share of failures.
 FAILURE_SECONDS = 4.0
@@ -52,8 +52,11 @@
     running: int = 0
     # Own prompt tokens, weighed by pace, that no answer shows as read yet.
     pending_work: float = 0.0
+    # Own running calls, weighed by pace.
+    busy: float = 0.0
     # Calls of other hosts, as they told last.
     running_elsewhere: int = 0
+    busy_elsewhere: float = 0.0
     pending_elsewhere: float = 0.0
     failures: float = 0.0
     failures_at: float = 0.0
@@ -184,9 +187,9 @@
     """Return the expected seconds to the first token of a call to an engine."""
     unread = unread_work(load, work, now, expected)
     waiting = load.pending_work + load.pending_elsewhere
-    running = load.running + load.running_elsewhere
+    busy = load.busy + load.busy_elsewhere
     delay = (unread + waiting) / PREFILL_TOKENS_PER_SECOND
-    return delay + SECONDS_PER_RUNNING * running + _penalty(load, zone, now)
+    return delay + SECONDS_PER_BUSY * busy + _penalty(load, zone, now)
 
 
 def _plain(load: ServerLoad, zone: str, now: float) -> float:
@@ -204,9 +207,13 @@
 
 
 def _preference(work: Work, loads: Iterable[ServerLoad]) -> list[ServerLoad]:
-    """Return the servers in an order that is the same on all hosts."""
-    first = work.prompt[0].id if work.prompt else ""
-    key = f"{work.model}/{first}/"
+    """Return the servers in an order that is the same on all hosts.
+
+    The last part of a prompt is the request's own; the one before it is the longest
+    beginning that others share.
+    """
+    shared = work.prompt[-2:][0].id if work.prompt else ""
+    key = f"{work.model}/{shared}/"
     return sorted(loads, key=lambda load: _score(key + load.server.id), reverse=True)
 
 
@@ -217,4 +224,11 @@
 def _least_loaded(loads: Sequence[ServerLoad]) -> list[ServerLoad]:
     if len(loads) <= PREFERRED:
         return []
-    return [min(loads, key=lambda load: load.pending_work + load.running)]
+    return [min(loads, key=_work_at_hand)]
+
+
+def _work_at_hand(load: ServerLoad) -> float:
+    """Return the seconds of work that a server has."""
+    waiting = load.pending_work + load.pending_elsewhere
+    busy = load.busy + load.busy_elsewhere
+    return waiting / PREFILL_TOKENS_PER_SECOND + SECONDS_PER_BUSY * busy
--- a/masticfork/systems/version_shift.py
+++ b/masticfork/systems/version_shift.py
@@ -15,19 +15,21 @@
     VersionRollout,
 )
 
-# Share of the sessions on the new version in each step. A bad version may get 0.15 of
-# all requests until it is withdrawn, and sessions may only move in the second half.
-STEP_SHARES = (0.08, 0.35, 1.0)
-# Part of the roll-out's time at which each step begins, and at which it is done: what
-# still runs on the old version then is lost, so the last step lasts a third.
-STEP_STARTS = (0.0, 0.5, 0.62)
+# Share of the new sessions on the new version in each step: a trial, both versions side
+# by side, the new version alone. A bad version may get 0.15 of all requests between the
+# order and its end; the trial is kept well below that.
+STEP_SHARES = (0.08, 0.5, 1.0)
+TRIAL, SHARED, ALONE = 0, 1, 2
+# Answers of the new version that end the trial, and the part of the time that ends it
+# nevertheless.
+PROVING_ANSWERS = 8.0
+TRIAL_ENDS_AT = 0.5
+# Part of the time at which the new version serves alone. What still runs on the old one
+# when the roll-out is done is lost, so that is as late as it may be.
+ALONE_AT = 0.66
 DONE_AT = 0.92
 # Part of the time from which it is done as soon as nothing runs on the old version.
-DONE_FROM = 0.75
-# Answers of the new version without which it is not moved on, and the time, as a part
-# of the whole, after which it is moved on nevertheless.
-LEAST_ANSWERS = 4
-PATIENCE = 0.8
+DONE_FROM = 0.8
 # A version is bad with this many bad answers and this share of them, if the share is
 # also that much above the old version's.
 BAD_ANSWERS = 3
@@ -99,15 +101,16 @@
     if progress.state is RolloutState.ORDERED:
         return attrs.evolve(progress, state=RolloutState.RUNNING, step=0)
     part = elapsed / rollout.duration
-    if progress.step == len(STEP_SHARES) - 1:
-        drained = part >= DONE_FROM and old_running == 0
-        if drained or part >= DONE_AT:
-            return attrs.evolve(progress, state=RolloutState.DONE)
-    following = progress.step + 1
-    if following < len(STEP_SHARES) and part >= STEP_STARTS[following]:
-        proved = new.total >= LEAST_ANSWERS or part >= PATIENCE
-        if proved:
-            return attrs.evolve(progress, step=following)
+    if progress.step == TRIAL:
+        proved = new.total >= PROVING_ANSWERS
+        ended = proved or part >= TRIAL_ENDS_AT
+        return attrs.evolve(progress, step=SHARED) if ended else progress
+    if progress.step == SHARED:
+        due = part >= ALONE_AT
+        return attrs.evolve(progress, step=ALONE) if due else progress
+    drained = part >= DONE_FROM and old_running == 0
+    if drained or part >= DONE_AT:
+        return attrs.evolve(progress, state=RolloutState.DONE)
     return progress
 
 
@@ -125,7 +128,7 @@
         return False
     if earlier == rollout.target:
         return True
-    if earlier is not None and step == 0:
+    if earlier is not None and step < ALONE:
         return False
     share = STEP_SHARES[min(step, len(STEP_SHARES) - 1)]
     return _position(f"{rollout.created}/{session}") < share
