Judge a new version by failed and slow answers of all hosts

Ruled out by measurement: times as multiples of the work (cold engines of a good version looked slow), a version's own quantile (found too late).

--- a/masticfork/core/digests.py
+++ b/masticfork/core/digests.py
@@ -25,6 +25,8 @@
     old_good: float
     old_bad: float
     old_running: int
+    new_slow: float = 0.0
+    old_slow: float = 0.0
 
 
 @attrs.frozen
--- a/masticfork/relay/digest.capnp
+++ b/masticfork/relay/digest.capnp
@@ -35,4 +35,6 @@
   oldBad @5 :Float32;
   # Requests that still run on the old version.
   oldRunning @6 :UInt16;
+  newSlow @7 :Float32;
+  oldSlow @8 :Float32;
 }
--- a/masticfork/relay/digest_codec.py
+++ b/masticfork/relay/digest_codec.py
@@ -49,6 +49,8 @@
                 "newBad": row.new_bad,
                 "oldGood": row.old_good,
                 "oldBad": row.old_bad,
+                "newSlow": row.new_slow,
+                "oldSlow": row.old_slow,
                 "oldRunning": min(_MOST_16_BITS, max(0, row.old_running)),
             }
             for row in digest.rollouts
@@ -85,6 +87,8 @@
                         old_good=part.oldGood,
                         old_bad=part.oldBad,
                         old_running=part.oldRunning,
+                        new_slow=part.newSlow,
+                        old_slow=part.oldSlow,
                     )
                     for part in row.rollouts
                 ),
--- a/masticfork/relay/entry.py
+++ b/masticfork/relay/entry.py
@@ -35,7 +35,7 @@
 from masticfork.relay.peers import Peers
 from masticfork.relay.plain_page import PageListener
 from masticfork.relay.registration import Registration
-from masticfork.relay.rollout_keeper import RolloutKeeper
+from masticfork.relay.rollout_keeper import AnswerTime, RolloutKeeper
 from masticfork.relay.server_call import CallSink, ServerCall
 from masticfork.relay.session_versions import SessionVersions
 from masticfork.relay.tables import ServerRow, Tables
@@ -58,6 +58,13 @@
 # Time in seconds after the last failure of the store for which entries that vanish are
 # taken as lapsed: living servers are back within two seconds of its return.
 STORE_TROUBLE = 3.0
+# Outcomes of calls that tell something of the server's version.
+TELLING = (
+    None,
+    CallOutcome.SERVER_ERROR,
+    CallOutcome.DROPPED,
+    CallOutcome.SILENT,
+)
 # Time in seconds that the platform needs to stop sending new callers to a host that is
 # not ready: two questions, one a second, and the time they take.
 NOTICE_TIME = 2.6
@@ -436,7 +443,19 @@
             load.avoid_until = now + UNREACHABLE_SECONDS
         if record.failed is not None:
             load.record(record.failed, now)
-            self._keeper.note_answer(record.row.server, record.failed, now)
+        self._note_version(record)
+
+    def _note_version(self, record: CallRecord) -> None:
+        """Take in a call as evidence for or against its version.
+
+        A crashed server or a lost connection tells nothing of its version.
+        """
+        if record.failed is None or record.outcome not in TELLING:
+            return
+        until = record.head_at or record.ended_at or self._loop.now
+        taken = AnswerTime(record.work.size, until - record.started_at)
+        failed = record.outcome in (None, CallOutcome.SERVER_ERROR) and record.failed
+        self._keeper.note_answer(record.row.server, failed, taken, self._loop.now)
 
     def note_end(self, exchange: Exchange, status: int, why: str) -> None:
         """Take in the end of an exchange."""
--- a/masticfork/relay/rollout_keeper.py
+++ b/masticfork/relay/rollout_keeper.py
@@ -1,7 +1,7 @@
 """Follows roll-outs, gathers evidence and writes their progress to the store."""
 
 import hashlib
-import time
+import time as clock
 from collections.abc import Callable, Sequence
 from concurrent.futures import ThreadPoolExecutor
 
@@ -24,6 +24,7 @@
 from masticfork.store.client import PlatformError
 from masticfork.systems.version_shift import (
     Evidence,
+    UsualTimes,
     advance,
     is_bad,
     is_final,
@@ -38,6 +39,14 @@
 MOST_DELAY = 0.4
 
 
+@attrs.frozen
+class AnswerTime:
+    """How long the first byte of an answer took, or the wait until it was given up."""
+
+    size: int
+    seconds: float
+
+
 @attrs.define(eq=False)
 class _Watched:
     """What this host knows of one order."""
@@ -49,6 +58,7 @@
     ordered_wall: float
     new: Evidence = attrs.field(factory=Evidence)
     old: Evidence = attrs.field(factory=Evidence)
+    usual: UsualTimes = attrs.field(factory=UsualTimes)
     # Whether this host has seen that the version is bad.
     bad: bool = False
     due_since: float | None = None
@@ -99,15 +109,21 @@
             return old
         return new or old
 
-    def note_answer(self, server: BackendServer, bad: bool, now: float) -> None:
+    def note_answer(
+        self, server: BackendServer, failed: bool, time: AnswerTime, now: float
+    ) -> None:
         """Take in one answer as evidence."""
         rollout = self._tables.rollouts.get(server.service)
         if rollout is None or is_final(rollout.progress):
             return
         watched = self._watch(rollout)
-        evidence = watched.new if server.version == rollout.target else watched.old
-        evidence.add(bad, now)
-        if bad:
+        is_new = server.version == rollout.target
+        evidence = watched.new if is_new else watched.old
+        slow = watched.usual.is_slow(time.size, time.seconds)
+        if not is_new:
+            watched.usual.add(time.size, time.seconds)
+        evidence.add(failed, slow, now)
+        if failed or slow:
             self._judge(rollout, watched)
 
     def evidence(self) -> tuple[RolloutEvidence, ...]:
@@ -126,6 +142,8 @@
                     old_good=watched.old.good,
                     old_bad=watched.old.bad,
                     old_running=self._old_running(rollout),
+                    new_slow=watched.new.slow,
+                    old_slow=watched.old.slow,
                 )
             )
         return tuple(rows)
@@ -146,10 +164,12 @@
         new = Evidence(
             watched.new.good + sum(row.new_good for row in told),
             watched.new.bad + sum(row.new_bad for row in told),
+            watched.new.slow + sum(row.new_slow for row in told),
         )
         old = Evidence(
             watched.old.good + sum(row.old_good for row in told),
             watched.old.bad + sum(row.old_bad for row in told),
+            watched.old.slow + sum(row.old_slow for row in told),
         )
         running = self._old_running(rollout) + sum(row.old_running for row in told)
         return new, old, running
@@ -166,7 +186,9 @@
             target=rollout.target,
             bad=round(new.bad, 2),
             good=round(new.good, 2),
+            slow=round(new.slow, 2),
             old_bad_share=round(old.bad_share, 3),
+            old_slow_share=round(old.slow_share, 3),
         )
 
     def run(self, now: float) -> None:
@@ -212,7 +234,7 @@
         status = encode_progress(rollout.target, due)
 
         def write() -> None:
-            deadline = Deadline.after(time.monotonic(), WRITE_TIMEOUT)
+            deadline = Deadline.after(clock.monotonic(), WRITE_TIMEOUT)
             outcome = self._objects.replace_status(
                 names.KIND_ROLLOUTS, rollout.service, status, rollout.revision, deadline
             )
@@ -250,7 +272,7 @@
 
     def _begin(self, rollout: VersionRollout) -> _Watched:
         """Return a new record; the wall clock counts only for an order seen late."""
-        wall, now = time.time(), self._loop.now
+        wall, now = clock.time(), self._loop.now
         ordered = rollout.progress.ordered_at
         if rollout.progress.state is RolloutState.ORDERED or ordered <= 0.0:
             return _Watched(rollout.created, rollout.target, now, wall)
--- a/masticfork/systems/version_shift.py
+++ b/masticfork/systems/version_shift.py
@@ -6,6 +6,8 @@
 """
 
 import hashlib
+import statistics
+from collections import deque
 
 import attrs
 
@@ -22,7 +24,7 @@
 TRIAL, SHARED, ALONE = 0, 1, 2
 # Answers of the new version that end the trial, and the part of the time that ends it
 # nevertheless.
-PROVING_ANSWERS = 8.0
+PROVING_ANSWERS = 10.0
 TRIAL_ENDS_AT = 0.5
 # Part of the time at which the new version serves alone. What still runs on the old one
 # when the roll-out is done is lost, so that is as late as it may be.
@@ -30,11 +32,17 @@
 DONE_AT = 0.92
 # Part of the time from which it is done as soon as nothing runs on the old version.
 DONE_FROM = 0.8
-# A version is bad with this many bad answers and this share of them, if the share is
+# A version is bad with this many failed answers and this share of them, if the share is
 # also that much above the old version's.
-BAD_ANSWERS = 3
-BAD_SHARE = 0.2
-BAD_EXCESS = 0.15
+BAD_ANSWERS, BAD_SHARE, BAD_EXCESS = 3.0, 0.2, 0.15
+# The same for slow answers, of which queues make some on any version.
+SLOW_ANSWERS, SLOW_SHARE, SLOW_EXCESS = 5.0, 0.34, 0.17
+# Excess of slow or failed answers with which a version is not moved on.
+SUSPICIOUS_EXCESS = 0.1
+# An answer is slow beyond this multiple of the median of the old version's last times.
+SLOW_MULTIPLE = 3.0
+TIMES_KEPT = 60
+LEAST_TIMES = 5
 # Weight of the answers seen before in each second, so that a version that turns bad
 # late is not excused by its past.
 FADE_PER_SECOND = 0.9
@@ -42,10 +50,11 @@
 
 @attrs.define
 class Evidence:
-    """Answers of one version, faded with time."""
+    """Answers of one version, faded with time; slow ones count as good or bad too."""
 
     good: float = 0.0
     bad: float = 0.0
+    slow: float = 0.0
     faded_at: float = 0.0
 
     @property
@@ -55,29 +64,55 @@
 
     @property
     def bad_share(self) -> float:
-        """Return the share of bad answers, 0 where there is none."""
+        """Return the share of failed answers, 0 where there is none."""
         return self.bad / self.total if self.total else 0.0
 
-    def add(self, bad: bool, now: float) -> None:
-        """Take in one answer."""
-        self._fade(now)
-        if bad:
-            self.bad += 1.0
-        else:
-            self.good += 1.0
+    @property
+    def slow_share(self) -> float:
+        """Return the share of slow answers, 0 where there is none."""
+        return self.slow / self.total if self.total else 0.0
 
-    def _fade(self, now: float) -> None:
+    def add(self, bad: bool, slow: bool, now: float) -> None:
+        """Take in one answer."""
         kept = FADE_PER_SECOND ** max(0.0, now - self.faded_at)
-        self.good *= kept
-        self.bad *= kept
+        self.good = self.good * kept + float(not bad)
+        self.bad = self.bad * kept + float(bad)
+        self.slow = self.slow * kept + float(slow)
         self.faded_at = now
 
 
+@attrs.define
+class UsualTimes:
+    """The old version's last times to the first byte, by size of the model."""
+
+    _times: dict[int, deque[float]] = attrs.field(factory=dict)
+
+    def add(self, size: int, seconds: float) -> None:
+        """Take in a time of the old version."""
+        kept = self._times.setdefault(size, deque(maxlen=TIMES_KEPT))
+        kept.append(seconds)
+
+    def is_slow(self, size: int, seconds: float) -> bool:
+        """Tell whether an answer of either version was slow."""
+        times = self._times.get(size, ())
+        if len(times) < LEAST_TIMES:
+            return False
+        return seconds > statistics.median(times) * SLOW_MULTIPLE
+
+
 def is_bad(new: Evidence, old: Evidence) -> bool:
     """Tell whether the new version has to be withdrawn."""
-    if new.bad < BAD_ANSWERS or new.bad_share < BAD_SHARE:
-        return False
-    return new.bad_share > old.bad_share + BAD_EXCESS
+    failing = new.bad >= BAD_ANSWERS and new.bad_share >= BAD_SHARE
+    if failing and new.bad_share > old.bad_share + BAD_EXCESS:
+        return True
+    slow = new.slow >= SLOW_ANSWERS and new.slow_share >= SLOW_SHARE
+    return slow and new.slow_share > old.slow_share + SLOW_EXCESS
+
+
+def is_suspicious(new: Evidence, old: Evidence) -> bool:
+    """Tell whether the new version may be bad, though too little is known."""
+    failing = new.bad_share > old.bad_share + SUSPICIOUS_EXCESS
+    return failing or new.slow_share > old.slow_share + SUSPICIOUS_EXCESS
 
 
 def is_final(progress: RolloutProgress) -> bool:
@@ -102,9 +137,12 @@
         return attrs.evolve(progress, state=RolloutState.RUNNING, step=0)
     part = elapsed / rollout.duration
     if progress.step == TRIAL:
-        proved = new.total >= PROVING_ANSWERS
-        ended = proved or part >= TRIAL_ENDS_AT
-        return attrs.evolve(progress, step=SHARED) if ended else progress
+        proved = new.total >= PROVING_ANSWERS or part >= TRIAL_ENDS_AT
+        if proved and not is_suspicious(new, old):
+            return attrs.evolve(progress, step=SHARED)
+        if part >= ALONE_AT:
+            return attrs.evolve(progress, state=RolloutState.ROLLED_BACK)
+        return progress
     if progress.step == SHARED:
         due = part >= ALONE_AT
         return attrs.evolve(progress, step=ALONE) if due else progress
--- a/masticfork/systems/version_shift_test.py
+++ b/masticfork/systems/version_shift_test.py
@@ -1,3 +1,5 @@
+import random
+
 import attrs
 import pytest
 from hypothesis import given
@@ -15,9 +17,11 @@
     STEP_SHARES,
     TRIAL,
     Evidence,
+    UsualTimes,
     advance,
     is_bad,
     is_final,
+    is_suspicious,
     takes_new_version,
 )
 
@@ -104,14 +108,43 @@
         new = Evidence()
         for second in range(12):
             for _ in range(4):
-                new.add(False, float(second))
+                new.add(False, False, float(second))
         found = 0
         while not is_bad(new, GOOD) and found < 40:
             found += 1
-            new.add(True, 12.0 + found / 4)
+            new.add(True, False, 12.0 + found / 4)
         assert found <= 15
 
 
+class TestSlowVersions:
+    """Times as measured: the slow version's engines queue behind their slow requests."""
+
+    def shift(self, seconds_of_new):
+        source, usual = random.Random(7), UsualTimes()
+        new, old = Evidence(), Evidence()
+        now = 0.0
+        while not is_bad(new, old) and now < 30.0:
+            now += 0.1
+            if source.random() < 0.15:
+                seconds = source.choice(seconds_of_new)
+                new.add(False, usual.is_slow(0, seconds), now)
+            else:
+                seconds = source.choice((0.06, 0.08, 0.17, 0.17, 0.38, 1.1))
+                old.add(False, usual.is_slow(0, seconds), now)
+                usual.add(0, seconds)
+        return now, new, old
+
+    def test_slow_version_is_found(self):
+        found_at, new, _ = self.shift((0.26, 0.56, 1.4, 1.4, 3.1, 3.5))
+        assert found_at < 12.0
+        assert new.total < 20
+
+    def test_cold_engines_are_no_reason_to_withdraw_a_version(self):
+        found_at, new, old = self.shift((0.1, 0.2, 0.3, 0.35, 0.4, 1.2))
+        assert found_at >= 30.0
+        assert not is_suspicious(new, old)
+
+
 class TestTakesNewVersion:
     def test_share_of_new_sessions_follows_the_step(self):
         for step, share in enumerate(STEP_SHARES):
