Tell all hosts which version each session runs on

Hosts now tell each other in digests, and a session counts from the moment its request is sent. Ruled out: a smaller share in the first half, which keeps the rule by luck and leaves half of the engines idle.

--- a/masticfork/core/digests.py
+++ b/masticfork/core/digests.py
@@ -44,3 +44,5 @@
     # By hash of the server's identifier.
     loads: dict[int, LoadShare]
     rollouts: tuple[RolloutEvidence, ...]
+    # Versions by session, both in short form: those that ran since the last digests.
+    sessions: dict[int, int] = attrs.field(factory=dict)
--- a/masticfork/relay/digest.capnp
+++ b/masticfork/relay/digest.capnp
@@ -13,6 +13,7 @@
   servers @4 :Int64;
   loads @5 :List(Load);
   rollouts @6 :List(Rollout);
+  sessions @7 :List(Session);
 }
 
 struct Load {
@@ -38,3 +39,10 @@
   newSlow @7 :Float32;
   oldSlow @8 :Float32;
 }
+
+struct Session {
+  # Hash of the service and the session.
+  key @0 :UInt32;
+  # Hash of the version that it runs on.
+  version @1 :UInt32;
+}
--- a/masticfork/relay/digest_codec.py
+++ b/masticfork/relay/digest_codec.py
@@ -1,6 +1,5 @@
 """The coding of digests by Cap'n Proto."""
 
-import zlib
 from pathlib import Path
 
 import capnp
@@ -17,11 +16,6 @@
 _schema = capnp.load(str(Path(__file__).with_name("digest.capnp")))
 
 
-def server_key(server_id: str) -> int:
-    """Return the short name of a server in digests."""
-    return zlib.crc32(server_id.encode())
-
-
 def encode_digest(digest: Digest) -> bytes:
     """Return the datagram of a digest."""
     message = _schema.Digest.new_message(
@@ -55,6 +49,9 @@
             }
             for row in digest.rollouts
         ],
+        sessions=[
+            {"key": key, "version": version} for key, version in digest.sessions.items()
+        ],
     )
     return bytes(message.to_bytes_packed())
 
@@ -92,6 +89,7 @@
                     )
                     for part in row.rollouts
                 ),
+                sessions={part.key: part.version for part in row.sessions},
             )
         )
     except (capnp.KjException, ValueError) as error:
--- /dev/null
+++ b/masticfork/relay/digest_codec_test.py
@@ -0,0 +1,40 @@
+import attrs
+from hypothesis import given
+from hypothesis import strategies as st
+from result import Err, Ok
+
+from masticfork.core.digests import Digest, LoadShare, RolloutEvidence
+from masticfork.relay.digest_codec import decode_digest, encode_digest
+
+EVIDENCE = RolloutEvidence("llm", 9, 1.5, 0.5, 8.0, 0.25, 3, 0.5, 1.0)
+DIGEST = Digest(
+    host="host-1",
+    incarnation=1_700_000_000_000,
+    sequence=7,
+    configuration=12,
+    servers=530,
+    loads={3_000_000_000: LoadShare(5, 1.5, 42_000.0)},
+    rollouts=(EVIDENCE,),
+    sessions={1: 2, 4_000_000_000: 3},
+)
+
+
+class TestDigests:
+    def test_a_digest_survives_the_way(self):
+        assert decode_digest(encode_digest(DIGEST)) == Ok(DIGEST)
+
+    def test_a_digest_of_a_large_deployment_fits_a_datagram(self):
+        loads = {n * 1000: LoadShare(40, 12.0, 90_000.0) for n in range(64)}
+        sessions = {n * 1001: n for n in range(60)}
+        digest = attrs.evolve(DIGEST, loads=loads, sessions=sessions)
+        assert len(encode_digest(digest)) < 1400
+
+    def test_numbers_beyond_their_field_are_cut(self):
+        loads = {1: LoadShare(100_000, -1.0, 1e12)}
+        decoded = decode_digest(encode_digest(attrs.evolve(DIGEST, loads=loads)))
+        assert decoded.ok_value.loads[1] == LoadShare(65535, 0.0, 65_535_000.0)
+
+    @given(st.binary(max_size=200))
+    def test_other_bytes_are_an_error(self, data):
+        decoded = decode_digest(data)
+        assert isinstance(decoded, Err | Ok)
--- a/masticfork/relay/entry.py
+++ b/masticfork/relay/entry.py
@@ -24,7 +24,6 @@
 from masticfork.platform.settings_file import EntrySettings
 from masticfork.relay.caller import CallerConnection, CallerExchange
 from masticfork.relay.channel import CALLER_UNACKNOWLEDGED_MS, Channel, listen
-from masticfork.relay.digest_codec import server_key
 from masticfork.relay.exchange import CallRecord, Exchange
 from masticfork.relay.followers import Follower
 from masticfork.relay.loads_elsewhere import LoadsElsewhere
@@ -37,7 +36,7 @@
 from masticfork.relay.registration import Registration
 from masticfork.relay.rollout_keeper import AnswerTime, RolloutKeeper
 from masticfork.relay.server_call import CallSink, ServerCall
-from masticfork.relay.session_versions import SessionVersions
+from masticfork.relay.session_versions import SessionVersions, short_key
 from masticfork.relay.tables import ServerRow, Tables
 from masticfork.store.client import PlatformError
 from masticfork.systems.failed_calls import CallOutcome
@@ -109,7 +108,12 @@
         self._objects = PlatformObjects(settings.store, time.monotonic)
         self._mirrors = {kind: KindMirror() for kind in MIRRORED}
         self._peers = Peers(
-            self._loop, self._peer_address, settings.host, self._count_load, self.log
+            self._loop,
+            self._peer_address,
+            settings.host,
+            self._count_load,
+            self._take_sessions,
+            self.log,
         )
         self._keeper = RolloutKeeper(
             self._loop,
@@ -174,7 +178,8 @@
         self._keeper.run(self._loop.now)
         self._repeats.hosts = max(DEFAULT_HOSTS, self._peers.sharing_hosts)
         self._elsewhere.apply()
-        self._peers.tell(self._digest())
+        if self._peers.is_due():
+            self._peers.tell(self._digest())
         if self._failing:
             self._peers.copy_from_newest(self._knows_more, self._take_copy)
         self._log_sink.flush()
@@ -212,19 +217,23 @@
             configuration=0 if table is None else table.version,
             servers=self._mirrors[names.KIND_SERVERS].revision,
             loads={
-                server_key(row.server.id): LoadShare(
+                short_key(row.server.id): LoadShare(
                     row.load.running, row.load.busy, row.load.pending_work
                 )
                 for row in self._tables.rows
                 if row.load.running
             },
             rollouts=self._keeper.evidence(),
+            sessions=self._sessions.tell(),
         )
 
     def _count_load(self, server: int, share: LoadShare, sign: int) -> None:
         """Add a peer's calls at a server, or take them back."""
         self._elsewhere.count(server, share, sign)
 
+    def _take_sessions(self, told: dict[int, int]) -> None:
+        self._sessions.take(told, self._loop.now)
+
     def _copy_page(self, path: bytes) -> tuple[int, bytes]:
         if not self._tables.complete:
             return 503, b""
@@ -395,7 +404,11 @@
         load = self._servers.choose(
             work, [row.load for row in untried], self._settings.zone, self._loop.now
         )
-        return None if load is None else by_load[id(load)]
+        if load is None:
+            return None
+        version = load.server.version
+        self._sessions.note(service, session, version, self._loop.now)
+        return by_load[id(load)]
 
     def open_call(
         self, row: ServerRow, sink: CallSink, request: CallerRequest, call: Dispatch
@@ -437,8 +450,6 @@
                 load.remember(record.work.model, record.work.prompt, now)
             else:
                 load.record_time(seconds)
-            version = record.row.server.version
-            self._sessions.note(service, record.session, version, now)
         if outcome is CallOutcome.UNSENT:
             load.avoid_until = now + UNREACHABLE_SECONDS
         if record.failed is not None:
--- a/masticfork/relay/loads_elsewhere.py
+++ b/masticfork/relay/loads_elsewhere.py
@@ -3,7 +3,7 @@
 import attrs
 
 from masticfork.core.digests import LoadShare
-from masticfork.relay.digest_codec import server_key
+from masticfork.relay.session_versions import short_key
 from masticfork.relay.tables import Tables
 
 
@@ -33,7 +33,7 @@
     def apply(self) -> None:
         """Copy the sums to the servers."""
         for row in self._tables.rows:
-            total = self._sums.get(server_key(row.server.id))
+            total = self._sums.get(short_key(row.server.id))
             row.load.running_elsewhere = 0 if total is None else total.running
             row.load.busy_elsewhere = 0.0 if total is None else total.busy
             row.load.pending_elsewhere = 0.0 if total is None else total.pending_work
--- a/masticfork/relay/peers.py
+++ b/masticfork/relay/peers.py
@@ -52,6 +52,7 @@
         own: Address,
         host: str,
         on_load: Callable[[int, LoadShare, int], None],
+        on_sessions: Callable[[dict[int, int]], None],
         log: Callable[..., None],
     ) -> None:
         self._loop = loop
@@ -59,6 +60,7 @@
         self._host = host
         # Called with a server's key, a share and +1 or -1 to add or take it.
         self._on_load = on_load
+        self._on_sessions = on_sessions
         self._log = log
         self._incarnation = int(time.time() * 1000)
         self._sequence = 0
@@ -102,11 +104,13 @@
             if row.service == service and row.created == created
         ]
 
-    def tell(self, digest: Digest) -> None:
-        """Send a digest to all hosts, if it is time."""
+    def is_due(self) -> bool:
+        """Tell whether it is time for the next digest."""
         self._drop_silent()
-        if self._loop.now < self._next_digest:
-            return
+        return self._loop.now >= self._next_digest
+
+    def tell(self, digest: Digest) -> None:
+        """Send a digest to all hosts."""
         crowd = max(1.0, len(self._addresses) / FEW_HOSTS)
         pause = min(MOST_DIGEST_PAUSE, DIGEST_PAUSE * crowd)
         self._next_digest = self._loop.now + pause
@@ -177,6 +181,7 @@
         else:
             self._log("peer heard", peer=digest.host, hosts=len(self._peers) + 2)
         self._count(digest, 1)
+        self._on_sessions(digest.sessions)
         self._peers[digest.host] = _Peer(digest, self._loop.now)
 
     def _drop_silent(self) -> None:
--- a/masticfork/relay/rollout_keeper.py
+++ b/masticfork/relay/rollout_keeper.py
@@ -20,6 +20,7 @@
 from masticfork.platform.objects import PlatformObject, PlatformObjects
 from masticfork.platform.server_format import decode_rollout, encode_progress
 from masticfork.relay.loop import Loop
+from masticfork.relay.session_versions import short_key
 from masticfork.relay.tables import ServerRow, Tables
 from masticfork.store.client import PlatformError
 from masticfork.systems.version_shift import (
@@ -91,7 +92,7 @@
         self,
         service: str,
         session: str,
-        earlier: str | None,
+        earlier: int | None,
         rows: Sequence[ServerRow],
     ) -> Sequence[ServerRow]:
         """Return the servers whose version a session may run on."""
@@ -105,7 +106,8 @@
         if rollout.progress.state is RolloutState.ROLLED_BACK:
             return old
         watched = self._watch(rollout)
-        if watched.bad or not takes_new_version(rollout, session, earlier):
+        was_on_new = None if earlier is None else earlier == short_key(rollout.target)
+        if watched.bad or not takes_new_version(rollout, session, was_on_new):
             return old
         return new or old
 
--- a/masticfork/systems/version_shift.py
+++ b/masticfork/systems/version_shift.py
@@ -153,20 +153,20 @@
 
 
 def takes_new_version(
-    rollout: VersionRollout, session: str, earlier: str | None
+    rollout: VersionRollout, session: str, was_on_new: bool | None
 ) -> bool:
     """Tell whether a session runs on the new version.
 
-    `earlier` is the version that the session ran on shortly before, if it did.
+    `was_on_new` tells whether it did shortly before, None for a new session.
     """
     state, step = rollout.progress.state, rollout.progress.step
     if state is RolloutState.DONE:
         return True
     if state is not RolloutState.RUNNING:
         return False
-    if earlier == rollout.target:
+    if was_on_new:
         return True
-    if earlier is not None and step < ALONE:
+    if was_on_new is not None and step < ALONE:
         return False
     share = STEP_SHARES[min(step, len(STEP_SHARES) - 1)]
     return _position(f"{rollout.created}/{session}") < share
--- a/masticfork/systems/version_shift_test.py
+++ b/masticfork/systems/version_shift_test.py
@@ -117,7 +117,7 @@
 
 
 class TestSlowVersions:
-    """Times as measured: the slow version's engines queue behind their slow requests."""
+    """Times as measured: a slow version's engines queue behind slow requests."""
 
     def shift(self, seconds_of_new):
         source, usual = random.Random(7), UsualTimes()
@@ -155,16 +155,16 @@
     def test_sessions_keep_their_version_until_the_last_step(self):
         for step in (TRIAL, SHARED):
             order = rollout(step=step)
-            assert not any(takes_new_version(order, f"s{n}", "v1") for n in range(200))
-            assert all(takes_new_version(order, f"s{n}", "v2") for n in range(200))
+            assert not any(takes_new_version(order, f"s{n}", False) for n in range(200))
+            assert all(takes_new_version(order, f"s{n}", True) for n in range(200))
 
     def test_a_session_never_moves_back_while_the_version_is_good(self):
         for step in range(len(STEP_SHARES)):
-            assert takes_new_version(rollout(step=step), "s", "v2")
-        assert takes_new_version(rollout(RolloutState.DONE, 2), "s", "v2")
+            assert takes_new_version(rollout(step=step), "s", True)
+        assert takes_new_version(rollout(RolloutState.DONE, 2), "s", True)
 
     @pytest.mark.parametrize("state", [RolloutState.ORDERED, RolloutState.ROLLED_BACK])
     def test_no_session_runs_on_a_version_that_may_not_be_used(self, state):
         order = rollout(state)
-        assert not any(takes_new_version(order, f"s{n}", "v2") for n in range(100))
+        assert not any(takes_new_version(order, f"s{n}", True) for n in range(100))
         assert is_final(order.progress) == (state is RolloutState.ROLLED_BACK)
