--- a/masticfork/relay/rollout_keeper.py
+++ b/masticfork/relay/rollout_keeper.py
@@ -179,7 +179,7 @@
     def _judge(self, rollout: VersionRollout, watched: _Watched) -> None:
         """Stop sending to a version that all hosts' answers show as bad."""
         new, old, _ = self._combined(rollout, watched)
-        if watched.bad or not is_bad(new, old):
+        if watched.bad or not is_bad(new, old, rollout.progress.step):
             return
         watched.bad = True
         self._log(
--- a/masticfork/systems/version_shift.py
+++ b/masticfork/systems/version_shift.py
@@ -100,13 +100,17 @@
         return seconds > statistics.median(times) * SLOW_MULTIPLE
 
 
-def is_bad(new: Evidence, old: Evidence) -> bool:
-    """Tell whether the new version has to be withdrawn."""
+def is_bad(new: Evidence, old: Evidence, step: int) -> bool:
+    """Tell whether the new version has to be withdrawn.
+
+    Times are compared only while both versions serve: a version that serves alone has
+    twice the work.
+    """
     failing = new.bad >= BAD_ANSWERS and new.bad_share >= BAD_SHARE
     if failing and new.bad_share > old.bad_share + BAD_EXCESS:
         return True
     slow = new.slow >= SLOW_ANSWERS and new.slow_share >= SLOW_SHARE
-    return slow and new.slow_share > old.slow_share + SLOW_EXCESS
+    return step < ALONE and slow and new.slow_share > old.slow_share + SLOW_EXCESS
 
 
 def is_suspicious(new: Evidence, old: Evidence) -> bool:
@@ -131,7 +135,7 @@
     progress = rollout.progress
     if is_final(progress):
         return progress
-    if is_bad(new, old):
+    if is_bad(new, old, progress.step):
         return attrs.evolve(progress, state=RolloutState.ROLLED_BACK)
     if progress.state is RolloutState.ORDERED:
         return attrs.evolve(progress, state=RolloutState.RUNNING, step=0)
