--- a/masticfork/systems/version_shift.py
+++ b/masticfork/systems/version_shift.py
@@ -35,8 +35,10 @@
 # A version is bad with this many failed answers and this share of them, if the share is
 # also that much above the old version's.
 BAD_ANSWERS, BAD_SHARE, BAD_EXCESS = 3.0, 0.2, 0.15
-# The same for slow answers, of which queues make some on any version.
-SLOW_ANSWERS, SLOW_SHARE, SLOW_EXCESS = 5.0, 0.34, 0.17
+# The same for slow answers, of which queues make some on any version: share and excess
+# in the trial, and while both versions serve, when cold engines make more of them.
+SLOW_ANSWERS = 5.0
+SLOW_SHARES = ((0.34, 0.17), (0.45, 0.3))
 # Excess of slow or failed answers with which a version is not moved on.
 SUSPICIOUS_EXCESS = 0.1
 # An answer is slow beyond this multiple of the median of the old version's last times.
@@ -109,8 +111,10 @@
     failing = new.bad >= BAD_ANSWERS and new.bad_share >= BAD_SHARE
     if failing and new.bad_share > old.bad_share + BAD_EXCESS:
         return True
-    slow = new.slow >= SLOW_ANSWERS and new.slow_share >= SLOW_SHARE
-    return step < ALONE and slow and new.slow_share > old.slow_share + SLOW_EXCESS
+    if step >= ALONE or new.slow < SLOW_ANSWERS:
+        return False
+    share, excess = SLOW_SHARES[step]
+    return new.slow_share >= share and new.slow_share > old.slow_share + excess
 
 
 def is_suspicious(new: Evidence, old: Evidence) -> bool:
