--- a/masticfork/relay/entry.py
+++ b/masticfork/relay/entry.py
@@ -175,6 +175,7 @@
         self._loop.call_after(TICK, self._tick)
         self._tables.sweep()
         self._sessions.sweep(self._loop.now)
+        self._note_waiting()
         self._keeper.run(self._loop.now)
         self._repeats.hosts = max(DEFAULT_HOSTS, self._peers.sharing_hosts)
         self._elsewhere.apply()
@@ -461,13 +462,28 @@
 
         A crashed server or a lost connection tells nothing of its version.
         """
-        if record.failed is None or record.outcome not in TELLING:
+        if record.counted or record.failed is None or record.outcome not in TELLING:
             return
         until = record.head_at or record.ended_at or self._loop.now
         taken = AnswerTime(record.work.size, until - record.started_at)
         failed = record.outcome in (None, CallOutcome.SERVER_ERROR) and record.failed
         self._keeper.note_answer(record.row.server, failed, taken, self._loop.now)
 
+    def _note_waiting(self) -> None:
+        """Take in calls that already wait too long.
+
+        Slow answers end late, so a version would seem good until they do.
+        """
+        for exchange in self._exchanges:
+            record = exchange.waiting_call
+            if record is None or record.counted:
+                continue
+            waited = AnswerTime(record.work.size, self._loop.now - record.started_at)
+            if self._keeper.is_slow(record.row.server, waited):
+                record.counted = True
+                server, now = record.row.server, self._loop.now
+                self._keeper.note_answer(server, False, waited, now)
+
     def note_end(self, exchange: Exchange, status: int, why: str) -> None:
         """Take in the end of an exchange."""
         self._exchanges.discard(exchange)
--- a/masticfork/relay/exchange.py
+++ b/masticfork/relay/exchange.py
@@ -118,6 +118,8 @@
     started_at: float
     session: str
     head_at: float | None = None
+    # Whether it was taken as slow evidence of its version before its answer began.
+    counted: bool = False
     ended_at: float | None = None
     # None while the call runs and where its caller went away.
     failed: bool | None = None
@@ -157,19 +159,10 @@
         return self.request.head.attempt_id.decode("latin-1")
 
     @property
-    def over(self) -> bool:
-        """Tell whether the exchange has ended."""
-        return self._over
-
-    @property
-    def server_ids(self) -> set[str]:
-        """Return the servers that were tried."""
-        return self._tried
-
-    @property
-    def running_on(self) -> str | None:
-        """Return the server that runs the request now."""
-        return None if self._record is None else self._record.row.server.id
+    def waiting_call(self) -> CallRecord | None:
+        """Return the call whose answer has not begun, if there is one."""
+        record = self._record
+        return record if record is not None and record.head_at is None else None
 
     @property
     def _streams(self) -> bool:
--- a/masticfork/relay/rollout_keeper.py
+++ b/masticfork/relay/rollout_keeper.py
@@ -128,6 +128,13 @@
         if failed or slow:
             self._judge(rollout, watched)
 
+    def is_slow(self, server: BackendServer, time: AnswerTime) -> bool:
+        """Tell whether a call that still waits is slow already."""
+        rollout = self._tables.rollouts.get(server.service)
+        if rollout is None or is_final(rollout.progress):
+            return False
+        return self._watch(rollout).usual.is_slow(time.size, time.seconds)
+
     def evidence(self) -> tuple[RolloutEvidence, ...]:
         """Return this host's evidence of all roll-outs under way."""
         rows = []
@@ -223,14 +230,19 @@
         self, rollout: VersionRollout, watched: _Watched, due: RolloutProgress
     ) -> None:
         watched.writing = True
+        new, old, _ = self._combined(rollout, watched)
         self._log(
             "roll-out step",
             service=rollout.service,
             target=rollout.target,
             state=due.state.value,
             step=due.step,
-            good=round(watched.new.good, 2),
-            bad=round(watched.new.bad, 2),
+            answers=round(new.total, 2),
+            bad_share=round(new.bad_share, 3),
+            slow_share=round(new.slow_share, 3),
+            old_bad_share=round(old.bad_share, 3),
+            old_slow_share=round(old.slow_share, 3),
+            elapsed=round(self._loop.now - watched.ordered_at, 2),
             revision=rollout.revision,
         )
         status = encode_progress(rollout.target, due)
--- a/masticfork/systems/version_shift.py
+++ b/masticfork/systems/version_shift.py
@@ -19,12 +19,12 @@
 
 # Share of the new sessions on the new version in each step: a trial, both versions side
 # by side, the new version alone. A bad version may get 0.15 of all requests between the
-# order and its end; the trial is kept well below that.
-STEP_SHARES = (0.08, 0.5, 1.0)
+# order and the end of its time; the trial lasts two thirds of that time at most.
+STEP_SHARES = (0.15, 0.5, 1.0)
 TRIAL, SHARED, ALONE = 0, 1, 2
 # Answers of the new version that end the trial, and the part of the time that ends it
 # nevertheless.
-PROVING_ANSWERS = 10.0
+PROVING_ANSWERS = 20.0
 TRIAL_ENDS_AT = 0.5
 # Part of the time at which the new version serves alone. What still runs on the old one
 # when the roll-out is done is lost, so that is as late as it may be.
@@ -38,7 +38,7 @@
 # The same for slow answers, of which queues make some on any version: share and excess
 # in the trial, and while both versions serve, when cold engines make more of them.
 SLOW_ANSWERS = 5.0
-SLOW_SHARES = ((0.34, 0.17), (0.45, 0.3))
+SLOW_SHARES = ((0.34, 0.17), (0.4, 0.22))
 # Excess of slow or failed answers with which a version is not moved on.
 SUSPICIOUS_EXCESS = 0.1
 # An answer is slow beyond this multiple of the median of the old version's last times.
@@ -47,7 +47,7 @@
 LEAST_TIMES = 5
 # Weight of the answers seen before in each second, so that a version that turns bad
 # late is not excused by its past.
-FADE_PER_SECOND = 0.9
+FADE_PER_SECOND = 0.93
 
 
 @attrs.define
