--- a/masticfork/relay/entry.py
+++ b/masticfork/relay/entry.py
@@ -205,6 +205,11 @@
 
     # Peers.
 
+    @property
+    def peers_heard(self) -> int:
+        """Return the other hosts that were heard lately."""
+        return len(self._peers.live)
+
     @property
     def _peer_address(self) -> Address:
         return Address(self._settings.front.host, self._settings.peer_ports[0])
--- a/masticfork/systems/version_shift.py
+++ b/masticfork/systems/version_shift.py
@@ -43,6 +43,9 @@
 SUSPICIOUS_EXCESS = 0.1
 # An answer is slow beyond this multiple of the median of the old version's last times.
 SLOW_MULTIPLE = 3.0
+# No answer within this time in seconds is slow; callers wait a second and more for the
+# first event.
+LEAST_SLOW = 0.1
 TIMES_KEPT = 60
 LEAST_TIMES = 5
 # Weight of the answers seen before in each second, so that a version that turns bad
@@ -97,7 +100,7 @@
     def is_slow(self, size: int, seconds: float) -> bool:
         """Tell whether an answer of either version was slow."""
         times = self._times.get(size, ())
-        if len(times) < LEAST_TIMES:
+        if len(times) < LEAST_TIMES or seconds < LEAST_SLOW:
             return False
         return seconds > statistics.median(times) * SLOW_MULTIPLE
 
