--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 PY := $(VENV)/bin/python
 
-.PHONY: venv test lint format types demo run bench check
+.PHONY: venv test lint format types demo run run-platform bench check
 
 venv: $(VENV)/ready
 
@@ -33,5 +33,8 @@
 run: venv
 	$(PY) -m tools.launch
 
+run-platform: venv
+	$(PY) -m tools.run_platform
+
 bench: venv
 	$(PY) -m bench.main short
--- a/standins/entry_world.py
+++ b/standins/entry_world.py
@@ -1,7 +1,6 @@
 """An entry host with stand-ins around it, for tests of the whole path."""
 
 import http.client
-import socket
 import threading
 import time
 from collections.abc import Callable, Iterator
@@ -16,6 +15,7 @@
 from masticfork.relay.entry import EntryHost
 from standins.common import LOOPBACK, serving
 from standins.object_store import ObjectStore
+from standins.ports import free_ports
 from standins.scripted_server import Script, ScriptedServer
 
 READY_SECONDS = 10.0
@@ -206,9 +206,7 @@
 
 def free_address() -> Address:
     """Return an address that nothing listens on."""
-    with socket.socket() as sock:
-        sock.bind((LOOPBACK, 0))
-        return Address(LOOPBACK, sock.getsockname()[1])
+    return Address(LOOPBACK, free_ports(1)[0])
 
 
 @contextmanager
--- a/tools/launch.py
+++ b/tools/launch.py
@@ -1,10 +1,7 @@
 """Start the stand-ins and entry hosts on this machine and keep them running."""
 
-import itertools
 import json
-import random
 import signal
-import socket
 import tempfile
 import threading
 import time
@@ -17,6 +14,7 @@
 import attrs
 import click
 
+from standins.ports import free_ports
 from standins.testing import Ask
 from tools.launch_files import (
     CURRENT,
@@ -38,9 +36,6 @@
 # Beyond the daemons' own time for a graceful shutdown.
 STOP_SECONDS = 10.0
 POLL_SECONDS = 0.05
-LEAST_PORT = 10_000
-# Holds the least and the greatest port of outgoing connections.
-PORT_RANGE = Path("/proc/sys/net/ipv4/ip_local_port_range")
 QUALITY = ",".join(f"{v}={q}" for pool in POOLS.values() for v, q in pool.items())
 
 
@@ -167,7 +162,7 @@
 
     def start_hosts(self) -> None:
         """Start the entry hosts, submit the manifest and wait until all are ready."""
-        ports = _free_ports(3 * self.options.hosts)
+        ports = free_ports(3 * self.options.hosts)
         for number in range(self.options.hosts):
             zone = ZONES[number % len(ZONES)]
             own = ports[3 * number : 3 * number + 3]
@@ -238,23 +233,6 @@
     return int(url.rsplit(":", 1)[1])
 
 
-def _free_ports(count: int) -> list[int]:
-    """Return ports that no program takes for its outgoing connections."""
-    lowest = int(PORT_RANGE.read_text().split()[0])
-    candidates = random.SystemRandom().sample(range(LEAST_PORT, lowest), lowest // 4)
-    free = (port for port in candidates if _binds(port))
-    return list(itertools.islice(free, count))
-
-
-def _binds(port: int) -> bool:
-    with socket.socket() as probe:
-        try:
-            probe.bind((LOOPBACK, port))
-        except OSError:
-            return False
-        return True
-
-
 @click.command()
 @click.option("--hosts", type=int, default=4)
 @click.option("--engines-per-pool", type=int, default=3)
