Leave loaded servers their calls, and escalate less when the largest model is late

A server counts as silent now only beyond three times its own recent time to the first byte. Confidence below which the largest model answers: 40 where its answer begins within the target, 25 within twice, 12 beyond.

--- a/masticfork/relay/entry.py
+++ b/masticfork/relay/entry.py
@@ -5,6 +5,7 @@
 import random
 import selectors
 import time
+from collections.abc import Sequence
 
 from result import Err
 
@@ -47,6 +48,7 @@
     ExpectedDelay,
     ServerPolicy,
     Work,
+    expected_delay,
 )
 
 # Kinds of which each host keeps a copy for its peers.
@@ -399,12 +401,7 @@
         self, service: str, work: Work, session: str, tried: set[str]
     ) -> ServerRow | None:
         """Return the server for a call."""
-        rows = self._keeper.eligible(
-            service,
-            session,
-            self._sessions.version(service, session, self._loop.now),
-            self._tables.servers_of(service),
-        )
+        rows = self._eligible(service, session)
         untried = [row for row in rows if row.server.id not in tried]
         by_load = {id(row.load): row for row in untried}
         load = self._servers.choose(
@@ -416,6 +413,18 @@
         self._sessions.note(service, session, version, self._loop.now)
         return by_load[id(load)]
 
+    def expected_delay(self, work: Work, session: str) -> float:
+        """Return the expected seconds to the first byte at the best server."""
+        rows = self._eligible(work.service, session)
+        zone, now = self._settings.zone, self._loop.now
+        delays = (expected_delay(row.load, work, zone, now) for row in rows)
+        return min(delays, default=float("inf"))
+
+    def _eligible(self, service: str, session: str) -> Sequence[ServerRow]:
+        version = self._sessions.version(service, session, self._loop.now)
+        rows = self._tables.servers_of(service)
+        return self._keeper.eligible(service, session, version, rows)
+
     def open_call(
         self, row: ServerRow, sink: CallSink, request: CallerRequest, call: Dispatch
     ) -> ServerCall:
@@ -454,8 +463,7 @@
             self._metrics.first_byte.labels(service).observe(seconds)
             if record.work.model is not None:
                 load.remember(record.work.model, record.work.prompt, now)
-            else:
-                load.record_time(seconds)
+            load.record_time(seconds)
         if outcome is CallOutcome.UNSENT:
             load.avoid_until = now + UNREACHABLE_SECONDS
         if record.failed is not None:
--- a/masticfork/relay/exchange.py
+++ b/masticfork/relay/exchange.py
@@ -16,6 +16,7 @@
     CallOutcome,
     FollowUp,
     follow_up,
+    silence_limit,
 )
 from masticfork.systems.model_choice import ModelPolicy
 from masticfork.systems.server_choice import Work, unread_work
@@ -27,15 +28,6 @@
 RETRY_AFTER = 0.25
 # Part of the bound on repeats that a change of the model leaves to failed calls.
 CASCADE_RESERVE = 0.3
-# Multiple of the target after which an idempotent call goes to another server.
-SILENT_TARGETS = 2.5
-# The same for the first event of a stream, whose time depends on the engine's queue.
-SILENT_STREAM_TARGETS = 2.0
-# Multiple of a stream's longest good pause after which it goes on elsewhere.
-SILENT_GAPS = 2.0
-# The longest good pause in seconds of a stream whose route names none.
-DEFAULT_GAP = 1.5
-
 _FAILED_STATUS = 500
 # Statuses that promise that a request has not run; a server's own are passed on only
 # if the server promises it too.
@@ -81,6 +73,9 @@
     ) -> ServerRow | None:
         """Return the server for a call."""
 
+    def expected_delay(self, work: Work, session: str) -> float:
+        """Return the expected seconds to the first byte at the best server."""
+
     def open_call(
         self, row: ServerRow, sink: CallSink, request: CallerRequest, call: Dispatch
     ) -> ServerCall:
@@ -116,7 +111,6 @@
     # Work that the server has to read, weighed by pace, until its answer begins.
     unread: float
     started_at: float
-    session: str
     head_at: float | None = None
     # Whether it was taken as slow evidence of its version before its answer began.
     counted: bool = False
@@ -168,6 +162,11 @@
     def _streams(self) -> bool:
         return self.route.kind is RouteKind.STREAM
 
+    @property
+    def _session(self) -> str:
+        """Return the caller's session; a request without one is its own."""
+        return self.request.head.session or self.attempt_id
+
     @property
     def _time_left(self) -> float:
         return self.deadline - self.host.loop.now
@@ -268,8 +267,7 @@
     def _send(self) -> None:
         model = self._model()
         work = self._work(model)
-        session = self.request.head.session or self.attempt_id
-        row = self.host.choose(self.service, work, session, self._tried)
+        row = self.host.choose(self.service, work, self._session, self._tried)
         if row is None:
             self._give_up(CallOutcome.UNSENT, "no server")
             return
@@ -285,7 +283,7 @@
         )
         loop = self.host.loop
         unread = unread_work(row.load, work, loop.now)
-        record = CallRecord(row, work, unread, loop.now, session)
+        record = CallRecord(row, work, unread, loop.now)
         self._record = record
         self._tried.add(row.server.id)
         self.history.sent += 1
@@ -350,7 +348,14 @@
         # One attempt is left for a server that has no room.
         if self.history.sent + 2 > self.route.max_attempts or head.status >= 300:
             return None
-        larger = self.host.models.larger(self.route, self._size, head.confidence)
+        elapsed = self.host.loop.now - self.request.arrived_at
+        work = attrs.evolve(
+            self._work(self.route.models[-1]), size=len(self.route.models) - 1
+        )
+        starts_in = elapsed + self.host.expected_delay(work, self._session)
+        larger = self.host.models.larger(
+            self.route, self._size, head.confidence, starts_in
+        )
         if larger is None or not self.host.may_repeat(self.service, CASCADE_RESERVE):
             return None
         return larger
@@ -429,18 +434,12 @@
         if self._silence is not None:
             self._silence.cancel()
             self._silence = None
-        seconds = self._silence_limit()
-        if seconds is not None and self.route.repeatable:
+        record = self._record
+        if record is not None and self.route.repeatable:
+            begun = record.head_at is not None
+            seconds = silence_limit(self.route, begun, record.row.load.mean_time)
             self._silence = self.host.loop.call_after(seconds, self._on_silence)
 
-    def _silence_limit(self) -> float | None:
-        if not self._streams:
-            return SILENT_TARGETS * self.route.target
-        if self._record is None or self._record.head_at is None:
-            return SILENT_STREAM_TARGETS * self.route.target
-        gap = self.route.max_gap or DEFAULT_GAP
-        return SILENT_GAPS * gap
-
     def _on_silence(self) -> None:
         if self.history.sent >= self.route.max_attempts:
             return
--- a/masticfork/systems/failed_calls.py
+++ b/masticfork/systems/failed_calls.py
@@ -4,12 +4,24 @@
 
 import attrs
 
-from masticfork.core.routes import Route
+from masticfork.core.routes import Route, RouteKind
 
 # Time in seconds that must be left for another call to be worth sending.
 LEAST_TIME = 0.03
 
 
+# Multiple of the target after which an idempotent call goes to another server.
+SILENT_TARGETS = 2.5
+# The same for the first event of a stream, whose time depends on the engine's queue.
+SILENT_STREAM_TARGETS = 2.0
+# Multiple of the server's own recent times before which it is not silent but loaded.
+SILENT_TIMES = 3.0
+# Multiple of a stream's longest good pause after which it goes on elsewhere.
+SILENT_GAPS = 2.0
+# The longest good pause in seconds of a stream whose route names none.
+DEFAULT_GAP = 1.5
+
+
 class CallOutcome(enum.Enum):
     """How a call to a server ended, by what it says of the request."""
 
@@ -61,3 +73,17 @@
     if outcome.surely_not_run and not history.may_have_run:
         return FollowUp.AGAIN
     return FollowUp.AGAIN if route.repeatable else ends
+
+
+def silence_limit(route: Route, begun: bool, usual: float) -> float:
+    """Return the seconds after which a server counts as silent.
+
+    `begun` tells whether the answer has begun; `usual` is the server's recent time to
+    the first byte. Calls that leave a loaded server lose their place in its queue and
+    load another one, so that an overload would feed itself.
+    """
+    if route.kind is not RouteKind.STREAM:
+        return max(SILENT_TARGETS * route.target, SILENT_TIMES * usual)
+    if begun:
+        return SILENT_GAPS * (route.max_gap or DEFAULT_GAP)
+    return max(SILENT_STREAM_TARGETS * route.target, SILENT_TIMES * usual)
--- a/masticfork/systems/failed_calls_test.py
+++ b/masticfork/systems/failed_calls_test.py
@@ -6,6 +6,7 @@
     CallOutcome,
     FollowUp,
     follow_up,
+    silence_limit,
 )
 
 
@@ -56,3 +57,19 @@
         clean, unclean = CallHistory(sent), CallHistory(sent, may_have_run=True)
         assert follow_up(row, clean, refused, left) is FollowUp.REFUSE
         assert follow_up(row, unclean, refused, left) is FollowUp.FAIL
+
+
+class TestSilenceLimit:
+    """Overload after a recovery: all engines queue for seconds, none is silent."""
+
+    STREAM = route(RouteKind.STREAM, resumable=True)
+
+    def test_a_loaded_server_keeps_its_calls(self):
+        assert silence_limit(self.STREAM, begun=False, usual=4.0) >= 12.0
+
+    def test_a_silent_server_is_left_soon(self):
+        target = self.STREAM.target
+        assert silence_limit(self.STREAM, begun=False, usual=0.05) == 2.0 * target
+
+    def test_a_stream_that_stops_midway_does_not_wait_for_queues(self):
+        assert silence_limit(self.STREAM, begun=True, usual=4.0) == 3.0
--- a/masticfork/systems/model_choice.py
+++ b/masticfork/systems/model_choice.py
@@ -7,8 +7,9 @@
 from masticfork.core.routes import Route
 
 # Confidence of a small model, from 0 to 100, below which the largest one answers
-# instead.
-LEAST_CONFIDENCE = 40
+# instead, by how late its answer would begin, as a multiple of the route's target: the
+# later, the less is won by it, and the more others wait for it.
+LEAST_CONFIDENCES = ((1.0, 40), (2.0, 25), (float("inf"), 12))
 
 
 class ModelPolicy(Protocol):
@@ -17,26 +18,31 @@
     def first(self, route: Route) -> int:
         """Return the size that answers first."""
 
-    def larger(self, route: Route, size: int, confidence: int) -> int | None:
-        """Return the size that answers instead, None to keep the answer."""
+    def larger(
+        self, route: Route, size: int, confidence: int, starts_in: float
+    ) -> int | None:
+        """Return the size that answers instead, None to keep the answer.
+
+        `starts_in` is when its answer would begin, in seconds from the request.
+        """
 
 
 @attrs.frozen
 class ConfidenceCascade:
     """The smallest model answers; the largest one where it is not confident."""
 
-    least_confidence: int = LEAST_CONFIDENCE
-
     def first(self, route: Route) -> int:
         """Return the smallest size."""
         return 0
 
-    def larger(self, route: Route, size: int, confidence: int) -> int | None:
+    def larger(
+        self, route: Route, size: int, confidence: int, starts_in: float
+    ) -> int | None:
         """Return the largest size if the confidence is low."""
         largest = len(route.models) - 1
-        return (
-            largest if size < largest and confidence < self.least_confidence else None
-        )
+        lateness = starts_in / route.target
+        least = next(least for most, least in LEAST_CONFIDENCES if lateness <= most)
+        return largest if size < largest and confidence < least else None
 
 
 @attrs.frozen
@@ -49,6 +55,8 @@
         """Return the size, or the largest there is."""
         return min(self.size, len(route.models) - 1)
 
-    def larger(self, route: Route, size: int, confidence: int) -> int | None:
+    def larger(
+        self, route: Route, size: int, confidence: int, starts_in: float
+    ) -> int | None:
         """Keep every answer."""
         return None
--- /dev/null
+++ b/masticfork/systems/model_choice_test.py
@@ -0,0 +1,52 @@
+import pytest
+
+from masticfork.core.routes import Route, RouteKind, ServiceShare
+from masticfork.systems.model_choice import ConfidenceCascade, FixedSize
+
+ROUTE = Route(
+    name="r",
+    host="a",
+    path_prefix="/",
+    kind=RouteKind.STREAM,
+    timeout=12.0,
+    target=2.0,
+    max_attempts=3,
+    priority=0,
+    public=True,
+    resumable=True,
+    models=("small", "middle", "large"),
+    services=(ServiceShare("s", 1.0),),
+)
+
+
+class TestConfidenceCascade:
+    @pytest.mark.parametrize(
+        ("confidence", "starts_in", "expected"),
+        [(39, 0.5, 2), (40, 0.5, None), (30, 3.0, None), (20, 3.0, 2), (11, 30.0, 2)],
+    )
+    def test_largest_size_answers_where_it_is_worth_the_wait(
+        self, confidence, starts_in, expected
+    ):
+        cascade = ConfidenceCascade()
+        assert cascade.first(ROUTE) == 0
+        assert cascade.larger(ROUTE, 0, confidence, starts_in) == expected
+
+    def test_overload_sends_fewer_requests_to_the_largest_size(self):
+        """A burst: the engines' queues grow beyond the target."""
+        cascade = ConfidenceCascade()
+        calm, loaded = (
+            sum(cascade.larger(ROUTE, 0, c, wait) is not None for c in range(100))
+            for wait in (0.5, 5.0)
+        )
+        assert loaded < calm / 2
+
+    def test_largest_size_is_never_replaced(self):
+        assert ConfidenceCascade().larger(ROUTE, 2, 0, 0.5) is None
+
+
+class TestFixedSize:
+    @pytest.mark.parametrize(("size", "first"), [(0, 0), (2, 2), (9, 2)])
+    def test_is_a_baseline(self, size, first):
+        policy = FixedSize(size)
+        assert policy.first(ROUTE) == first
+        assert policy.larger(ROUTE, first, 0, 0.0) is None
--- a/masticfork/systems/server_choice.py
+++ b/masticfork/systems/server_choice.py
@@ -39,7 +39,7 @@
 MAX_PARTS = 4096
 # Seconds that a call to another availability zone weighs, for its price.
 OTHER_ZONE_SECONDS = 0.01
-# Weight of the newest time in the mean of a plain server's times.
+# Weight of the newest time in the mean of a server's times.
 TIME_WEIGHT = 0.2
 
 
@@ -61,7 +61,7 @@
     failures: float = 0.0
     failures_at: float = 0.0
     avoid_until: float = 0.0
-    # Mean time in seconds of an answer, for plain servers.
+    # Recent mean time in seconds to the first byte.
     mean_time: float = 0.0
     # When each part was last used, by model and part.
     parts: OrderedDict[tuple[str, str], float] = attrs.field(factory=OrderedDict)
@@ -79,7 +79,7 @@
         self.failures_at = now
 
     def record_time(self, seconds: float) -> None:
-        """Take in the time of a whole answer."""
+        """Take in the time to the first byte of an answer."""
         if self.mean_time == 0.0:
             self.mean_time = seconds
         self.mean_time += TIME_WEIGHT * (seconds - self.mean_time)
