--- a/masticfork/platform/objects.py
+++ b/masticfork/platform/objects.py
@@ -69,14 +69,23 @@
         self._now = now
         self._pool = ConnectionPool(address, now)
 
-    def list_all(self, kind: str, deadline: Deadline) -> Result[Listing, PlatformError]:
-        """Return all objects of a kind, as of the revision of the first page."""
+    def list_all(
+        self, kind: str, deadline: Deadline, stale: bool = False
+    ) -> Result[Listing, PlatformError]:
+        """Return all objects of a kind, as of the revision of the first page.
+
+        With `stale` the list may be seconds old, and costs a tenth.
+        """
         objects: list[PlatformObject] = []
         revision: int | None = None
         after = ""
         while True:
-            query = f"?{urlencode({'after_revision': after})}" if after else ""
-            outcome = self._call("GET", kind + query, deadline)
+            # The wire calls the name to go on after `after_revision`.
+            query = {"after_revision": after} if after else {}
+            if stale:
+                query["allow_stale"] = "1"
+            path = f"{kind}?{urlencode(query)}" if query else kind
+            outcome = self._call("GET", path, deadline)
             if isinstance(outcome, Err):
                 return outcome
             page = outcome.ok_value
--- a/masticfork/relay/entry.py
+++ b/masticfork/relay/entry.py
@@ -26,7 +26,7 @@
 from masticfork.relay.caller import CallerConnection, CallerExchange
 from masticfork.relay.channel import CALLER_UNACKNOWLEDGED_MS, Channel, listen
 from masticfork.relay.exchange import CallRecord, Exchange
-from masticfork.relay.followers import Follower
+from masticfork.relay.followers import Follower, Lister
 from masticfork.relay.loads_elsewhere import LoadsElsewhere
 from masticfork.relay.logs import LogSink, entry_logger
 from masticfork.relay.loop import Loop
@@ -145,8 +145,9 @@
         self._loop.register(self._front, selectors.EVENT_READ, self)
         PageListener(self._loop, self._settings.ready, self._ready_page)
         PageListener(self._loop, self._peer_address, self._copy_page)
-        for kind in (*MIRRORED, names.KIND_HOSTS):
+        for kind in MIRRORED:
             Follower(kind, self._objects, self._loop, self).start()
+        Lister(names.KIND_HOSTS, self._objects, self._loop, self).start()
         self._registration.start()
         self._loop.call_after(TICK, self._tick)
         self.log("started", zone=self._settings.zone, store=self._settings.store)
@@ -554,12 +555,7 @@
     def on_changes(self, kind: str, changes: Changes) -> None:
         """Take changes of a kind."""
         self._regain(kind)
-        mirror = self._mirrors.get(kind)
-        if mirror is None:
-            self._hosts.take_changes(changes)
-            self._tell_hosts()
-            return
-        mirror.take_changes(changes)
+        self._mirrors[kind].take_changes(changes)
         for change in changes.changes:
             found = change.object
             if kind == names.KIND_CONFIG and not change.deleted:
--- a/masticfork/relay/followers.py
+++ b/masticfork/relay/followers.py
@@ -14,9 +14,13 @@
 from masticfork.relay.loop import Loop
 from masticfork.store.client import ErrorKind, PlatformError
 
-# Longest wait in seconds of one watch, so that a connection that went silent without
-# a reset is noticed well before its answers are missed.
+# Longest wait in seconds of one watch. A store that accepts calls and does not answer
+# them is noticed after it, so it may not be much longer than a configuration may take.
 WATCH_WAIT = 4.0
+# Pause in seconds between lists of a kind that is not watched.
+LIST_PAUSE = 5.0
+# Seconds after the start at which it is listed first.
+FIRST_LIST = 1.5
 # Time in seconds for a list to be answered; the store answers in 4 ms when it is well.
 LIST_TIMEOUT = 2.0
 # Pause in seconds after a failed call: every call is charged, refused ones too.
@@ -37,6 +41,37 @@
         """Take the failure of a call."""
 
 
+class Lister:
+    """Lists a kind now and then, as cheaply as the store allows."""
+
+    def __init__(
+        self, kind: str, objects: PlatformObjects, loop: Loop, sink: Following
+    ) -> None:
+        self._kind = kind
+        self._objects = objects
+        self._loop = loop
+        self._sink = sink
+
+    def start(self) -> None:
+        """List on a thread of its own until the process ends."""
+        name = f"list-{self._kind}"
+        threading.Thread(target=self._run, name=name, daemon=True).start()
+
+    def _run(self) -> None:
+        # The hosts start within a second, and all of them are to be on the first list.
+        time.sleep(FIRST_LIST)
+        while True:
+            deadline = Deadline.after(time.monotonic(), LIST_TIMEOUT)
+            outcome = self._objects.list_all(self._kind, deadline, stale=True)
+            if isinstance(outcome, Err):
+                error = outcome.err_value
+                self._loop.post(partial(self._sink.on_store_failure, self._kind, error))
+            else:
+                listing = outcome.ok_value
+                self._loop.post(partial(self._sink.on_listing, self._kind, listing))
+            time.sleep(LIST_PAUSE * random.uniform(0.8, 1.2))
+
+
 class Follower:
     """Lists a kind once, then watches it; lists again when its history is gone."""
 
--- a/masticfork/store/connections.py
+++ b/masticfork/store/connections.py
@@ -3,6 +3,7 @@
 import enum
 import http.client
 import select
+import socket
 import threading
 from collections.abc import Callable
 
@@ -17,6 +18,11 @@
 # A connection idle for longer is not used again, since servers close such ones.
 MAX_IDLE_SECONDS = 5.0
 
+# Idle time before a keep-alive probe and between probes in seconds, and the probes that
+# may stay without an answer.
+PROBE_SECONDS = 1
+PROBES = 2
+
 
 class Stage(enum.Enum):
     """How far a call got; only a failure while connecting surely sent nothing."""
@@ -83,6 +89,7 @@
             if connection.sock is None:
                 self._limit_time(connection, call.deadline)
                 connection.connect()
+                _probe_when_idle(connection)
             self._limit_time(connection, call.deadline)
             stage = Stage.SENDING
             connection.request(call.method, call.target, call.body, call.headers)
@@ -138,6 +145,15 @@
             connection.sock.settimeout(remaining)
 
 
+def _probe_when_idle(connection: http.client.HTTPConnection) -> None:
+    """Notice a server that is gone without a reset while its answer is awaited."""
+    sock: socket.socket = connection.sock
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_SECONDS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_SECONDS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES)
+
+
 def _readable(connection: http.client.HTTPConnection) -> bool:
     """Tell whether an idle connection has data or an end, either of which spoils it."""
     poller = select.poll()
