Move what the store and the peers tell into a view of its own

With it, a watch that is behind a peer's copy no longer tells older changes (a server that the copy had dropped could come back for a moment); its test failed first. Behaviour is otherwise as before; tests of masticfork/relay pass.

--- a/masticfork/relay/entry.py
+++ b/masticfork/relay/entry.py
@@ -1,27 +1,17 @@
 """One entry host: accepts callers, follows the store, serves until it is stopped."""
 
 import http
-import json
 import random
 import selectors
 import time
 from collections.abc import Sequence
 
-from result import Err
-
 from masticfork.core.backend_servers import Address
 from masticfork.core.digests import Digest, LoadShare
-from masticfork.core.findings import Finding
 from masticfork.core.forwarding import CallerHead, CallerRequest, Dispatch, Header
 from masticfork.core.routes import CallerLimits, Route, RouteKind
 from masticfork.platform import names, wire
-from masticfork.platform.objects import Changes, Listing, PlatformObjects
-from masticfork.platform.route_format import decode_route_table
-from masticfork.platform.server_format import (
-    decode_host,
-    decode_rollout,
-    decode_server,
-)
+from masticfork.platform.objects import PlatformObjects
 from masticfork.platform.settings_file import EntrySettings
 from masticfork.relay.caller import CallerConnection, CallerExchange
 from masticfork.relay.channel import CALLER_UNACKNOWLEDGED_MS, Channel, listen
@@ -31,15 +21,14 @@
 from masticfork.relay.logs import LogSink, entry_logger
 from masticfork.relay.loop import Loop
 from masticfork.relay.metrics import RelayMetrics
-from masticfork.relay.mirror import KindMirror, to_json
 from masticfork.relay.peers import Peers
 from masticfork.relay.plain_page import PageListener
 from masticfork.relay.registration import Registration
 from masticfork.relay.rollout_keeper import AnswerTime, RolloutKeeper
 from masticfork.relay.server_call import CallSink, ServerCall
 from masticfork.relay.session_versions import SessionVersions, short_key
+from masticfork.relay.store_view import MIRRORED, StoreView
 from masticfork.relay.tables import ServerRow, Tables
-from masticfork.store.client import PlatformError
 from masticfork.systems.failed_calls import CallOutcome
 from masticfork.systems.model_choice import ConfidenceCascade, ModelPolicy
 from masticfork.systems.retry_budget import WindowedRepeats
@@ -51,14 +40,9 @@
     expected_delay,
 )
 
-# Kinds of which each host keeps a copy for its peers.
-MIRRORED = (names.KIND_CONFIG, names.KIND_SERVERS, names.KIND_ROLLOUTS)
 BACKLOG = 1024
 # Pause in seconds between runs of the tick.
 TICK = 0.25
-# Time in seconds after the last failure of the store for which entries that vanish are
-# taken as lapsed: living servers are back within two seconds of its return.
-STORE_TROUBLE = 3.0
 # Outcomes of calls that tell something of the server's version.
 TELLING = (
     None,
@@ -108,7 +92,6 @@
         self._repeats.hosts = DEFAULT_HOSTS
         self._sessions = SessionVersions(bounds.session)
         self._objects = PlatformObjects(settings.store, time.monotonic)
-        self._mirrors = {kind: KindMirror() for kind in MIRRORED}
         self._peers = Peers(
             self._loop,
             self._peer_address,
@@ -117,6 +100,9 @@
             self._take_sessions,
             self.log,
         )
+        self._view = StoreView(
+            self._loop, self._tables, self._peers, self._metrics, self.log
+        )
         self._keeper = RolloutKeeper(
             self._loop,
             self._objects,
@@ -130,12 +116,9 @@
         )
         self._callers: set[CallerConnection] = set()
         self._exchanges: set[Exchange] = set()
-        self._hosts = KindMirror()
         self._elsewhere = LoadsElsewhere(self._tables)
         self._stop_at: float | None = None
         self._quiet_at = 0.0
-        self._store_failed_at = float("-inf")
-        self._failing: set[str] = set()
         self._front = listen(settings.front, BACKLOG)
 
     # Running.
@@ -144,10 +127,10 @@
         """Serve until stopped."""
         self._loop.register(self._front, selectors.EVENT_READ, self)
         PageListener(self._loop, self._settings.ready, self._ready_page)
-        PageListener(self._loop, self._peer_address, self._copy_page)
+        PageListener(self._loop, self._peer_address, self._view.copy_page)
         for kind in MIRRORED:
-            Follower(kind, self._objects, self._loop, self).start()
-        Lister(names.KIND_HOSTS, self._objects, self._loop, self).start()
+            Follower(kind, self._objects, self._loop, self._view).start()
+        Lister(names.KIND_HOSTS, self._objects, self._loop, self._view).start()
         self._registration.start()
         self._loop.call_after(TICK, self._tick)
         self.log("started", zone=self._settings.zone, store=self._settings.store)
@@ -184,8 +167,7 @@
         self._elsewhere.apply()
         if self._peers.is_due():
             self._peers.tell(self._digest())
-        if self._failing:
-            self._peers.copy_from_newest(self._knows_more, self._take_copy)
+        self._view.run(self._loop.now)
         self._log_sink.flush()
         self._metrics.dropped_lines.inc(self._log_sink.take_dropped())
         self._metrics.connections.set(len(self._callers))
@@ -224,7 +206,7 @@
             incarnation=0,
             sequence=0,
             configuration=0 if table is None else table.version,
-            servers=self._mirrors[names.KIND_SERVERS].revision,
+            servers=self._view.servers_revision,
             loads={
                 short_key(row.server.id): LoadShare(
                     row.load.running, row.load.busy, row.load.pending_work
@@ -243,29 +225,6 @@
     def _take_sessions(self, told: dict[int, int]) -> None:
         self._sessions.take(told, self._loop.now)
 
-    def _copy_page(self, path: bytes) -> tuple[int, bytes]:
-        if not self._tables.complete:
-            return 503, b""
-        return 200, json.dumps(to_json(self._mirrors)).encode()
-
-    def _knows_more(self, digest: Digest) -> bool:
-        table = self._tables.routes
-        version = 0 if table is None else table.version
-        lost_servers = names.KIND_SERVERS in self._failing
-        known = self._mirrors[names.KIND_SERVERS].revision
-        return digest.configuration > version or (
-            lost_servers and digest.servers > known
-        )
-
-    def _take_copy(self, copied: dict[str, Listing]) -> None:
-        """Take from a peer's copy what is newer than what this host knows."""
-        for kind, listing in copied.items():
-            mirror = self._mirrors.get(kind)
-            if mirror is None or listing.revision <= mirror.revision:
-                continue
-            self.log("copy taken", kind=kind, revision=listing.revision)
-            self._take_listing(kind, listing)
-
     # Callers.
 
     @property
@@ -515,111 +474,6 @@
             seconds=round(seconds, 3),
         )
 
-    # The store.
-
-    @property
-    def _store_in_trouble(self) -> bool:
-        return self._loop.now - self._store_failed_at < STORE_TROUBLE
-
-    def on_listing(self, kind: str, listing: Listing) -> None:
-        """Take all objects of a kind."""
-        self._regain(kind)
-        mirror = self._mirrors.get(kind)
-        if mirror is None:
-            self._hosts.take_listing(listing)
-            self._tell_hosts()
-        elif listing.revision >= mirror.revision:
-            self._take_listing(kind, listing)
-
-    def _take_listing(self, kind: str, listing: Listing) -> None:
-        self._mirrors[kind].take_listing(listing)
-        if kind == names.KIND_CONFIG:
-            for found in listing.objects:
-                self._take_configuration(found.name, found.spec)
-        elif kind == names.KIND_SERVERS:
-            decoded = [decode_server(found) for found in listing.objects]
-            for row in decoded:
-                if isinstance(row, Err):
-                    self._report(row.err_value)
-            good = [row.ok_value for row in decoded if not isinstance(row, Err)]
-            self._tables.list_servers(good, lenient=self._store_in_trouble)
-        elif kind == names.KIND_ROLLOUTS:
-            orders = [decode_rollout(found) for found in listing.objects]
-            for order in orders:
-                if isinstance(order, Err):
-                    self._report(order.err_value)
-            self._tables.list_rollouts(
-                order.ok_value for order in orders if not isinstance(order, Err)
-            )
-
-    def on_changes(self, kind: str, changes: Changes) -> None:
-        """Take changes of a kind."""
-        self._regain(kind)
-        self._mirrors[kind].take_changes(changes)
-        for change in changes.changes:
-            found = change.object
-            if kind == names.KIND_CONFIG and not change.deleted:
-                self._take_configuration(found.name, found.spec)
-            elif kind == names.KIND_SERVERS and change.deleted:
-                self._tables.remove_server(found.name, lenient=self._store_in_trouble)
-            elif kind == names.KIND_SERVERS:
-                server = decode_server(found)
-                if isinstance(server, Err):
-                    self._report(server.err_value)
-                else:
-                    self._tables.put_server(server.ok_value)
-            elif kind == names.KIND_ROLLOUTS and change.deleted:
-                self._tables.remove_rollout(found.name)
-            elif kind == names.KIND_ROLLOUTS:
-                order = decode_rollout(found)
-                if isinstance(order, Err):
-                    self._report(order.err_value)
-                else:
-                    self._tables.put_rollout(order.ok_value)
-
-    def _tell_hosts(self) -> None:
-        decoded = {
-            name: decode_host(found) for name, found in self._hosts.objects.items()
-        }
-        self._peers.set_hosts(
-            {
-                name: address.ok_value
-                for name, address in decoded.items()
-                if not isinstance(address, Err)
-            }
-        )
-
-    def on_store_failure(self, kind: str, error: PlatformError) -> None:
-        """Take the failure of a call to the store."""
-        self._store_failed_at = self._loop.now
-        self._metrics.store_failures.labels(kind, error.kind.value).inc()
-        if kind not in self._failing:
-            self._failing.add(kind)
-            self.log("store lost", kind=kind, error=error.message)
-
-    def _regain(self, kind: str) -> None:
-        if kind in self._failing:
-            self._failing.discard(kind)
-            self.log("store regained", kind=kind)
-
-    def _take_configuration(self, name: str, spec: object) -> None:
-        if name != names.CONFIG_NAME:
-            return
-        decoded = decode_route_table(spec)
-        if isinstance(decoded, Err):
-            self._report(decoded.err_value)
-            return
-        if self._tables.adopt_routes(decoded.ok_value, "store"):
-            self._metrics.version.set(decoded.ok_value.version)
-
-    def _report(self, finding: Finding) -> None:
-        self.log(
-            "entry ignored",
-            code=finding.code,
-            place=str(finding.place),
-            error=finding.message,
-        )
-
     def log(self, message: str, **fields: object) -> None:
         """Write one line of the log."""
         self._logger.info(message, **fields)
--- a/masticfork/relay/mirror.py
+++ b/masticfork/relay/mirror.py
@@ -4,7 +4,12 @@
 
 import attrs
 
-from masticfork.platform.objects import Changes, Listing, PlatformObject
+from masticfork.platform.objects import (
+    Changes,
+    Listing,
+    ObjectChange,
+    PlatformObject,
+)
 
 
 @attrs.define
@@ -19,18 +24,27 @@
         self.revision = listing.revision
         self.objects = {found.name: found for found in listing.objects}
 
-    def take_changes(self, changes: Changes) -> None:
-        """Change some objects."""
-        self.revision = max(self.revision, changes.revision)
-        for change in changes.changes:
+    def take_changes(self, changes: Changes) -> list[ObjectChange]:
+        """Change some objects; return the changes that were news.
+
+        A copy from a peer may be ahead of the watch, which then tells older changes.
+        """
+        floor = self.revision
+        news = [change for change in changes.changes if self._is_news(change, floor)]
+        self.revision = max(floor, changes.revision)
+        for change in news:
             if change.deleted:
                 self.objects.pop(change.object.name, None)
             else:
                 self.objects[change.object.name] = change.object
+        return news
 
-    def listing(self) -> Listing:
-        """Return all objects."""
-        return Listing(tuple(self.objects.values()), self.revision)
+    def _is_news(self, change: ObjectChange, floor: int) -> bool:
+        found = change.object
+        if not change.deleted:
+            return found.revision > floor
+        known = self.objects.get(found.name)
+        return known is None or not found.revision or known.revision <= found.revision
 
 
 def to_json(mirrors: dict[str, KindMirror]) -> Any:
