Know other hosts by the settings' seeds and by their digests

Seeds are spoken to at once, and a host that is heard is known. Format and header tables are tested.

--- /dev/null
+++ b/masticfork/platform/formats_test.py
@@ -0,0 +1,127 @@
+import pytest
+from result import Err, Ok
+
+from masticfork.core.backend_servers import Address, RolloutProgress, RolloutState
+from masticfork.core.routes import RouteKind
+from masticfork.platform.objects import PlatformObject
+from masticfork.platform.route_format import decode_route_table
+from masticfork.platform.server_format import (
+    decode_host,
+    decode_rollout,
+    decode_server,
+    encode_host,
+    encode_progress,
+)
+from standins.entry_world import KEY, configuration, route
+
+
+def stored(spec, status=None):
+    return PlatformObject("i-1", 9, 4, spec, status)
+
+
+SERVER = {
+    "service": "s",
+    "address": "10.0.0.9:8080",
+    "zone": "a",
+    "version": "v1",
+    "slots": 6,
+    "state": "ready",
+    "sequence": 4,
+}
+
+
+class TestRouteTable:
+    def test_longest_prefix_wins_and_hosts_are_kept_apart(self):
+        rows = [
+            route("safe", name="short", path_prefix="/a/"),
+            route("safe", name="long", path_prefix="/a/b/"),
+            route("safe", name="other", host="B.example", path_prefix="/a/"),
+        ]
+        table = decode_route_table(configuration(3, *rows)).ok_value
+        assert table.match("a.example", "/a/b/c").name == "long"
+        assert table.match("a.example", "/a/x").name == "short"
+        assert table.match("b.example", "/a/b/c").name == "other"
+        assert table.match("a.example", "/ab") is None
+
+    def test_kinds_times_and_teams_are_decoded(self):
+        table = decode_route_table(configuration(3)).ok_value
+        kinds = {row.kind for row in table.routes}
+        assert kinds == set(RouteKind)
+        stream = table.match("a.example", "/streaming/x")
+        assert (stream.timeout, stream.max_gap, stream.repeatable) == (4.0, 0.3, True)
+        assert not table.match("a.example", "/unsafe/x").repeatable
+        assert table.team_of(KEY).priority == 2
+        assert table.keys_required
+
+    def test_a_split_names_its_services(self):
+        split = [{"service": "x", "weight": 90}, {"service": "y", "weight": 10}]
+        row = route("safe", traffic_split=split)
+        table = decode_route_table(configuration(3, row)).ok_value
+        assert [(s.service, s.weight) for s in table.routes[0].services] == [
+            ("x", 90),
+            ("y", 10),
+        ]
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            {"version": "7"},
+            {"version": True},
+            {"routes": 3},
+            {"routes": [route("sometimes")]},
+            {"routes": [{"name": "r"}]},
+            {"tenants": [{"api_keys": []}]},
+            {"limits": {"idle_timeout_ms": "x"}},
+        ],
+    )
+    def test_what_cannot_be_read_is_a_finding(self, change):
+        assert isinstance(decode_route_table({**configuration(3), **change}), Err)
+
+
+class TestServers:
+    def test_an_entry_names_a_server(self):
+        server = decode_server(stored({**SERVER, "born": 17})).ok_value
+        assert (server.id, server.address) == ("i-1", Address("10.0.0.9", 8080))
+        assert (server.draining, server.born_ms) == (False, 17)
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            {"state": "asleep"},
+            {"address": "10.0.0.9"},
+            {"slots": "6"},
+            {"service": None},
+            {"born": 1.5},
+        ],
+    )
+    def test_an_entry_of_another_writer_names_none(self, change):
+        assert isinstance(decode_server(stored({**SERVER, **change})), Err)
+
+    @pytest.mark.parametrize("spec", [None, 3, "x", []])
+    def test_other_bodies_name_none(self, spec):
+        assert isinstance(decode_server(stored(spec)), Err)
+        assert isinstance(decode_rollout(stored(spec)), Err)
+        assert isinstance(decode_host(stored(spec)), Err)
+
+
+class TestRollouts:
+    ORDER = {"service": "s", "target": "v2", "duration_s": 12}
+
+    def test_progress_survives_the_way_through_the_store(self):
+        progress = RolloutProgress(RolloutState.RUNNING, 2, 1234.5)
+        status = encode_progress("v2", progress)
+        assert decode_rollout(stored(self.ORDER, status)).ok_value.progress == progress
+
+    @pytest.mark.parametrize(
+        "status",
+        [None, {}, {"state": "done", "target": "v1"}, {"state": "?", "target": "v2"}],
+    )
+    def test_a_status_of_another_order_tells_nothing(self, status):
+        rollout = decode_rollout(stored(self.ORDER, status)).ok_value
+        assert rollout.progress == RolloutProgress()
+
+
+class TestHosts:
+    def test_an_address_survives_the_way_through_the_store(self):
+        address = Address("10.1.0.40", 7340)
+        assert decode_host(stored(encode_host(address))) == Ok(address)
--- a/masticfork/platform/settings_file.py
+++ b/masticfork/platform/settings_file.py
@@ -53,6 +53,9 @@
     # First and last port that hosts may use among themselves.
     peer_ports: tuple[int, int]
     store: str
+    # IP numbers of some hosts, which may be stale; the wire gives their `control`
+    # addresses, but the ports are the same on all hosts.
+    seeds: tuple[str, ...]
     memory_mb: int
     file_descriptors: int
     bounds: Bounds = Bounds()
@@ -78,6 +81,7 @@
         ready=decode_address(text(listen, "ready")),
         peer_ports=(int(ports[0]), int(ports[1])),
         store=text(row.get("platform"), "address"),
+        seeds=tuple(decode_address(str(s)).host for s in rows(row, "seeds")),
         memory_mb=whole(limits, "memory_mb", 256),
         file_descriptors=whole(limits, "file_descriptors", 4096),
         bounds=_bounds(row.get("bounds") or {}),
--- /dev/null
+++ b/masticfork/platform/settings_file_test.py
@@ -0,0 +1,71 @@
+import pytest
+from result import Err
+
+from masticfork.core.backend_servers import Address
+from masticfork.platform.settings_file import load_settings
+
+WHOLE = """
+node = "front-a-1"
+role = "entry"
+zone = "a"
+internal_ports = [7340, 7355]
+seeds = ["10.1.0.40:8229", "10.2.0.29:8229"]
+something_new = 3
+[listen]
+front = "10.1.0.40:8227"
+ready = "10.1.0.40:8220"
+control = "10.1.0.40:8229"
+[limits]
+memory_mb = 300
+file_descriptors = 4100
+[bounds]
+drain_ms = 2000
+grace_s = 8
+retry_budget_ratio = 0.9
+[platform]
+address = "10.200.1.7:8223"
+"""
+
+
+@pytest.fixture
+def load(tmp_path):
+    def write_and_load(text):
+        path = tmp_path / "node.toml"
+        path.write_text(text)
+        return load_settings(path)
+
+    return write_and_load
+
+
+class TestLoadSettings:
+    def test_a_whole_file_is_read_and_unknown_fields_are_ignored(self, load):
+        settings = load(WHOLE).ok_value
+        assert settings.host == "front-a-1"
+        assert settings.front == Address("10.1.0.40", 8227)
+        assert settings.seeds == ("10.1.0.40", "10.2.0.29")
+        assert (settings.bounds.drain, settings.bounds.grace) == (2.0, 8.0)
+
+    def test_missing_bounds_and_seeds_have_defaults(self, load):
+        text = WHOLE.replace("seeds", "other").replace("[bounds]", "[ignored]")
+        settings = load(text).ok_value
+        assert settings.seeds == ()
+        assert settings.bounds.grace == 8.0
+
+    @pytest.mark.parametrize(
+        ("old", "new", "told"),
+        [
+            ('node = "front-a-1"', "", "node is missing"),
+            ('zone = "a"', "zone = 3", "zone is not a string"),
+            ("10.1.0.40:8227", "nowhere", "'nowhere' is not HOST:PORT"),
+            ("[7340, 7355]", "[7340]", "two ports"),
+            ("[limits]", "[limits", ""),
+        ],
+    )
+    def test_a_malformed_file_is_one_finding_with_its_place(self, load, old, new, told):
+        loaded = load(WHOLE.replace(old, new))
+        assert isinstance(loaded, Err)
+        assert told in loaded.err_value.message
+        assert loaded.err_value.place.source.endswith("node.toml")
+
+    def test_a_missing_file_is_a_finding(self, tmp_path):
+        assert isinstance(load_settings(tmp_path / "none.toml"), Err)
--- /dev/null
+++ b/masticfork/platform/wire_test.py
@@ -0,0 +1,124 @@
+import pytest
+
+from masticfork.core.forwarding import CallerRequest, Dispatch, PromptPart
+from masticfork.platform.wire import (
+    decode_answer_head,
+    decode_caller_head,
+    encode_call,
+    encode_refusal,
+)
+
+CALLER = [
+    (b"host", b"a.example"),
+    (b"x-masticfork-attempt-id", b"9c41"),
+    (b"x-masticfork-model", b"*"),
+    (b"x-masticfork-token-usage", b"1460,80"),
+    (b"x-masticfork-prompt-prefix", b"5c1e:800, 91bd:410"),
+    (b"x-masticfork-deadline-ms", b"15000"),
+    (b"authorization", b"Bearer key-1"),
+    (b"session", b"s-1"),
+    (b"x-own", b"kept"),
+]
+
+
+class TestCallerHead:
+    def test_every_field_says_what_it_holds(self):
+        head = decode_caller_head(CALLER, keep_key=False)
+        assert head.attempt_id == b"9c41"
+        assert head.wait == 15.0
+        assert head.key == "key-1"
+        assert head.any_model
+        assert head.prompt == (PromptPart("5c1e", 800), PromptPart("91bd", 410))
+        assert (head.prompt_tokens, head.max_output_tokens) == (1460, 80)
+        assert head.session == "s-1"
+
+    @pytest.mark.parametrize(
+        "name",
+        [
+            b"x-masticfork-tenant",
+            b"x-masticfork-expect-instance",
+            b"x-masticfork-expect-version",
+            b"x-masticfork-hold",
+            b"x-masticfork-pin-ms",
+            b"x-masticfork-kv-backup",
+            b"x-masticfork-request-priority",
+            b"kv-from",
+            b"kv-fetch",
+            b"connection",
+            b"keep-alive",
+            b"transfer-encoding",
+            b"content-length",
+            b"upgrade",
+            b"authorization",
+        ],
+    )
+    def test_what_only_the_system_or_the_connection_may_say_is_dropped(self, name):
+        head = decode_caller_head([*CALLER, (name, b"forged")], keep_key=False)
+        assert name not in dict(head.forwarded)
+        assert dict(head.forwarded)[b"x-own"] == b"kept"
+
+    def test_headers_that_connection_names_are_dropped_but_for_the_identity(self):
+        listed = (b"connection", b"x-own, x-masticfork-attempt-id")
+        fields = dict(decode_caller_head([*CALLER, listed], False).forwarded)
+        assert b"x-own" not in fields
+        assert fields[b"x-masticfork-attempt-id"] == b"9c41"
+
+    @pytest.mark.parametrize(
+        ("value", "parts"),
+        [(b"", 0), (b"x", 0), (b"a:1,b", 1), (b"a:-1", 0), (b"a:1,b:x,c:3", 1)],
+    )
+    def test_an_unreadable_part_ends_the_prompt(self, value, parts):
+        headers = [(b"x-masticfork-prompt-prefix", value)]
+        assert len(decode_caller_head(headers, False).prompt) == parts
+
+
+class TestCall:
+    def test_the_system_sets_its_headers_and_replaces_the_model(self):
+        head = decode_caller_head(CALLER, keep_key=False)
+        request = CallerRequest(b"POST", b"/p/x?q=1", "a.example", head, b"body", 0.0)
+        dispatch = Dispatch("i-7", 1.5, "team-1", "small", 2, 12)
+        lines = encode_call(request, dispatch).decode().split("\r\n")
+        assert lines[0] == "POST /p/x?q=1 HTTP/1.1"
+        for line in (
+            "x-masticfork-model: small",
+            "x-masticfork-deadline-ms: 1500",
+            "x-masticfork-expect-instance: i-7",
+            "x-masticfork-tenant: team-1",
+            "x-masticfork-request-priority: 2",
+            "last-event-id: 12",
+            "content-length: 4",
+        ):
+            assert lines.count(line) == 1
+        assert not any(line.startswith("authorization") for line in lines)
+
+
+class TestAnswerHead:
+    @pytest.mark.parametrize(
+        ("status", "headers", "field", "value"),
+        [
+            (200, [(b"x-masticfork-server-stamp", b"s")], "signed", True),
+            (200, [], "signed", False),
+            (503, [(b"x-masticfork-not-executed", b"1")], "not_run", True),
+            (503, [], "not_run", False),
+            (421, [], "not_run", True),
+            (200, [(b"x-masticfork-confidence", b"37")], "confidence", 37),
+            (200, [(b"x-masticfork-confidence", b"?")], "confidence", None),
+            (200, [(b"content-encoding", b"gzip")], "encoded", True),
+            (200, [(b"content-encoding", b"identity")], "encoded", False),
+            (200, [(b"connection", b"Close")], "closes", True),
+            (200, [(b"keep-alive", b"max=3, timeout=4")], "keep_alive", 4.0),
+            (200, [(b"content-length", b"12")], "content_length", 12),
+            (200, [(b"transfer-encoding", b"chunked")], "chunked", True),
+        ],
+    )
+    def test_every_field_says_what_it_holds(self, status, headers, field, value):
+        head = decode_answer_head(status, b"", headers)
+        assert getattr(head, field) == value
+
+
+class TestRefusal:
+    def test_tells_when_to_come_back(self):
+        headers = dict(encode_refusal(b"9c41", 0.25))
+        assert headers[b"retry-after"] == b"0.250"
+        assert headers[b"x-masticfork-attempt-id"] == b"9c41"
+        assert b"retry-after" not in dict(encode_refusal(b"", None))
--- a/masticfork/relay/entry.py
+++ b/masticfork/relay/entry.py
@@ -95,6 +95,7 @@
         self._peers = Peers(
             self._loop,
             self._peer_address,
+            settings.seeds,
             settings.host,
             self._count_load,
             self._take_sessions,
--- a/masticfork/relay/peers.py
+++ b/masticfork/relay/peers.py
@@ -50,6 +50,7 @@
         self,
         loop: Loop,
         own: Address,
+        seeds: tuple[str, ...],
         host: str,
         on_load: Callable[[int, LoadShare, int], None],
         on_sessions: Callable[[dict[int, int]], None],
@@ -64,6 +65,8 @@
         self._log = log
         self._incarnation = int(time.time() * 1000)
         self._sequence = 0
+        # Hosts to speak to before the store has told of any.
+        self._seeds = {Address(seed, own.port) for seed in seeds}
         self._addresses: dict[str, Address] = {}
         self._peers: dict[str, _Peer] = {}
         self._next_digest = 0.0
@@ -90,10 +93,9 @@
         return [row.digest for row in rows if now - row.heard_at < DIGEST_LIFE]
 
     def set_hosts(self, addresses: dict[str, Address]) -> None:
-        """Replace the hosts that digests go to."""
-        self._addresses = {
-            host: address for host, address in addresses.items() if host != self._host
-        }
+        """Take in the hosts that the store tells of."""
+        self._addresses |= addresses
+        self._addresses.pop(self._host, None)
 
     def evidence(self, service: str, created: int) -> list[RolloutEvidence]:
         """Return what live hosts told of a roll-out."""
@@ -118,7 +120,7 @@
         data = encode_digest(
             attrs.evolve(digest, incarnation=self._incarnation, sequence=self._sequence)
         )
-        for address in self._addresses.values():
+        for address in {*self._addresses.values(), *self._seeds} - {self._own}:
             # A datagram that cannot be sent is as good as lost; the next one follows.
             with contextlib.suppress(OSError):
                 self._sock.sendto(data, (address.host, address.port))
@@ -127,13 +129,16 @@
         """Take the digests that came."""
         while True:
             try:
-                data = self._sock.recv(READ_BYTES)
+                data, source = self._sock.recvfrom(READ_BYTES)
             except OSError:
                 return
             decoded = decode_digest(data)
             if isinstance(decoded, Err):
                 self._log("digest ignored", error=decoded.err_value)
             elif decoded.ok_value.host != self._host:
+                # A host that started in an outage is known only by its digests.
+                sender = Address(source[0], self._own.port)
+                self._addresses.setdefault(decoded.ok_value.host, sender)
                 self._take(decoded.ok_value)
 
     def copy_from_newest(
--- a/standins/entry_world.py
+++ b/standins/entry_world.py
@@ -232,6 +232,7 @@
             ready=ready,
             peer_ports=(peer.port, peer.port),
             store=f"{LOOPBACK}:{served.port}",
+            seeds=(),
             memory_mb=256,
             file_descriptors=4096,
             bounds=bounds or Bounds(),
