Read bounds again on SIGHUP; let both kinds of store threads share their code

Found by reading the change: SIGHUP was only logged, the lister repeated the follower, and three names were used nowhere. Its test in tools/run_platform_test.py passes.

--- a/masticfork/platform/names.py
+++ b/masticfork/platform/names.py
@@ -22,7 +22,6 @@
 KV_BACKUP = b"x-masticfork-kv-backup"
 KV_FROM = b"kv-from"
 KV_FETCH = b"kv-fetch"
-LENGTH_HINT = b"x-masticfork-length-hint"
 CONFIDENCE = b"x-masticfork-confidence"
 SESSION = b"session"
 AUTHORIZATION = b"authorization"
@@ -46,8 +45,6 @@
     }
 )
 
-READINESS_PATH = b"/masticfork/readiness"
-
 # Kinds of objects in the store.
 OBJECTS_PATH = "/masticfork/objects"
 KIND_CONFIG = "config"
--- a/masticfork/platform/wire.py
+++ b/masticfork/platform/wire.py
@@ -1,7 +1,6 @@
 """Translates HTTP headers of callers and servers to and from records."""
 
 import contextlib
-from collections.abc import Iterable
 
 from masticfork.core.forwarding import (
     AnswerHead,
@@ -163,8 +162,3 @@
 
 def _text(value: bytes | None) -> str | None:
     return None if value is None else value.decode("latin-1")
-
-
-def header_block(headers: Iterable[Header]) -> bytes:
-    """Return header lines as they are sent."""
-    return b"".join(name + b": " + value + b"\r\n" for name, value in headers)
--- a/masticfork/relay/entry.py
+++ b/masticfork/relay/entry.py
@@ -6,8 +6,12 @@
 import time
 from collections.abc import Sequence
 
+import attrs
+from result import Err, Result
+
 from masticfork.core.backend_servers import Address
 from masticfork.core.digests import Digest, LoadShare
+from masticfork.core.findings import Finding
 from masticfork.core.forwarding import CallerHead, CallerRequest, Dispatch, Header
 from masticfork.core.routes import CallerLimits, Route, RouteKind
 from masticfork.platform import names, wire
@@ -146,9 +150,20 @@
         """Stop gracefully; safe in a signal handler."""
         self._loop.post(self._begin_stop)
 
-    def request_reload(self) -> None:
-        """Read the settings again; safe in a signal handler."""
-        self._loop.post(lambda: self.log("reload: the settings file changed"))
+    def request_reload(self, loaded: Result[EntrySettings, Finding]) -> None:
+        """Take new bounds from settings; safe in a signal handler.
+
+        Addresses hold for the life of the process.
+        """
+        self._loop.post(lambda: self._reload(loaded))
+
+    def _reload(self, loaded: Result[EntrySettings, Finding]) -> None:
+        if isinstance(loaded, Err):
+            self.log("reload failed", error=str(loaded.err_value))
+            return
+        bounds = loaded.ok_value.bounds
+        self._settings = attrs.evolve(self._settings, bounds=bounds)
+        self.log("reloaded", grace=bounds.grace, drain=bounds.drain)
 
     def _begin_stop(self) -> None:
         if self._stop_at is not None:
--- a/masticfork/relay/followers.py
+++ b/masticfork/relay/followers.py
@@ -3,11 +3,10 @@
 import random
 import threading
 import time
-from collections.abc import Callable
 from functools import partial
 from typing import Protocol
 
-from result import Err
+from result import Err, Ok, Result
 
 from masticfork.core.deadlines import Deadline
 from masticfork.platform.objects import Changes, Listing, PlatformObjects
@@ -17,6 +16,8 @@
 # Longest wait in seconds of one watch. A store that accepts calls and does not answer
 # them is noticed after it, so it may not be much longer than a configuration may take.
 WATCH_WAIT = 4.0
+# The same for the first watch after a failure.
+FIRST_WAIT = 0.2
 # Pause in seconds between lists of a kind that is not watched.
 LIST_PAUSE = 5.0
 # Seconds after the start at which it is listed first.
@@ -41,8 +42,8 @@
         """Take the failure of a call."""
 
 
-class Lister:
-    """Lists a kind now and then, as cheaply as the store allows."""
+class _StoreThread:
+    """Reads objects of one kind on a thread of its own until the process ends."""
 
     def __init__(
         self, kind: str, objects: PlatformObjects, loop: Loop, sink: Following
@@ -53,44 +54,51 @@
         self._sink = sink
 
     def start(self) -> None:
-        """List on a thread of its own until the process ends."""
-        name = f"list-{self._kind}"
+        """Start the thread."""
+        name = f"store-{self._kind}"
         threading.Thread(target=self._run, name=name, daemon=True).start()
 
+    def _run(self) -> None:
+        raise NotImplementedError
+
+    def _tell_failure(self, error: PlatformError) -> None:
+        call = partial(self._sink.on_store_failure, self._kind, error)
+        self._loop.post(call)
+
+    def _read_all(self, stale: bool) -> Result[Listing, PlatformError]:
+        """List all objects and hand them to the sink."""
+        deadline = Deadline.after(time.monotonic(), LIST_TIMEOUT)
+        outcome = self._objects.list_all(self._kind, deadline, stale)
+        if isinstance(outcome, Ok):
+            listing = outcome.ok_value
+            self._loop.post(partial(self._sink.on_listing, self._kind, listing))
+        return outcome
+
+
+class Lister(_StoreThread):
+    """Lists a kind now and then, as cheaply as the store allows."""
+
     def _run(self) -> None:
         # The hosts start within a second, and all of them are to be on the first list.
         time.sleep(FIRST_LIST)
         while True:
-            deadline = Deadline.after(time.monotonic(), LIST_TIMEOUT)
-            outcome = self._objects.list_all(self._kind, deadline, stale=True)
+            outcome = self._read_all(stale=True)
             if isinstance(outcome, Err):
-                error = outcome.err_value
-                self._loop.post(partial(self._sink.on_store_failure, self._kind, error))
-            else:
-                listing = outcome.ok_value
-                self._loop.post(partial(self._sink.on_listing, self._kind, listing))
+                self._tell_failure(outcome.err_value)
             time.sleep(LIST_PAUSE * random.uniform(0.8, 1.2))
 
 
-class Follower:
+class Follower(_StoreThread):
     """Lists a kind once, then watches it; lists again when its history is gone."""
 
     def __init__(
         self, kind: str, objects: PlatformObjects, loop: Loop, sink: Following
     ) -> None:
-        self._kind = kind
-        self._objects = objects
-        self._loop = loop
-        self._sink = sink
+        super().__init__(kind, objects, loop, sink)
         self._pause = LEAST_PAUSE
         self._revision: int | None = None
         self._failed = False
 
-    def start(self) -> None:
-        """Follow on a thread of its own until the process ends."""
-        name = f"follow-{self._kind}"
-        threading.Thread(target=self._run, name=name, daemon=True).start()
-
     def _run(self) -> None:
         while True:
             step = self._list if self._revision is None else self._watch
@@ -98,7 +106,7 @@
             if error is None:
                 self._pause = LEAST_PAUSE
                 continue
-            self._post(partial(self._sink.on_store_failure, self._kind, error))
+            self._tell_failure(error)
             if error.kind is ErrorKind.GONE:
                 self._revision = None
                 continue
@@ -107,28 +115,22 @@
             self._pause = min(MOST_PAUSE, self._pause * 1.5)
 
     def _list(self) -> PlatformError | None:
-        deadline = Deadline.after(time.monotonic(), LIST_TIMEOUT)
-        outcome = self._objects.list_all(self._kind, deadline)
+        outcome = self._read_all(stale=False)
         if isinstance(outcome, Err):
             return outcome.err_value
-        listing = outcome.ok_value
-        self._revision = listing.revision
-        self._post(lambda: self._sink.on_listing(self._kind, listing))
+        self._revision = outcome.ok_value.revision
         return None
 
     def _watch(self) -> PlatformError | None:
         assert self._revision is not None
         # The first call after a failure returns soon, so that a store that is back is
         # known to be back.
-        wait = 0.2 if self._failed else WATCH_WAIT
+        wait = FIRST_WAIT if self._failed else WATCH_WAIT
         outcome = self._objects.watch(self._kind, self._revision, wait)
         if isinstance(outcome, Err):
             return outcome.err_value
         self._failed = False
         changes = outcome.ok_value
         self._revision = changes.revision
-        self._post(lambda: self._sink.on_changes(self._kind, changes))
+        self._loop.post(partial(self._sink.on_changes, self._kind, changes))
         return None
-
-    def _post(self, call: Callable[[], None]) -> None:
-        self._loop.post(call)
--- a/masticfork/scripts/masticfork_entry.py
+++ b/masticfork/scripts/masticfork_entry.py
@@ -31,7 +31,8 @@
     """Run one entry host of masticfork on the users' platform."""
     if settings_path is None:
         raise click.UsageError(f"give --settings, or set {names.SETTINGS_VARIABLE}")
-    loaded = load_settings(Path(settings_path))
+    path = Path(settings_path)
+    loaded = load_settings(path)
     if isinstance(loaded, Err):
         click.echo(str(loaded.err_value), err=True)
         sys.exit(EXIT_FINDINGS)
@@ -46,7 +47,9 @@
             host.serve_metrics(Address(settings.front.host, metrics_port))
         signal.signal(signal.SIGTERM, lambda *_: host.request_stop())
         signal.signal(signal.SIGINT, lambda *_: host.request_stop())
-        signal.signal(signal.SIGHUP, lambda *_: host.request_reload())
+        signal.signal(
+            signal.SIGHUP, lambda *_: host.request_reload(load_settings(path))
+        )
         host.run()
     # Threads that wait for the store hold no state; the process need not wait for them.
     os._exit(0)
--- a/tools/run_platform_test.py
+++ b/tools/run_platform_test.py
@@ -1,5 +1,6 @@
 import http.client
 import json
+import signal
 import time
 
 import pytest
@@ -74,6 +75,13 @@
         assert found[0]["server"].startswith("i-")
         assert found[-1]["status"] == 200
 
+    def test_hang_up_signal_reads_the_settings_again(self, platform):
+        host = platform.hosts[0]
+        host.program.signal(signal.SIGHUP)
+        time.sleep(0.5)
+        assert "reloaded" in [row["message"] for row in lines(host)]
+        assert ask(host, "/safe/x", "after").status == 200
+
     def test_stopped_host_finishes_its_stream_and_ends_by_itself(self, platform):
         host = platform.hosts[1]
         connection = http.client.HTTPConnection(host.front.host, host.front.port, 5)
