--- a/masticfork/relay/entry.py
+++ b/masticfork/relay/entry.py
@@ -4,7 +4,9 @@
 import random
 import selectors
 import time
+import traceback
 from collections.abc import Sequence
+from pathlib import Path
 
 import attrs
 from result import Err, Result
@@ -139,9 +141,17 @@
         self._registration.start()
         self._loop.call_after(TICK, self._tick)
         self.log("started", zone=self._settings.zone, store=self._settings.store)
+        self._loop.on_error = self._on_error
         self._loop.run()
         self.log("stopped", open_requests=len(self._exchanges))
 
+    def _on_error(self, error: Exception) -> None:
+        """Tell of a fault in this program; the request that met it times out."""
+        frames = traceback.extract_tb(error.__traceback__)
+        places = [f"{Path(f.filename).name}:{f.lineno}" for f in frames[-4:]]
+        self._metrics.faults.inc()
+        self.log("internal error", error=repr(error), places=places)
+
     def serve_metrics(self, address: Address) -> None:
         """Serve metrics on an address."""
         PageListener(self._loop, address, lambda _: (200, self._metrics.exposition()))
--- a/masticfork/relay/loop.py
+++ b/masticfork/relay/loop.py
@@ -7,6 +7,7 @@
 import time
 from collections import deque
 from collections.abc import Callable
+from functools import partial
 from typing import Protocol
 
 import attrs
@@ -46,6 +47,9 @@
     """Runs handlers and timers on one thread."""
 
     def __init__(self) -> None:
+        # Called with an error that a handler or a call did not expect. One request's
+        # fault must not end the process, which carries many others.
+        self.on_error: Callable[[Exception], None] | None = None
         self._selector = selectors.DefaultSelector()
         self._timers: list[tuple[float, int, Timer]] = []
         self._count = 0
@@ -105,16 +109,25 @@
             if handler is None:
                 os.read(self._wake_read, 4096)
             else:
-                handler.on_events(events)
+                self._guard(partial(handler.on_events, events))
         while self._posted:
-            self._posted.popleft()()
+            self._guard(self._posted.popleft())
         self._run_timers()
 
     def _run_timers(self) -> None:
         while self._timers and self._timers[0][0] <= self.now:
             timer = heapq.heappop(self._timers)[2]
             if timer.call is not None:
-                timer.call()
+                self._guard(timer.call)
+
+    def _guard(self, call: Callable[[], None]) -> None:
+        """Call, and report an error instead of ending the loop."""
+        try:
+            call()
+        except Exception as error:
+            if self.on_error is None:
+                raise
+            self.on_error(error)
 
     def _sleep(self) -> float:
         if self._posted:
--- /dev/null
+++ b/masticfork/relay/loop_test.py
@@ -0,0 +1,33 @@
+import pytest
+
+from masticfork.relay.loop import Loop
+
+
+def boom():
+    raise ValueError("boom")
+
+
+class TestLoop:
+    def test_timers_run_in_their_order_and_cancelled_ones_do_not(self):
+        loop, seen = Loop(), []
+        loop.call_after(0.02, lambda: seen.append("late"))
+        loop.call_after(0.01, lambda: seen.append("early"))
+        loop.call_after(0.015, lambda: seen.append("cancelled")).cancel()
+        loop.call_after(0.03, loop.stop)
+        loop.run()
+        assert seen == ["early", "late"]
+
+    def test_a_fault_is_told_and_ends_nothing_else(self):
+        loop, told = Loop(), []
+        loop.on_error = told.append
+        loop.post(boom)
+        loop.call_after(0.0, boom)
+        loop.call_after(0.01, loop.stop)
+        loop.run()
+        assert [str(error) for error in told] == ["boom", "boom"]
+
+    def test_a_fault_that_nobody_is_told_of_is_raised(self):
+        loop = Loop()
+        loop.post(boom)
+        with pytest.raises(ValueError, match="boom"):
+            loop.run()
--- a/masticfork/relay/metrics.py
+++ b/masticfork/relay/metrics.py
@@ -49,6 +49,11 @@
             "Log lines that were not written",
             registry=registry,
         )
+        self.faults = Counter(
+            "masticfork_relay_internal_errors",
+            "Faults of this program that one request or step met",
+            registry=registry,
+        )
         self.version = Gauge(
             "masticfork_relay_configuration_version",
             "Version of the configuration in force",
