Log the status that the caller got

Cause: found by reading the change. A request given up was logged and counted as 503 before its status was chosen, so 502 and 504 of our own stood in the log as 503, and the way from an id to its cause in OPERATIONS led astray. The answers themselves are as before.

--- a/masticfork/relay/exchange.py
+++ b/masticfork/relay/exchange.py
@@ -28,6 +28,9 @@
 RETRY_AFTER = 0.25
 # Part of the bound on repeats that a change of the model leaves to failed calls.
 CASCADE_RESERVE = 0.3
+# Logged as the status of an answer that was broken off midway.
+BROKEN_OFF = 0
+
 _FAILED_STATUS = 500
 # Statuses that promise that a request has not run; a server's own are passed on only
 # if the server promises it too.
@@ -403,19 +406,24 @@
 
     def _give_up(self, outcome: CallOutcome, why: str) -> None:
         """Give the caller its final answer."""
-        self._finish(0 if self._started else 503, f"{outcome.value}: {why}")
+        reason = f"{outcome.value}: {why}"
         if self._started:
+            self._finish(BROKEN_OFF, reason)
             self.reply.abort_answer()
             return
+        status, retry_after = self._refusal()
+        self._finish(status.value, reason)
         attempt_id = self.request.head.attempt_id
-        if self.history.may_have_run:
-            headers = self.host.refusal_headers(attempt_id)
-            late = self._time_left <= 0
-            status = http.HTTPStatus.GATEWAY_TIMEOUT if late else None
-            self.reply.refuse(status or http.HTTPStatus.BAD_GATEWAY, headers)
-        else:
-            headers = self.host.refusal_headers(attempt_id, RETRY_AFTER)
-            self.reply.refuse(http.HTTPStatus.SERVICE_UNAVAILABLE, headers)
+        headers = self.host.refusal_headers(attempt_id, retry_after)
+        self.reply.refuse(status, headers)
+
+    def _refusal(self) -> tuple[http.HTTPStatus, float | None]:
+        """Return the status of our own answer, and when the caller may come back."""
+        if not self.history.may_have_run:
+            return http.HTTPStatus.SERVICE_UNAVAILABLE, RETRY_AFTER
+        if self._time_left <= 0:
+            return http.HTTPStatus.GATEWAY_TIMEOUT, None
+        return http.HTTPStatus.BAD_GATEWAY, None
 
     # Time.
 
--- a/masticfork/relay/whole_path_test.py
+++ b/masticfork/relay/whole_path_test.py
@@ -177,6 +177,8 @@
             server = it.add_server(fault, SERVICE)
             it.wait_for_servers(1)
             got = it.ask("/unsafe/x")
+            # The log tells the status that the caller got.
+            assert it.logged("end", status=status)
         assert got.status == status
         assert len(server.asked) == 1
         assert ("retry-after" in got.headers) == (status == 503)
