--- a/masticfork/relay/caller.py
+++ b/masticfork/relay/caller.py
@@ -275,7 +275,7 @@
         self._end_timer()
         self._close_after = not keep_alive or self._refused
         # An exchange may end before `begin` returns.
-        placeholder = _Starting()
+        placeholder = NoExchange()
         self._exchange = placeholder
         exchange = self._host.begin(self, request)
         if self._exchange is placeholder:
@@ -347,11 +347,11 @@
         self._host.forget(self)
 
 
-class _Starting:
-    """Stands for an exchange until it is made."""
+class NoExchange:
+    """Stands for an exchange that is not made yet, or was refused before it began."""
 
     def on_caller_gone(self) -> None:
-        """Ignore it: the exchange looks at the connection itself."""
+        """Ignore it: there is no work to stop."""
 
     def on_caller_reads(self) -> None:
-        """Ignore it: nothing was written."""
+        """Ignore it: nothing more is written."""
--- a/masticfork/relay/entry.py
+++ b/masticfork/relay/entry.py
@@ -19,7 +19,7 @@
 from masticfork.platform import names, wire
 from masticfork.platform.objects import PlatformObjects
 from masticfork.platform.settings_file import EntrySettings
-from masticfork.relay.caller import CallerConnection, CallerExchange
+from masticfork.relay.caller import CallerConnection, CallerExchange, NoExchange
 from masticfork.relay.channel import CALLER_UNACKNOWLEDGED_MS, Channel, listen
 from masticfork.relay.exchange import CallRecord, Exchange
 from masticfork.relay.followers import Follower, Lister
@@ -379,7 +379,7 @@
         )
         self._metrics.requests.labels("", status.value).inc()
         caller.refuse(status, headers)
-        return _ENDED
+        return NoExchange()
 
     # Servers.
 
@@ -505,19 +505,6 @@
         self._logger.info(message, **fields)
 
 
-class _EndedExchange:
-    """Stands for an exchange that was refused before it began."""
-
-    def on_caller_gone(self) -> None:
-        """Ignore it."""
-
-    def on_caller_reads(self) -> None:
-        """Ignore it."""
-
-
-_ENDED = _EndedExchange()
-
-
 def _share(route: Route, session: str | None) -> str:
     """Return the service of a request, the same one for all of a session."""
     shares = route.services
