--- a/masticfork/relay/followers.py
+++ b/masticfork/relay/followers.py
@@ -43,7 +43,7 @@
 
 
 class _StoreThread:
-    """Reads objects of one kind on a thread of its own until the process ends."""
+    """Reads objects of one kind on a thread of its own until the loop is stopped."""
 
     def __init__(
         self, kind: str, objects: PlatformObjects, loop: Loop, sink: Following
@@ -81,7 +81,7 @@
     def _run(self) -> None:
         # The hosts start within a second, and all of them are to be on the first list.
         time.sleep(FIRST_LIST)
-        while True:
+        while self._loop.running:
             outcome = self._read_all(stale=True)
             if isinstance(outcome, Err):
                 self._tell_failure(outcome.err_value)
@@ -100,7 +100,7 @@
         self._failed = False
 
     def _run(self) -> None:
-        while True:
+        while self._loop.running:
             step = self._list if self._revision is None else self._watch
             error = step()
             if error is None:
--- a/masticfork/relay/loop.py
+++ b/masticfork/relay/loop.py
@@ -61,6 +61,11 @@
         self._running = True
         self.now = now()
 
+    @property
+    def running(self) -> bool:
+        """Tell whether the loop was not stopped yet; safe from any thread."""
+        return self._running
+
     def register(self, sock: socket.socket, events: int, handler: Handler) -> None:
         """Watch a socket."""
         self._selector.register(sock, events, handler)
--- a/masticfork/relay/loop_test.py
+++ b/masticfork/relay/loop_test.py
@@ -1,6 +1,11 @@
+import time
+
 import pytest
+from result import Err
 
+from masticfork.relay.followers import Follower
 from masticfork.relay.loop import Loop
+from masticfork.store.client import ErrorKind, PlatformError
 
 
 def boom():
@@ -31,3 +36,33 @@
         loop.post(boom)
         with pytest.raises(ValueError, match="boom"):
             loop.run()
+
+
+class _Objects:
+    """A store whose lists are counted."""
+
+    def __init__(self):
+        self.lists = 0
+
+    def list_all(self, kind, deadline, stale=False):
+        self.lists += 1
+        return Err(PlatformError(ErrorKind.UNAVAILABLE, "down"))
+
+
+class _Sink:
+    def on_store_failure(self, kind, error):
+        pass
+
+
+class TestStoreThreads:
+    def test_they_end_with_the_loop(self):
+        """A stopped host must not call an address that others may have by then."""
+        loop, objects = Loop(), _Objects()
+        Follower("servers", objects, loop, _Sink()).start()
+        time.sleep(0.3)
+        loop.stop()
+        time.sleep(1.0)
+        before = objects.lists
+        time.sleep(1.0)
+        assert before > 0
+        assert objects.lists == before
