Mark a stand-in's connection as reused before its answer goes out

The mark is set as the answer is written, and a request that comes while the first is still in the list is checked too.

--- a/standins/common.py
+++ b/standins/common.py
@@ -106,7 +106,8 @@
     _reused = False
 
     def handle_read(self) -> None:
-        if self.request is None and not self.requests and self._closes():
+        awaits_request = self._reused or not self.requests
+        if self.request is None and awaits_request and self._closes():
             self.handle_close()
         else:
             super().handle_read()
@@ -114,6 +115,8 @@
     def write_soon(self, data: Any) -> int:
         # The main loop polls in a busy loop for as long as another thread holds
         # bytes in the buffers, so they are used only for what the socket refuses.
+        # A caller may ask again as soon as it has the answer, before service() returns.
+        self._reused = True
         size = len(data)
         if data and self.connected and not self.total_outbufs_len:
             with self.outbuf_lock:
@@ -130,10 +133,6 @@
         except OSError as error:
             raise ClientDisconnected from error
 
-    def service(self) -> None:
-        super().service()
-        self._reused = True
-
     def _closes(self) -> bool:
         try:
             start = self.socket.recv(PEEK_BYTES, socket.MSG_PEEK)
--- a/standins/engine_test.py
+++ b/standins/engine_test.py
@@ -5,6 +5,7 @@
 
 import attrs
 import pytest
+from waitress.channel import HTTPChannel
 
 from masticfork.core import ids
 from standins.common import serving
@@ -277,6 +278,18 @@
         connection.close()
         assert ask("GET", "/_counts")[1]["generations"] == []
 
+    def test_close_idle_hits_callers_that_ask_again_at_once(
+        self, ask: Ask, monkeypatch: pytest.MonkeyPatch
+    ):
+        serve = HTTPChannel.service
+
+        def served_late(channel: HTTPChannel) -> None:
+            serve(channel)
+            time.sleep(0.1)
+
+        monkeypatch.setattr(HTTPChannel, "service", served_late)
+        self.test_close_idle_hits_kept_connections_only(ask)
+
     def test_frozen_streams_go_on_afterwards(self, ask: Ask):
         ask("POST", "/_faults", {"freeze": True})
         with ThreadPoolExecutor(1) as pool:
