Tell other hosts of loads as they change

Cause: digests came once a second on a site of 32 hosts, and calls last for about a second. Now changed loads go out within 0.05 s as partial digests, and are added to the servers' rows as they come. The followers gather changes of servers for 0.6 s, so that changes that come together cost one call to the store.

--- a/masticfork/core/digests.py
+++ b/masticfork/core/digests.py
@@ -46,3 +46,17 @@
     rollouts: tuple[RolloutEvidence, ...]
     # Versions by session, both in short form: those that ran since the last digests.
     sessions: dict[int, int] = attrs.field(factory=dict)
+    # Whether it holds only the loads that changed; all else stands as told before.
+    partial: bool = False
+
+    def followed_by(self, later: "Digest") -> "Digest":
+        """Return what holds after a later digest."""
+        if not later.partial:
+            return later
+        loads = self.loads | later.loads
+        return attrs.evolve(
+            later,
+            loads={server: load for server, load in loads.items() if load.running},
+            rollouts=self.rollouts,
+            partial=False,
+        )
--- a/masticfork/relay/digest.capnp
+++ b/masticfork/relay/digest.capnp
@@ -14,6 +14,8 @@
   loads @5 :List(Load);
   rollouts @6 :List(Rollout);
   sessions @7 :List(Session);
+  # Only loads that changed since the message before; all else stands as told.
+  partial @8 :Bool;
 }
 
 struct Load {
--- a/masticfork/relay/digest_codec.py
+++ b/masticfork/relay/digest_codec.py
@@ -24,6 +24,7 @@
         sequence=digest.sequence,
         configuration=digest.configuration,
         servers=digest.servers,
+        partial=digest.partial,
         loads=[
             {
                 "server": server,
@@ -90,6 +91,7 @@
                     for part in row.rollouts
                 ),
                 sessions={part.key: part.version for part in row.sessions},
+                partial=row.partial,
             )
         )
     except (capnp.KjException, ValueError) as error:
--- a/masticfork/relay/entry.py
+++ b/masticfork/relay/entry.py
@@ -27,12 +27,13 @@
 from masticfork.relay.logs import LogSink, entry_logger
 from masticfork.relay.loop import Loop
 from masticfork.relay.metrics import RelayMetrics
+from masticfork.relay.own_loads import OwnLoads
 from masticfork.relay.peers import Peers
 from masticfork.relay.plain_page import PageListener
 from masticfork.relay.registration import Registration
 from masticfork.relay.rollout_keeper import AnswerTime, RolloutKeeper
 from masticfork.relay.server_call import CallSink, ServerCall
-from masticfork.relay.session_versions import SessionVersions, short_key
+from masticfork.relay.session_versions import SessionVersions
 from masticfork.relay.store_view import MIRRORED, StoreView
 from masticfork.relay.tables import ServerRow, Tables
 from masticfork.systems.failed_calls import CallOutcome
@@ -124,6 +125,8 @@
         self._callers: set[CallerConnection] = set()
         self._exchanges: set[Exchange] = set()
         self._elsewhere = LoadsElsewhere(self._tables)
+        self._own_loads = OwnLoads(self._tables, self._plan_change)
+        self._change_planned = False
         self._stop_at: float | None = None
         self._quiet_at = 0.0
         self._front = listen(settings.front, BACKLOG)
@@ -190,7 +193,7 @@
         self._note_waiting()
         self._keeper.run(self._loop.now)
         self._repeats.hosts = max(DEFAULT_HOSTS, self._peers.sharing_hosts)
-        self._elsewhere.apply()
+        self._elsewhere.refresh()
         if self._peers.is_due():
             self._peers.tell(self._digest())
         self._view.run(self._loop.now)
@@ -221,11 +224,17 @@
         """Return the other hosts that were heard lately."""
         return len(self._peers.live)
 
+    def running_elsewhere(self, server_id: str) -> int:
+        """Return the calls that other hosts have at a server, as told last."""
+        row = self._tables.row(server_id)
+        return 0 if row is None else row.load.running_elsewhere
+
     @property
     def _peer_address(self) -> Address:
         return Address(self._settings.front.host, self._settings.peer_ports[0])
 
-    def _digest(self) -> Digest:
+    def _outline(self) -> Digest:
+        """Return what every digest holds."""
         table = self._tables.routes
         return Digest(
             host=self._settings.host,
@@ -233,17 +242,30 @@
             sequence=0,
             configuration=0 if table is None else table.version,
             servers=self._view.servers_revision,
-            loads={
-                short_key(row.server.id): LoadShare(
-                    row.load.running, row.load.busy, row.load.pending_work
-                )
-                for row in self._tables.rows
-                if row.load.running
-            },
+            loads={},
+            rollouts=(),
+        )
+
+    def _digest(self) -> Digest:
+        return attrs.evolve(
+            self._outline(),
+            loads=self._own_loads.all(),
             rollouts=self._keeper.evidence(),
             sessions=self._sessions.tell(),
         )
 
+    def _plan_change(self) -> None:
+        """See that changed loads are told soon."""
+        if not self._change_planned:
+            self._change_planned = True
+            self._loop.call_after(self._peers.change_pause, self._tell_change)
+
+    def _tell_change(self) -> None:
+        self._change_planned = False
+        changed = self._own_loads.take_changed()
+        if changed:
+            self._peers.tell(attrs.evolve(self._outline(), loads=changed, partial=True))
+
     def _count_load(self, server: int, share: LoadShare, sign: int) -> None:
         """Add a peer's calls at a server, or take them back."""
         self._elsewhere.count(server, share, sign)
@@ -434,12 +456,18 @@
         """Count a request to a service."""
         self._repeats.first(service, self._loop.now)
 
+    def note_sent(self, record: CallRecord) -> None:
+        """Take in that a call is sent."""
+        self._own_loads.begin(record)
+
+    def note_head(self, record: CallRecord) -> None:
+        """Take in that an answer has begun."""
+        self._own_loads.read(record)
+
     def note_call(self, record: CallRecord) -> None:
         """Take in the outcome of a call."""
         load, now = record.row.load, self._loop.now
-        load.running -= 1
-        load.busy -= record.work.pace
-        load.pending_work -= record.unread
+        self._own_loads.end(record)
         outcome = record.outcome
         service = record.row.server.service
         label = "gone" if record.failed is None else "answered"
--- a/masticfork/relay/exchange.py
+++ b/masticfork/relay/exchange.py
@@ -90,6 +90,12 @@
     def note_first(self, service: str) -> None:
         """Count a request to a service."""
 
+    def note_sent(self, record: "CallRecord") -> None:
+        """Take in that a call is sent."""
+
+    def note_head(self, record: "CallRecord") -> None:
+        """Take in that an answer has begun."""
+
     def note_call(self, record: "CallRecord") -> None:
         """Take in the outcome of a call."""
 
@@ -201,8 +207,7 @@
         if record is None:
             return
         record.head_at = self.host.loop.now
-        record.row.load.pending_work -= record.unread
-        record.unread = 0.0
+        self.host.note_head(record)
         outcome = self._judge(head)
         if outcome is not None:
             self._fail_call(outcome, f"status {head.status}")
@@ -298,12 +303,12 @@
             attempt=self.history.sent,
             model=model,
             running=row.load.running,
+            running_elsewhere=row.load.running_elsewhere,
+            expected=round(self.host.expected_delay(work, self._session), 3),
             left=round(self._time_left, 3),
             resume_after=dispatch.resume_after,
         )
-        row.load.running += 1
-        row.load.busy += work.pace
-        row.load.pending_work += unread
+        self.host.note_sent(record)
         record.call = self.host.open_call(row, self, self.request, dispatch)
         self._watch_silence()
 
--- a/masticfork/relay/followers.py
+++ b/masticfork/relay/followers.py
@@ -9,6 +9,7 @@
 from result import Err, Ok, Result
 
 from masticfork.core.deadlines import Deadline
+from masticfork.platform import names
 from masticfork.platform.objects import Changes, Listing, PlatformObjects
 from masticfork.relay.loop import Loop
 from masticfork.store.client import ErrorKind, PlatformError
@@ -18,6 +19,10 @@
 WATCH_WAIT = 4.0
 # The same for the first watch after a failure.
 FIRST_WAIT = 0.2
+# Pause in seconds after a watch that brought changes: those that come meanwhile cost
+# one call together. Servers that leave serve on for two seconds and more.
+GATHER_PAUSES = {names.KIND_SERVERS: 0.6}
+DEFAULT_GATHER_PAUSE = 0.2
 # Pause in seconds between lists of a kind that is not watched.
 LIST_PAUSE = 5.0
 # Seconds after the start at which it is listed first.
@@ -133,4 +138,6 @@
         changes = outcome.ok_value
         self._revision = changes.revision
         self._loop.post(partial(self._sink.on_changes, self._kind, changes))
+        if changes.changes:
+            time.sleep(GATHER_PAUSES.get(self._kind, DEFAULT_GATHER_PAUSE))
         return None
--- a/masticfork/relay/peers.py
+++ b/masticfork/relay/peers.py
@@ -5,7 +5,7 @@
 import selectors
 import socket
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
@@ -26,6 +26,11 @@
 DIGEST_PAUSE = 0.3
 FEW_HOSTS = 8
 MOST_DIGEST_PAUSE = 1.0
+# Pause in seconds in which changes of loads are gathered into one message, with up to
+# so many hosts; with more it grows with their number. Calls last for about a second,
+# and hosts that choose by loads of a second ago all choose the same server.
+CHANGE_PAUSE = 0.05
+MANY_HOSTS = 32
 # Age in seconds beyond which a digest counts for nothing.
 DIGEST_LIFE = 3.0
 # Seconds for which a silent host still shares the budget of repeats.
@@ -106,6 +111,11 @@
             if row.service == service and row.created == created
         ]
 
+    @property
+    def change_pause(self) -> float:
+        """Return the pause in seconds before changes of loads are told."""
+        return CHANGE_PAUSE * max(1.0, len(self._addresses) / MANY_HOSTS)
+
     def is_due(self) -> bool:
         """Tell whether it is time for the next digest."""
         self._drop_silent()
@@ -113,9 +123,10 @@
 
     def tell(self, digest: Digest) -> None:
         """Send a digest to all hosts."""
-        crowd = max(1.0, len(self._addresses) / FEW_HOSTS)
-        pause = min(MOST_DIGEST_PAUSE, DIGEST_PAUSE * crowd)
-        self._next_digest = self._loop.now + pause
+        if not digest.partial:
+            crowd = max(1.0, len(self._addresses) / FEW_HOSTS)
+            pause = min(MOST_DIGEST_PAUSE, DIGEST_PAUSE * crowd)
+            self._next_digest = self._loop.now + pause
         self._sequence += 1
         data = encode_digest(
             attrs.evolve(digest, incarnation=self._incarnation, sequence=self._sequence)
@@ -178,16 +189,23 @@
 
     def _take(self, digest: Digest) -> None:
         known = self._peers.get(digest.host)
+        if known is None and digest.partial:
+            return
+        changed = set(digest.loads)
         if known is not None:
             order = (known.digest.incarnation, known.digest.sequence)
             if (digest.incarnation, digest.sequence) <= order:
                 return
-            self._count(known.digest, -1)
+            if not digest.partial:
+                changed |= set(known.digest.loads)
+            self._count(known.digest, changed, -1)
+            holds = known.digest.followed_by(digest)
         else:
             self._log("peer heard", peer=digest.host, hosts=len(self._peers) + 2)
-        self._count(digest, 1)
+            holds = digest
+        self._count(holds, changed, 1)
         self._on_sessions(digest.sessions)
-        self._peers[digest.host] = _Peer(digest, self._loop.now)
+        self._peers[digest.host] = _Peer(holds, self._loop.now)
 
     def _drop_silent(self) -> None:
         """Take back the loads of hosts that have been silent."""
@@ -196,14 +214,17 @@
             silent = now - peer.heard_at
             if silent >= DIGEST_LIFE and peer.digest.loads:
                 self._log("peer silent", peer=host, seconds=round(silent, 2))
-                self._count(peer.digest, -1)
+                self._count(peer.digest, peer.digest.loads.keys(), -1)
                 peer.digest = attrs.evolve(peer.digest, loads={})
             if silent >= SHARE_LIFE:
                 del self._peers[host]
 
-    def _count(self, digest: Digest, sign: int) -> None:
-        for server, load in digest.loads.items():
-            self._on_load(server, load, sign)
+    def _count(self, digest: Digest, servers: Iterable[int], sign: int) -> None:
+        """Add a host's loads at some servers, or take them back."""
+        for server in servers:
+            load = digest.loads.get(server)
+            if load is not None:
+                self._on_load(server, load, sign)
 
 
 def _fetch(address: Address) -> dict[str, Listing] | str:
--- a/masticfork/relay/peers_test.py
+++ b/masticfork/relay/peers_test.py
@@ -1,14 +1,16 @@
 import socket
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 from standins.entry_world import (
+    ENGINES,
     SERVICE,
     configuration,
     route,
     server_entry,
     world,
 )
-from standins.scripted_server import ScriptedServer, answer
+from standins.scripted_server import ScriptedServer, answer, events
 
 
 def whole(asked):
@@ -49,6 +51,29 @@
             assert turned_away.ask("/unsafe/x").status == 503
 
 
+class TestLoads:
+    def test_other_hosts_know_of_a_call_while_it_waits(self):
+        """A host that learns of a call when it has ended chooses the same server."""
+
+        def slow(asked):
+            time.sleep(0.35)
+            yield from events(asked, 2, confidence=90)
+
+        with world() as one, world(host="host-2") as other:
+            introduce(one, other)
+            one.wait_until(lambda: other.host.peers_heard == one.host.peers_heard == 1)
+            for it in (one, other):
+                it.add_server(slow, ENGINES)
+            # The log goes to the handler that was bound last.
+            other.wait_for_servers(2)
+            with ThreadPoolExecutor(1) as pool:
+                asked = pool.submit(one.ask, "/streaming/x")
+                one.wait_until(lambda: bool(one.servers[0].asked))
+                other.wait_until(lambda: other.host.running_elsewhere("i-1") == 1, 0.25)
+                assert asked.result().status == 200
+            other.wait_until(lambda: other.host.running_elsewhere("i-1") == 0, 0.25)
+
+
 class TestDigests:
     def test_other_datagrams_are_ignored(self):
         with world() as it, socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
