--- a/masticfork/relay/entry.py
+++ b/masticfork/relay/entry.py
@@ -71,9 +71,10 @@
 RETURN_TO_ANOTHER = 0.05
 # Descriptors left to the store, the listeners and the log.
 RESERVED_DESCRIPTORS = 264
-# Time in seconds after which a caller may come back to a host that knows no
-# configuration yet.
-UNREADY_PAUSE = 0.5
+# Least and greatest time in seconds after which a caller may come back to a host that
+# knows no configuration yet. Between them it is the time that the host has waited for
+# one: an outage that has lasted for a while is likely to last as long again.
+LEAST_UNREADY_PAUSE, MOST_UNREADY_PAUSE = 0.5, 4.0
 # The hosts that share the slack of the budget until peers tell how many there are.
 DEFAULT_HOSTS = 4
 # The most urgent rank and the least urgent one that engines know.
@@ -127,6 +128,7 @@
         self._elsewhere = LoadsElsewhere(self._tables)
         self._own_loads = OwnLoads(self._tables, self._plan_change)
         self._change_planned = False
+        self._started_at = self._loop.now
         self._stop_at: float | None = None
         self._quiet_at = 0.0
         self._front = listen(settings.front, BACKLOG)
@@ -388,7 +390,7 @@
     ) -> CallerExchange:
         attempt_id = request.head.attempt_id
         unready = status is http.HTTPStatus.SERVICE_UNAVAILABLE
-        pause = RETURN_TO_ANOTHER if self.stopping else UNREADY_PAUSE
+        pause = RETURN_TO_ANOTHER if self.stopping else self._unready_pause
         headers = self.refusal_headers(attempt_id, pause if unready else None)
         table = self._tables.routes
         self.log(
@@ -403,6 +405,12 @@
         caller.refuse(status, headers)
         return NoExchange()
 
+    @property
+    def _unready_pause(self) -> float:
+        """Return the time after which a caller may come back to a host not ready."""
+        waited = self._loop.now - self._started_at
+        return min(MOST_UNREADY_PAUSE, max(LEAST_UNREADY_PAUSE, waited))
+
     # Servers.
 
     def choose(
@@ -421,13 +429,17 @@
         self._sessions.note(service, session, version, self._loop.now)
         return by_load[id(load)]
 
-    def expected_delay(self, work: Work, session: str) -> float:
+    def least_delay(self, work: Work, session: str) -> float:
         """Return the expected seconds to the first byte at the best server."""
         rows = self._eligible(work.service, session)
-        zone, now = self._settings.zone, self._loop.now
-        delays = (expected_delay(row.load, work, zone, now) for row in rows)
+        delays = (self.expected_delay(row, work) for row in rows)
         return min(delays, default=float("inf"))
 
+    def expected_delay(self, row: ServerRow, work: Work) -> float:
+        """Return the expected seconds to the first byte at a server."""
+        zone, now = self._settings.zone, self._loop.now
+        return expected_delay(row.load, work, zone, now)
+
     def _eligible(self, service: str, session: str) -> Sequence[ServerRow]:
         version = self._sessions.version(service, session, self._loop.now)
         rows = self._tables.servers_of(service)
--- a/masticfork/relay/exchange.py
+++ b/masticfork/relay/exchange.py
@@ -76,9 +76,12 @@
     ) -> ServerRow | None:
         """Return the server for a call."""
 
-    def expected_delay(self, work: Work, session: str) -> float:
+    def least_delay(self, work: Work, session: str) -> float:
         """Return the expected seconds to the first byte at the best server."""
 
+    def expected_delay(self, row: ServerRow, work: Work) -> float:
+        """Return the expected seconds to the first byte at a server."""
+
     def open_call(
         self, row: ServerRow, sink: CallSink, request: CallerRequest, call: Dispatch
     ) -> ServerCall:
@@ -120,6 +123,8 @@
     # Work that the server has to read, weighed by pace, until its answer begins.
     unread: float
     started_at: float
+    # Seconds to the first byte that the loads told as it was sent.
+    expected: float
     head_at: float | None = None
     # Whether it was taken as slow evidence of its version before its answer began.
     counted: bool = False
@@ -291,7 +296,8 @@
         )
         loop = self.host.loop
         unread = unread_work(row.load, work, loop.now)
-        record = CallRecord(row, work, unread, loop.now)
+        expected = self.host.expected_delay(row, work)
+        record = CallRecord(row, work, unread, loop.now, expected)
         self._record = record
         self._tried.add(row.server.id)
         self.history.sent += 1
@@ -304,7 +310,7 @@
             model=model,
             running=row.load.running,
             running_elsewhere=row.load.running_elsewhere,
-            expected=round(self.host.expected_delay(work, self._session), 3),
+            expected=round(expected, 3),
             left=round(self._time_left, 3),
             resume_after=dispatch.resume_after,
         )
@@ -360,7 +366,7 @@
         work = attrs.evolve(
             self._work(self.route.models[-1]), size=len(self.route.models) - 1
         )
-        starts_in = elapsed + self.host.expected_delay(work, self._session)
+        starts_in = elapsed + self.host.least_delay(work, self._session)
         larger = self.host.models.larger(
             self.route, self._size, head.confidence, starts_in
         )
@@ -450,7 +456,8 @@
         record = self._record
         if record is not None and self.route.repeatable:
             begun = record.head_at is not None
-            seconds = silence_limit(self.route, begun, record.row.load.mean_time)
+            usual = record.row.load.mean_time
+            seconds = silence_limit(self.route, begun, usual, record.expected)
             self._silence = self.host.loop.call_after(seconds, self._on_silence)
 
     def _on_silence(self) -> None:
--- a/masticfork/relay/whole_path_test.py
+++ b/masticfork/relay/whole_path_test.py
@@ -395,6 +395,16 @@
             assert not it.is_ready()
             assert it.ask("/safe/x").status == 503
 
+    def test_callers_come_back_later_the_longer_the_outage_lasts(self):
+        """A caller that comes back within the outage has used up its second try."""
+        with world(False, wait=False) as it:
+            it.wait_until(lambda: it.logged("started"))
+            time.sleep(1.5)
+            # The pause is spread from 0.6 to 1.6 of the time waited so far.
+            pauses = [float(it.ask("/safe/x").headers["retry-after"]) for _ in "1234"]
+            assert min(pauses) > 0.9
+            assert max(pauses) < 4.0
+
     def test_newer_one_is_in_force_and_an_older_one_never_again(self):
         with world() as it:
             it.add_server(whole, SERVICE)
--- a/masticfork/systems/failed_calls.py
+++ b/masticfork/systems/failed_calls.py
@@ -16,6 +16,9 @@
 SILENT_STREAM_TARGETS = 2.0
 # Multiple of the server's own recent times before which it is not silent but loaded.
 SILENT_TIMES = 3.0
+# Multiple of the delay that was expected as the call was sent: the prompts before it
+# are read first, and a call that leaves the queue has waited in vain.
+SILENT_EXPECTATIONS = 2.0
 # Multiple of a stream's longest good pause after which it goes on elsewhere.
 SILENT_GAPS = 2.0
 # The longest good pause in seconds of a stream whose route names none.
@@ -75,15 +78,19 @@
     return FollowUp.AGAIN if route.repeatable else ends
 
 
-def silence_limit(route: Route, begun: bool, usual: float) -> float:
+def silence_limit(
+    route: Route, begun: bool, usual: float, expected: float = 0.0
+) -> float:
     """Return the seconds after which a server counts as silent.
 
     `begun` tells whether the answer has begun; `usual` is the server's recent time to
-    the first byte. Calls that leave a loaded server lose their place in its queue and
-    load another one, so that an overload would feed itself.
+    the first byte, `expected` what the loads told as the call was sent. Calls that
+    leave a loaded server lose their place in its queue and load another one, so that
+    an overload would feed itself.
     """
     if route.kind is not RouteKind.STREAM:
         return max(SILENT_TARGETS * route.target, SILENT_TIMES * usual)
     if begun:
         return SILENT_GAPS * (route.max_gap or DEFAULT_GAP)
-    return max(SILENT_STREAM_TARGETS * route.target, SILENT_TIMES * usual)
+    queue = max(SILENT_TIMES * usual, SILENT_EXPECTATIONS * expected)
+    return max(SILENT_STREAM_TARGETS * route.target, queue)
--- a/masticfork/systems/failed_calls_test.py
+++ b/masticfork/systems/failed_calls_test.py
@@ -67,6 +67,10 @@
     def test_a_loaded_server_keeps_its_calls(self):
         assert silence_limit(self.STREAM, begun=False, usual=4.0) >= 12.0
 
+    def test_a_call_in_a_long_queue_is_not_silent(self):
+        limit = silence_limit(self.STREAM, begun=False, usual=0.1, expected=5.0)
+        assert limit >= 10.0
+
     def test_a_silent_server_is_left_soon(self):
         target = self.STREAM.target
         assert silence_limit(self.STREAM, begun=False, usual=0.05) == 2.0 * target
