Explain a request from the logs of entry hosts

masticfork explain-logs ID LOG... reads JSON lines (also with a host's name in front), orders those of the request over all hosts, adds what became of its servers or which configuration refused it, and says why it ended. Lines that cannot be read are findings with their place.

--- a/masticfork/scripts/masticfork.py
+++ b/masticfork/scripts/masticfork.py
@@ -14,6 +14,7 @@
 from masticfork.admin.client import Call, CallFailure, FailureKind, JsonObject
 from masticfork.admin.configuration_calls import finding_objects
 from masticfork.admin.engine_counts import read_generations
+from masticfork.admin.log_story import read_lines, story_text, tell_story
 from masticfork.admin.texts import (
     accepted_text,
     configuration_text,
@@ -196,6 +197,19 @@
     session.show(shown, lambda: explanation_text(shown))
 
 
+@main.command("explain-logs")
+@click.argument("request_id")
+@click.argument("logs", type=click.File("r", encoding="utf-8"), nargs=-1, required=True)
+def explain_logs(request_id: str, logs: tuple[Any, ...]) -> None:
+    """Tell from the LOGS of entry hosts why a request ended as it did."""
+    rows = (row for log in logs for row in read_lines(log.name, log))
+    story = tell_story(request_id, rows)
+    for finding in story.findings:
+        click.echo(str(finding), err=True)
+    click.echo(story_text(story))
+    sys.exit(ExitCode.OK if story.lines else ExitCode.REFUSED)
+
+
 @main.command("hash-key")
 @click.argument("key_file", type=click.File("r", encoding="utf-8"), default="-")
 def hash_key(key_file: Any) -> None:
--- a/masticfork/scripts/masticfork_test.py
+++ b/masticfork/scripts/masticfork_test.py
@@ -195,6 +195,14 @@
         daemon.client.store.set_down(True)
         assert run(daemon.url, "submit", manifest_file).exit_code == 3
 
+    @pytest.mark.parametrize(("request_id", "code"), [("r-1", 0), ("r-2", 1)])
+    def test_explain_logs(self, tmp_path: Path, request_id: str, code: int):
+        log = tmp_path / "host-1.log"
+        log.write_text('{"at": "1", "message": "dispatch", "request": "r-1"}\n')
+        result = run("", "explain-logs", request_id, str(log))
+        assert result.exit_code == code
+        assert "cause: no" in result.output
+
     def test_hash_key(self):
         result = run("", "hash-key", input="secret\n")
         assert json.loads(result.output).keys() == {"salt", "sha256"}
