--- /dev/null
+++ b/masticfork/relay/rollout_duty_model_test.py
@@ -0,0 +1,173 @@
+"""Hosts that move one roll-out on, over a store that loses and delays writes."""
+
+import itertools
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+from result import Err, Ok, Result
+
+from masticfork.core.backend_servers import Address, BackendServer, RolloutState
+from masticfork.core.deadlines import Deadline
+from masticfork.platform.objects import PlatformObject
+from masticfork.platform.server_format import decode_rollout
+from masticfork.relay.rollout_keeper import MOST_DELAY, AnswerTime, RolloutKeeper
+from masticfork.relay.tables import Tables
+from masticfork.store.client import ErrorKind, PlatformError
+from standins.fake_loop import FakeLoop
+
+HOSTS = 3
+DURATION = 20.0
+ORDER = {"service": "s", "target": "v2", "duration_s": DURATION}
+FINAL = (RolloutState.DONE, RolloutState.ROLLED_BACK)
+
+
+class FakeStore:
+    """One object under a revision; each write meets the fate that the test drew."""
+
+    def __init__(self) -> None:
+        self.held = PlatformObject("s", 1, 1, ORDER, None)
+        self.history = [self.held]
+        self.fate = "answered"
+        # Writes that are done later, if their condition still holds.
+        self.delayed: list[tuple[int, Any]] = []
+
+    def replace_status(
+        self, kind: str, name: str, status: Any, revision: int, deadline: Deadline
+    ) -> Result[PlatformObject, PlatformError]:
+        if self.fate == "lost":
+            return Err(PlatformError(ErrorKind.UNAVAILABLE, "lost"))
+        if self.fate == "delayed":
+            self.delayed.append((revision, status))
+            return Err(PlatformError(ErrorKind.UNAVAILABLE, "no answer"))
+        done = self.write(revision, status)
+        if self.fate == "answer lost":
+            return Err(PlatformError(ErrorKind.UNAVAILABLE, "no answer"))
+        return Ok(self.held) if done else Err(PlatformError(ErrorKind.CONFLICT, ""))
+
+    def write(self, revision: int, status: Any) -> bool:
+        """Write if nobody else has written since."""
+        if revision != self.held.revision:
+            return False
+        self.held = attrs.evolve(self.held, revision=revision + 1, status=status)
+        self.history.append(self.held)
+        return True
+
+
+class AtOnce:
+    """An executor that runs what it is given before it returns."""
+
+    def submit(self, call: Callable[[], None]) -> None:
+        call()
+
+
+class Host:
+    """One host's tables and keeper."""
+
+    def __init__(self, name: str, store: FakeStore, time: float) -> None:
+        loop: Any = FakeLoop(time)
+        self.loop = loop
+        # Newest revision of the roll-out that the host has acted on.
+        self.seen = 0
+        self.tables = Tables(loop, _ignore)
+        self.keeper = RolloutKeeper(
+            loop,
+            store,  # type: ignore[arg-type]
+            self.tables,
+            name,
+            _ignore,
+            lambda service, created: [],
+            writers=AtOnce(),
+        )
+
+    def read(self, found: PlatformObject) -> None:
+        self.tables.put_rollout(decode_rollout(found).unwrap())
+
+    def run(self, time: float) -> None:
+        self.loop.now = time
+        self.keeper.run(time)
+
+
+def _ignore(message: str, **fields: object) -> None:
+    """Log nothing."""
+
+
+def _server(version: str) -> BackendServer:
+    address = Address("127.0.0.1", 1000)
+    return BackendServer(f"i-{version}", "s", address, "zone-a", version, 6, False)
+
+
+class RolloutDuty(RuleBasedStateMachine):
+    """Hosts that run, read late, are restarted, and whose writes are lost."""
+
+    @initialize()
+    def begin(self) -> None:
+        self.store = FakeStore()
+        self.time = 0.0
+        self.names = [f"host-{number}" for number in range(HOSTS)]
+        self.hosts = [Host(name, self.store, 0.0) for name in self.names]
+        for host in self.hosts:
+            host.read(self.store.held)
+
+    @rule(
+        host=st.integers(0, HOSTS - 1),
+        fate=st.sampled_from(["answered", "lost", "answer lost", "delayed"]),
+        seconds=st.sampled_from([0.1, 0.5, 3.0]),
+    )
+    def host_runs(self, host: int, fate: str, seconds: float) -> None:
+        self.store.fate = fate
+        # The second run comes after the delay by which hosts leave writes to others.
+        for passed in (seconds, MOST_DELAY):
+            self.time += passed
+            self.hosts[host].run(self.time)
+
+    @rule(host=st.integers(0, HOSTS - 1), data=st.data())
+    def host_reads(self, host: int, data: st.DataObject) -> None:
+        """A host reads the store as it was at some time: a watch may lag."""
+        self.hosts[host].read(data.draw(st.sampled_from(self.store.history)))
+
+    @rule(host=st.integers(0, HOSTS - 1), failed=st.booleans(), count=st.integers(1, 8))
+    def answers_come(self, host: int, failed: bool, count: int) -> None:
+        for _ in range(count):
+            self.hosts[host].keeper.note_answer(
+                _server("v2"), failed, AnswerTime(0, 0.1), self.time
+            )
+
+    @rule(host=st.integers(0, HOSTS - 1))
+    def host_is_restarted(self, host: int) -> None:
+        self.hosts[host] = Host(self.names[host], self.store, self.time)
+        self.hosts[host].read(self.store.held)
+
+    @rule()
+    def delayed_writes_arrive(self) -> None:
+        delayed, self.store.delayed = self.store.delayed, []
+        for revision, status in delayed:
+            self.store.write(revision, status)
+
+    @invariant()
+    def the_store_moves_on_only(self) -> None:
+        states = [
+            decode_rollout(found).unwrap().progress for found in self.store.history
+        ]
+        for before, after in itertools.pairwise(states):
+            assert before.state not in FINAL
+            assert after.step >= before.step
+            assert after.step - before.step <= 1
+            assert after.state is not RolloutState.ORDERED
+
+    @invariant()
+    def no_host_goes_back(self) -> None:
+        newest = decode_rollout(self.store.held).unwrap()
+        for host in self.hosts:
+            known = host.tables.rollouts["s"]
+            assert host.seen <= known.revision <= newest.revision
+            host.seen = known.revision
+            if known.progress.state in FINAL:
+                assert known.progress.state is newest.progress.state
+
+
+TestRolloutDuty = RolloutDuty.TestCase
+TestRolloutDuty.settings = settings(max_examples=150, deadline=None, derandomize=True)
--- a/masticfork/relay/rollout_keeper.py
+++ b/masticfork/relay/rollout_keeper.py
@@ -4,6 +4,7 @@
 import time as clock
 from collections.abc import Callable, Sequence
 from concurrent.futures import ThreadPoolExecutor
+from typing import Protocol
 
 import attrs
 from result import Err, Ok, Result
@@ -40,6 +41,13 @@
 MOST_DELAY = 0.4
 
 
+class Writers(Protocol):
+    """Runs calls to the store, off the loop's thread."""
+
+    def submit(self, call: Callable[[], None], /) -> object:
+        """Run a call, now or soon."""
+
+
 @attrs.frozen
 class AnswerTime:
     """How long the first byte of an answer took, or the wait until it was given up."""
@@ -78,6 +86,7 @@
         host: str,
         log: Callable[..., None],
         elsewhere: Callable[[str, int], list[RolloutEvidence]],
+        writers: Writers | None = None,
     ) -> None:
         self._loop = loop
         self._elsewhere = elsewhere
@@ -86,7 +95,7 @@
         self._host = host
         self._log = log
         self._watched: dict[str, _Watched] = {}
-        self._writers = ThreadPoolExecutor(1, "rollout-writer")
+        self._writers = writers or ThreadPoolExecutor(1, "rollout-writer")
 
     def eligible(
         self,
