Add no partial digest to the loads of a host's former process

Found by reading the change: a restarted host's first partial digest was added to what its former process had told, until its next whole digest. It now waits for the whole one. Taking all loads is named for what it does.

--- a/masticfork/relay/entry.py
+++ b/masticfork/relay/entry.py
@@ -251,7 +251,7 @@
     def _digest(self) -> Digest:
         return attrs.evolve(
             self._outline(),
-            loads=self._own_loads.all(),
+            loads=self._own_loads.take_all(),
             rollouts=self._keeper.evidence(),
             sessions=self._sessions.tell(),
         )
--- a/masticfork/relay/own_loads.py
+++ b/masticfork/relay/own_loads.py
@@ -40,8 +40,8 @@
         load.busy -= record.work.pace
         self._note(record.row)
 
-    def all(self) -> dict[int, LoadShare]:
-        """Return the load of each server that has calls."""
+    def take_all(self) -> dict[int, LoadShare]:
+        """Return the load of each server that has calls; they count as told."""
         self._changed.clear()
         rows = (row for row in self._tables.rows if row.load.running)
         return {short_key(row.server.id): _share(row) for row in rows}
--- a/masticfork/relay/peers.py
+++ b/masticfork/relay/peers.py
@@ -143,14 +143,17 @@
                 data, source = self._sock.recvfrom(READ_BYTES)
             except OSError:
                 return
-            decoded = decode_digest(data)
-            if isinstance(decoded, Err):
-                self._log("digest ignored", error=decoded.err_value)
-            elif decoded.ok_value.host != self._host:
-                # A host that started in an outage is known only by its digests.
-                sender = Address(source[0], self._own.port)
-                self._addresses.setdefault(decoded.ok_value.host, sender)
-                self._take(decoded.ok_value)
+            self.on_datagram(data, Address(source[0], self._own.port))
+
+    def on_datagram(self, data: bytes, sender: Address) -> None:
+        """Take one digest of another host."""
+        decoded = decode_digest(data)
+        if isinstance(decoded, Err):
+            self._log("digest ignored", error=decoded.err_value)
+        elif decoded.ok_value.host != self._host:
+            # A host that started in an outage is known only by its digests.
+            self._addresses.setdefault(decoded.ok_value.host, sender)
+            self._take(decoded.ok_value)
 
     def copy_from_newest(
         self,
@@ -189,7 +192,8 @@
 
     def _take(self, digest: Digest) -> None:
         known = self._peers.get(digest.host)
-        if known is None and digest.partial:
+        if digest.partial and not _is_same_process(known, digest):
+            # What it adds to is not known yet; the next whole digest holds it too.
             return
         changed = set(digest.loads)
         if known is not None:
@@ -227,6 +231,10 @@
                 self._on_load(server, load, sign)
 
 
+def _is_same_process(known: _Peer | None, digest: Digest) -> bool:
+    return known is not None and known.digest.incarnation == digest.incarnation
+
+
 def _fetch(address: Address) -> dict[str, Listing] | str:
     """Return a peer's copy of the store, or why there is none."""
     pool = ConnectionPool(str(address), time.monotonic)
