--- a/soak/callers.py
+++ b/soak/callers.py
@@ -130,6 +130,8 @@
                 if leaves:
                     self._drop()
                     return attrs.evolve(seen, left_at=time.monotonic())
+            # `read1` does not mark an empty answer as read; the next one could not come.
+            response.read()
         except http.client.IncompleteRead as error:
             self._drop()
             return attrs.evolve(seen, body=body + error.partial)
