--- a/soak/callers.py
+++ b/soak/callers.py
@@ -130,7 +130,7 @@
                 if leaves:
                     self._drop()
                     return attrs.evolve(seen, left_at=time.monotonic())
-            # `read1` does not mark an empty answer as read; the next one could not come.
+            # `read1` does not mark an empty answer as read, so that none could follow.
             response.read()
         except http.client.IncompleteRead as error:
             self._drop()
