Let one piece of code serve where the change had written it twice

Read over the whole change; behaviour stays as it is. - One hash for orders that all hosts share (core/ids.rank): it stood in peers/selection and systems/watchers, and server_choice and version_shift wrote it again. The bytes are the same. - One free port (standins/ports): bench, features, two tests and bench/peers still took ports from the range of outgoing connections, the cause of a flaky test mended earlier in one place only. - server_choice: the delay of an engine uses the work at hand that stood beside it. exchange: one end of the silence timer for three. caller: one empty answer for two. objects: one PUT, one path. - soak: hosts are started by tools/run_platform, headers come from entry_world, plain answers and streams share their frame, faults are told apart by kind and not by text; an unread field is gone. - Tests of decisions share one typed route (standins/typed_routes) for four copies. - log_story gathers what bears on a request once, not for each line.

--- a/bench/peers.py
+++ b/bench/peers.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import json
-import socket
 import statistics
 import subprocess
 import sys
@@ -13,6 +12,8 @@
 import attrs
 import click
 
+from standins.ports import free_port
+
 ZONES = 3
 FORM_SECONDS = 30.0
 # Time for the links of the start to be pruned and its news to be told.
@@ -138,8 +139,7 @@
 
 
 def _free_address() -> str:
-    with socket.create_server(("127.0.0.1", 0)) as server:
-        return f"127.0.0.1:{server.getsockname()[1]}"
+    return f"127.0.0.1:{free_port()}"
 
 
 @click.command()
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -2,7 +2,6 @@
 
 import http.client
 import os
-import socket
 import subprocess
 import sys
 import time
@@ -10,6 +9,8 @@
 from contextlib import contextmanager
 from pathlib import Path
 
+from standins.ports import free_port
+
 START_SECONDS = 20.0
 STOP_SECONDS = 10.0
 _TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
@@ -19,13 +20,6 @@
 _SYSTEM_TICKS = 12
 
 
-def free_port() -> int:
-    """Return a port that was free a moment ago."""
-    with socket.socket() as listener:
-        listener.bind(("127.0.0.1", 0))
-        return int(listener.getsockname()[1])
-
-
 def cpu_seconds(pid: int) -> float:
     """Return the processor seconds that a process has used."""
     stat = Path(f"/proc/{pid}/stat").read_text()
--- a/bench/relay.py
+++ b/bench/relay.py
@@ -14,6 +14,7 @@
 from bench import processes
 from bench.load import StreamLoad, StreamLoader, StreamResults
 from masticfork.settings.keys import hash_key
+from standins.ports import free_port
 
 SALT = "7fe8dda024a89811f57d59ea708ebdf0"
 SECRET = "9bf65f4bed3de8aa8a7d4627a0456aba5615d85d7b11fc3cb228d473ae73ce53"
@@ -64,14 +65,14 @@
 
 def settings(folder: Path, platform_port: int) -> tuple[Path, int]:
     """Write a daemon's settings; return the file and the port for callers."""
-    port = processes.free_port()
+    port = free_port()
     value = {
         "host": "entry-1",
         "zone": "zilina",
         "entry": {"port": port, "threads": DAEMON_THREADS},
-        "admin": {"port": processes.free_port()},
+        "admin": {"port": free_port()},
         "peer": {
-            "port": processes.free_port(),
+            "port": free_port(),
             "keys": [{"id": "p", "secret_hex": SECRET}],
         },
         "platform": {"url": f"http://127.0.0.1:{platform_port}"},
--- a/features/steps/hosts.py
+++ b/features/steps/hosts.py
@@ -2,7 +2,6 @@
 
 import json
 import random
-import socket
 import threading
 import time
 
@@ -14,6 +13,7 @@
 from standins.engine import Engine
 from standins.engine import Settings as EngineSettings
 from standins.plain_service import PlainService
+from standins.ports import free_port
 
 SALT = "7fe8dda024a89811f57d59ea708ebdf0"
 KEY = "example-order-desk"
@@ -22,12 +22,6 @@
 CONFIGURATION_KEY = "configuration/current"
 
 
-def free_port() -> int:
-    with socket.socket() as listener:
-        listener.bind(("127.0.0.1", 0))
-        return listener.getsockname()[1]
-
-
 def server(name: str, port: int) -> dict:
     return {"name": name, "host": "127.0.0.1", "port": port, "zone": "zilina"}
 
--- a/masticfork/admin/log_story.py
+++ b/masticfork/admin/log_story.py
@@ -51,8 +51,7 @@
         key=lambda line: str(line.get("at", "")),
     )
     own = tuple(line for line in lines if line.get("request") == request_id)
-    context = tuple(line for line in lines if _bears_on(line, own))
-    return LogStory(own, context, _cause(own), findings)
+    return LogStory(own, _context(own, lines), _cause(own), findings)
 
 
 def story_text(story: LogStory) -> str:
@@ -63,15 +62,19 @@
     return "\n".join([*(_line_text(line) for line in shown), f"cause: {story.cause}"])
 
 
-def _bears_on(line: Line, own: tuple[Line, ...]) -> bool:
-    """Tell whether a line of no request explains what happened to this one."""
-    message, host = line.get("message"), line.get("host")
-    if message in _OF_SERVERS:
-        servers = {row["server"] for row in own if "server" in row}
-        hosts = {row.get("host") for row in own}
-        return line.get("server") in servers and host in hosts
+def _context(own: tuple[Line, ...], lines: Iterable[Line]) -> tuple[Line, ...]:
+    """Return the lines of no request that explain what happened to this one."""
+    servers = {row["server"] for row in own if "server" in row}
+    hosts = {row.get("host") for row in own}
     refused = {row.get("host") for row in own if row.get("message") == "refused"}
-    return message in _OF_CONFIGURATION and host in refused
+
+    def bears_on(line: Line) -> bool:
+        message, host = line.get("message"), line.get("host")
+        if message in _OF_SERVERS:
+            return line.get("server") in servers and host in hosts
+        return message in _OF_CONFIGURATION and host in refused
+
+    return tuple(line for line in lines if bears_on(line))
 
 
 def _cause(own: tuple[Line, ...]) -> str:
--- a/masticfork/core/ids.py
+++ b/masticfork/core/ids.py
@@ -40,5 +40,13 @@
 
 def digest(*parts: str) -> str:
     """Return a stable hexadecimal digest of the parts, for keys and hashing."""
-    joined = "\x1f".join(parts).encode()
-    return hashlib.blake2b(joined, digest_size=16).hexdigest()
+    return _hash(16, parts).hex()
+
+
+def rank(*parts: str) -> bytes:
+    """Return the parts' place in an order that is the same on all hosts."""
+    return _hash(8, parts)
+
+
+def _hash(size: int, parts: tuple[str, ...]) -> bytes:
+    return hashlib.blake2b("\x1f".join(parts).encode(), digest_size=size).digest()
--- a/masticfork/peers/link_test.py
+++ b/masticfork/peers/link_test.py
@@ -27,6 +27,7 @@
 from masticfork.peers.records import Handlers, LinkSettings
 from masticfork.peers.requests import RequestError
 from masticfork.peers.selection import PeerAddress
+from standins.ports import free_port
 
 KEY = PeerKey("k1", b"secret of all hosts, long enough")
 LONGEST_WAIT_SECONDS = 20
@@ -48,8 +49,7 @@
 
 
 def free_address():
-    with socket.create_server(("127.0.0.1", 0)) as server:
-        return f"127.0.0.1:{server.getsockname()[1]}"
+    return f"127.0.0.1:{free_port()}"
 
 
 def wait_until(condition):
--- a/masticfork/peers/selection.py
+++ b/masticfork/peers/selection.py
@@ -7,12 +7,11 @@
 hosts are dialled four times as often as others.
 """
 
-import hashlib
 from collections.abc import Iterable
 
 import attrs
 
-from masticfork.core.ids import HostName, ZoneName
+from masticfork.core.ids import HostName, ZoneName, rank
 
 FULL_MESH_HOSTS = 8
 OWN_ZONE_PEERS = 2
@@ -28,12 +27,6 @@
     address: str
 
 
-def _rank(ring: str, host: HostName) -> bytes:
-    """Return a host's place on a ring."""
-    joined = f"{ring}\x1f{host}".encode()
-    return hashlib.blake2b(joined, digest_size=8).digest()
-
-
 def choose_peers(
     me: HostName, zone: ZoneName, peers: Iterable[PeerAddress]
 ) -> tuple[PeerAddress, ...]:
@@ -54,8 +47,8 @@
     ring: str, me: HostName, peers: Iterable[PeerAddress]
 ) -> list[PeerAddress]:
     """Return the peers in the order in which they follow `me` on a ring."""
-    mine = _rank(ring, me)
-    ranked = sorted((_rank(ring, peer.host), peer.address, peer) for peer in peers)
+    mine = rank(ring, me)
+    ranked = sorted((rank(ring, peer.host), peer.address, peer) for peer in peers)
     after = [peer for rank, _, peer in ranked if rank > mine]
     before = [peer for rank, _, peer in ranked if rank <= mine]
     return after + before
--- a/masticfork/platform/objects.py
+++ b/masticfork/platform/objects.py
@@ -125,7 +125,7 @@
         self, kind: str, name: str, deadline: Deadline
     ) -> Result[PlatformObject, PlatformError]:
         """Return one object."""
-        outcome = self._call("GET", f"{kind}/{quote(name, safe='')}", deadline)
+        outcome = self._call("GET", _path(kind, name), deadline)
         return outcome.and_then(_decode_one)
 
     def create(
@@ -140,15 +140,18 @@
     ) -> Result[PlatformObject, PlatformError]:
         """Replace an object's spec, if it still has that revision."""
         body = {"metadata": {"name": name, "revision": revision}, "spec": spec}
-        path = f"{kind}/{quote(name, safe='')}"
-        return self._call("PUT", path, deadline, body).and_then(_decode_one)
+        return self._put(_path(kind, name), body, deadline)
 
     def replace_status(
         self, kind: str, name: str, status: Any, revision: int, deadline: Deadline
     ) -> Result[PlatformObject, PlatformError]:
         """Replace an object's status, if it still has that revision."""
         body = {"metadata": {"name": name, "revision": revision}, "status": status}
-        path = f"{kind}/{quote(name, safe='')}/status"
+        return self._put(f"{_path(kind, name)}/status", body, deadline)
+
+    def _put(
+        self, path: str, body: Any, deadline: Deadline
+    ) -> Result[PlatformObject, PlatformError]:
         return self._call("PUT", path, deadline, body).and_then(_decode_one)
 
     def _call(
@@ -167,6 +170,10 @@
         return _judge(method, outcome.ok_value)
 
 
+def _path(kind: str, name: str) -> str:
+    return f"{kind}/{quote(name, safe='')}"
+
+
 def _judge(method: str, answer: Answer) -> Result[Any, PlatformError]:
     """Return the body of a success, or what the status says."""
     if 200 <= answer.status < 300:
--- a/masticfork/relay/at_most_once_model_test.py
+++ b/masticfork/relay/at_most_once_model_test.py
@@ -15,13 +15,14 @@
 
 from masticfork.core.backend_servers import Address, BackendServer
 from masticfork.core.forwarding import AnswerHead, CallerHead, CallerRequest
-from masticfork.core.routes import Route, RouteKind
+from masticfork.core.routes import RouteKind
 from masticfork.relay.exchange import CallRecord, Exchange
 from masticfork.relay.server_call import CallFailure, Stage
 from masticfork.relay.tables import ServerRow
 from masticfork.systems.model_choice import ConfidenceCascade
 from masticfork.systems.server_choice import ServerLoad
 from standins.fake_loop import FakeLoop
+from standins.typed_routes import typed_route
 
 ATTEMPT = b"a-1"
 TIMEOUT = 2.0
@@ -149,23 +150,6 @@
     return CallerRequest(b"POST", b"/x", "a.example", head, b"", 0.0)
 
 
-def _route(kind: RouteKind) -> Route:
-    return Route(
-        name="r",
-        host="a.example",
-        path_prefix="/",
-        kind=kind,
-        timeout=TIMEOUT,
-        target=0.2,
-        max_attempts=3,
-        priority=1,
-        public=True,
-        resumable=False,
-        models=(),
-        services=(),
-    )
-
-
 HEADS = {
     "good": {},
     "refused": {"status": 503, "not_run": True, "signed": False},
@@ -206,7 +190,7 @@
             host=self.host,
             reply=self.reply,
             request=_request(),
-            route=_route(kind),
+            route=typed_route(kind, timeout=TIMEOUT, services=()),
             service="s",
             team=None,
             urgency=1,
--- a/masticfork/relay/caller.py
+++ b/masticfork/relay/caller.py
@@ -248,9 +248,8 @@
 
     def refuse(self, status: http.HTTPStatus, headers: list[Header]) -> None:
         """Answer the current request with a status of our own."""
-        length = (b"content-length", b"0")
         self._chunked = False
-        self._write_head(status.value, status.phrase.encode(), [*headers, length])
+        self._write_empty(status, headers)
         self.end_answer()
 
     def close_idle(self) -> None:
@@ -268,6 +267,11 @@
         lines.append(b"\r\n")
         self._channel.write(b"".join(lines))
 
+    def _write_empty(self, status: http.HTTPStatus, headers: list[Header]) -> None:
+        """Write a whole answer of our own, which has no body."""
+        length = (b"content-length", b"0")
+        self._write_head(status.value, status.phrase.encode(), [*headers, length])
+
     def _serve_next(self) -> None:
         if self._exchange is not None or not self._queue or self._channel.closed:
             return
@@ -293,8 +297,7 @@
             self._close_after = True
             return
         self._close_after = True
-        headers = [*self._host.refusal_headers(b""), (b"content-length", b"0")]
-        self._write_head(status.value, status.phrase.encode(), headers)
+        self._write_empty(status, self._host.refusal_headers(b""))
         self._end_timer()
         self._timer = self._loop.call_after(LINGER, self._finish)
 
--- a/masticfork/relay/exchange.py
+++ b/masticfork/relay/exchange.py
@@ -450,9 +450,7 @@
 
     def _watch_silence(self) -> None:
         """Wait anew for the server's next sign."""
-        if self._silence is not None:
-            self._silence.cancel()
-            self._silence = None
+        self._stop_watching()
         record = self._record
         if record is not None and self.route.repeatable:
             begun = record.head_at is not None
@@ -460,6 +458,11 @@
             seconds = silence_limit(self.route, begun, usual, record.expected)
             self._silence = self.host.loop.call_after(seconds, self._on_silence)
 
+    def _stop_watching(self) -> None:
+        if self._silence is not None:
+            self._silence.cancel()
+            self._silence = None
+
     def _on_silence(self) -> None:
         if self.history.sent >= self.route.max_attempts:
             return
@@ -500,9 +503,7 @@
         record, self._record = self._record, None
         if record is None:
             return
-        if self._silence is not None:
-            self._silence.cancel()
-            self._silence = None
+        self._stop_watching()
         record.ended_at = self.host.loop.now
         record.outcome = outcome
         status = self._head.status if self._head is not None else 0
@@ -520,8 +521,7 @@
         if self._over:
             return
         record, self._record = self._record, None
-        if self._silence is not None:
-            self._silence.cancel()
+        self._stop_watching()
         if record is not None:
             if record.call is not None:
                 record.call.cancel()
--- a/masticfork/relay/plain_page.py
+++ b/masticfork/relay/plain_page.py
@@ -1,5 +1,6 @@
 """A listener that answers each GET with a short page: readiness and metrics."""
 
+import selectors
 import socket
 from collections.abc import Callable
 
@@ -24,7 +25,7 @@
         self._loop = loop
         self._page = page
         self._sock = listen(address, BACKLOG)
-        loop.register(self._sock, 1, self)
+        loop.register(self._sock, selectors.EVENT_READ, self)
 
     def on_events(self, events: int) -> None:
         """Accept what waits."""
--- a/masticfork/scripts/masticfork_test.py
+++ b/masticfork/scripts/masticfork_test.py
@@ -1,5 +1,4 @@
 import json
-import socket
 import threading
 from collections.abc import Iterator
 from pathlib import Path
@@ -12,6 +11,7 @@
 from masticfork.admin.app_test import Client
 from masticfork.admin.submissions_test import manifest
 from masticfork.scripts.masticfork import main
+from standins.ports import free_port
 
 
 class Daemon:
@@ -58,9 +58,7 @@
 
 
 def unused_url() -> str:
-    with socket.socket() as closed:
-        closed.bind(("127.0.0.1", 0))
-        return f"http://127.0.0.1:{closed.getsockname()[1]}"
+    return f"http://127.0.0.1:{free_port()}"
 
 
 class TestCheck:
--- a/masticfork/systems/failed_calls_test.py
+++ b/masticfork/systems/failed_calls_test.py
@@ -1,6 +1,6 @@
 import pytest
 
-from masticfork.core.routes import Route, RouteKind, ServiceShare
+from masticfork.core.routes import RouteKind
 from masticfork.systems.failed_calls import (
     CallHistory,
     CallOutcome,
@@ -8,23 +8,11 @@
     follow_up,
     silence_limit,
 )
+from standins.typed_routes import typed_route
 
 
 def route(kind, resumable=False, attempts=3):
-    return Route(
-        name="r",
-        host="a",
-        path_prefix="/",
-        kind=kind,
-        timeout=2.0,
-        target=0.2,
-        max_attempts=attempts,
-        priority=0,
-        public=True,
-        resumable=resumable,
-        models=(),
-        services=(ServiceShare("s", 1.0),),
-    )
+    return typed_route(kind, resumable=resumable, max_attempts=attempts)
 
 
 ONCE = [route(RouteKind.NON_IDEMPOTENT), route(RouteKind.STREAM)]
--- a/masticfork/systems/model_choice_test.py
+++ b/masticfork/systems/model_choice_test.py
@@ -1,22 +1,9 @@
 import pytest
 
-from masticfork.core.routes import Route, RouteKind, ServiceShare
 from masticfork.systems.model_choice import ConfidenceCascade, FixedSize
+from standins.typed_routes import route_of_sizes
 
-ROUTE = Route(
-    name="r",
-    host="a",
-    path_prefix="/",
-    kind=RouteKind.STREAM,
-    timeout=12.0,
-    target=2.0,
-    max_attempts=3,
-    priority=0,
-    public=True,
-    resumable=True,
-    models=("small", "middle", "large"),
-    services=(ServiceShare("s", 1.0),),
-)
+ROUTE = route_of_sizes()
 
 
 class TestConfidenceCascade:
--- a/masticfork/systems/overload_by_large_models_test.py
+++ b/masticfork/systems/overload_by_large_models_test.py
@@ -2,28 +2,15 @@
 
 import random
 
-from masticfork.core.routes import Route, RouteKind
 from masticfork.systems.model_choice import ConfidenceCascade, FixedSize, ModelPolicy
 from masticfork.systems.server_choice import PREFILL_TOKENS_PER_SECOND, SIZE_PACES
+from standins.typed_routes import route_of_sizes
 
 # One engine's share of the traffic: prompts in a second, and the tokens of each.
 PER_SECOND = 3.0
 PROMPT_TOKENS = 12_000
 SECONDS = 60.0
-ROUTE = Route(
-    name="drafts",
-    host="a.example",
-    path_prefix="/",
-    kind=RouteKind.STREAM,
-    timeout=12.0,
-    target=2.0,
-    priority=1,
-    public=False,
-    services=(),
-    max_attempts=3,
-    resumable=True,
-    models=("small", "medium", "large"),
-)
+ROUTE = route_of_sizes()
 
 
 def late_share(policy: ModelPolicy) -> float:
--- a/masticfork/systems/server_choice.py
+++ b/masticfork/systems/server_choice.py
@@ -1,6 +1,5 @@
 """Chooses the server of a call by locality of the prompt and expected load."""
 
-import hashlib
 from collections import OrderedDict
 from collections.abc import Iterable, Sequence
 from typing import Protocol
@@ -9,6 +8,7 @@
 
 from masticfork.core.backend_servers import BackendServer
 from masticfork.core.forwarding import PromptPart
+from masticfork.core.ids import rank
 
 # Servers that are preferred for a prompt, the same ones on all hosts.
 PREFERRED = 3
@@ -187,10 +187,8 @@
 ) -> float:
     """Return the expected seconds to the first token of a call to an engine."""
     unread = unread_work(load, work, now, expected)
-    waiting = load.pending_work + load.pending_elsewhere
-    busy = load.busy + load.busy_elsewhere
-    delay = (unread + waiting) / PREFILL_TOKENS_PER_SECOND
-    return delay + SECONDS_PER_BUSY * busy + _penalty(load, zone, now)
+    own = unread / PREFILL_TOKENS_PER_SECOND
+    return own + _work_at_hand(load) + _penalty(load, zone, now)
 
 
 def _plain(load: ServerLoad, zone: str, now: float) -> float:
@@ -215,11 +213,7 @@
     """
     shared = work.prompt[-2:][0].id if work.prompt else ""
     key = f"{work.model}/{shared}/"
-    return sorted(loads, key=lambda load: _score(key + load.server.id), reverse=True)
-
-
-def _score(text: str) -> bytes:
-    return hashlib.blake2b(text.encode(), digest_size=8).digest()
+    return sorted(loads, key=lambda load: rank(key + load.server.id), reverse=True)
 
 
 def _least_loaded(loads: Sequence[ServerLoad]) -> list[ServerLoad]:
--- a/masticfork/systems/version_shift.py
+++ b/masticfork/systems/version_shift.py
@@ -5,7 +5,6 @@
 comes first, under the condition that nobody else has written since.
 """
 
-import hashlib
 import statistics
 from collections import deque
 
@@ -16,6 +15,7 @@
     RolloutState,
     VersionRollout,
 )
+from masticfork.core.ids import rank
 
 # Share of the new sessions on the new version in each step: a trial, both versions side
 # by side, the new version alone. A bad version may get 0.15 of all requests between the
@@ -185,5 +185,4 @@
 
 def _position(text: str) -> float:
     """Return a number in [0, 1) that all hosts share for a text."""
-    digest = hashlib.blake2b(text.encode(), digest_size=8).digest()
-    return int.from_bytes(digest) / 2.0**64
+    return int.from_bytes(rank(text)) / 2.0**64
--- a/masticfork/systems/watchers.py
+++ b/masticfork/systems/watchers.py
@@ -6,10 +6,7 @@
 heartbeats.
 """
 
-import hashlib
-
-from masticfork.core.hosts import RegionName
-from masticfork.core.ids import HostName
+from masticfork.core.ids import HostName, rank
 from masticfork.core.tables import Tables
 from masticfork.systems.membership import live_hosts
 
@@ -25,15 +22,10 @@
     if len(others) + len(mine) <= ALL_WATCH_HOSTS:
         return frozenset([*mine, *(row.host for row in others)])
     near = [row.host for row in others if row.region == me.region]
-    ranked = sorted([*mine, *near], key=lambda host: _rank(me.region, host))
+    ranked = sorted([*mine, *near], key=lambda host: rank("watcher", me.region, host))
     return frozenset(ranked[:WATCHERS_PER_REGION])
 
 
 def watches(tables: Tables) -> bool:
     """Tell whether this host watches the platform."""
     return tables.me.host in watchers(tables)
-
-
-def _rank(region: RegionName, host: HostName) -> bytes:
-    joined = f"watcher\x1f{region}\x1f{host}".encode()
-    return hashlib.blake2b(joined, digest_size=8).digest()
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -10,7 +10,7 @@
 
 from masticfork.core.backend_servers import Address
 from soak.records import Attempt, RequestKind
-from standins.entry_world import KEY
+from standins.entry_world import request_headers
 
 # Seconds for which a caller waits for any byte.
 PATIENCE = 8.0
@@ -151,13 +151,9 @@
         return max(1, self._shared.version - older)
 
     def _headers(self, attempt_id: str) -> dict[str, str]:
-        return {
-            "Host": "a.example",
-            "Authorization": f"Bearer {KEY}",
-            "X-Masticfork-Attempt-Id": attempt_id,
+        changes = {
             "X-Masticfork-Deadline-Ms": str(DEADLINE_MS),
-            "X-Masticfork-Model": "*",
-            "X-Masticfork-Token-Usage": "100,10",
             "X-Masticfork-Prompt-Prefix": f"p{self._count % 5}:60,own:40",
             "Session": self._name,
         }
+        return request_headers(attempt_id, changes)
--- a/soak/records.py
+++ b/soak/records.py
@@ -27,17 +27,18 @@
     CONFIGURED = "new configuration"
 
 
-# Kinds whose target is an entry host.
-HOST_KINDS = frozenset(
+# Kinds that a host's process meets, and those that its link to the store does.
+PROCESS_KINDS = frozenset(
     {
         FaultKind.HOST_KILLED,
         FaultKind.HOST_PAUSED,
         FaultKind.HOST_STOPPED,
         FaultKind.HOST_RELOADS,
-        FaultKind.STORE_CUT,
-        FaultKind.STORE_RESET,
     }
 )
+STORE_LINK_KINDS = frozenset({FaultKind.STORE_CUT, FaultKind.STORE_RESET})
+# Kinds whose target is an entry host.
+HOST_KINDS = PROCESS_KINDS | STORE_LINK_KINDS
 # Kinds whose target is a backend server.
 SERVER_KINDS = frozenset(
     {
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -2,7 +2,7 @@
 
 import random
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import attrs
 
@@ -31,6 +31,10 @@
 PLAIN_SPOILS = ("refused", "reset", "run and reset", "strange", "unsigned", "cut")
 STREAM_SPOILS = ("refused", "reset", "closed midway", "reset midway", "within an event")
 
+_Bytes = Iterator[bytes]
+# Yields the answer to a request, spoilt in the way that is named.
+_Answer = Callable[[Asked, str], _Bytes]
+
 
 def plain_body(attempt_id: str) -> bytes:
     """Return the body of the whole answer to a plain request."""
@@ -54,33 +58,24 @@
 
     def plain(self, asked: Asked) -> Iterator[bytes]:
         """Answer a plain request."""
-        spoil = self._spoil(asked, PLAIN_SPOILS)
-        if spoil in ("refused", "reset"):
-            yield from _not_run(spoil)
-            return
-        run = self._begin(asked, spoil)
-        try:
-            time.sleep(PLAIN_SECONDS)
-            yield from self._plain_answer(asked, spoil)
-        finally:
-            run.ended_at = time.monotonic()
+        yield from self._serve(asked, PLAIN_SPOILS, self._plain_answer)
 
     def stream(self, asked: Asked) -> Iterator[bytes]:
         """Answer a stream after the last event that the caller has."""
-        spoil = self._spoil(asked, STREAM_SPOILS)
+        yield from self._serve(asked, STREAM_SPOILS, self._events)
+
+    def _serve(self, asked: Asked, ways: tuple[str, ...], run: _Answer) -> _Bytes:
+        """Refuse a request, or run it and record that."""
+        spoil = self._spoil(asked, ways)
         if spoil in ("refused", "reset"):
             yield from _not_run(spoil)
             return
-        run = self._begin(asked, spoil)
+        record = Run(asked.attempt_id, self.index, time.monotonic(), sabotage=spoil)
+        self.runs.append(record)
         try:
-            yield from self._events(asked, spoil)
+            yield from run(asked, spoil)
         finally:
-            run.ended_at = time.monotonic()
-
-    def _begin(self, asked: Asked, spoil: str) -> Run:
-        run = Run(asked.attempt_id, self.index, time.monotonic(), sabotage=spoil)
-        self.runs.append(run)
-        return run
+            record.ended_at = time.monotonic()
 
     def _spoil(self, asked: Asked, ways: tuple[str, ...]) -> str:
         if asked.headers.get("x-masticfork-expect-instance") != self.id:
@@ -88,6 +83,7 @@
         return self.source.choice(ways) if self.source.random() < SPOILT_SHARE else ""
 
     def _plain_answer(self, asked: Asked, spoil: str) -> Iterator[bytes]:
+        time.sleep(PLAIN_SECONDS)
         body = plain_body(asked.attempt_id)
         if spoil == "run and reset":
             raise ResetConnectionError
--- a/soak/world.py
+++ b/soak/world.py
@@ -15,21 +15,30 @@
 from masticfork.core.findings import Finding, Place
 from soak.callers import Caller, Shared, Target
 from soak.links import Link
-from soak.records import Fault, FaultKind, History, RequestKind, Run, Span
+from soak.records import (
+    PROCESS_KINDS,
+    SERVER_KINDS,
+    STORE_LINK_KINDS,
+    Fault,
+    FaultKind,
+    History,
+    RequestKind,
+    Run,
+    Span,
+)
 from soak.servers import SoakServer
 from standins.common import LOOPBACK, serving
 from standins.entry_world import (
     ENGINES,
     SERVICE,
     configuration,
-    free_address,
     route,
     server_entry,
 )
 from standins.object_store import ObjectStore
 from standins.scripted_server import ScriptedServer
 from tools.processes import Program, end_all
-from tools.run_platform import ENTRY_MODULE, GRACE_SECONDS, write_settings
+from tools.run_platform import GRACE_SECONDS, start_host
 
 # Seconds within which a host that was told to stop has ended.
 STOP_SECONDS = GRACE_SECONDS + 1.0
@@ -58,7 +67,6 @@
 
     program: Program
     target: Target
-    ready: Address
     store_link: Link
     started_at: float
     # When the process may be started again, None while it is not to be.
@@ -156,16 +164,12 @@
         self._store.put("servers", server.script.id, entry)
 
     def _add_host(self, index: int) -> None:
-        front, ready, link = free_address(), free_address(), Link(self._store_address)
-        name = f"host-{index}"
-        path = write_settings(self._folder, index, front, ready, link.address)
-        arguments = [ENTRY_MODULE, "--settings", str(path)]
-        program = Program(name, arguments, self._folder)
-        target = Target(index, front)
-        self.shared.targets.append(target)
+        link = Link(self._store_address)
         started_at = time.monotonic()
-        self._hosts.append(_Host(program, target, ready, link, started_at))
-        program.start()
+        started = start_host(index, link.address, self._folder)
+        target = Target(index, started.front)
+        self.shared.targets.append(target)
+        self._hosts.append(_Host(started.program, target, link, started_at))
 
     # Running.
 
@@ -264,14 +268,14 @@
         self._later.append((now + lasts, end))
 
     def _begin(self, fault: Fault, until: float) -> Callable[[], None]:
-        if fault.kind.value.startswith("host"):
+        if fault.kind in PROCESS_KINDS:
             return self._disturb_host(fault.kind, self._hosts[fault.target], until)
-        if fault.kind in (FaultKind.STORE_CUT, FaultKind.STORE_RESET):
+        if fault.kind in STORE_LINK_KINDS:
             link = self._hosts[fault.target].store_link
             return _disturb_link(fault.kind, link)
         if fault.kind is FaultKind.SERVER_LEAVES:
             return self._take_out(self._servers[fault.target], until)
-        if "server" in fault.kind.value:
+        if fault.kind in SERVER_KINDS:
             return _disturb_link(fault.kind, self._servers[fault.target].link)
         if fault.kind is FaultKind.CONFIGURED:
             self._configure(self.shared.version + 1)
--- a/standins/entry_world.py
+++ b/standins/entry_world.py
@@ -15,7 +15,7 @@
 from masticfork.relay.entry import EntryHost
 from standins.common import LOOPBACK, serving
 from standins.object_store import ObjectStore
-from standins.ports import free_ports
+from standins.ports import free_port
 from standins.scripted_server import Script, ScriptedServer
 
 READY_SECONDS = 10.0
@@ -76,6 +76,24 @@
     return spec
 
 
+def request_headers(
+    attempt_id: str, changes: dict[str, str] | None = None
+) -> dict[str, str]:
+    """Return the headers of a good request; a change to nothing leaves one out."""
+    headers = {
+        "Host": "a.example",
+        "Authorization": f"Bearer {KEY}",
+        "X-Masticfork-Attempt-Id": attempt_id,
+        "X-Masticfork-Deadline-Ms": "3000",
+        "X-Masticfork-Model": "*",
+        "X-Masticfork-Token-Usage": "100,10",
+        "X-Masticfork-Prompt-Prefix": "a1:60,b2:40",
+        "Session": "s-1",
+    }
+    headers.update(changes or {})
+    return {name: value for name, value in headers.items() if value}
+
+
 def server_entry(server: ScriptedServer, service: str, **changes: Any) -> Any:
     """Return the entry of a server as it writes it."""
     spec = {
@@ -168,18 +186,7 @@
     def headers(self, changes: dict[str, str] | None = None) -> dict[str, str]:
         """Return the headers of a good request."""
         self._names += 1
-        headers = {
-            "Host": "a.example",
-            "Authorization": f"Bearer {KEY}",
-            "X-Masticfork-Attempt-Id": f"attempt-{self._names}",
-            "X-Masticfork-Deadline-Ms": "3000",
-            "X-Masticfork-Model": "*",
-            "X-Masticfork-Token-Usage": "100,10",
-            "X-Masticfork-Prompt-Prefix": "a1:60,b2:40",
-            "Session": "s-1",
-        }
-        headers.update(changes or {})
-        return {name: value for name, value in headers.items() if value}
+        return request_headers(f"attempt-{self._names}", changes)
 
     def is_ready(self) -> bool:
         """Ask the host whether it is ready."""
@@ -206,7 +213,7 @@
 
 def free_address() -> Address:
     """Return an address that nothing listens on."""
-    return Address(LOOPBACK, free_ports(1)[0])
+    return Address(LOOPBACK, free_port())
 
 
 @contextmanager
--- a/standins/ports.py
+++ b/standins/ports.py
@@ -20,6 +20,11 @@
     return list(itertools.islice(free, count))
 
 
+def free_port() -> int:
+    """Return one such port."""
+    return free_ports(1)[0]
+
+
 def _binds(port: int) -> bool:
     with socket.socket() as probe:
         try:
--- a/tools/run_platform.py
+++ b/tools/run_platform.py
@@ -93,14 +93,13 @@
     yield from events(asked, EVENTS, EVENT_PAUSE, confidence=10 if unsure else 90)
 
 
-def write_settings(
-    folder: Path, number: int, front: Address, ready: Address, store: Address
-) -> Path:
-    """Write the settings file of a host; return its path."""
-    path = folder / f"host-{number}.toml"
+def start_host(number: int, store: Address, folder: Path) -> RunningHost:
+    """Start one host; its settings and its log are in the folder."""
+    front, ready, host = free_address(), free_address(), f"host-{number}"
+    path = folder / f"{host}.toml"
     path.write_text(
         SETTINGS.format(
-            host=f"host-{number}",
+            host=host,
             zone=ZONES[number % len(ZONES)],
             peer=free_address().port,
             front=front,
@@ -109,14 +108,7 @@
             store=store,
         )
     )
-    return path
-
-
-def _start_host(number: int, store: Address, folder: Path) -> RunningHost:
-    front, ready = free_address(), free_address()
-    path = write_settings(folder, number, front, ready, store)
-    arguments = [ENTRY_MODULE, "--settings", str(path)]
-    program = Program(f"host-{number}", arguments, folder)
+    program = Program(host, [ENTRY_MODULE, "--settings", str(path)], folder)
     program.start()
     return RunningHost(program, front, ready)
 
@@ -136,7 +128,7 @@
             zone = ZONES[number % len(ZONES)]
             entry = server_entry(server, service, zone=zone)
             store.put("servers", f"i-{number}", entry)
-        started = [_start_host(number, address, folder) for number in range(hosts)]
+        started = [start_host(number, address, folder) for number in range(hosts)]
         try:
             yield RunningPlatform(store, started)
         finally:
