Obey servers that announce that they leave or want a pause

A server that leaves says so in each response; the host now sends that incarnation nothing new, whatever the store lists later, and its digests tell other hosts. A 503 with Retry-After excludes the server for this host until a stored deadline (never shortened, 600 s at most; zero, negative, not finite and dates are ignored). If all servers of a service pause, callers are refused at once with a Retry-After after the first of these deadlines, spread over some tenths of a second.

--- a/masticfork/core/digests.py
+++ b/masticfork/core/digests.py
@@ -47,6 +47,8 @@
     rollouts: tuple[RolloutEvidence, ...]
     # Version by session, both as CRC-32; sessions that ran since the last digests.
     sessions: dict[int, int] = attrs.field(factory=dict)
+    # Hashes of the incarnations of servers that announced that they leave.
+    leaving: frozenset[int] = frozenset()
     # Whether `loads` has only changed entries; all else is as in the digest before.
     partial: bool = False
 
--- a/masticfork/core/forwarding.py
+++ b/masticfork/core/forwarding.py
@@ -81,6 +81,11 @@
     signed: bool
     # Whether the server states that it did not run the request.
     not_run: bool
+    # Whether the server announces that it is leaving.
+    leaving: bool
+    # Seconds for which a server that rejected the request wants no further calls from
+    # this host, if it states any.
+    pause: float | None
     # The model's confidence in its answer, from 0 to 100.
     confidence: int | None
     # Whether the body has a content encoding, although none was requested.
--- a/masticfork/core/ids.py
+++ b/masticfork/core/ids.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import secrets
+import zlib
 from typing import NewType
 
 HostName = NewType("HostName", str)
@@ -51,5 +52,10 @@
     return _hash(8, parts)
 
 
+def short_key(text: str) -> int:
+    """Return the CRC-32 of a name, by which digests identify it on all hosts."""
+    return zlib.crc32(text.encode())
+
+
 def _hash(size: int, parts: tuple[str, ...]) -> bytes:
     return hashlib.blake2b("\x1f".join(parts).encode(), digest_size=size).digest()
--- a/masticfork/platform/names.py
+++ b/masticfork/platform/names.py
@@ -13,6 +13,8 @@
 EXPECT_INSTANCE = b"x-masticfork-expect-instance"
 NOT_EXECUTED = b"x-masticfork-not-executed"
 RETRY_AFTER = b"retry-after"
+# A server that is about to exit sets it to 1 in all its responses.
+SERVER_LEAVING = b"server-leaving"
 MODEL = b"x-masticfork-model"
 # `PROMPT,OUTPUT`: the number of prompt tokens and the maximum number of output tokens,
 # not the number of tokens used.
--- a/masticfork/platform/wire.py
+++ b/masticfork/platform/wire.py
@@ -1,6 +1,7 @@
 """Decodes and encodes the HTTP heads of callers' requests and servers' responses."""
 
 import contextlib
+import math
 
 from masticfork.core.forwarding import (
     CallerHead,
@@ -31,6 +32,8 @@
 _ANY_MODEL = "*"
 # Misdirected Request: the server did not run the request.
 _MISDIRECTED_STATUS = 421
+# Service Unavailable: with Retry-After, the server asks for a pause.
+_UNAVAILABLE_STATUS = 503
 
 
 def decode_caller_head(
@@ -101,6 +104,8 @@
         attempt_id=fields.get(names.ATTEMPT_ID, b""),
         signed=names.SERVER_STAMP in fields,
         not_run=names.NOT_EXECUTED in fields or status == _MISDIRECTED_STATUS,
+        leaving=fields.get(names.SERVER_LEAVING, b"").strip() == b"1",
+        pause=_pause_seconds(status, fields.get(names.RETRY_AFTER)),
         confidence=None if confidence is None else int(confidence),
         encoded=fields.get(b"content-encoding", b"identity") != b"identity",
         closes=b"close" in fields.get(b"connection", b"").lower(),
@@ -164,11 +169,20 @@
     return None
 
 
+def _pause_seconds(status: int, retry_after: bytes | None) -> float | None:
+    """Return the pause that a rejecting server asks for; dates are not supported."""
+    if status != _UNAVAILABLE_STATUS:
+        return None
+    seconds = _parse_number(retry_after)
+    return seconds if seconds is not None and seconds > 0.0 else None
+
+
 def _parse_number(value: bytes | None) -> float | None:
-    """Return a number, None where the value is missing or not a number."""
+    """Return a finite number, None where the value is missing or is not one."""
     if value is not None:
         with contextlib.suppress(ValueError):
-            return float(value)
+            number = float(value)
+            return number if math.isfinite(number) else None
     return None
 
 
--- a/masticfork/relay/at_most_once_model_test.py
+++ b/masticfork/relay/at_most_once_model_test.py
@@ -21,6 +21,7 @@
 from masticfork.relay.tables import ServerRow
 from masticfork.systems.model_choice import ConfidenceCascade
 from masticfork.systems.server_choice import ServerLoad
+from masticfork.systems.server_notices import ServerNotices
 from standins.fake_loop import FakeLoop
 from standins.typed_routes import typed_route
 
@@ -113,7 +114,7 @@
     def on_call_sent(self, record: CallRecord) -> None:
         """Do nothing."""
 
-    def on_response_started(self, record: CallRecord) -> None:
+    def on_response_started(self, record: CallRecord, head: Any) -> None:
         """Do nothing."""
 
     def on_call_ended(self, record: CallRecord) -> None:
@@ -122,7 +123,12 @@
     def on_exchange_ended(self, exchange: Exchange, status: int, why: str) -> None:
         self.ended_exchanges += 1
 
-    def error_headers(self, attempt_id: bytes, retry_after: Any = None) -> list[Any]:
+    def seconds_until_resumption(self, service: str) -> float:
+        return 0.0
+
+    def error_headers(
+        self, attempt_id: bytes, retry_after: Any = None, not_before: float = 0.0
+    ) -> list[Any]:
         return []
 
     def log(self, message: str, **fields: object) -> None:
@@ -132,7 +138,8 @@
 def _row(number: int) -> ServerRow:
     address = Address("127.0.0.1", 1000 + number)
     server = BackendServer(f"i-{number}", "s", address, "zone-a", "v1", 6, False)
-    return ServerRow(ServerLoad(server), connections=None)  # type: ignore[arg-type]
+    notice = ServerNotices().of(server)
+    return ServerRow(ServerLoad(server), None, notice)  # type: ignore[arg-type]
 
 
 def _request() -> CallerRequest:
@@ -170,6 +177,8 @@
         attempt_id=ATTEMPT_ID,
         signed=True,
         not_run=False,
+        leaving=False,
+        pause=None,
         confidence=None,
         encoded=False,
         closes=False,
--- a/masticfork/relay/digest.capnp
+++ b/masticfork/relay/digest.capnp
@@ -17,6 +17,8 @@
   # Whether the message holds only the loads that changed since the previous message;
   # everything else is unchanged.
   partial @8 :Bool;
+  # Hashes of the incarnations of servers that announced that they leave.
+  leaving @9 :List(UInt32);
 }
 
 struct Load {
--- a/masticfork/relay/digest_codec.py
+++ b/masticfork/relay/digest_codec.py
@@ -27,6 +27,7 @@
         configuration=digest.configuration,
         servers=digest.servers,
         partial=digest.partial,
+        leaving=sorted(digest.leaving),
         loads=[
             {
                 "server": server,
@@ -97,6 +98,7 @@
                     for item in reader.rollouts
                 ),
                 sessions={item.key: item.version for item in reader.sessions},
+                leaving=frozenset(reader.leaving),
                 partial=reader.partial,
             )
         )
--- a/masticfork/relay/entry.py
+++ b/masticfork/relay/entry.py
@@ -14,7 +14,13 @@
 from masticfork.core.backend_servers import Address
 from masticfork.core.digests import Digest, HostLoad
 from masticfork.core.findings import Finding
-from masticfork.core.forwarding import CallerHead, CallerRequest, Dispatch, Header
+from masticfork.core.forwarding import (
+    CallerHead,
+    CallerRequest,
+    Dispatch,
+    Header,
+    ResponseHead,
+)
 from masticfork.core.routes import CallerLimits, Route, RouteKind
 from masticfork.platform import names, wire
 from masticfork.platform.objects import PlatformObjects
@@ -108,7 +114,7 @@
             settings.seeds,
             settings.host,
             self._count_remote_load,
-            self._merge_session_versions,
+            self._on_digest,
             self.log,
         )
         self._store_view = StoreView(
@@ -250,6 +256,7 @@
             servers=self._store_view.servers_revision,
             loads={},
             rollouts=(),
+            leaving=self._tables.leaving_incarnations,
         )
 
     def _full_digest(self) -> Digest:
@@ -280,8 +287,11 @@
         """Add a peer's load at a server, or subtract it if `sign` is -1."""
         self._loads_elsewhere.count(server, share, sign)
 
-    def _merge_session_versions(self, remote_versions: dict[int, int]) -> None:
-        self._session_versions.apply_report(remote_versions, self._loop.now)
+    def _on_digest(self, digest: Digest) -> None:
+        """Apply what a peer has observed of sessions and servers."""
+        self._session_versions.apply_report(digest.sessions, self._loop.now)
+        if digest.leaving:
+            self._tables.apply_leaving_incarnations(digest.leaving, digest.host)
 
     # Callers.
 
@@ -340,16 +350,20 @@
         )
 
     def error_headers(
-        self, attempt_id: bytes, retry_after: float | None = None
+        self,
+        attempt_id: bytes,
+        retry_after: float | None = None,
+        not_before: float = 0.0,
     ) -> list[Header]:
         """Return the headers of an error response.
 
-        `retry_after` is in seconds; it is randomised from 0.6 to 1.6 times its value.
+        `retry_after` is in seconds; it is randomised from 0.6 to 1.6 times its value,
+        so that callers do not all return at once, and `not_before` is added to it.
         """
-        jittered_retry_after = (
-            None if retry_after is None else retry_after * random.uniform(0.6, 1.6)
-        )
-        return wire.error_headers(attempt_id, jittered_retry_after)
+        if retry_after is None:
+            return wire.error_headers(attempt_id, None)
+        delay = not_before + retry_after * random.uniform(0.6, 1.6)
+        return wire.error_headers(attempt_id, delay)
 
     def begin_exchange(
         self, caller: CallerConnection, request: CallerRequest
@@ -509,9 +523,20 @@
         """Add a call that is being sent to the load of its server."""
         self._own_loads.begin(record)
 
-    def on_response_started(self, record: CallRecord) -> None:
-        """Remove the prompt of a call from the pending work: its response has begun."""
+    def on_response_started(self, record: CallRecord, head: ResponseHead) -> None:
+        """Remove the prompt of a call from the pending work: its response has begun.
+
+        Apply what the server announces about itself in the response.
+        """
         self._own_loads.read(record)
+        if head.leaving:
+            self._tables.record_leaving(record.row, "response")
+        if head.pause is not None:
+            self._tables.record_pause(record.row, head.pause)
+
+    def seconds_until_resumption(self, service: str) -> float:
+        """Return how long all servers of a service have asked to pause, or 0."""
+        return self._tables.seconds_until_resumption(service)
 
     def on_call_ended(self, record: CallRecord) -> None:
         """Record the outcome of a call in loads, metrics and rollout evidence."""
--- a/masticfork/relay/exchange.py
+++ b/masticfork/relay/exchange.py
@@ -100,7 +100,7 @@
     def on_call_sent(self, record: "CallRecord") -> None:
         """Record that a call is being sent."""
 
-    def on_response_started(self, record: "CallRecord") -> None:
+    def on_response_started(self, record: "CallRecord", head: ResponseHead) -> None:
         """Record that the response to a call has begun."""
 
     def on_call_ended(self, record: "CallRecord") -> None:
@@ -109,10 +109,19 @@
     def on_exchange_ended(self, exchange: "Exchange", status: int, why: str) -> None:
         """Record the end of an exchange."""
 
+    def seconds_until_resumption(self, service: str) -> float:
+        """Return how long all servers of a service have asked to pause, or 0."""
+
     def error_headers(
-        self, attempt_id: bytes, retry_after: float | None = None
+        self,
+        attempt_id: bytes,
+        retry_after: float | None = None,
+        not_before: float = 0.0,
     ) -> list[Header]:
-        """Return the headers of an error response; `retry_after` is in seconds."""
+        """Return the headers of an error response.
+
+        `retry_after` is in seconds and is randomised; `not_before` is added to it.
+        """
 
     def log(self, message: str, **fields: object) -> None:
         """Write one log line."""
@@ -221,7 +230,7 @@
         if record is None:
             return
         record.head_received_at = self.host.loop.now
-        self.host.on_response_started(record)
+        self.host.on_response_started(record, head)
         outcome = self._classify_response(head)
         if outcome is not None:
             self._fail_call(outcome, f"status {head.status}")
@@ -448,7 +457,8 @@
         status, retry_after = self._error_status()
         self._record_end(status.value, reason)
         attempt_id = self.request.head.attempt_id
-        headers = self.host.error_headers(attempt_id, retry_after)
+        pause = self.host.seconds_until_resumption(self.service)
+        headers = self.host.error_headers(attempt_id, retry_after, pause)
         self.caller.send_error(status, headers)
 
     def _error_status(self) -> tuple[http.HTTPStatus, float | None]:
--- a/masticfork/relay/own_loads.py
+++ b/masticfork/relay/own_loads.py
@@ -3,8 +3,8 @@
 from collections.abc import Callable
 
 from masticfork.core.digests import HostLoad
+from masticfork.core.ids import short_key
 from masticfork.relay.exchange import CallRecord
-from masticfork.relay.session_versions import short_key
 from masticfork.relay.tables import ServerRow, Tables
 
 
--- a/masticfork/relay/peer_loads.py
+++ b/masticfork/relay/peer_loads.py
@@ -3,7 +3,7 @@
 import attrs
 
 from masticfork.core.digests import HostLoad
-from masticfork.relay.session_versions import short_key
+from masticfork.core.ids import short_key
 from masticfork.relay.tables import ServerRow, Tables
 
 
--- a/masticfork/relay/peers.py
+++ b/masticfork/relay/peers.py
@@ -59,7 +59,7 @@
         seeds: tuple[str, ...],
         host: str,
         on_load: Callable[[int, HostLoad, int], None],
-        on_sessions: Callable[[dict[int, int]], None],
+        on_digest: Callable[[Digest], None],
         log: Callable[..., None],
     ) -> None:
         self._loop = loop
@@ -67,7 +67,7 @@
         self._host = host
         # Called with a server's short key, a load, and 1 to add or -1 to subtract it.
         self._on_load = on_load
-        self._on_sessions = on_sessions
+        self._on_digest = on_digest
         self._log = log
         self._incarnation = int(time.time() * 1000)
         self._sequence = 0
@@ -225,7 +225,7 @@
             self._log("peer discovered", peer=digest.host, hosts=len(self._peers) + 2)
             merged = digest
         self._update_loads(merged, changed, 1)
-        self._on_sessions(digest.sessions)
+        self._on_digest(digest)
         self._peers[digest.host] = _Peer(merged, self._loop.now)
 
     def _expire_silent(self) -> None:
--- a/masticfork/relay/rollout_controller.py
+++ b/masticfork/relay/rollout_controller.py
@@ -17,11 +17,11 @@
 )
 from masticfork.core.deadlines import Deadline
 from masticfork.core.digests import RolloutEvidence
+from masticfork.core.ids import short_key
 from masticfork.platform import names
 from masticfork.platform.objects import PlatformObject, PlatformObjects
 from masticfork.platform.server_format import decode_rollout, encode_progress
 from masticfork.relay.loop import Loop
-from masticfork.relay.session_versions import short_key
 from masticfork.relay.tables import ServerRow, Tables
 from masticfork.store.client import PlatformError
 from masticfork.systems.version_shift import (
--- a/masticfork/relay/session_versions.py
+++ b/masticfork/relay/session_versions.py
@@ -1,8 +1,9 @@
 """The version that last served each session, on this host or another."""
 
-import zlib
 from collections import OrderedDict
 
+from masticfork.core.ids import short_key
+
 # Added to the idle timeout of sessions: the timeout counts from the end of a request,
 # but this host knows only its start.
 EXPIRY_MARGIN_SECONDS = 6.0
@@ -12,11 +13,6 @@
 MAX_SESSIONS_PER_DIGEST = 60
 
 
-def short_key(text: str) -> int:
-    """Return the CRC-32 of a name, by which digests identify it on all hosts."""
-    return zlib.crc32(text.encode())
-
-
 class SessionVersions:
     """Versions by session until the sessions expire, both stored as short keys."""
 
--- a/masticfork/relay/tables.py
+++ b/masticfork/relay/tables.py
@@ -9,6 +9,7 @@
 from masticfork.relay.loop import Loop
 from masticfork.relay.server_call import ServerConnectionPool
 from masticfork.systems.server_choice import ServerLoad
+from masticfork.systems.server_notices import ServerNotice, ServerNotices
 
 # Time for which a server stays usable after its entry went missing during or shortly
 # after a failure of the store: entries of live servers are back within 2 s, and a
@@ -27,6 +28,7 @@
 
     load: ServerLoad
     connections: ServerConnectionPool
+    notice: ServerNotice
     # Loop time at which the row is removed unless its entry reappears.
     remove_at: float | None = None
 
@@ -36,9 +38,13 @@
         return self.load.server
 
     @property
-    def usable(self) -> bool:
+    def leaving(self) -> bool:
+        """Return whether the server is leaving, by its entry or its own responses."""
+        return self.server.draining or self.notice.leaving
+
+    def accepts_calls(self, now: float) -> bool:
         """Return whether new calls may be sent to the server."""
-        return not self.server.draining
+        return not self.leaving and self.notice.accepts_calls(now)
 
 
 class Tables:
@@ -50,6 +56,7 @@
         self._routes: RouteTable | None = None
         self._rows: dict[str, ServerRow] = {}
         self._latest_start_ms: dict[str, int] = {}
+        self._notices = ServerNotices()
         self._services: dict[str, list[ServerRow]] = {}
         self._servers_known = False
         self._rollouts: dict[str, VersionRollout] = {}
@@ -93,7 +100,40 @@
     def servers_of(self, service: str) -> list[ServerRow]:
         """Return the servers of a service that accept new calls."""
         rows = self._services.get(service, [])
-        return [row for row in rows if row.usable]
+        now = self._loop.now
+        return [row for row in rows if row.accepts_calls(now)]
+
+    def seconds_until_resumption(self, service: str) -> float:
+        """Return how long all servers of a service that stay have asked to pause.
+
+        0 if one of them accepts calls now, or if there is none.
+        """
+        rows = self._services.get(service, [])
+        pauses = (row.notice.paused_until for row in rows if not row.leaving)
+        return max(0.0, min(pauses, default=0.0) - self._loop.now)
+
+    def record_leaving(self, row: ServerRow, source: str) -> None:
+        """Send no more new calls to a server that has announced that it leaves."""
+        if not row.notice.leaving:
+            row.notice.leaving = True
+            self._log("server leaving", server=row.server.id, source=source)
+
+    def record_pause(self, row: ServerRow, seconds: float) -> None:
+        """Send no calls to a server for the time that it has asked for."""
+        row.notice.pause(seconds, self._loop.now)
+        self._log("server paused", server=row.server.id, seconds=seconds)
+
+    @property
+    def leaving_incarnations(self) -> frozenset[int]:
+        """Return the keys of the listed servers that announced that they leave."""
+        notices = (row.notice for row in self._rows.values())
+        return frozenset(notice.key for notice in notices if notice.leaving)
+
+    def apply_leaving_incarnations(self, keys: frozenset[int], source: str) -> None:
+        """Apply the announcements that another host has received."""
+        for row in self._rows.values():
+            if row.notice.key in keys:
+                self.record_leaving(row, source)
 
     def row(self, server_id: str) -> ServerRow | None:
         """Return the row of a server, None if it is unknown."""
@@ -129,7 +169,9 @@
         if row is not None:
             row.connections.close()
         connections = ServerConnectionPool(self._loop, server)
-        self._rows[server.id] = ServerRow(ServerLoad(server), connections)
+        self._rows[server.id] = ServerRow(
+            ServerLoad(server), connections, self._notices.of(server)
+        )
         self._record_start(server)
         self._log(
             "server added",
--- /dev/null
+++ b/masticfork/systems/server_notices.py
@@ -0,0 +1,61 @@
+"""Notices that backend servers give about themselves in their responses.
+
+A server that leaves gets no new calls in that incarnation, whatever the store or other
+hosts say later: their information is older. A server that asks for a pause gets none
+until it is over.
+"""
+
+from collections import OrderedDict
+
+import attrs
+
+from masticfork.core.backend_servers import BackendServer
+from masticfork.core.ids import short_key
+
+# Incarnations whose notices are remembered, the latest ones. Those of removed servers
+# are kept as well, since an outdated copy of the store may list them again.
+MAX_NOTICES = 16_384
+# Longest pause that a server is granted, so that a faulty value does not exclude it for
+# good.
+MAX_PAUSE_SECONDS = 600.0
+
+
+@attrs.define(eq=False)
+class ServerNotice:
+    """What one incarnation of a server has announced."""
+
+    # Identifies the incarnation on all hosts.
+    key: int
+    leaving: bool = False
+    # Loop time until which the server wants no calls from this host.
+    paused_until: float = 0.0
+
+    def accepts_calls(self, now: float) -> bool:
+        """Return whether the server has announced nothing that excludes new calls."""
+        return not self.leaving and self.paused_until <= now
+
+    def pause(self, seconds: float, now: float) -> None:
+        """Exclude the server for `seconds`; a pause is never shortened."""
+        until = now + min(seconds, MAX_PAUSE_SECONDS)
+        self.paused_until = max(self.paused_until, until)
+
+
+class ServerNotices:
+    """Notices by incarnation."""
+
+    def __init__(self) -> None:
+        self._notices: OrderedDict[int, ServerNotice] = OrderedDict()
+
+    def of(self, server: BackendServer) -> ServerNotice:
+        """Return the notice of a server's incarnation, which is empty at first."""
+        key = incarnation_key(server)
+        notice = self._notices.setdefault(key, ServerNotice(key))
+        self._notices.move_to_end(key)
+        while len(self._notices) > MAX_NOTICES:
+            self._notices.popitem(last=False)
+        return notice
+
+
+def incarnation_key(server: BackendServer) -> int:
+    """Return a hash of what identifies a server's incarnation on all hosts."""
+    return short_key(f"{server.id}/{server.address}/{server.started_at_ms}")
