Order what the store tells by its era and revision

In a drill the store comes back from an older copy: acknowledged writes are gone and revisions are given out again. Hosts ordered all by bare revisions, so they dropped the listings of the restored store until its revisions had caught up, missed changes under reissued revisions, never wrote their own entry again, and lost the progress of rollouts.

- The store's client reads Store-Era.
A response of an earlier era, or without one after the first, never counts; a write that depends on an earlier era is not sent, one that a later era answers is not taken for done.
- Followers list anew when the era changes, mirrors and copies between hosts are ordered by (era, revision), digests carry the era.
- The configuration in force stays, and it is what peers copy.
- Rollouts keep the furthest progress known and write it again; an order that is written again keeps its identity (the status names it), so evidence and judgement stay; one that the copy lacks is kept for 8 s.
- Servers that were draining or gone and are listed again get no calls for 5 s.

Ruled out: fencing by a counter of our own in each object. Operators and servers write without it, and a restored copy has the old counter as well.

--- a/masticfork/core/backend_servers.py
+++ b/masticfork/core/backend_servers.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from masticfork.core.store_position import StorePosition
+
 
 @attrs.frozen
 class Address:
@@ -61,8 +63,16 @@
     target: str
     # Seconds, counted from the order, within which the rollout must be complete.
     duration: float
-    # Store revision of the object; the next write is conditional on it.
-    revision: int
-    # Store revision at which the order was created; identifies the order.
+    # Position of the object in the store; the next write is conditional on it.
+    position: StorePosition
+    # Store revision at which the order was created; identifies the order, also after
+    # the store was restored and the object was created again.
     created: int
+    # Store revision at which the present object was created.
+    object_created: int
+    # The furthest progress that this host knows of.
     progress: RolloutProgress
+    # The progress that the store holds; behind the above after a restoration.
+    stored_progress: RolloutProgress = attrs.field(
+        default=attrs.Factory(lambda self: self.progress, takes_self=True)
+    )
--- a/masticfork/core/digests.py
+++ b/masticfork/core/digests.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from masticfork.core.store_position import StorePosition
+
 
 @attrs.frozen
 class HostLoad:
@@ -40,8 +42,8 @@
     sequence: int
     # Version of the host's current configuration, 0 for none.
     configuration: int
-    # Store revision up to which the host has applied changes to the server list.
-    servers: int
+    # Position of the store up to which the host has applied changes to the servers.
+    servers: StorePosition
     # Loads by CRC-32 of the server's ID.
     loads: dict[int, HostLoad]
     rollouts: tuple[RolloutEvidence, ...]
--- a/masticfork/platform/formats_test.py
+++ b/masticfork/platform/formats_test.py
@@ -109,7 +109,8 @@
 
     def test_progress_round_trips_through_its_status(self):
         progress = RolloutProgress(RolloutState.RUNNING, 2, 1234.5)
-        status = encode_progress("v2", progress)
+        rollout = decode_rollout(stored_object(self.SPEC)).ok_value
+        status = encode_progress(rollout, progress)
         assert (
             decode_rollout(stored_object(self.SPEC, status)).ok_value.progress
             == progress
--- a/masticfork/platform/names.py
+++ b/masticfork/platform/names.py
@@ -51,6 +51,9 @@
     }
 )
 
+# Response header of the store: rises by one when the store is restored from a copy.
+STORE_ERA = "store-era"
+
 # Kinds of objects in the platform's object store.
 OBJECTS_PATH = "/masticfork/objects"
 KIND_CONFIG = "config"
--- a/masticfork/platform/objects.py
+++ b/masticfork/platform/objects.py
@@ -1,6 +1,7 @@
 """Client of the platform's object store, on the shared HTTP connection pool."""
 
 import json
+import threading
 from collections.abc import Callable
 from typing import Any
 from urllib.parse import quote, urlencode
@@ -9,6 +10,7 @@
 from result import Err, Ok, Result
 
 from masticfork.core.deadlines import Deadline
+from masticfork.core.store_position import StorePosition
 from masticfork.platform import names
 from masticfork.store.client import ErrorKind, PlatformError
 from masticfork.store.connections import Call, ConnectionPool, HttpResponse, Stage
@@ -47,6 +49,12 @@
 
     objects: tuple[PlatformObject, ...]
     revision: int
+    era: int = 0
+
+    @property
+    def position(self) -> StorePosition:
+        """Return the position as of which the objects are listed."""
+        return StorePosition(self.era, self.revision)
 
 
 @attrs.frozen
@@ -63,6 +71,21 @@
 
     changes: tuple[ObjectChange, ...]
     revision: int
+    # If it is not the era of the earlier revision, earlier changes may be missing.
+    era: int = 0
+
+    @property
+    def position(self) -> StorePosition:
+        """Return the position up to which the changes reach."""
+        return StorePosition(self.era, self.revision)
+
+
+@attrs.frozen
+class _Answer:
+    """The JSON body of a success, and the era of the store that gave it."""
+
+    body: Any
+    era: int
 
 
 class PlatformObjects:
@@ -74,6 +97,13 @@
     def __init__(self, address: str, now: Callable[[], float]) -> None:
         self._now = now
         self._pool = ConnectionPool(address, now)
+        self._era_lock = threading.Lock()
+        self._era = 0
+
+    @property
+    def era(self) -> int:
+        """Return the latest era of the store that an answer has shown."""
+        return self._era
 
     def list_all(
         self, kind: str, deadline: Deadline, stale: bool = False
@@ -84,6 +114,7 @@
         """
         objects: list[PlatformObject] = []
         revision: int | None = None
+        era: int | None = None
         last_name = ""
         while True:
             # Despite its name, `after_revision` takes the previous page's last name.
@@ -94,21 +125,25 @@
             outcome = self._call("GET", path, deadline)
             if isinstance(outcome, Err):
                 return outcome
-            page = outcome.ok_value
-            items = [_decode_object(record) for record in page.get("items", [])]
-            objects += (item for item in items if item is not None)
+            if era not in (None, outcome.ok_value.era):
+                return _unavailable("the store was restored between two pages")
+            era, page = outcome.ok_value.era, outcome.ok_value.body
+            records = page.get("items")
+            if not isinstance(records, list):
+                return _unavailable("list response has no items")
+            decoded = [_decode_object(record) for record in records]
+            objects += (item for item in decoded if item is not None)
             if revision is None:
                 revision = page.get("store_revision")
-            if not page.get("truncated") or not objects:
+            if not page.get("truncated"):
                 break
-            last_name = objects[-1].name
+            next_name = _last_name(records)
+            if next_name <= last_name:
+                return _unavailable("truncated list response has no further name")
+            last_name = next_name
         if not isinstance(revision, int):
-            return Err(
-                PlatformError(
-                    ErrorKind.UNAVAILABLE, "list response has no store_revision"
-                )
-            )
-        return Ok(Listing(tuple(objects), revision))
+            return _unavailable("list response has no store_revision")
+        return Ok(Listing(tuple(objects), revision, era or 0))
 
     def watch(
         self, kind: str, since: int, wait: float
@@ -119,23 +154,22 @@
         outcome = self._call("GET", f"{kind}?{query}", deadline)
         if isinstance(outcome, Err):
             return outcome
-        page = outcome.ok_value
+        page = outcome.ok_value.body
         revision = page.get("store_revision")
         if not isinstance(revision, int):
-            return Err(
-                PlatformError(
-                    ErrorKind.UNAVAILABLE, "watch response has no store_revision"
-                )
-            )
+            return _unavailable("watch response has no store_revision")
+        events = page.get("events", [])
+        if not isinstance(events, list):
+            return _unavailable("the events of a watch response are not a list")
         decoded = (
             (_decode_object(event.get("object")), bool(event.get("deleted")))
-            for event in page.get("events", [])
+            for event in events
             if isinstance(event, dict)
         )
         changes = tuple(
             ObjectChange(item, deleted) for item, deleted in decoded if item is not None
         )
-        return Ok(Changes(changes, revision))
+        return Ok(Changes(changes, revision, outcome.ok_value.era))
 
     def get(
         self, kind: str, name: str, deadline: Deadline
@@ -159,11 +193,26 @@
         return self._put(_path(kind, name), body, deadline)
 
     def replace_status(
-        self, kind: str, name: str, status: Any, revision: int, deadline: Deadline
+        self,
+        kind: str,
+        name: str,
+        status: Any,
+        position: StorePosition,
+        deadline: Deadline,
     ) -> Result[PlatformObject, PlatformError]:
-        """Replace an object's status; CONFLICT unless it still has that revision."""
-        body = {"metadata": {"name": name, "revision": revision}, "status": status}
-        return self._put(f"{_path(kind, name)}/status", body, deadline)
+        """Replace an object's status; CONFLICT unless it is still at that position.
+
+        After a restoration of the store, another object may have the same revision.
+        """
+        if position.era < self._era:
+            return Err(PlatformError(ErrorKind.CONFLICT, "the store was restored"))
+        metadata = {"name": name, "revision": position.revision}
+        body = {"metadata": metadata, "status": status}
+        path = f"{_path(kind, name)}/status"
+        outcome = self._call("PUT", path, deadline, body)
+        if isinstance(outcome, Ok) and outcome.ok_value.era > position.era:
+            return Err(PlatformError(ErrorKind.UNKNOWN, "written to a restored store"))
+        return outcome.and_then(_decode_single)
 
     def _put(
         self, path: str, body: Any, deadline: Deadline
@@ -172,7 +221,7 @@
 
     def _call(
         self, method: str, path: str, deadline: Deadline, body: Any = None
-    ) -> Result[Any, PlatformError]:
+    ) -> Result[_Answer, PlatformError]:
         target = f"{names.OBJECTS_PATH}/{path}"
         encoded_body = None if body is None else json.dumps(body).encode()
         headers = {} if encoded_body is None else {"Content-Type": "application/json"}
@@ -183,7 +232,42 @@
             not_applied = method == "GET" or failure.stage is Stage.CONNECTING
             kind = ErrorKind.UNAVAILABLE if not_applied else ErrorKind.UNKNOWN
             return Err(PlatformError(kind, failure.message))
-        return _decode_response(method, outcome.ok_value)
+        response = outcome.ok_value
+        era = self._judge_era(response)
+        body = _decode_response(method, response)
+        if isinstance(body, Err):
+            return body
+        if era is None:
+            kind = ErrorKind.UNAVAILABLE if method == "GET" else ErrorKind.UNKNOWN
+            message = "the response is not from the latest era of the store"
+            return Err(PlatformError(kind, message))
+        return Ok(_Answer(body.ok_value, era))
+
+    def _judge_era(self, response: HttpResponse) -> int | None:
+        """Return the era of a response, None if it is older than the latest known.
+
+        A store that never states an era is in era 0.
+        """
+        stated = response.headers.get(names.STORE_ERA, "")
+        era = int(stated) if stated.isascii() and stated.isdigit() else 0
+        with self._era_lock:
+            if era < self._era:
+                return None
+            self._era = era
+        return era
+
+
+def _last_name(records: list[Any]) -> str:
+    """Return the name in the last record of a page that has one, or an empty string."""
+    for record in reversed(records):
+        decoded = _decode_object(record)
+        if decoded is not None:
+            return decoded.name
+    return ""
+
+
+def _unavailable(message: str) -> Err[PlatformError]:
+    return Err(PlatformError(ErrorKind.UNAVAILABLE, message))
 
 
 def _path(kind: str, name: str) -> str:
@@ -197,13 +281,15 @@
     applied, UNAVAILABLE otherwise.
     """
     if 200 <= response.status < 300:
+        kind = ErrorKind.UNAVAILABLE if method == "GET" else ErrorKind.UNKNOWN
         try:
-            return Ok(json.loads(response.body))
+            body = json.loads(response.body)
         except ValueError as error:
-            kind = ErrorKind.UNAVAILABLE if method == "GET" else ErrorKind.UNKNOWN
-            return Err(
-                PlatformError(kind, f"malformed JSON in the store's response: {error}")
-            )
+            message = f"malformed JSON in the store's response: {error}"
+            return Err(PlatformError(kind, message))
+        if not isinstance(body, dict):
+            return Err(PlatformError(kind, "the store's response is not an object"))
+        return Ok(body)
     error_kind = _STATUS_ERRORS.get(response.status)
     if error_kind is None:
         maybe_applied = method != "GET" and response.status not in _NOT_APPLIED_STATUSES
@@ -213,8 +299,8 @@
     )
 
 
-def _decode_single(record: Any) -> Result[PlatformObject, PlatformError]:
-    decoded = _decode_object(record)
+def _decode_single(answer: _Answer) -> Result[PlatformObject, PlatformError]:
+    decoded = _decode_object(answer.body)
     if decoded is None:
         return Err(
             PlatformError(ErrorKind.UNKNOWN, "the store's response holds no object")
--- /dev/null
+++ b/masticfork/platform/objects_test.py
@@ -0,0 +1,162 @@
+"""Tests of the object store's client: malformed pages, and the era of responses."""
+
+import http.server
+import json
+import threading
+import time
+
+import pytest
+
+from masticfork.core.deadlines import Deadline
+from masticfork.core.store_position import StorePosition
+from masticfork.platform.objects import PlatformObjects
+from masticfork.store.client import ErrorKind
+
+
+def stored(name, revision=5):
+    return {"metadata": {"name": name, "revision": revision}, "spec": {}}
+
+
+def page(*items, truncated=False, revision=9):
+    return {"items": list(items), "truncated": truncated, "store_revision": revision}
+
+
+def soon():
+    return Deadline.after(time.monotonic(), 2.0)
+
+
+@pytest.fixture
+def store():
+    """Return a client and the list of responses: (status, era header, JSON body)."""
+    responses, requests = [], []
+
+    class Handler(http.server.BaseHTTPRequestHandler):
+        protocol_version = "HTTP/1.1"
+
+        def respond(self):
+            length = int(self.headers.get("Content-Length", 0))
+            requests.append((self.path, self.rfile.read(length)))
+            status, era, value = responses.pop(0)
+            body = json.dumps(value).encode()
+            self.send_response(status)
+            if era is not None:
+                self.send_header("Store-Era", era)
+            self.send_header("Content-Length", str(len(body)))
+            self.end_headers()
+            self.wfile.write(body)
+
+        do_GET = do_POST = do_PUT = respond  # noqa: N815
+
+        def log_message(self, *arguments):
+            pass
+
+    server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), Handler)
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    client = PlatformObjects(f"127.0.0.1:{server.server_port}", time.monotonic)
+    client.requests = requests
+    yield client, responses
+    server.shutdown()
+    server.server_close()
+
+
+class TestPages:
+    def test_truncated_page_without_an_object_is_an_error(self, store):
+        client, responses = store
+        responses += [(200, None, page({"metadata": 3}, truncated=True))]
+        outcome = client.list_all("servers", soon())
+        assert outcome.unwrap_err().kind is ErrorKind.UNAVAILABLE
+
+    def test_page_that_repeats_ends_with_an_error(self, store):
+        client, responses = store
+        responses += [(200, None, page(stored("a"), truncated=True))] * 2
+        outcome = client.list_all("servers", soon())
+        assert outcome.unwrap_err().kind is ErrorKind.UNAVAILABLE
+
+    def test_malformed_records_between_pages_are_skipped(self, store):
+        client, responses = store
+        responses += [
+            (200, None, page(stored("a"), {"x": 1}, truncated=True)),
+            (200, None, page(None, stored("b"))),
+        ]
+        listing = client.list_all("servers", soon()).unwrap()
+        assert [item.name for item in listing.objects] == ["a", "b"]
+        assert "after_revision=a" in client.requests[1][0]
+
+    @pytest.mark.parametrize(
+        "value", [[], 3, None, "x", {"items": 3, "store_revision": 1}, {"items": []}]
+    )
+    def test_malformed_list_is_an_error(self, store, value):
+        client, responses = store
+        responses += [(200, None, value)]
+        outcome = client.list_all("servers", soon())
+        assert outcome.unwrap_err().kind is ErrorKind.UNAVAILABLE
+
+    @pytest.mark.parametrize(
+        "value", [[], {"events": 3, "store_revision": 1}, {"events": [3]}]
+    )
+    def test_malformed_watch_response_is_an_error(self, store, value):
+        client, responses = store
+        responses += [(200, None, value)]
+        outcome = client.watch("servers", 1, 0.0)
+        assert outcome.unwrap_err().kind is ErrorKind.UNAVAILABLE
+
+
+class TestEra:
+    def test_listing_and_changes_state_their_era(self, store):
+        client, responses = store
+        responses += [
+            (200, "3", page(revision=7)),
+            (200, "4", {"events": [], "store_revision": 2}),
+        ]
+        assert client.list_all("servers", soon()).unwrap().position == StorePosition(
+            3, 7
+        )
+        assert client.watch("servers", 7, 0.0).unwrap().position == StorePosition(4, 2)
+        assert client.era == 4
+
+    @pytest.mark.parametrize("era", ["1", None, "", "x", "-1", "9²", "2.5"])
+    def test_response_of_an_earlier_or_no_era_is_ignored(self, store, era):
+        client, responses = store
+        responses += [(200, "2", page()), (200, era, page(revision=99))]
+        client.list_all("servers", soon()).unwrap()
+        outcome = client.list_all("servers", soon(), stale=True)
+        assert outcome.unwrap_err().kind is ErrorKind.UNAVAILABLE
+        assert client.era == 2
+
+    def test_store_without_eras_is_followed(self, store):
+        client, responses = store
+        responses += [(200, None, page()), (200, None, page(revision=10))]
+        assert client.list_all("servers", soon()).unwrap().era == 0
+        assert client.list_all("servers", soon()).unwrap().revision == 10
+
+    def test_pages_of_two_eras_are_not_joined(self, store):
+        client, responses = store
+        responses += [
+            (200, "1", page(stored("a"), truncated=True)),
+            (200, "2", page(stored("b"))),
+        ]
+        outcome = client.list_all("servers", soon())
+        assert outcome.unwrap_err().kind is ErrorKind.UNAVAILABLE
+
+    def test_write_that_depends_on_an_earlier_era_is_not_sent(self, store):
+        client, responses = store
+        responses += [(200, "2", page())]
+        client.list_all("servers", soon()).unwrap()
+        position = StorePosition(1, 5)
+        outcome = client.replace_status("rollouts", "s", {}, position, soon())
+        assert outcome.unwrap_err().kind is ErrorKind.CONFLICT
+        assert len(client.requests) == 1
+
+    def test_write_answered_in_a_later_era_is_not_taken_for_done(self, store):
+        client, responses = store
+        responses += [(200, "2", stored("s", 6))]
+        position = StorePosition(1, 5)
+        outcome = client.replace_status("rollouts", "s", {}, position, soon())
+        assert outcome.unwrap_err().kind is ErrorKind.UNKNOWN
+
+    def test_write_answered_by_an_earlier_era_may_have_been_applied(self, store):
+        client, responses = store
+        responses += [(200, "2", page()), (200, "1", stored("h"))]
+        client.list_all("servers", soon()).unwrap()
+        outcome = client.create("hosts", "h", {}, soon())
+        assert outcome.unwrap_err().kind is ErrorKind.UNKNOWN
--- a/masticfork/platform/server_format.py
+++ b/masticfork/platform/server_format.py
@@ -12,6 +12,7 @@
     VersionRollout,
 )
 from masticfork.core.findings import Finding
+from masticfork.core.store_position import StorePosition
 from masticfork.platform.fields import (
     MalformedError,
     get_int,
@@ -27,7 +28,7 @@
 def decode_address(value: str) -> Address:
     """Parse an address of the form HOST:PORT, or raise MalformedError."""
     host, _, port = value.rpartition(":")
-    if not host or not port.isdigit():
+    if not host or not (port.isascii() and port.isdigit()):
         raise MalformedError(f"{value!r} is not HOST:PORT")
     return Address(host, int(port))
 
@@ -62,8 +63,10 @@
     return _DRAINING_BY_STATE[state]
 
 
-def decode_rollout(stored: PlatformObject) -> Result[VersionRollout, Finding]:
-    """Decode a rollout, or report why its object is malformed."""
+def decode_rollout(
+    stored: PlatformObject, era: int = 0
+) -> Result[VersionRollout, Finding]:
+    """Decode a rollout read in an era, or report why its object is malformed."""
     spec = stored.spec
     try:
         target = get_str(spec, "target")
@@ -72,8 +75,9 @@
                 service=get_str(spec, "service"),
                 target=target,
                 duration=get_number(spec, "duration_s"),
-                revision=stored.revision,
-                created=stored.created,
+                position=StorePosition(era, stored.revision),
+                created=_order_id(stored.status, target) or stored.created,
+                object_created=stored.created,
                 progress=_progress(stored.status, target),
             )
         )
@@ -83,6 +87,14 @@
         )
 
 
+def _order_id(status: Any, target: str) -> int:
+    """Return the identifier of the order that a status is about, 0 if it has none."""
+    if not isinstance(status, dict) or status.get("target") != target:
+        return 0
+    order_id = status.get("order")
+    return order_id if isinstance(order_id, int) else 0
+
+
 def _progress(status: Any, target: str) -> RolloutProgress:
     """Return the progress in a status.
 
@@ -99,13 +111,19 @@
     return RolloutProgress(state, step, ordered_at)
 
 
-def encode_progress(target: str, progress: RolloutProgress) -> dict[str, Any]:
-    """Encode a rollout's status; `step` and `ordered_at` are the router's fields."""
+def encode_progress(
+    rollout: VersionRollout, progress: RolloutProgress
+) -> dict[str, Any]:
+    """Encode new progress of a rollout as its status.
+
+    `step`, `ordered_at` and `order` are the router's own fields.
+    """
     return {
         "state": progress.state.value,
-        "target": target,
+        "target": rollout.target,
         "step": progress.step,
         "ordered_at": progress.ordered_at,
+        "order": rollout.created,
     }
 
 
--- a/masticfork/relay/configuration_model_test.py
+++ b/masticfork/relay/configuration_model_test.py
@@ -46,6 +46,7 @@
             self.peers,  # type: ignore[arg-type]
             RelayMetrics(),
             _ignore,
+            lambda: None,
         )
         # The object in the store after each write, oldest first.
         self.written: list[PlatformObject] = []
--- a/masticfork/relay/digest.capnp
+++ b/masticfork/relay/digest.capnp
@@ -9,7 +9,7 @@
   sequence @2 :UInt32;
   # Version of the configuration in force, 0 if there is none.
   configuration @3 :Int64;
-  # Store revision up to which the sender knows the servers.
+  # Store revision up to which the sender knows the servers, in the era below.
   servers @4 :Int64;
   loads @5 :List(Load);
   rollouts @6 :List(Rollout);
@@ -19,6 +19,8 @@
   partial @8 :Bool;
   # Hashes of the incarnations of servers that announced that they leave.
   leaving @9 :List(UInt32);
+  # Rises by one each time the store is restored from an older copy.
+  era @10 :UInt32;
 }
 
 struct Load {
--- a/masticfork/relay/digest_codec.py
+++ b/masticfork/relay/digest_codec.py
@@ -6,6 +6,7 @@
 from result import Err, Ok, Result
 
 from masticfork.core.digests import Digest, HostLoad, RolloutEvidence
+from masticfork.core.store_position import StorePosition
 
 # Units in which digests carry pending work and weighted calls.
 PENDING_TOKENS_PER_UNIT = 1000.0
@@ -25,7 +26,8 @@
         incarnation=digest.incarnation,
         sequence=digest.sequence,
         configuration=digest.configuration,
-        servers=digest.servers,
+        servers=digest.servers.revision,
+        era=digest.servers.era,
         partial=digest.partial,
         leaving=sorted(digest.leaving),
         loads=[
@@ -74,7 +76,7 @@
                 incarnation=reader.incarnation,
                 sequence=reader.sequence,
                 configuration=reader.configuration,
-                servers=reader.servers,
+                servers=StorePosition(reader.era, reader.servers),
                 loads={
                     load.server: HostLoad(
                         load.running,
--- a/masticfork/relay/digest_codec_test.py
+++ b/masticfork/relay/digest_codec_test.py
@@ -4,6 +4,7 @@
 from result import Err, Ok
 
 from masticfork.core.digests import Digest, HostLoad, RolloutEvidence
+from masticfork.core.store_position import StorePosition
 from masticfork.relay.digest_codec import decode_digest, encode_digest
 
 EVIDENCE = RolloutEvidence("llm", 9, 1.5, 0.5, 8.0, 0.25, 3, 0.5, 1.0)
@@ -12,7 +13,7 @@
     incarnation=1_700_000_000_000,
     sequence=7,
     configuration=12,
-    servers=530,
+    servers=StorePosition(2, 530),
     loads={3_000_000_000: HostLoad(5, 1.5, 42_000.0)},
     rollouts=(EVIDENCE,),
     sessions={1: 2, 4_000_000_000: 3},
--- a/masticfork/relay/entry.py
+++ b/masticfork/relay/entry.py
@@ -118,7 +118,12 @@
             self.log,
         )
         self._store_view = StoreView(
-            self._loop, self._tables, self._peers, self._metrics, self.log
+            self._loop,
+            self._tables,
+            self._peers,
+            self._metrics,
+            self.log,
+            self._on_store_restored,
         )
         self._rollout_controller = RolloutController(
             self._loop,
@@ -253,7 +258,7 @@
             incarnation=0,
             sequence=0,
             configuration=0 if table is None else table.version,
-            servers=self._store_view.servers_revision,
+            servers=self._store_view.servers_position,
             loads={},
             rollouts=(),
             leaving=self._tables.leaving_incarnations,
@@ -283,6 +288,10 @@
                 attrs.evolve(self._digest_header(), loads=changed, partial=True)
             )
 
+    def _on_store_restored(self) -> None:
+        """Write this host's entry again; the restored store may lack it."""
+        self._registration.start()
+
     def _count_remote_load(self, server: int, share: HostLoad, sign: int) -> None:
         """Add a peer's load at a server, or subtract it if `sign` is -1."""
         self._loads_elsewhere.count(server, share, sign)
--- a/masticfork/relay/followers.py
+++ b/masticfork/relay/followers.py
@@ -9,6 +9,7 @@
 from result import Err, Ok, Result
 
 from masticfork.core.deadlines import Deadline
+from masticfork.core.store_position import StorePosition
 from masticfork.platform import names
 from masticfork.platform.objects import Changes, Listing, PlatformObjects
 from masticfork.relay.loop import Loop
@@ -102,19 +103,19 @@
     ) -> None:
         super().__init__(kind, objects, loop, listener)
         self._backoff = MIN_BACKOFF_SECONDS
-        self._revision: int | None = None
+        self._position: StorePosition | None = None
         self._failed = False
 
     def _run(self) -> None:
         while self._loop.running:
-            step = self._list if self._revision is None else self._watch
+            step = self._list if self._position is None else self._watch
             error = step()
             if error is None:
                 self._backoff = MIN_BACKOFF_SECONDS
                 continue
             self._report_failure(error)
             if error.kind is ErrorKind.GONE:
-                self._revision = None
+                self._position = None
                 continue
             self._failed = True
             time.sleep(self._backoff * random.uniform(0.7, 1.3))
@@ -124,20 +125,24 @@
         outcome = self._read_all(stale=False)
         if isinstance(outcome, Err):
             return outcome.err_value
-        self._revision = outcome.ok_value.revision
+        self._position = outcome.ok_value.position
         return None
 
     def _watch(self) -> PlatformError | None:
-        assert self._revision is not None
+        assert self._position is not None
         # The first call after a failure has a short wait, so that the recovery of the
         # store is noticed soon.
         wait = RECOVERY_WATCH_WAIT_SECONDS if self._failed else WATCH_WAIT_SECONDS
-        outcome = self._objects.watch(self._kind, self._revision, wait)
+        outcome = self._objects.watch(self._kind, self._position.revision, wait)
         if isinstance(outcome, Err):
             return outcome.err_value
         self._failed = False
         changes = outcome.ok_value
-        self._revision = changes.revision
+        if changes.era != self._position.era:
+            # Revisions were given out again, so earlier changes may be missing.
+            self._position = None
+            return None
+        self._position = changes.position
         self._loop.post(partial(self._listener.on_changes, self._kind, changes))
         if changes.changes:
             time.sleep(BATCH_SECONDS_BY_KIND.get(self._kind, DEFAULT_BATCH_SECONDS))
--- a/masticfork/relay/metrics.py
+++ b/masticfork/relay/metrics.py
@@ -44,6 +44,11 @@
             ("kind", "error"),
             registry=registry,
         )
+        self.store_restorations = Counter(
+            "masticfork_relay_store_restorations",
+            "Times that the store came back from an older copy",
+            registry=registry,
+        )
         self.dropped_lines = Counter(
             "masticfork_relay_dropped_log_lines",
             "Log lines that were not written",
--- a/masticfork/relay/mirror.py
+++ b/masticfork/relay/mirror.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from masticfork.core.store_position import StorePosition
 from masticfork.platform.objects import (
     Changes,
     Listing,
@@ -14,28 +15,31 @@
 
 @attrs.define
 class KindMirror:
-    """Copy of the objects of one kind as of a store revision."""
+    """Copy of the objects of one kind as of a position of the store."""
 
-    revision: int = 0
+    position: StorePosition = attrs.field(factory=StorePosition)
     objects: dict[str, PlatformObject] = attrs.field(factory=dict)
 
     def apply_listing(self, listing: Listing) -> None:
         """Replace all objects."""
-        self.revision = listing.revision
+        self.position = listing.position
         self.objects = {stored.name: stored for stored in listing.objects}
 
     def apply_changes(self, changes: Changes) -> list[ObjectChange]:
         """Apply changes; return those that were not known before.
 
-        After a copy from a peer, the watch may still deliver older changes.
+        After a copy from a peer, the watch may still deliver older changes. Changes of
+        another era than the mirror's are not applied: some in between may be missing.
         """
-        revision_before = self.revision
+        if changes.era != self.position.era:
+            return []
+        revision_before = self.position.revision
         new_changes = [
             change
             for change in changes.changes
             if self._is_new(change, revision_before)
         ]
-        self.revision = max(revision_before, changes.revision)
+        self.position = max(self.position, changes.position)
         for change in new_changes:
             if change.deleted:
                 self.objects.pop(change.object.name, None)
@@ -55,7 +59,8 @@
     """Return the JSON value in which peers exchange mirrors."""
     return {
         kind: {
-            "revision": mirror.revision,
+            "era": mirror.position.era,
+            "revision": mirror.position.revision,
             "objects": [attrs.asdict(stored) for stored in mirror.objects.values()],
         }
         for kind, mirror in mirrors.items()
@@ -69,8 +74,9 @@
             kind: Listing(
                 tuple(PlatformObject(**row) for row in part["objects"]),
                 int(part["revision"]),
+                int(part.get("era", 0)),
             )
             for kind, part in value.items()
         }
-    except (AttributeError, KeyError, TypeError) as error:
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
         raise ValueError(f"malformed store copy: {error!r}") from error
--- a/masticfork/relay/mirror_test.py
+++ b/masticfork/relay/mirror_test.py
@@ -25,14 +25,14 @@
         mirror.apply_listing(Listing((stored_object("a", 4),), 5))
         new_changes = mirror.apply_changes(Changes((change("a", 6), change("b", 7)), 7))
         assert [new_change.object.name for new_change in new_changes] == ["a", "b"]
-        assert mirror.revision == 7
+        assert mirror.position.revision == 7
 
     def test_changes_older_than_a_peers_copy_are_ignored(self):
         mirror = KindMirror()
         mirror.apply_listing(Listing((stored_object("a", 9),), 10))
         late = Changes((change("a", 6), change("gone", 7), change("a", 8, True)), 8)
         assert mirror.apply_changes(late) == []
-        assert mirror.revision == 10
+        assert mirror.position.revision == 10
         assert mirror.objects["a"].revision == 9
         assert "gone" not in mirror.objects
 
--- a/masticfork/relay/partial_digests_test.py
+++ b/masticfork/relay/partial_digests_test.py
@@ -5,6 +5,7 @@
 
 from masticfork.core.backend_servers import Address
 from masticfork.core.digests import Digest, HostLoad
+from masticfork.core.store_position import StorePosition
 from masticfork.relay.digest_codec import encode_digest
 from masticfork.relay.loop import Loop
 from masticfork.relay.peers import Peers
@@ -16,7 +17,7 @@
     incarnation=1,
     sequence=1,
     configuration=1,
-    servers=1,
+    servers=StorePosition(0, 1),
     loads={7: HostLoad(2, 0.6, 0.0), 8: HostLoad(1, 0.3, 1000.0)},
     rollouts=(),
 )
--- a/masticfork/relay/rollout_controller.py
+++ b/masticfork/relay/rollout_controller.py
@@ -226,7 +226,8 @@
     def run(self, now: float) -> None:
         """Advance all unfinished rollouts and write their progress if it is due."""
         for rollout in list(self._tables.rollouts.values()):
-            if not is_final(rollout.progress):
+            lost = rollout.stored_progress != rollout.progress
+            if lost or not is_final(rollout.progress):
                 self._advance(rollout, now)
 
     def _advance(self, rollout: VersionRollout, now: float) -> None:
@@ -234,12 +235,13 @@
         if record.writing or now < record.write_after:
             return
         elapsed = now - record.ordered_at
-        self._judge_version(rollout, record)
+        if not is_final(rollout.progress):
+            self._judge_version(rollout, record)
         new, old, old_running = self._combined_evidence(rollout, record)
         progress = next_progress(rollout, elapsed, new, old, old_running)
-        if record.bad:
+        if record.bad and not is_final(progress):
             progress = attrs.evolve(progress, state=RolloutState.ROLLED_BACK)
-        if progress == rollout.progress:
+        if progress == rollout.stored_progress:
             record.due_since = None
             return
         if record.due_since is None:
@@ -266,14 +268,15 @@
             old_bad_share=round(old.bad_share, 3),
             old_slow_share=round(old.slow_share, 3),
             elapsed=round(self._loop.now - record.ordered_at, 2),
-            revision=rollout.revision,
+            revision=rollout.position.revision,
+            era=rollout.position.era,
         )
-        status = encode_progress(rollout.target, progress)
+        status = encode_progress(rollout, progress)
 
         def write() -> None:
             deadline = Deadline.after(clock.monotonic(), WRITE_TIMEOUT_SECONDS)
             outcome = self._objects.replace_status(
-                names.KIND_ROLLOUTS, rollout.service, status, rollout.revision, deadline
+                names.KIND_ROLLOUTS, rollout.service, status, rollout.position, deadline
             )
             self._loop.post(lambda: self._on_written(rollout, record, outcome))
 
@@ -295,7 +298,7 @@
                 error=outcome.err_value.message,
             )
             return
-        decoded = decode_rollout(outcome.ok_value)
+        decoded = decode_rollout(outcome.ok_value, rollout.position.era)
         if isinstance(decoded, Ok):
             self._tables.put_rollout(decoded.ok_value)
 
@@ -321,6 +324,6 @@
         return _RolloutRecord(rollout.created, rollout.target, now - age, ordered)
 
     def _write_delay(self, rollout: VersionRollout) -> float:
-        text = f"{self._host}/{rollout.revision}".encode()
+        text = f"{self._host}/{rollout.position.revision}".encode()
         digest = hashlib.blake2b(text, digest_size=2).digest()
         return MAX_WRITE_DELAY_SECONDS * int.from_bytes(digest) / 65536.0
--- a/masticfork/relay/rollout_progress_model_test.py
+++ b/masticfork/relay/rollout_progress_model_test.py
@@ -12,6 +12,7 @@
 
 from masticfork.core.backend_servers import Address, BackendServer, RolloutState
 from masticfork.core.deadlines import Deadline
+from masticfork.core.store_position import StorePosition
 from masticfork.platform.objects import PlatformObject
 from masticfork.platform.server_format import decode_rollout
 from masticfork.relay.rollout_controller import (
@@ -40,8 +41,14 @@
         self.delayed: list[tuple[int, Any]] = []
 
     def replace_status(
-        self, kind: str, name: str, status: Any, revision: int, deadline: Deadline
+        self,
+        kind: str,
+        name: str,
+        status: Any,
+        position: StorePosition,
+        deadline: Deadline,
     ) -> Result[PlatformObject, PlatformError]:
+        revision = position.revision
         if self.outcome == "lost":
             return Err(PlatformError(ErrorKind.UNAVAILABLE, "lost"))
         if self.outcome == "delayed":
@@ -167,8 +174,8 @@
         newest = decode_rollout(self.store.held).unwrap()
         for host in self.hosts:
             known = host.tables.rollouts["s"]
-            assert host.seen <= known.revision <= newest.revision
-            host.seen = known.revision
+            assert host.seen <= known.position.revision <= newest.position.revision
+            host.seen = known.position.revision
             if known.progress.state in FINAL:
                 assert known.progress.state is newest.progress.state
 
--- a/masticfork/relay/store_view.py
+++ b/masticfork/relay/store_view.py
@@ -9,8 +9,9 @@
 from masticfork.core.backend_servers import Address
 from masticfork.core.digests import Digest
 from masticfork.core.findings import Finding
+from masticfork.core.store_position import StorePosition
 from masticfork.platform import names
-from masticfork.platform.objects import Changes, Listing
+from masticfork.platform.objects import Changes, Listing, PlatformObject
 from masticfork.platform.route_format import decode_route_table
 from masticfork.platform.server_format import (
     decode_host,
@@ -43,20 +44,27 @@
         peers: Peers,
         metrics: RelayMetrics,
         log: Callable[..., None],
+        on_restored: Callable[[], None],
     ) -> None:
         self._loop = loop
         self._tables = tables
         self._peers = peers
         self._metrics = metrics
         self._log = log
+        # Called when the store has come back from an older copy.
+        self._on_restored = on_restored
         self._mirrors = {kind: KindMirror() for kind in MIRRORED_KINDS}
         self._failed_at = float("-inf")
         self._failing: set[str] = set()
+        self._era = 0
+        # The object of the configuration in force. A restored store may hold an older
+        # one, which peers are not to copy.
+        self._configuration: PlatformObject | None = None
 
     @property
-    def servers_revision(self) -> int:
-        """Return the store revision up to which the servers are known."""
-        return self._mirrors[names.KIND_SERVERS].revision
+    def servers_position(self) -> StorePosition:
+        """Return the position of the store up to which the servers are known."""
+        return self._mirrors[names.KIND_SERVERS].position
 
     def copy_page(self, path: bytes) -> tuple[int, bytes]:
         """Return the HTTP status and JSON body from which peers copy the store."""
@@ -76,7 +84,7 @@
         self._record_recovery(kind)
         if kind == names.KIND_HOSTS:
             self._apply_hosts(listing)
-        elif listing.revision >= self._mirrors[kind].revision:
+        elif listing.position >= self._mirrors[kind].position:
             self._apply_listing(kind, listing)
 
     def on_changes(self, kind: str, changes: Changes) -> None:
@@ -85,7 +93,7 @@
         for change in self._mirrors[kind].apply_changes(changes):
             stored = change.object
             if kind == names.KIND_CONFIG and not change.deleted:
-                self._apply_configuration(stored.name, stored.spec, "store")
+                self._apply_configuration(stored, "store")
             elif kind == names.KIND_SERVERS and change.deleted:
                 self._tables.remove_server(
                     stored.name, with_grace=self._failed_recently
@@ -96,8 +104,9 @@
             elif kind == names.KIND_ROLLOUTS and change.deleted:
                 self._tables.remove_rollout(stored.name)
             elif kind == names.KIND_ROLLOUTS:
-                for rollout in self._valid([decode_rollout(stored)]):
+                for rollout in self._valid([decode_rollout(stored, changes.era)]):
                     self._tables.put_rollout(rollout)
+        self._mirror_configuration()
 
     def on_store_failure(self, kind: str, error: PlatformError) -> None:
         """Record the failure of a call to the store."""
@@ -119,23 +128,50 @@
     def _apply_listing(
         self, kind: str, listing: Listing, source: str = "store"
     ) -> None:
-        self._mirrors[kind].apply_listing(listing)
+        mirror = self._mirrors[kind]
+        known = mirror.position.revision > 0
+        restored = known and listing.era > mirror.position.era
+        mirror.apply_listing(listing)
+        self._record_era(listing.era, known)
         objects = listing.objects
         if kind == names.KIND_CONFIG:
             for stored in objects:
-                self._apply_configuration(stored.name, stored.spec, source)
+                self._apply_configuration(stored, source)
+            self._mirror_configuration()
         elif kind == names.KIND_SERVERS:
             servers = self._valid([decode_server(stored) for stored in objects])
-            self._tables.list_servers(servers, with_grace=self._failed_recently)
+            grace = self._failed_recently or restored
+            self._tables.list_servers(servers, grace, restored)
         elif kind == names.KIND_ROLLOUTS:
-            rollouts = self._valid([decode_rollout(stored) for stored in objects])
-            self._tables.list_rollouts(rollouts)
-
-    def _apply_configuration(self, name: str, spec: object, source: str) -> None:
-        if name != names.CONFIG_NAME:
+            rollouts = self._valid(
+                [decode_rollout(stored, listing.era) for stored in objects]
+            )
+            self._tables.list_rollouts(rollouts, restored)
+
+    def _mirror_configuration(self) -> None:
+        """Let peers copy the configuration in force, though the store has another."""
+        if self._configuration is not None:
+            mirror = self._mirrors[names.KIND_CONFIG]
+            mirror.objects[names.CONFIG_NAME] = self._configuration
+
+    def _record_era(self, era: int, known: bool) -> None:
+        """Note that the store has been restored, unless nothing was `known` before."""
+        if era <= self._era:
+            return
+        before, self._era = self._era, era
+        if known:
+            # Entries are missing until the servers write them again.
+            self._failed_at = self._loop.now
+            self._log("store restored from an older copy", era=era, before=before)
+            self._metrics.store_restorations.inc()
+            self._on_restored()
+
+    def _apply_configuration(self, stored: PlatformObject, source: str) -> None:
+        if stored.name != names.CONFIG_NAME:
             return
-        for table in self._valid([decode_route_table(spec)]):
+        for table in self._valid([decode_route_table(stored.spec)]):
             if self._tables.adopt_routes(table, source):
+                self._configuration = stored
                 self._metrics.version.set(table.version)
 
     def _apply_hosts(self, listing: Listing) -> None:
@@ -151,16 +187,25 @@
         table = self._tables.routes
         version = 0 if table is None else table.version
         lost_servers = names.KIND_SERVERS in self._failing
-        newer_servers = lost_servers and digest.servers > self.servers_revision
+        newer_servers = lost_servers and digest.servers > self.servers_position
         return digest.configuration > version or newer_servers
 
     def _apply_copy(self, copied: dict[str, Listing]) -> None:
         """Apply the kinds of a peer's copy that are newer than this host's."""
         for kind, listing in copied.items():
             mirror = self._mirrors.get(kind)
-            if mirror is not None and listing.revision > mirror.revision:
-                self._log("store copy applied", kind=kind, revision=listing.revision)
+            if mirror is not None and listing.position > mirror.position:
+                self._log(
+                    "store copy applied",
+                    kind=kind,
+                    revision=listing.revision,
+                    era=listing.era,
+                )
                 self._apply_listing(kind, listing, "peer")
+            elif kind == names.KIND_CONFIG:
+                # A restored store may hold an older configuration than its peers.
+                for stored in listing.objects:
+                    self._apply_configuration(stored, "peer")
 
     def _valid(self, decoded: list[Result[T, Finding]]) -> list[T]:
         """Return the decoded values; log the findings of those that failed."""
--- a/masticfork/relay/tables.py
+++ b/masticfork/relay/tables.py
@@ -1,6 +1,7 @@
 """The routes, servers and rollouts that an entry host knows."""
 
 from collections.abc import Callable, Iterable
+from functools import partial
 
 import attrs
 
@@ -9,12 +10,22 @@
 from masticfork.relay.loop import Loop
 from masticfork.relay.server_call import ServerConnectionPool
 from masticfork.systems.server_choice import ServerLoad
-from masticfork.systems.server_notices import ServerNotice, ServerNotices
+from masticfork.systems.server_notices import (
+    ServerNotice,
+    ServerNotices,
+    incarnation_key,
+)
+from masticfork.systems.version_shift import with_known_progress
 
 # Time for which a server stays usable after its entry went missing during or shortly
 # after a failure of the store: entries of live servers are back within 2 s, and a
 # server that has left may still get requests for that long.
 MISSING_GRACE_SECONDS = 1.7
+# Time for which a server that had left gets no calls when a restored store lists it
+# again: if it still lives, it writes its entry anew, otherwise its entry expires.
+RESTORED_ENTRY_PAUSE_SECONDS = 5.0
+# Time within which the operator writes orders again that a restored store has lost.
+RESTORED_ORDER_GRACE_SECONDS = 8.0
 # Servers whose start times are remembered, so that an outdated entry does not restore
 # a dead server.
 MAX_KNOWN_STARTS = 4096
@@ -57,6 +68,8 @@
         self._rows: dict[str, ServerRow] = {}
         self._latest_start_ms: dict[str, int] = {}
         self._notices = ServerNotices()
+        # Loop times of removal by incarnation, the oldest first.
+        self._removed: dict[int, float] = {}
         self._services: dict[str, list[ServerRow]] = {}
         self._servers_known = False
         self._rollouts: dict[str, VersionRollout] = {}
@@ -139,12 +152,24 @@
         """Return the row of a server, None if it is unknown."""
         return self._rows.get(server_id)
 
-    def list_servers(self, servers: Iterable[BackendServer], with_grace: bool) -> None:
-        """Replace all servers; `with_grace`, remove missing ones only later."""
+    def list_servers(
+        self,
+        servers: Iterable[BackendServer],
+        with_grace: bool,
+        restored: bool = False,
+    ) -> None:
+        """Replace all servers; `with_grace`, remove missing ones only later.
+
+        `restored` tells that the store has come back from an older copy: an entry in
+        it may be of a server that has left since.
+        """
         listed = {server.id: server for server in servers}
         self._servers_known = True
         for server in listed.values():
+            was_leaving = restored and self._has_left(server)
             self.put_server(server)
+            if was_leaving:
+                self.record_pause(self._rows[server.id], RESTORED_ENTRY_PAUSE_SECONDS)
         for server_id in [name for name in self._rows if name not in listed]:
             self.remove_server(server_id, with_grace)
 
@@ -197,23 +222,48 @@
             return
         row.connections.close()
         del self._rows[server_id]
+        self._removed[row.notice.key] = self._loop.now
+        while len(self._removed) > MAX_KNOWN_STARTS:
+            del self._removed[next(iter(self._removed))]
         self._log("server removed", server=server_id)
         self._rebuild_index()
 
-    def list_rollouts(self, rollouts: Iterable[VersionRollout]) -> None:
-        """Replace all rollouts."""
+    def _has_left(self, server: BackendServer) -> bool:
+        """Return whether a server's incarnation was draining or gone when last read."""
+        row = self._rows.get(server.id)
+        if row is None or not _same_incarnation(row.server, server):
+            return incarnation_key(server) in self._removed
+        return row.server.draining and not server.draining
+
+    def list_rollouts(
+        self, rollouts: Iterable[VersionRollout], restored: bool = False
+    ) -> None:
+        """Replace all rollouts.
+
+        If the store was `restored` from an older copy, missing ones stay for the time
+        within which operators write them again.
+        """
         self._rollouts_known = True
         listed = {rollout.service: rollout for rollout in rollouts}
-        for service in [name for name in self._rollouts if name not in listed]:
-            del self._rollouts[service]
+        missing = [row for name, row in self._rollouts.items() if name not in listed]
+        for rollout in missing:
+            if restored:
+                self._loop.call_after(
+                    RESTORED_ORDER_GRACE_SECONDS,
+                    partial(self._remove_unless_updated, rollout),
+                )
+            else:
+                self.remove_rollout(rollout.service)
         for rollout in listed.values():
             self.put_rollout(rollout)
 
     def put_rollout(self, rollout: VersionRollout) -> bool:
-        """Add or update a rollout if its revision is newer; return whether it was."""
+        """Add or update a rollout if its position is newer; return whether it was."""
         current = self._rollouts.get(rollout.service)
-        if current is not None and rollout.revision <= current.revision:
-            return False
+        if current is not None:
+            if rollout.position <= current.position:
+                return False
+            rollout = with_known_progress(rollout, current)
         self._rollouts[rollout.service] = rollout
         self._log(
             "rollout updated",
@@ -221,7 +271,9 @@
             target=rollout.target,
             state=rollout.progress.state.value,
             step=rollout.progress.step,
-            revision=rollout.revision,
+            stored_state=rollout.stored_progress.state.value,
+            revision=rollout.position.revision,
+            era=rollout.position.era,
         )
         return True
 
@@ -230,6 +282,10 @@
         if self._rollouts.pop(service, None) is not None:
             self._log("rollout removed", service=service)
 
+    def _remove_unless_updated(self, rollout: VersionRollout) -> None:
+        if self._rollouts.get(rollout.service) is rollout:
+            self.remove_rollout(rollout.service)
+
     def sweep(self) -> None:
         """Close idle connections of all servers."""
         for row in self._rows.values():
--- a/masticfork/relay/whole_path_test.py
+++ b/masticfork/relay/whole_path_test.py
@@ -451,6 +451,54 @@
             env.wait_until(lambda: env.logged("store regained"))
 
 
+class TestRestoredStore:
+    """A store that comes back from a copy that is some seconds old."""
+
+    def test_newer_configuration_stays_in_force_and_the_host_registers_again(self):
+        with running_entry_host(configuration(3)) as env:
+            env.add_server(complete_response, SERVICE)
+            env.wait_for_servers(1)
+            stored_copy = env.store.take_copy()
+            env.store.remove("masticfork-hosts", "host-1")
+            env.store.put("config", "main", configuration(9, route("unsafe")))
+            env.wait_until(lambda: env.logged("configuration in force", version=9))
+            env.store.restore(stored_copy)
+            env.store.remove("masticfork-hosts", "host-1")
+            env.wait_until(lambda: env.logged("store restored from an older copy"))
+            assert env.send("/safe/x").status == 404
+            assert env.send("/unsafe/x").status == 200
+            env.wait_until(lambda: env.store.holds("masticfork-hosts", "host-1"))
+            env.store.put("config", "main", configuration(11))
+            env.wait_until(lambda: env.logged("configuration in force", version=11))
+
+    def test_changes_under_revisions_given_out_again_are_not_missed(self):
+        with running_entry_host() as env:
+            env.add_server(complete_response, SERVICE)
+            env.wait_for_servers(1)
+            stored_copy = env.store.take_copy()
+            server = env.add_server(complete_response, SERVICE)
+            env.wait_for_servers(2)
+            env.store.restore(stored_copy)
+            # By the time of the next watch, the revision that it starts from exists
+            # again, with another meaning.
+            entry = server_entry(server, SERVICE)
+            for name in ("i-7", "i-8", "i-9"):
+                env.store.put("servers", name, entry)
+            env.wait_for_servers(5)
+            env.wait_until(lambda: env.logged("server removed", server="i-2"))
+
+    def test_answers_without_the_era_do_not_take_the_host_back(self):
+        with running_entry_host() as env:
+            env.add_server(complete_response, SERVICE)
+            env.wait_for_servers(1)
+            env.store.faults.set({"hide_era": True})
+            env.store.put("config", "main", configuration(7, route("unsafe")))
+            env.wait_until(lambda: env.logged("store lost"))
+            assert env.send("/safe/x").status == 200
+            env.store.faults.set({"hide_era": False})
+            env.wait_until(lambda: env.logged("configuration in force", version=7))
+
+
 class TestServerRemoval:
     def test_draining_server_gets_no_new_calls(self):
         with running_entry_host() as env:
--- a/masticfork/store/connections.py
+++ b/masticfork/store/connections.py
@@ -64,6 +64,8 @@
     status: int
     retry_after: str | None
     body: bytes
+    # By name, in lower case.
+    headers: dict[str, str] = attrs.field(factory=dict)
 
 
 @attrs.frozen
@@ -100,8 +102,9 @@
             self._set_timeout(connection, call.deadline)
             received = connection.getresponse()
             stage, status = Stage.ANSWERED, received.status
+            headers = {name.lower(): value for name, value in received.getheaders()}
             response = HttpResponse(
-                status, received.getheader("Retry-After"), received.read()
+                status, headers.get("retry-after"), received.read(), headers
             )
         except (OSError, http.client.HTTPException) as error:
             connection.close()
--- a/masticfork/systems/version_shift.py
+++ b/masticfork/systems/version_shift.py
@@ -136,6 +136,32 @@
     return progress.state in (RolloutState.DONE, RolloutState.ROLLED_BACK)
 
 
+def with_known_progress(
+    listed: VersionRollout, known: VersionRollout
+) -> VersionRollout:
+    """Return a listed rollout with the furthest progress known of the same order.
+
+    Progress that a restored store has lost still holds: a version that was judged bad
+    is not offered again. The operator writes the order again, so it has a new revision.
+    """
+    restored = known.position.era < listed.position.era
+    same_object = known.object_created == listed.object_created
+    same_order = same_object or known.created == listed.created or restored
+    if known.target != listed.target or not same_order:
+        return listed
+    progress = listed.progress
+    if _stage(progress) < _stage(known.progress):
+        progress = known.progress
+    return attrs.evolve(listed, created=known.created, progress=progress)
+
+
+def _stage(progress: RolloutProgress) -> tuple[int, int]:
+    """Return a value that grows as a rollout advances."""
+    if is_final(progress):
+        return 2, 0
+    return int(progress.state is RolloutState.RUNNING), progress.step
+
+
 def next_progress(
     rollout: VersionRollout,
     elapsed: float,
--- a/masticfork/systems/version_shift_test.py
+++ b/masticfork/systems/version_shift_test.py
@@ -10,6 +10,7 @@
     RolloutState,
     VersionRollout,
 )
+from masticfork.core.store_position import StorePosition
 from masticfork.systems.version_shift import (
     CANARY,
     DONE_FRACTION,
@@ -31,7 +32,13 @@
 
 def rollout(state=RolloutState.RUNNING, step=0, duration=24.0):
     return VersionRollout(
-        "llm", "v2", duration, 7, 5, RolloutProgress(state, step, 100.0)
+        "llm",
+        "v2",
+        duration,
+        StorePosition(0, 7),
+        5,
+        5,
+        RolloutProgress(state, step, 100.0),
     )
 
 
--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -1,5 +1,6 @@
 """Stand-in for the users' object store: kinds, revisions, status and watches."""
 
+import copy
 import json
 import threading
 import time
@@ -17,6 +18,14 @@
 WATCH_RECHECK_SECONDS = 0.1
 
 
+@attrs.frozen
+class StoreCopy:
+    """A copy of the store's objects, from which it can be restored."""
+
+    objects: dict[str, dict[str, "_StoredObject"]]
+    revision: int
+
+
 @attrs.define
 class _StoredObject:
     name: str
@@ -44,12 +53,16 @@
     def __init__(self) -> None:
         # `down` returns 503. `silent_seconds` delays every response. `lose_answers`
         # drops the connection after that many successful writes instead of responding.
-        self.faults = Faults(down=False, silent_seconds=0, lose_answers=0)
+        # `hide_era` leaves out the header that tells the era.
+        self.faults = Faults(
+            down=False, silent_seconds=0, lose_answers=0, hide_era=False
+        )
         self._changed = threading.Condition()
         self._objects: dict[str, dict[str, _StoredObject]] = {}
         self._events: list[tuple[int, str, bool, dict[str, Any]]] = []
         self._revision = 1
         self._compacted_revision = 0
+        self._era = 1
         self._calls = 0
 
     def counts(self) -> dict[str, Any]:
@@ -85,6 +98,11 @@
             if stored is not None:
                 self._log_change(kind, stored, deleted=True)
 
+    def holds(self, kind: str, name: str) -> bool:
+        """Return whether an object exists."""
+        with self._changed:
+            return name in self._objects.get(kind, {})
+
     def status(self, kind: str, name: str) -> Any:
         """Return an object's status, or None if it does not exist."""
         with self._changed:
@@ -98,10 +116,34 @@
             self._events.clear()
             self._changed.notify_all()
 
+    def take_copy(self) -> StoreCopy:
+        """Return a copy of all objects."""
+        with self._changed:
+            return StoreCopy(copy.deepcopy(self._objects), self._revision)
+
+    def restore(self, stored_copy: StoreCopy) -> None:
+        """Lose all changes since the copy; later ones get the same revisions again."""
+        with self._changed:
+            self._objects = copy.deepcopy(stored_copy.objects)
+            self._revision = stored_copy.revision
+            self._events = [e for e in self._events if e[0] <= self._revision]
+            self._era += 1
+            self._changed.notify_all()
+
     # The HTTP API used by the hosts.
 
     def handle(self, call: Call) -> Reply:
         """Handle one request."""
+        era = self._era
+        reply = self._handle(call)
+        if era != self._era:
+            # Calls in progress when the store goes away get no response.
+            raise ConnectionDroppedError
+        if self.faults.get("hide_era"):
+            return reply
+        return attrs.evolve(reply, headers=(("Store-Era", str(era)),))
+
+    def _handle(self, call: Call) -> Reply:
         self._calls += 1
         time.sleep(self.faults.get("silent_seconds") or 0)
         if self.faults.get("down"):
@@ -141,7 +183,7 @@
             while True:
                 if self.faults.get("down"):
                     return error_reply(503, "down")
-                if since < self._compacted_revision:
+                if not self._compacted_revision <= since <= self._revision:
                     return error_reply(410, "gone")
                 found = [e for e in self._events if e[0] > since and e[1] == kind]
                 remaining = deadline - time.monotonic()
