--- a/masticfork/core/digests.py
+++ b/masticfork/core/digests.py
@@ -32,6 +32,28 @@
     old_slow: float = 0.0
 
 
+@attrs.frozen
+class KindState:
+    """What a host knows of one kind of store objects."""
+
+    position: StorePosition
+    # Hash of the objects; equal for hosts that know the same ones.
+    fingerprint: int
+
+
+@attrs.frozen
+class KindUpdate:
+    """Changes of one kind that a host has read from the store."""
+
+    # Index of the kind among those that hosts mirror.
+    kind: int
+    # The changes are all those after this position, up to the revision in its era.
+    since: StorePosition
+    revision: int
+    # Compressed JSON.
+    changes: bytes
+
+
 @attrs.frozen
 class Digest:
     """Snapshot of one host's load and rollout evidence."""
@@ -51,6 +73,14 @@
     sessions: dict[int, int] = attrs.field(factory=dict)
     # Hashes of the incarnations of servers that announced that they leave.
     leaving: frozenset[int] = frozenset()
+    # Availability zone of the host; empty in partial digests.
+    zone: str = ""
+    # By index of the kind among those that hosts mirror.
+    kinds: tuple[KindState, ...] = ()
+    updates: tuple[KindUpdate, ...] = ()
+    # Whether the host follows the store itself, and whether its calls fail.
+    reading: bool = False
+    store_failing: bool = False
     # Whether `loads` has only changed entries; all else is as in the digest before.
     partial: bool = False
 
@@ -63,5 +93,6 @@
             later,
             loads={server: load for server, load in loads.items() if load.running},
             rollouts=self.rollouts,
+            zone=self.zone,
             partial=False,
         )
--- a/masticfork/relay/configuration_model_test.py
+++ b/masticfork/relay/configuration_model_test.py
@@ -4,7 +4,7 @@
 decrease.
 """
 
-from typing import Any
+from typing import Any, ClassVar
 
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -23,6 +23,8 @@
 class FakePeers:
     """Stand-in for `Peers`; the test passes copies to the host itself."""
 
+    live_digests: ClassVar[list[Any]] = []
+
     def copy_from_newest(self, is_newer: Any, apply_copy: Any) -> None:
         """Keep the callback that applies a copy."""
         self.apply_copy = apply_copy
@@ -47,6 +49,7 @@
             RelayMetrics(),
             _ignore,
             lambda: None,
+            lambda: None,
         )
         # The object in the store after each write, oldest first.
         self.written: list[PlatformObject] = []
@@ -77,8 +80,7 @@
         self.view.on_store_failure(
             names.KIND_CONFIG, PlatformError(ErrorKind.UNAVAILABLE, "down")
         )
-        self.view.run(0.0)
-        self.peers.apply_copy({names.KIND_CONFIG: self._draw_listing(data)})
+        self.view._apply_copy({names.KIND_CONFIG: self._draw_listing(data)})
 
     @rule(data=st.data())
     def changes_arrive(self, data: st.DataObject) -> None:
--- a/masticfork/relay/digest.capnp
+++ b/masticfork/relay/digest.capnp
@@ -21,6 +21,31 @@
   leaving @9 :List(UInt32);
   # Rises by one each time the store is restored from an older copy.
   era @10 :UInt32;
+  # The fields below concern the objects that hosts copy from each other.
+  zone @11 :Text;
+  kinds @12 :List(Kind);
+  updates @13 :List(Update);
+  # Whether the sender follows the store itself, and whether its calls fail.
+  reading @14 :Bool;
+  storeFailing @15 :Bool;
+}
+
+struct Kind {
+  era @0 :UInt32;
+  revision @1 :Int64;
+  # Hash of the objects' names and revisions.
+  fingerprint @2 :UInt32;
+}
+
+struct Update {
+  # Index in the list `kinds`.
+  kind @0 :UInt8;
+  era @1 :UInt32;
+  # Revision after which the changes begin, and the one up to which they reach.
+  since @2 :Int64;
+  revision @3 :Int64;
+  # Changes as compressed JSON.
+  changes @4 :Data;
 }
 
 struct Load {
--- a/masticfork/relay/digest_codec.py
+++ b/masticfork/relay/digest_codec.py
@@ -5,7 +5,13 @@
 import capnp
 from result import Err, Ok, Result
 
-from masticfork.core.digests import Digest, HostLoad, RolloutEvidence
+from masticfork.core.digests import (
+    Digest,
+    HostLoad,
+    KindState,
+    KindUpdate,
+    RolloutEvidence,
+)
 from masticfork.core.store_position import StorePosition
 
 # Units in which digests carry pending work and weighted calls.
@@ -29,6 +35,27 @@
         servers=digest.servers.revision,
         era=digest.servers.era,
         partial=digest.partial,
+        zone=digest.zone,
+        reading=digest.reading,
+        storeFailing=digest.store_failing,
+        kinds=[
+            {
+                "era": kind.position.era,
+                "revision": kind.position.revision,
+                "fingerprint": kind.fingerprint,
+            }
+            for kind in digest.kinds
+        ],
+        updates=[
+            {
+                "kind": update.kind,
+                "era": update.since.era,
+                "since": update.since.revision,
+                "revision": update.revision,
+                "changes": update.changes,
+            }
+            for update in digest.updates
+        ],
         leaving=sorted(digest.leaving),
         loads=[
             {
@@ -100,6 +127,22 @@
                     for item in reader.rollouts
                 ),
                 sessions={item.key: item.version for item in reader.sessions},
+                zone=reader.zone,
+                reading=reader.reading,
+                store_failing=reader.storeFailing,
+                kinds=tuple(
+                    KindState(StorePosition(item.era, item.revision), item.fingerprint)
+                    for item in reader.kinds
+                ),
+                updates=tuple(
+                    KindUpdate(
+                        item.kind,
+                        StorePosition(item.era, item.since),
+                        item.revision,
+                        item.changes,
+                    )
+                    for item in reader.updates
+                ),
                 leaving=frozenset(reader.leaving),
                 partial=reader.partial,
             )
--- a/masticfork/relay/entry.py
+++ b/masticfork/relay/entry.py
@@ -36,6 +36,7 @@
 from masticfork.relay.page_listener import PageListener
 from masticfork.relay.peer_loads import PeerLoads
 from masticfork.relay.peers import Peers
+from masticfork.relay.reader_duty import ReaderDuty
 from masticfork.relay.registration import Registration
 from masticfork.relay.rollout_controller import ResponseTime, RolloutController
 from masticfork.relay.server_call import CallSink, ServerCall
@@ -113,6 +114,7 @@
             self._peer_address,
             settings.seeds,
             settings.host,
+            settings.zone,
             self._count_remote_load,
             self._on_digest,
             self.log,
@@ -124,6 +126,21 @@
             self._metrics,
             self.log,
             self._on_store_restored,
+            self._send_store_update,
+        )
+        self._followers = [
+            Follower(kind, self._objects, self._loop, self._store_view)
+            for kind in MIRRORED_KINDS
+        ]
+        self._reader_duty = ReaderDuty(
+            self._loop,
+            settings.host,
+            settings.zone,
+            self._tables,
+            self._peers,
+            self._store_view,
+            self._followers,
+            self.log,
         )
         self._rollout_controller = RolloutController(
             self._loop,
@@ -153,9 +170,15 @@
         self._loop.register(self._caller_listener, selectors.EVENT_READ, self)
         PageListener(self._loop, self._settings.ready, self._readiness_response)
         PageListener(self._loop, self._peer_address, self._store_view.copy_page)
-        for kind in MIRRORED_KINDS:
-            Follower(kind, self._objects, self._loop, self._store_view).start()
-        Lister(names.KIND_HOSTS, self._objects, self._loop, self._store_view).start()
+        for follower in self._followers:
+            follower.start()
+        Lister(
+            names.KIND_HOSTS,
+            self._objects,
+            self._loop,
+            self._store_view,
+            lambda: self._reader_duty.list_interval_seconds,
+        ).start()
         self._registration.start()
         self._loop.call_after(TICK_SECONDS, self._tick)
         self.log("started", zone=self._settings.zone, store=self._settings.store)
@@ -213,7 +236,8 @@
         self._loads_elsewhere.refresh()
         if self._peers.is_digest_due():
             self._peers.send_digest(self._full_digest())
-        self._store_view.run(self._loop.now)
+        self._reader_duty.run()
+        self._store_view.run(self._loop.now, self._reader_duty.reading)
         self._log_sink.flush()
         self._metrics.dropped_lines.inc(self._log_sink.take_dropped())
         self._metrics.connections.set(len(self._connections))
@@ -262,11 +286,15 @@
             loads={},
             rollouts=(),
             leaving=self._tables.leaving_incarnations,
+            kinds=self._store_view.kind_states,
+            reading=self._reader_duty.reading,
+            store_failing=self._store_view.store_failing,
         )
 
     def _full_digest(self) -> Digest:
         return attrs.evolve(
             self._digest_header(),
+            zone=self._settings.zone,
             loads=self._own_loads.take_all(),
             rollouts=self._rollout_controller.evidence(),
             sessions=self._session_versions.next_batch(),
@@ -288,6 +316,13 @@
                 attrs.evolve(self._digest_header(), loads=changed, partial=True)
             )
 
+    def _send_store_update(self) -> None:
+        """Tell the other hosts what this one has read from the store."""
+        updates = self._store_view.take_updates()
+        if self._reader_duty.reading:
+            header = self._digest_header()
+            self._peers.send_digest(attrs.evolve(header, updates=updates, partial=True))
+
     def _on_store_restored(self) -> None:
         """Write this host's entry again; the restored store may lack it."""
         self._registration.start()
@@ -297,7 +332,8 @@
         self._loads_elsewhere.count(server, share, sign)
 
     def _on_digest(self, digest: Digest) -> None:
-        """Apply what a peer has observed of sessions and servers."""
+        """Apply what a peer has observed of sessions, servers and the store."""
+        self._store_view.apply_updates(digest)
         self._session_versions.apply_report(digest.sessions, self._loop.now)
         if digest.leaving:
             self._tables.apply_leaving_incarnations(digest.leaving, digest.host)
--- a/masticfork/relay/followers.py
+++ b/masticfork/relay/followers.py
@@ -3,6 +3,7 @@
 import random
 import threading
 import time
+from collections.abc import Callable
 from functools import partial
 from typing import Protocol
 
@@ -21,13 +22,13 @@
 WATCH_WAIT_SECONDS = 4.0
 # Wait of the first watch after a failure, short so that recovery is seen soon.
 RECOVERY_WATCH_WAIT_SECONDS = 0.2
+# Interval at which a paused follower checks whether the host stops.
+PAUSE_CHECK_SECONDS = 1.0
 # Pause after a watch that returned changes, so that later changes share one call.
 # The one of servers can be longer, as leaving servers keep serving for 2 s or more.
 BATCH_SECONDS_BY_KIND = {names.KIND_SERVERS: 0.6}
 DEFAULT_BATCH_SECONDS = 0.2
-# Interval between listings of a kind that is not watched.
-LIST_INTERVAL_SECONDS = 5.0
-# Delay of the first such listing after the start.
+# Delay of the first listing of a kind that is not watched.
 FIRST_LIST_DELAY_SECONDS = 1.5
 # Timeout of a listing; a healthy store answers in 4 ms.
 LIST_TIMEOUT_SECONDS = 2.0
@@ -85,6 +86,17 @@
 class Lister(_StoreThread):
     """Lists a kind periodically; stale reads are allowed, as they cost least."""
 
+    def __init__(
+        self,
+        kind: str,
+        objects: PlatformObjects,
+        loop: Loop,
+        listener: StoreListener,
+        interval_seconds: Callable[[], float],
+    ) -> None:
+        super().__init__(kind, objects, loop, listener)
+        self._interval_seconds = interval_seconds
+
     def _run(self) -> None:
         # All hosts start within a second; the first listing is to hold every one.
         time.sleep(FIRST_LIST_DELAY_SECONDS)
@@ -92,7 +104,7 @@
             outcome = self._read_all(stale=True)
             if isinstance(outcome, Err):
                 self._report_failure(outcome.err_value)
-            time.sleep(LIST_INTERVAL_SECONDS * random.uniform(0.8, 1.2))
+            time.sleep(self._interval_seconds() * random.uniform(0.8, 1.2))
 
 
 class Follower(_StoreThread):
@@ -104,10 +116,32 @@
         super().__init__(kind, objects, loop, listener)
         self._backoff = MIN_BACKOFF_SECONDS
         self._position: StorePosition | None = None
+        self._resume_position: StorePosition | None = None
+        self._resumed = threading.Event()
+        self._resumed.set()
         self._failed = False
 
+    @property
+    def kind(self) -> str:
+        """Return the kind of objects."""
+        return self._kind
+
+    def pause(self) -> None:
+        """Make no further calls after the one in progress."""
+        self._resumed.clear()
+
+    def resume(self, position: StorePosition) -> None:
+        """Follow the changes after a position; list all objects if it is unknown."""
+        self._resume_position = position if position.revision else None
+        self._resumed.set()
+
     def _run(self) -> None:
         while self._loop.running:
+            if not self._resumed.is_set():
+                if not self._resumed.wait(PAUSE_CHECK_SECONDS):
+                    continue
+                self._position = self._resume_position
+                self._failed = False
             step = self._list if self._position is None else self._watch
             error = step()
             if error is None:
--- a/masticfork/relay/mirror.py
+++ b/masticfork/relay/mirror.py
@@ -1,9 +1,12 @@
 """Local copies of store objects, kept so that peers can fetch them."""
 
+import json
+import zlib
 from typing import Any
 
 import attrs
 
+from masticfork.core.ids import short_key
 from masticfork.core.store_position import StorePosition
 from masticfork.platform.objects import (
     Changes,
@@ -12,6 +15,11 @@
     PlatformObject,
 )
 
+FINGERPRINT_MODULUS = 1 << 32
+# The fastest level; configurations shrink to a tenth with it.
+COMPRESSION_LEVEL = 1
+ZLIB_FIRST_BYTE = b"\x78"
+
 
 @attrs.define
 class KindMirror:
@@ -19,11 +27,14 @@
 
     position: StorePosition = attrs.field(factory=StorePosition)
     objects: dict[str, PlatformObject] = attrs.field(factory=dict)
+    # Hash that is equal for mirrors of the same objects.
+    fingerprint: int = 0
 
     def apply_listing(self, listing: Listing) -> None:
         """Replace all objects."""
         self.position = listing.position
         self.objects = {stored.name: stored for stored in listing.objects}
+        self._update_fingerprint()
 
     def apply_changes(self, changes: Changes) -> list[ObjectChange]:
         """Apply changes; return those that were not known before.
@@ -45,8 +56,15 @@
                 self.objects.pop(change.object.name, None)
             else:
                 self.objects[change.object.name] = change.object
+        if new_changes:
+            self._update_fingerprint()
         return new_changes
 
+    def _update_fingerprint(self) -> None:
+        names = (f"{item.name}/{item.revision}" for item in self.objects.values())
+        total = sum(short_key(name) for name in names)
+        self.fingerprint = total % FINGERPRINT_MODULUS
+
     def _is_new(self, change: ObjectChange, revision_before: int) -> bool:
         stored = change.object
         if not change.deleted:
@@ -55,6 +73,41 @@
         return known is None or not stored.revision or known.revision <= stored.revision
 
 
+def encode_changes(changes: list[ObjectChange]) -> bytes:
+    """Return the compressed JSON in which hosts send changes to each other."""
+    rows = [[attrs.asdict(change.object), change.deleted] for change in changes]
+    return zlib.compress(json.dumps(rows).encode(), COMPRESSION_LEVEL)
+
+
+def decode_changes(data: bytes) -> list[ObjectChange]:
+    """Return the changes another host has sent; raise ValueError if malformed."""
+    try:
+        rows = json.loads(zlib.decompress(data))
+        return [
+            ObjectChange(PlatformObject(**row), bool(deleted)) for row, deleted in rows
+        ]
+    except (zlib.error, TypeError, ValueError) as error:
+        raise ValueError(f"malformed changes: {error!r}") from error
+
+
+def encode_copy(mirrors: dict[str, KindMirror]) -> bytes:
+    """Return the compressed JSON in which peers exchange mirrors."""
+    return zlib.compress(json.dumps(to_json(mirrors)).encode(), COMPRESSION_LEVEL)
+
+
+def decode_copy(data: bytes) -> dict[str, Listing]:
+    """Return the listings in a peer's copy; raise ValueError if it is malformed.
+
+    Peers of earlier builds don't compress it.
+    """
+    try:
+        compressed = data[:1] == ZLIB_FIRST_BYTE
+        value = json.loads(zlib.decompress(data) if compressed else data)
+    except zlib.error as error:
+        raise ValueError(f"malformed store copy: {error!r}") from error
+    return from_json(value)
+
+
 def to_json(mirrors: dict[str, KindMirror]) -> Any:
     """Return the JSON value in which peers exchange mirrors."""
     return {
--- a/masticfork/relay/partial_digests_test.py
+++ b/masticfork/relay/partial_digests_test.py
@@ -35,6 +35,7 @@
             own,
             (),
             "host-1",
+            "zone-a",
             self._add_load,
             lambda _: None,
             lambda *_, **__: None,
--- a/masticfork/relay/peers.py
+++ b/masticfork/relay/peers.py
@@ -1,13 +1,12 @@
 """Exchange between entry hosts: digests over UDP, store copies over HTTP."""
 
 import contextlib
-import json
+import random
 import selectors
 import socket
 import time
 from collections.abc import Callable, Iterable
 from concurrent.futures import ThreadPoolExecutor
-from typing import Any
 
 import attrs
 from result import Err
@@ -18,7 +17,7 @@
 from masticfork.platform.objects import Listing
 from masticfork.relay.digest_codec import decode_digest, encode_digest
 from masticfork.relay.loop import Loop
-from masticfork.relay.mirror import from_json
+from masticfork.relay.mirror import decode_copy
 from masticfork.store.connections import Call, ConnectionPool
 
 # Interval between full digests, and the number of hosts beyond which it grows in
@@ -39,7 +38,7 @@
 # Timeout of fetching a peer's store copy, and the interval before the next attempt.
 COPY_TIMEOUT_SECONDS = 1.0
 COPY_INTERVAL_SECONDS = 0.4
-COPY_PATH = "/copy"
+COPY_PATH = "/copy.z"
 RECEIVE_BUFFER_BYTES = 65536
 
 
@@ -58,6 +57,7 @@
         own_address: Address,
         seeds: tuple[str, ...],
         host: str,
+        zone: str,
         on_load: Callable[[int, HostLoad, int], None],
         on_digest: Callable[[Digest], None],
         log: Callable[..., None],
@@ -65,6 +65,7 @@
         self._loop = loop
         self._own_address = own_address
         self._host = host
+        self._zone = zone
         # Called with a server's short key, a load, and 1 to add or -1 to subtract it.
         self._on_load = on_load
         self._on_digest = on_digest
@@ -102,6 +103,11 @@
             if now - peer.heard_at < DIGEST_LIFETIME_SECONDS
         ]
 
+    def recent_digests(self, seconds: float) -> list[Digest]:
+        """Return the digests of hosts heard within the last `seconds`."""
+        now, peers = self._loop.now, self._peers.values()
+        return [peer.digest for peer in peers if now - peer.heard_at < seconds]
+
     def set_hosts(self, addresses: dict[str, Address]) -> None:
         """Add or update the addresses of the hosts that the store lists."""
         self._addresses |= addresses
@@ -167,10 +173,11 @@
         is_newer: Callable[[Digest], bool],
         apply_copy: Callable[[dict[str, Listing]], None],
     ) -> None:
-        """Fetch the store copy of the most up-to-date live host, in the background.
+        """Fetch the store copy of a live host that is ahead, in the background.
 
-        Consider only hosts whose digest satisfies `is_newer`; call `apply_copy` with
-        the result on the loop's thread.
+        Consider only hosts whose digest satisfies `is_newer`, those with the newest
+        configuration and then those of the own availability zone first; call
+        `apply_copy` with the result on the loop's thread.
         """
         if self._copying or self._loop.now < self._next_copy:
             return
@@ -179,7 +186,8 @@
         ]
         if not candidates:
             return
-        newest = max(candidates, key=lambda d: (d.configuration, d.servers))
+        random.shuffle(candidates)
+        newest = max(candidates, key=lambda d: (d.configuration, d.zone == self._zone))
         self._copying = True
         address = self._addresses[newest.host]
         self._log(
@@ -226,6 +234,7 @@
             merged = digest
         self._update_loads(merged, changed, 1)
         self._on_digest(digest)
+        merged = attrs.evolve(merged, updates=())
         self._peers[digest.host] = _Peer(merged, self._loop.now)
 
     def _expire_silent(self) -> None:
@@ -261,7 +270,6 @@
     if isinstance(outcome, Err):
         return outcome.err_value.message
     try:
-        value: Any = json.loads(outcome.ok_value.body)
-        return from_json(value)
+        return decode_copy(outcome.ok_value.body)
     except ValueError as error:
         return str(error)
--- /dev/null
+++ b/masticfork/relay/reader_duty.py
@@ -0,0 +1,82 @@
+"""Starts and stops this host's reading of the store, as the fleet chooses readers."""
+
+from collections.abc import Callable
+
+from masticfork.relay.followers import Follower
+from masticfork.relay.loop import Loop
+from masticfork.relay.peers import Peers
+from masticfork.relay.store_view import StoreView
+from masticfork.relay.tables import Tables
+from masticfork.systems.store_readers import ReaderCandidate, choose_readers
+
+# Silence after which a reader is replaced: twice the longest digest interval, and some
+# time for a digest that is late.
+READER_SILENCE_SECONDS = 2.2
+# Interval between listings of the hosts. Hosts that don't read the store also learn of
+# new ones by their digests.
+READER_LIST_SECONDS, OTHER_LIST_SECONDS = 5.0, 20.0
+
+
+class ReaderDuty:
+    """Decides on each tick whether this host follows the store itself."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        host: str,
+        zone: str,
+        tables: Tables,
+        peers: Peers,
+        view: StoreView,
+        followers: list[Follower],
+        log: Callable[..., None],
+    ) -> None:
+        self._loop = loop
+        self._host = host
+        self._zone = zone
+        self._tables = tables
+        self._peers = peers
+        self._view = view
+        self._followers = followers
+        self._log = log
+        # Every host reads until it knows others that do.
+        self._reading = True
+
+    @property
+    def reading(self) -> bool:
+        """Return whether this host follows the store itself."""
+        return self._reading
+
+    @property
+    def list_interval_seconds(self) -> float:
+        """Return the interval between listings of the hosts."""
+        return READER_LIST_SECONDS if self._reading else OTHER_LIST_SECONDS
+
+    def run(self) -> None:
+        """Start or stop following the store."""
+        digests = self._peers.recent_digests(READER_SILENCE_SECONDS)
+        candidates = [ReaderCandidate(d.host, d.zone, d.store_failing) for d in digests]
+        own = ReaderCandidate(self._host, self._zone, self._view.store_failing)
+        chosen = choose_readers([own, *candidates])
+        others_read = any(
+            digest.reading and not digest.store_failing and digest.host in chosen
+            for digest in digests
+        )
+        should_read = (
+            self._host in chosen or not others_read or not self._tables.complete
+        )
+        if should_read == self._reading:
+            return
+        self._reading = should_read
+        self._log(
+            "reading the store" if should_read else "no longer reading the store",
+            readers=len(chosen),
+            hosts=len(candidates) + 1,
+        )
+        for follower in self._followers:
+            if should_read:
+                follower.resume(self._view.position(follower.kind))
+            else:
+                follower.pause()
+        if not should_read:
+            self._view.forget_failures()
--- a/masticfork/relay/restored_store_model_test.py
+++ b/masticfork/relay/restored_store_model_test.py
@@ -168,6 +168,7 @@
             RelayMetrics(),
             _ignore,
             self._on_restored,
+            lambda: None,
         )
         self.controller = RolloutController(
             loop,
--- a/masticfork/relay/store_view.py
+++ b/masticfork/relay/store_view.py
@@ -7,11 +7,16 @@
 from result import Err, Result
 
 from masticfork.core.backend_servers import Address
-from masticfork.core.digests import Digest
+from masticfork.core.digests import Digest, KindState, KindUpdate
 from masticfork.core.findings import Finding
 from masticfork.core.store_position import StorePosition
 from masticfork.platform import names
-from masticfork.platform.objects import Changes, Listing, PlatformObject
+from masticfork.platform.objects import (
+    Changes,
+    Listing,
+    ObjectChange,
+    PlatformObject,
+)
 from masticfork.platform.route_format import decode_route_table
 from masticfork.platform.server_format import (
     decode_host,
@@ -20,7 +25,13 @@
 )
 from masticfork.relay.loop import Loop
 from masticfork.relay.metrics import RelayMetrics
-from masticfork.relay.mirror import KindMirror, to_json
+from masticfork.relay.mirror import (
+    KindMirror,
+    decode_changes,
+    encode_changes,
+    encode_copy,
+    to_json,
+)
 from masticfork.relay.peers import Peers
 from masticfork.relay.tables import Tables
 from masticfork.store.client import PlatformError
@@ -31,6 +42,19 @@
 # have expired: entries of live servers are back within 2 s of the store's recovery.
 STORE_RECOVERY_SECONDS = 3.0
 
+# Time after which failing calls to the store count as a failure of this host, and for
+# which the other hosts then do without it.
+FAILURE_NOTICE_SECONDS = 0.5
+FAILURE_MEMORY_SECONDS = 5.0
+# Time for which a peer may know more than this host before its copy is requested:
+# changes usually arrive by a datagram or by this host's own watch.
+BEHIND_SECONDS = 0.15
+READER_BEHIND_SECONDS = 1.0
+# Longest changes that are sent by datagram; peers copy longer ones over HTTP.
+MAX_UPDATE_BYTES = 8000
+# Hosts of earlier builds request the copy there, and read plain JSON.
+PLAIN_COPY_PATH = b"/copy"
+
 T = TypeVar("T")
 
 
@@ -45,6 +69,7 @@
         metrics: RelayMetrics,
         log: Callable[..., None],
         on_restored: Callable[[], None],
+        on_update: Callable[[], None],
     ) -> None:
         self._loop = loop
         self._tables = tables
@@ -53,9 +78,18 @@
         self._log = log
         # Called when the store has come back from an older copy.
         self._on_restored = on_restored
+        # Called when something new has been read from the store.
+        self._on_update = on_update
         self._mirrors = {kind: KindMirror() for kind in MIRRORED_KINDS}
         self._failed_at = float("-inf")
         self._failing: set[str] = set()
+        self._failing_since: float | None = None
+        self._failure_known_until = 0.0
+        # Loop time since which some peer has known more than this host.
+        self._behind_since: float | None = None
+        self._updates: list[KindUpdate] = []
+        # The page for peers, and the states of the kinds that it holds.
+        self._copy: tuple[tuple[KindState, ...], bytes] | None = None
         self._era = 0
         # The object of the configuration in force. A restored store may hold an older
         # one, which peers are not to copy.
@@ -66,16 +100,89 @@
         """Return the position of the store up to which the servers are known."""
         return self._mirrors[names.KIND_SERVERS].position
 
+    @property
+    def kind_states(self) -> tuple[KindState, ...]:
+        """Return what this host knows of each kind, in the order of the kinds."""
+        return tuple(
+            KindState(mirror.position, self._fingerprint(kind))
+            for kind, mirror in self._mirrors.items()
+        )
+
+    @property
+    def store_failing(self) -> bool:
+        """Return whether calls of this host to the store have failed for some time."""
+        now, since = self._loop.now, self._failing_since
+        lasting = since is not None and now - since >= FAILURE_NOTICE_SECONDS
+        if lasting:
+            self._failure_known_until = now + FAILURE_MEMORY_SECONDS
+        return now < self._failure_known_until
+
+    def position(self, kind: str) -> StorePosition:
+        """Return the position of the store up to which a kind is known."""
+        return self._mirrors[kind].position
+
     def copy_page(self, path: bytes) -> tuple[int, bytes]:
-        """Return the HTTP status and JSON body from which peers copy the store."""
+        """Return the HTTP status and body from which peers copy the store."""
         if not self._tables.complete:
             return 503, b""
-        return 200, json.dumps(to_json(self._mirrors)).encode()
+        if path == PLAIN_COPY_PATH:
+            return 200, json.dumps(to_json(self._mirrors)).encode()
+        states = self.kind_states
+        if self._copy is None or self._copy[0] != states:
+            self._copy = states, encode_copy(self._mirrors)
+        return 200, self._copy[1]
+
+    def run(self, now: float, reading: bool) -> None:
+        """Request a copy from a peer while this host is behind or can't read."""
+        digests = self._peers.live_digests
+        readers = [digest for digest in digests if digest.reading]
+        failing = sum(digest.store_failing for digest in readers)
+        if readers and not reading and 2 * failing >= len(readers):
+            self._failed_at = now
+        if not reading:
+            self._follow_positions(readers)
+        if not any(self._is_ahead(digest, reading) for digest in digests):
+            self._behind_since = None
+            return
+        if self._behind_since is None:
+            self._behind_since = now
+        patience = READER_BEHIND_SECONDS if reading else BEHIND_SECONDS
+        if self._failing or now - self._behind_since >= patience:
+            self._peers.copy_from_newest(
+                lambda digest: self._is_ahead(digest, reading), self._apply_copy
+            )
+
+    def apply_updates(self, digest: Digest) -> None:
+        """Apply changes that a peer has read from the store."""
+        kinds = list(self._mirrors)
+        for update in digest.updates:
+            if update.kind >= len(kinds):
+                continue
+            kind = kinds[update.kind]
+            mirror = self._mirrors[kind]
+            reached = StorePosition(update.since.era, update.revision)
+            if not update.since <= mirror.position < reached:
+                continue
+            if mirror.position.era != reached.era or not mirror.position.revision:
+                continue
+            try:
+                changes = tuple(decode_changes(update.changes))
+            except ValueError as error:
+                self._log("update ignored", peer=digest.host, error=str(error))
+                continue
+            self._apply_changes(
+                kind, Changes(changes, reached.revision, reached.era), digest.host
+            )
 
-    def run(self, now: float) -> None:
-        """Request a copy from a peer while calls to the store fail."""
-        if self._failing:
-            self._peers.copy_from_newest(self._is_ahead, self._apply_copy)
+    def take_updates(self) -> tuple[KindUpdate, ...]:
+        """Return the changes read since the last call that are small enough to send."""
+        updates, self._updates = tuple(self._updates), []
+        return updates
+
+    def forget_failures(self) -> None:
+        """Clear the failures of followers that have been paused."""
+        self._failing.clear()
+        self._failing_since = None
 
     # Called by the followers.
 
@@ -85,15 +192,33 @@
         if kind == names.KIND_HOSTS:
             self._apply_hosts(listing)
         elif listing.position >= self._mirrors[kind].position:
+            known = self._mirrors[kind].position.revision > 0
+            before = self._fingerprint(kind)
             self._apply_listing(kind, listing)
+            if known and self._fingerprint(kind) != before:
+                self._on_update()
 
     def on_changes(self, kind: str, changes: Changes) -> None:
-        """Apply changes to objects of a kind."""
+        """Apply changes to objects of a kind, and offer them to peers."""
         self._record_recovery(kind)
-        for change in self._mirrors[kind].apply_changes(changes):
+        since = self._mirrors[kind].position
+        new_changes = self._apply_changes(kind, changes, "store")
+        if not new_changes:
+            return
+        data = encode_changes(new_changes)
+        if len(data) <= MAX_UPDATE_BYTES:
+            index = list(self._mirrors).index(kind)
+            self._updates.append(KindUpdate(index, since, changes.revision, data))
+        self._on_update()
+
+    def _apply_changes(
+        self, kind: str, changes: Changes, source: str
+    ) -> list[ObjectChange]:
+        new_changes = self._mirrors[kind].apply_changes(changes)
+        for change in new_changes:
             stored = change.object
             if kind == names.KIND_CONFIG and not change.deleted:
-                self._apply_configuration(stored, "store")
+                self._apply_configuration(stored, source)
             elif kind == names.KIND_SERVERS and change.deleted:
                 self._tables.remove_server(
                     stored.name, with_grace=self._failed_recently
@@ -107,10 +232,13 @@
                 for rollout in self._valid([decode_rollout(stored, changes.era)]):
                     self._tables.put_rollout(rollout)
         self._mirror_configuration()
+        return new_changes
 
     def on_store_failure(self, kind: str, error: PlatformError) -> None:
         """Record the failure of a call to the store."""
         self._failed_at = self._loop.now
+        if self._failing_since is None:
+            self._failing_since = self._loop.now
         self._metrics.store_failures.labels(kind, error.kind.value).inc()
         if kind not in self._failing:
             self._failing.add(kind)
@@ -124,6 +252,8 @@
         if kind in self._failing:
             self._failing.discard(kind)
             self._log("store regained", kind=kind)
+        if not self._failing:
+            self._failing_since = None
 
     def _apply_listing(
         self, kind: str, listing: Listing, source: str = "store"
@@ -183,12 +313,52 @@
 
     # Callbacks for `Peers`.
 
-    def _is_ahead(self, digest: Digest) -> bool:
+    def _is_ahead(self, digest: Digest, reading: bool) -> bool:
+        """Return whether a peer knows more than this host.
+
+        A host that reads the store itself relies on peers only while its calls fail,
+        and for a configuration that a restored store has lost.
+        """
+        if digest.configuration > self._version:
+            return True
+        if reading and not self._failing:
+            return False
+        if not digest.kinds:
+            return digest.servers > self.servers_position
+        return digest.reading and any(
+            state.position > mirror.position
+            and (
+                state.position.era != mirror.position.era
+                or state.fingerprint != self._fingerprint(kind)
+            )
+            for state, (kind, mirror) in zip(
+                digest.kinds, self._mirrors.items(), strict=False
+            )
+        )
+
+    def _follow_positions(self, readers: list[Digest]) -> None:
+        """Take over the positions of readers that know the same objects.
+
+        From there this host's own watch can go on if it becomes a reader.
+        """
+        for digest in readers:
+            for state, (kind, mirror) in zip(
+                digest.kinds, self._mirrors.items(), strict=False
+            ):
+                same_era = state.position.era == mirror.position.era
+                if same_era and state.fingerprint == self._fingerprint(kind):
+                    mirror.position = max(mirror.position, state.position)
+
+    def _fingerprint(self, kind: str) -> int:
+        """Return a hash of what is known of a kind, the same on hosts that agree."""
+        if kind == names.KIND_CONFIG:
+            return self._version
+        return self._mirrors[kind].fingerprint
+
+    @property
+    def _version(self) -> int:
         table = self._tables.routes
-        version = 0 if table is None else table.version
-        lost_servers = names.KIND_SERVERS in self._failing
-        newer_servers = lost_servers and digest.servers > self.servers_position
-        return digest.configuration > version or newer_servers
+        return 0 if table is None else table.version
 
     def _apply_copy(self, copied: dict[str, Listing]) -> None:
         """Apply the kinds of a peer's copy that are newer than this host's."""
--- /dev/null
+++ b/masticfork/systems/store_readers_test.py
@@ -0,0 +1,35 @@
+"""Tests of the choice of hosts that read the store."""
+
+from masticfork.systems.store_readers import ReaderCandidate, choose_readers
+
+
+def fleet(zones, hosts_per_zone, failing=()):
+    return [
+        ReaderCandidate(f"{zone}-{number}", zone, f"{zone}-{number}" in failing)
+        for zone in zones
+        for number in range(hosts_per_zone)
+    ]
+
+
+class TestChoice:
+    def test_number_of_readers_grows_with_zones_and_not_with_hosts(self):
+        for hosts_per_zone in (6, 16, 80):
+            assert len(choose_readers(fleet("abcde", hosts_per_zone))) == 10
+
+    def test_small_fleet_reads_on_every_host(self):
+        assert len(choose_readers(fleet("ab", 2))) == 4
+
+    def test_order_of_candidates_does_not_matter(self):
+        candidates = fleet("abc", 9)
+        assert choose_readers(candidates) == choose_readers(candidates[::-1])
+
+    def test_hosts_that_the_store_turns_away_are_replaced(self):
+        before = choose_readers(fleet("abc", 9))
+        failing = {host for host in before if host.startswith("a")}
+        after = choose_readers(fleet("abc", 9, failing))
+        assert not failing & after
+        assert {h for h in before if not h.startswith("a")} < after
+
+    def test_failing_hosts_read_if_there_are_no_others(self):
+        failing = {candidate.host for candidate in fleet("a", 3)}
+        assert len(choose_readers(fleet("a", 3, failing))) == 2
