--- a/masticfork/relay/entry.py
+++ b/masticfork/relay/entry.py
@@ -265,6 +265,11 @@
         """Return the number of peers heard from recently."""
         return len(self._peers.live_digests)
 
+    @property
+    def reads_the_store(self) -> bool:
+        """Return whether this host follows the store itself."""
+        return self._reader_duty.reading
+
     def running_elsewhere(self, server_id: str) -> int:
         """Return the number of calls that peers last reported at a server."""
         row = self._tables.row(server_id)
--- /dev/null
+++ b/masticfork/relay/reader_duty_test.py
@@ -0,0 +1,135 @@
+"""Hosts of one availability zone of which two read the store for the others."""
+
+import time
+from contextlib import ExitStack, contextmanager
+
+import pytest
+
+from standins.entry_environment import (
+    SERVICE,
+    configuration,
+    route,
+    running_entry_host,
+    server_entry,
+)
+from standins.object_store import ObjectStore
+from standins.scripted_server import response
+
+HOSTS = 5
+
+
+def complete_response(request):
+    yield response(request, b"whole")
+
+
+class Fleet:
+    """Entry hosts that share one store."""
+
+    def __init__(self, store, hosts):
+        self.store = store
+        self.hosts = hosts
+
+    def host_names_reading(self):
+        """Return the names of the hosts that read the store."""
+        return {
+            env.host._settings.host for env in self.hosts if env.host.reads_the_store
+        }
+
+    def wait_until(self, condition, seconds=8.0):
+        self.hosts[0].wait_until(condition, seconds)
+
+    def wait_for_readers(self, count):
+        self.wait_until(lambda: len(self.host_names_reading()) == count)
+
+    def version(self, env):
+        """Return the configuration version that a host has in force."""
+        table = env.host._tables.routes
+        return 0 if table is None else table.version
+
+    def wait_for_version(self, version, seconds=4.0):
+        self.wait_until(
+            lambda: all(self.version(env) == version for env in self.hosts), seconds
+        )
+
+
+@contextmanager
+def running_fleet():
+    store = ObjectStore()
+    store.put("config", "main", configuration(1))
+    with ExitStack() as stack:
+        hosts = [
+            stack.enter_context(running_entry_host(host=f"host-{n}", store=store))
+            for n in range(HOSTS)
+        ]
+        fleet = Fleet(store, hosts)
+        fleet.wait_until(
+            lambda: all(env.host.live_peer_count == HOSTS - 1 for env in hosts), 12.0
+        )
+        fleet.wait_for_readers(2)
+        yield fleet
+
+
+@pytest.fixture(scope="module")
+def fleet():
+    with running_fleet() as running:
+        yield running
+
+
+class TestReaders:
+    def test_changes_reach_all_hosts_within_the_time_of_their_rules(self, fleet):
+        fleet.store.put("config", "main", configuration(3, route("unsafe")))
+        fleet.wait_for_version(3, 2.0)
+        server = fleet.hosts[0].add_server(complete_response, SERVICE)
+        fleet.wait_until(
+            lambda: all(env.send("/unsafe/x").status == 200 for env in fleet.hosts), 2.0
+        )
+        entry = server_entry(server, SERVICE, state="draining", sequence=2)
+        fleet.store.put("servers", "i-1", entry)
+        fleet.wait_until(
+            lambda: all(env.send("/unsafe/x").status == 503 for env in fleet.hosts), 2.0
+        )
+
+    def test_configuration_too_large_for_a_datagram_is_copied(self, fleet):
+        many = [route("safe", name=f"r{n}", host=f"h{n}.example") for n in range(900)]
+        keys = [{"name": "team-1", "api_keys": [f"key-{n * 7919}" for n in range(900)]}]
+        fleet.store.put("config", "main", configuration(5, *many, tenants=keys))
+        fleet.wait_for_version(5, 3.0)
+        fleet.store.put("config", "main", configuration(6))
+        fleet.wait_for_version(6, 2.0)
+
+    def test_calls_to_the_store_do_not_grow_with_the_hosts(self, fleet):
+        before = fleet.store.counts()["calls"]
+        for version in range(10, 16):
+            fleet.store.put("config", "main", configuration(version))
+            fleet.wait_for_version(version)
+            time.sleep(0.3)
+        # Two readers: a watch of each kind for at most 4 s, and one for each change.
+        assert fleet.store.counts()["calls"] - before <= 2 * (6 + 6)
+
+    def test_restored_store_is_followed_and_its_older_configuration_is_not(self, fleet):
+        version = fleet.version(fleet.hosts[0])
+        stored_copy = fleet.store.take_copy()
+        fleet.store.put("config", "main", configuration(version + 2))
+        fleet.wait_for_version(version + 2)
+        fleet.store.restore(stored_copy)
+        fleet.hosts[0].add_server(complete_response, SERVICE)
+        fleet.wait_until(
+            lambda: all(env.send("/safe/x").status == 200 for env in fleet.hosts), 4.0
+        )
+        assert {fleet.version(env) for env in fleet.hosts} == {version + 2}
+        fleet.store.put("config", "main", configuration(version + 4))
+        fleet.wait_for_version(version + 4)
+
+
+class TestFailingReaders:
+    def test_readers_that_stop_are_replaced(self):
+        with running_fleet() as fleet:
+            readers = fleet.host_names_reading()
+            stopped = [env for env in fleet.hosts if env.host._settings.host in readers]
+            fleet.hosts = [env for env in fleet.hosts if env not in stopped]
+            for env in stopped:
+                env.host.loop.post(env.host.loop.stop)
+            fleet.store.put("config", "main", configuration(4))
+            fleet.wait_for_version(4, 4.0)
+            fleet.wait_for_readers(2)
+            assert not fleet.host_names_reading() & readers
--- a/standins/entry_environment.py
+++ b/standins/entry_environment.py
@@ -229,13 +229,16 @@
     *,
     wait: bool = True,
     host: str = "host-1",
+    zone: str = "zone-a",
+    store: ObjectStore | None = None,
 ) -> Iterator[EntryHostEnvironment]:
     """Run an entry host in a thread, with a store that holds a configuration.
 
-    `spec` is the configuration: the default one if None, or none at all if False.
+    `spec` is the configuration: the default one if None, or none at all if False. A
+    `store` shared with other hosts keeps the one that it has.
     """
-    store = ObjectStore()
-    if spec is not False:
+    shared_store, store = store, store or ObjectStore()
+    if spec is not False and shared_store is None:
         store.put("config", "main", spec or configuration(1))
     with ExitStack() as stack:
         log = stack.enter_context(logbook.TestHandler().applicationbound())
@@ -243,7 +246,7 @@
         front, ready, peer = free_address(), free_address(), free_address()
         settings = EntrySettings(
             host=host,
-            zone="zone-a",
+            zone=zone,
             front=front,
             ready=ready,
             peer_ports=(peer.port, peer.port),
