--- a/masticfork/core/digests.py
+++ b/masticfork/core/digests.py
@@ -84,15 +84,23 @@
     # Whether `loads` has only changed entries; all else is as in the digest before.
     partial: bool = False
 
-    def merged_with(self, later: "Digest") -> "Digest":
-        """Return the full digest that results from applying a later one."""
+    def updated_by(self, later: "Digest") -> "Digest":
+        """Return what a later digest and this one tell, without loads and updates."""
         if not later.partial:
-            return later
-        loads = self.loads | later.loads
+            return attrs.evolve(later, loads={}, updates=())
+        if not later.kinds:
+            later_state = (later.configuration, later.leaving, later.reading)
+            if later_state == (self.configuration, self.leaving, self.reading) and (
+                later.store_failing == self.store_failing
+            ):
+                # The usual case, many times a second.
+                return self
         return attrs.evolve(
-            later,
-            loads={server: load for server, load in loads.items() if load.running},
-            rollouts=self.rollouts,
-            zone=self.zone,
-            partial=False,
+            self,
+            configuration=later.configuration,
+            servers=later.servers,
+            leaving=later.leaving,
+            kinds=later.kinds or self.kinds,
+            reading=later.reading,
+            store_failing=later.store_failing,
         )
--- a/masticfork/relay/digest.capnp
+++ b/masticfork/relay/digest.capnp
@@ -11,6 +11,7 @@
   configuration @3 :Int64;
   # Store revision up to which the sender knows the servers, in the era below.
   servers @4 :Int64;
+  # Only builds before `packedLoads` fill it in.
   loads @5 :List(Load);
   rollouts @6 :List(Rollout);
   sessions @7 :List(Session);
@@ -21,13 +22,17 @@
   leaving @9 :List(UInt32);
   # Rises by one each time the store is restored from an older copy.
   era @10 :UInt32;
-  # The fields below concern the objects that hosts copy from each other.
+  # The fields below concern the objects that hosts copy from each other. A partial
+  # digest leaves `zone` empty, and `kinds` if they are the same as in the one before.
   zone @11 :Text;
   kinds @12 :List(Kind);
   updates @13 :List(Update);
   # Whether the sender follows the store itself, and whether its calls fail.
   reading @14 :Bool;
   storeFailing @15 :Bool;
+  # The loads as a sequence of little-endian records of 10 bytes with the fields of
+  # `Load`: reading a list of structs takes ten times as long.
+  packedLoads @16 :Data;
 }
 
 struct Kind {
--- a/masticfork/relay/digest_codec.py
+++ b/masticfork/relay/digest_codec.py
@@ -1,6 +1,8 @@
 """Encoding of digests as Cap'n Proto datagrams."""
 
+import struct
 from pathlib import Path
+from typing import Any
 
 import capnp
 from result import Err, Ok, Result
@@ -19,6 +21,9 @@
 BUSY_CALLS_PER_UNIT = 0.1
 _MAX_UINT16 = 0xFFFF
 
+# The fields of `Load` in the schema, in their order there.
+_LOAD_RECORD = struct.Struct("<IHHH")
+
 _schema = capnp.load(str(Path(__file__).with_name("digest.capnp")))
 
 
@@ -57,21 +62,7 @@
             for update in digest.updates
         ],
         leaving=sorted(digest.leaving),
-        loads=[
-            {
-                "server": server,
-                "running": min(_MAX_UINT16, max(0, load.running)),
-                "busy": min(
-                    _MAX_UINT16,
-                    max(0, round(load.weighted_running / BUSY_CALLS_PER_UNIT)),
-                ),
-                "pending": min(
-                    _MAX_UINT16,
-                    max(0, round(load.pending_work / PENDING_TOKENS_PER_UNIT)),
-                ),
-            }
-            for server, load in digest.loads.items()
-        ],
+        packedLoads=_pack_loads(digest.loads),
         rollouts=[
             {
                 "service": evidence.service,
@@ -93,6 +84,42 @@
     return bytes(message.to_bytes_packed())
 
 
+def _pack_loads(loads: dict[int, HostLoad]) -> bytes:
+    return b"".join(
+        _LOAD_RECORD.pack(
+            server,
+            min(_MAX_UINT16, max(0, load.running)),
+            min(
+                _MAX_UINT16, max(0, round(load.pending_work / PENDING_TOKENS_PER_UNIT))
+            ),
+            min(
+                _MAX_UINT16, max(0, round(load.weighted_running / BUSY_CALLS_PER_UNIT))
+            ),
+        )
+        for server, load in loads.items()
+    )
+
+
+def _unpack_loads(reader: Any) -> dict[int, HostLoad]:
+    """Return the loads by server; raise ValueError if they are malformed."""
+    packed = reader.packedLoads
+    if len(packed) % _LOAD_RECORD.size:
+        raise ValueError("truncated loads")
+    if packed:
+        records = _LOAD_RECORD.iter_unpack(packed)
+    else:
+        records = (
+            (load.server, load.running, load.pending, load.busy)
+            for load in reader.loads
+        )
+    return {
+        server: HostLoad(
+            running, busy * BUSY_CALLS_PER_UNIT, pending * PENDING_TOKENS_PER_UNIT
+        )
+        for server, running, pending, busy in records
+    }
+
+
 def decode_digest(data: bytes) -> Result[Digest, str]:
     """Decode a datagram; return the first line of the error if it is malformed."""
     try:
@@ -104,14 +131,7 @@
                 sequence=reader.sequence,
                 configuration=reader.configuration,
                 servers=StorePosition(reader.era, reader.servers),
-                loads={
-                    load.server: HostLoad(
-                        load.running,
-                        load.busy * BUSY_CALLS_PER_UNIT,
-                        load.pending * PENDING_TOKENS_PER_UNIT,
-                    )
-                    for load in reader.loads
-                },
+                loads=_unpack_loads(reader),
                 rollouts=tuple(
                     RolloutEvidence(
                         service=item.service,
--- a/masticfork/relay/entry.py
+++ b/masticfork/relay/entry.py
@@ -291,7 +291,6 @@
             loads={},
             rollouts=(),
             leaving=self._tables.leaving_incarnations,
-            kinds=self._store_view.kind_states,
             reading=self._reader_duty.reading,
             store_failing=self._store_view.store_failing,
         )
@@ -300,6 +299,7 @@
         return attrs.evolve(
             self._digest_header(),
             zone=self._settings.zone,
+            kinds=self._store_view.kind_states,
             loads=self._own_loads.take_all(),
             rollouts=self._rollout_controller.evidence(),
             sessions=self._session_versions.next_batch(),
@@ -325,8 +325,13 @@
         """Tell the other hosts what this one has read from the store."""
         updates = self._store_view.take_updates()
         if self._reader_duty.reading:
-            header = self._digest_header()
-            self._peers.send_digest(attrs.evolve(header, updates=updates, partial=True))
+            update = attrs.evolve(
+                self._digest_header(),
+                kinds=self._store_view.kind_states,
+                updates=updates,
+                partial=True,
+            )
+            self._peers.send_digest(update)
 
     def _on_store_restored(self) -> None:
         """Write this host's entry again; the restored store may lack it."""
--- a/masticfork/relay/partial_digests_test.py
+++ b/masticfork/relay/partial_digests_test.py
@@ -86,3 +86,9 @@
     def test_full_digest_replaces_all_loads(self, received: ReceivedLoads):
         received.deliver(FULL)
         assert received.deliver(FULL, sequence=2, loads={}) == {}
+
+    def test_load_without_running_calls_is_removed(self, received: ReceivedLoads):
+        received.deliver(FULL)
+        ended = {7: HostLoad(0, 0.0, 0.0)}
+        assert received.deliver(FULL, sequence=2, loads=ended, partial=True) == {8: 1}
+        assert received.deliver(FULL, sequence=3, loads={}) == {}
--- a/masticfork/relay/peer_loads.py
+++ b/masticfork/relay/peer_loads.py
@@ -27,7 +27,9 @@
 
         Servers are identified by the `short_key` of their identifiers.
         """
-        total = self._totals.setdefault(server, _Total())
+        total = self._totals.get(server)
+        if total is None:
+            total = self._totals[server] = _Total()
         total.running += sign * share.running
         total.weighted_running += sign * share.weighted_running
         total.pending_work += sign * share.pending_work
--- a/masticfork/relay/peers.py
+++ b/masticfork/relay/peers.py
@@ -5,7 +5,7 @@
 import selectors
 import socket
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 
 import attrs
@@ -44,8 +44,11 @@
 
 @attrs.define
 class _Peer:
+    # The latest digest, without its loads.
     digest: Digest
+    sequence: int
     heard_at: float
+    loads: dict[int, HostLoad] = attrs.field(factory=dict)
 
 
 class Peers:
@@ -217,48 +220,51 @@
 
     def _apply_digest(self, digest: Digest) -> None:
         known = self._peers.get(digest.host)
-        if digest.partial and not _is_same_process(known, digest):
-            # Its base is unknown; the next full digest holds these loads as well.
-            return
-        changed = set(digest.loads)
-        if known is not None:
-            order = (known.digest.incarnation, known.digest.sequence)
-            if (digest.incarnation, digest.sequence) <= order:
+        if known is None or not _is_same_process(known, digest):
+            if digest.partial:
+                # Its base is unknown; the next full digest holds these loads as well.
                 return
-            if not digest.partial:
-                changed |= set(known.digest.loads)
-            self._update_loads(known.digest, changed, -1)
-            merged = known.digest.merged_with(digest)
-        else:
-            self._log("peer discovered", peer=digest.host, hosts=len(self._peers) + 2)
-            merged = digest
-        self._update_loads(merged, changed, 1)
+            if known is not None and digest.incarnation < known.digest.incarnation:
+                return
+        elif digest.sequence <= known.sequence:
+            return
         self._on_digest(digest)
-        merged = attrs.evolve(merged, updates=())
-        self._peers[digest.host] = _Peer(merged, self._loop.now)
+        if known is None:
+            self._log("peer discovered", peer=digest.host, hosts=len(self._peers) + 2)
+            known = self._peers[digest.host] = _Peer(digest, 0, self._loop.now)
+        if not digest.partial:
+            for server, load in known.loads.items():
+                self._on_load(server, load, -1)
+            known.loads.clear()
+        for server, load in digest.loads.items():
+            self._replace_load(known, server, load)
+        known.sequence, known.heard_at = digest.sequence, self._loop.now
+        known.digest = known.digest.updated_by(digest)
+
+    def _replace_load(self, peer: _Peer, server: int, load: HostLoad) -> None:
+        previous = peer.loads.pop(server, None)
+        if previous is not None:
+            self._on_load(server, previous, -1)
+        if load.running:
+            peer.loads[server] = load
+            self._on_load(server, load, 1)
 
     def _expire_silent(self) -> None:
         """Subtract the loads of silent hosts; forget hosts that stay silent."""
         now = self._loop.now
         for host, peer in list(self._peers.items()):
             silent = now - peer.heard_at
-            if silent >= DIGEST_LIFETIME_SECONDS and peer.digest.loads:
+            if silent >= DIGEST_LIFETIME_SECONDS and peer.loads:
                 self._log("peer timed out", peer=host, seconds=round(silent, 2))
-                self._update_loads(peer.digest, peer.digest.loads.keys(), -1)
-                peer.digest = attrs.evolve(peer.digest, loads={})
+                for server, load in peer.loads.items():
+                    self._on_load(server, load, -1)
+                peer.loads.clear()
             if silent >= BUDGET_SHARE_SECONDS:
                 del self._peers[host]
 
-    def _update_loads(self, digest: Digest, servers: Iterable[int], sign: int) -> None:
-        """Add (sign 1) or subtract (sign -1) a host's loads at the given servers."""
-        for server in servers:
-            load = digest.loads.get(server)
-            if load is not None:
-                self._on_load(server, load, sign)
-
 
-def _is_same_process(known: _Peer | None, digest: Digest) -> bool:
-    return known is not None and known.digest.incarnation == digest.incarnation
+def _is_same_process(known: _Peer, digest: Digest) -> bool:
+    return known.digest.incarnation == digest.incarnation
 
 
 def _fetch_copy(address: Address) -> dict[str, Listing] | str:
