Pass a server's error on when no other server is left

The test failed first (502 in place of the server's 500).

Ruled out: the retry budget (no line says that it was exhausted) and a version that is rolled back (the service had none).

--- a/masticfork/relay/at_most_once_model_test.py
+++ b/masticfork/relay/at_most_once_model_test.py
@@ -95,6 +95,11 @@
         untried = [row for row in self._rows if row.server.id not in tried_servers]
         return untried[0] if untried else None
 
+    def has_other_server(
+        self, service: str, session: str, tried_servers: set[str]
+    ) -> bool:
+        return any(row.server.id not in tried_servers for row in self._rows)
+
     def min_expected_delay(self, work: Any, session: str) -> float:
         return 0.1
 
--- a/masticfork/relay/entry.py
+++ b/masticfork/relay/entry.py
@@ -517,8 +517,7 @@
         self, service: str, work: Work, session: str, tried_servers: set[str]
     ) -> ServerRow | None:
         """Return the server for a call, None if no untried one is eligible."""
-        rows = self._eligible_rows(service, session)
-        untried = [row for row in rows if row.server.id not in tried_servers]
+        untried = self._untried_rows(service, session, tried_servers)
         row_by_load = {id(row.load): row for row in untried}
         load = self._server_policy.choose(
             work, [row.load for row in untried], self._settings.zone, self._loop.now
@@ -529,6 +528,20 @@
         self._session_versions.record(service, session, version, self._loop.now)
         return row_by_load[id(load)]
 
+    def has_other_server(
+        self, service: str, session: str, tried_servers: set[str]
+    ) -> bool:
+        """Return whether an untried server is eligible and can be reached."""
+        now = self._loop.now
+        rows = self._untried_rows(service, session, tried_servers)
+        return any(row.load.avoid_until <= now for row in rows)
+
+    def _untried_rows(
+        self, service: str, session: str, tried_servers: set[str]
+    ) -> list[ServerRow]:
+        rows = self._eligible_rows(service, session)
+        return [row for row in rows if row.server.id not in tried_servers]
+
     def min_expected_delay(self, work: Work, session: str) -> float:
         """Return the shortest expected delay of any eligible server, in seconds."""
         rows = self._eligible_rows(work.service, session)
--- a/masticfork/relay/exchange.py
+++ b/masticfork/relay/exchange.py
@@ -77,6 +77,11 @@
     ) -> ServerRow | None:
         """Return the server for a call, None if no untried one is eligible."""
 
+    def has_other_server(
+        self, service: str, session: str, tried_servers: set[str]
+    ) -> bool:
+        """Return whether an untried server is eligible."""
+
     def min_expected_delay(self, work: Work, session: str) -> float:
         """Return the shortest expected delay of any eligible server, in seconds."""
 
@@ -371,7 +376,13 @@
         if head.status in _NOT_RUN_STATUSES:
             return CallOutcome.BROKEN
         if head.status >= _MIN_SERVER_ERROR_STATUS and self.route.retryable:
-            can_repeat = self.history.sent < self.route.max_attempts
+            # Without another server, the caller gets this one's own answer.
+            can_repeat = (
+                self.history.sent < self.route.max_attempts
+                and self.host.has_other_server(
+                    self.service, self._session_key, self._tried_servers
+                )
+            )
             return (
                 CallOutcome.SERVER_ERROR
                 if can_repeat or self._response_started
--- a/masticfork/relay/whole_path_test.py
+++ b/masticfork/relay/whole_path_test.py
@@ -185,6 +185,18 @@
         assert len(server.requests) == 1
         assert ("retry-after" in got.headers) == (status == 503)
 
+    def test_error_of_the_only_server_is_passed_on(self):
+        def server_error(request):
+            yield response(request, b"why", "500 Internal Server Error")
+
+        with running_entry_host() as env:
+            server = env.add_server(server_error, SERVICE)
+            env.wait_for_servers(1)
+            got = env.send("/safe/x")
+        assert (got.status, got.body) == (500, b"why")
+        assert got.headers["x-masticfork-server-stamp"] == "s1"
+        assert len(server.requests) == 1
+
     @pytest.mark.parametrize("fault", [fault for fault, _ in FAULTS])
     def test_idempotent_call_is_answered_by_another_server(self, fault):
         with running_entry_host() as env:
