Spend less on digests that change nothing

A host that hears 76 others, four digests a second each, spent 58 ms a second in a loop without network: 31 on full digests, 19 on partial ones, 9 on ticks.

Full digests took all loads out and put them back, and read their sessions as a list of structs; positions of the store were compared as objects on each tick. Loads that are the same are skipped now, sessions are a packed field, and the tick compares revisions: 16, 17 and 4 ms.

--- a/masticfork/relay/digest.capnp
+++ b/masticfork/relay/digest.capnp
@@ -14,6 +14,7 @@
   # Only builds before `packedLoads` fill it in.
   loads @5 :List(Load);
   rollouts @6 :List(Rollout);
+  # Only builds before `packedSessions` fill it in.
   sessions @7 :List(Session);
   # Whether the message holds only the loads that changed since the previous message;
   # everything else is unchanged.
@@ -33,6 +34,8 @@
   # The loads as a sequence of little-endian records of 10 bytes with the fields of
   # `Load`: reading a list of structs takes ten times as long.
   packedLoads @16 :Data;
+  # The sessions likewise, in records of 8 bytes with the fields of `Session`.
+  packedSessions @17 :Data;
 }
 
 struct Kind {
--- a/masticfork/relay/digest_codec.py
+++ b/masticfork/relay/digest_codec.py
@@ -23,6 +23,8 @@
 
 # The fields of `Load` in the schema, in their order there.
 _LOAD_RECORD = struct.Struct("<IHHH")
+# The same for `Session`.
+_SESSION_RECORD = struct.Struct("<II")
 
 _schema = capnp.load(str(Path(__file__).with_name("digest.capnp")))
 
@@ -77,9 +79,9 @@
             }
             for evidence in digest.rollouts
         ],
-        sessions=[
-            {"key": key, "version": version} for key, version in digest.sessions.items()
-        ],
+        packedSessions=b"".join(
+            _SESSION_RECORD.pack(*item) for item in digest.sessions.items()
+        ),
     )
     return bytes(message.to_bytes_packed())
 
@@ -100,6 +102,16 @@
     )
 
 
+def _unpack_sessions(reader: Any) -> dict[int, int]:
+    """Return the versions by session; raise ValueError if they are malformed."""
+    packed = reader.packedSessions
+    if len(packed) % _SESSION_RECORD.size:
+        raise ValueError("truncated sessions")
+    if packed:
+        return dict(_SESSION_RECORD.iter_unpack(packed))
+    return {item.key: item.version for item in reader.sessions}
+
+
 def _unpack_loads(reader: Any) -> dict[int, HostLoad]:
     """Return the loads by server; raise ValueError if they are malformed."""
     packed = reader.packedLoads
@@ -146,7 +158,7 @@
                     )
                     for item in reader.rollouts
                 ),
-                sessions={item.key: item.version for item in reader.sessions},
+                sessions=_unpack_sessions(reader),
                 zone=reader.zone,
                 reading=reader.reading,
                 store_failing=reader.storeFailing,
--- a/masticfork/relay/peer_loads.py
+++ b/masticfork/relay/peer_loads.py
@@ -48,6 +48,9 @@
 
 def _copy_to_row(total: _Total, row: ServerRow) -> None:
     """Copy a total; subtraction can leave rounding errors slightly below zero."""
-    row.load.running_elsewhere = max(0, total.running)
-    row.load.weighted_running_elsewhere = max(0.0, total.weighted_running)
-    row.load.pending_elsewhere = max(0.0, total.pending_work)
+    load = row.load
+    load.running_elsewhere = total.running if total.running > 0 else 0
+    load.weighted_running_elsewhere = (
+        total.weighted_running if total.weighted_running > 0.0 else 0.0
+    )
+    load.pending_elsewhere = total.pending_work if total.pending_work > 0.0 else 0.0
--- a/masticfork/relay/peers.py
+++ b/masticfork/relay/peers.py
@@ -233,17 +233,19 @@
             self._log("peer discovered", peer=digest.host, hosts=len(self._peers) + 2)
             known = self._peers[digest.host] = _Peer(digest, 0, self._loop.now)
         if not digest.partial:
-            for server, load in known.loads.items():
-                self._on_load(server, load, -1)
-            known.loads.clear()
+            for server in known.loads.keys() - digest.loads.keys():
+                self._on_load(server, known.loads.pop(server), -1)
         for server, load in digest.loads.items():
             self._replace_load(known, server, load)
         known.sequence, known.heard_at = digest.sequence, self._loop.now
         known.digest = known.digest.updated_by(digest)
 
     def _replace_load(self, peer: _Peer, server: int, load: HostLoad) -> None:
-        previous = peer.loads.pop(server, None)
+        previous = peer.loads.get(server)
+        if previous == load:
+            return
         if previous is not None:
+            del peer.loads[server]
             self._on_load(server, previous, -1)
         if load.running:
             peer.loads[server] = load
--- a/masticfork/relay/store_view.py
+++ b/masticfork/relay/store_view.py
@@ -345,9 +345,10 @@
             for state, (kind, mirror) in zip(
                 digest.kinds, self._mirrors.items(), strict=False
             ):
-                same_era = state.position.era == mirror.position.era
-                if same_era and state.fingerprint == self._fingerprint(kind):
-                    mirror.position = max(mirror.position, state.position)
+                known, read = mirror.position, state.position
+                later = read.era == known.era and read.revision > known.revision
+                if later and state.fingerprint == self._fingerprint(kind):
+                    mirror.position = read
 
     def _fingerprint(self, kind: str) -> int:
         """Return a hash of what is known of a kind, the same on hosts that agree."""
