--- a/masticfork/relay/entry.py
+++ b/masticfork/relay/entry.py
@@ -270,6 +270,10 @@
         """Return whether this host follows the store itself."""
         return self._reader_duty.reading
 
+    def knows_server(self, server_id: str) -> bool:
+        """Return whether a server is listed."""
+        return self._tables.row(server_id) is not None
+
     def running_elsewhere(self, server_id: str) -> int:
         """Return the number of calls that peers last reported at a server."""
         row = self._tables.row(server_id)
--- a/masticfork/relay/server_notices_test.py
+++ b/masticfork/relay/server_notices_test.py
@@ -10,6 +10,7 @@
     running_entry_host,
     server_entry,
 )
+from standins.object_store import ObjectStore
 from standins.scripted_server import events, response
 
 LEAVING = {"Server-Leaving": "1"}
@@ -151,3 +152,21 @@
             env.add_server(answers_with_retry_after, SERVICE)
             env.wait_for_servers(1)
             assert [env.send("/safe/x").status for _ in range(2)] == [200, 200]
+
+
+class TestOtherHosts:
+    def test_other_hosts_learn_of_a_leaving_server(self):
+        store = ObjectStore()
+        store.put("config", "main", configuration(1))
+        with (
+            running_entry_host(store=store) as one,
+            running_entry_host(store=store, host="host-2") as other,
+        ):
+            one.wait_until(lambda: one.host.live_peer_count == 1)
+            leaving = one.add_server(leaving_response, SERVICE)
+            for env in (one, other):
+                env.wait_until(lambda env=env: env.host.knows_server("i-1"))
+            assert one.send("/safe/x").status == 200
+            other.wait_until(lambda: other.logged("server leaving", source="host-1"))
+            assert other.send("/safe/x").status == 503
+        assert len(leaving.requests) == 1
