--- /dev/null
+++ b/masticfork/relay/call_evidence.py
@@ -0,0 +1,111 @@
+"""What the calls of this host tell about servers and their versions."""
+
+from collections.abc import Iterable
+
+from masticfork.core.forwarding import ResponseHead
+from masticfork.relay.exchange import CallRecord, Exchange
+from masticfork.relay.loop import Loop
+from masticfork.relay.metrics import RelayMetrics
+from masticfork.relay.own_loads import OwnLoads
+from masticfork.relay.rollout_controller import ResponseTime, RolloutController
+from masticfork.relay.tables import Tables
+from masticfork.systems.failed_calls import CallOutcome
+from masticfork.systems.server_choice import UNREACHABLE_SECONDS
+
+# Call outcomes that count as evidence about the server's version; None is a complete
+# response.
+VERSION_EVIDENCE_OUTCOMES = (
+    None,
+    CallOutcome.SERVER_ERROR,
+    CallOutcome.DROPPED,
+    CallOutcome.SILENT,
+)
+
+
+class CallEvidence:
+    """Records calls in loads, metrics, server notices and the evidence on rollouts."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        tables: Tables,
+        metrics: RelayMetrics,
+        own_loads: OwnLoads,
+        rollouts: RolloutController,
+    ) -> None:
+        self._loop = loop
+        self._tables = tables
+        self._metrics = metrics
+        self._own_loads = own_loads
+        self._rollouts = rollouts
+
+    def on_call_sent(self, record: CallRecord) -> None:
+        """Add a call that is being sent to the load of its server."""
+        self._own_loads.begin(record)
+
+    def on_response_started(self, record: CallRecord, head: ResponseHead) -> None:
+        """Remove the prompt of a call from the pending work: its response has begun.
+
+        Apply what the server announces about itself in the response.
+        """
+        self._own_loads.read(record)
+        if head.leaving:
+            self._tables.record_leaving(record.row, "response")
+        if head.pause is not None:
+            self._tables.record_pause(record.row, head.pause)
+
+    def on_call_ended(self, record: CallRecord) -> None:
+        """Record the outcome of a call in loads, metrics and rollout evidence."""
+        load, now = record.row.load, self._loop.now
+        self._own_loads.end(record)
+        outcome = record.outcome
+        service = record.row.server.service
+        label = "gone" if record.failed is None else "answered"
+        self._metrics.calls.labels(service, outcome.value if outcome else label).inc()
+        if record.head_received_at is not None:
+            seconds = record.head_received_at - record.started_at
+            self._metrics.first_byte.labels(service).observe(seconds)
+            if record.work.model is not None:
+                load.remember(record.work.model, record.work.prompt, now)
+            load.record_time(seconds)
+        if outcome is CallOutcome.UNSENT:
+            load.avoid_until = now + UNREACHABLE_SECONDS
+        if record.failed is not None:
+            load.record(record.failed, now)
+        self._report_version_evidence(record)
+
+    def report_slow_calls(self, exchanges: Iterable[Exchange]) -> None:
+        """Report calls that have already waited too long as evidence of a slow version.
+
+        Slow responses end late, so without this a slow version would look good until
+        they do.
+        """
+        for exchange in exchanges:
+            record = exchange.unanswered_call
+            if record is None or record.counted_as_slow:
+                continue
+            wait_time = ResponseTime(
+                record.work.size, self._loop.now - record.started_at
+            )
+            if self._rollouts.is_slow(record.row.server, wait_time):
+                record.counted_as_slow = True
+                server, now = record.row.server, self._loop.now
+                self._rollouts.record_answer(server, False, wait_time, now)
+
+    def _report_version_evidence(self, record: CallRecord) -> None:
+        """Report a call as evidence for or against the version of its server.
+
+        A crashed server or a lost connection says nothing about the version.
+        """
+        if (
+            record.counted_as_slow
+            or record.failed is None
+            or record.outcome not in VERSION_EVIDENCE_OUTCOMES
+        ):
+            return
+        answered_at = record.head_received_at or record.ended_at or self._loop.now
+        answer_time = ResponseTime(record.work.size, answered_at - record.started_at)
+        failed = record.outcome in (None, CallOutcome.SERVER_ERROR) and record.failed
+        self._rollouts.record_answer(
+            record.row.server, failed, answer_time, self._loop.now
+        )
--- a/masticfork/relay/entry.py
+++ b/masticfork/relay/entry.py
@@ -12,7 +12,6 @@
 from result import Err, Result
 
 from masticfork.core.backend_servers import Address
-from masticfork.core.digests import Digest, HostLoad
 from masticfork.core.findings import Finding
 from masticfork.core.forwarding import (
     CallerHead,
@@ -21,33 +20,32 @@
     Header,
     ResponseHead,
 )
-from masticfork.core.routes import CallerLimits, Route, RouteKind
+from masticfork.core.routes import CallerLimits, Route
 from masticfork.platform import names, wire
 from masticfork.platform.objects import PlatformObjects
 from masticfork.platform.settings_file import EntrySettings
+from masticfork.relay.call_evidence import CallEvidence
 from masticfork.relay.caller import CallerConnection, CallerExchange, NoExchange
 from masticfork.relay.channel import CALLER_USER_TIMEOUT_MS, Channel, listen
 from masticfork.relay.exchange import CallRecord, Exchange
 from masticfork.relay.followers import Follower, Lister
+from masticfork.relay.host_digests import HostDigests
 from masticfork.relay.logs import LogSink, relay_logger
 from masticfork.relay.loop import Loop
 from masticfork.relay.metrics import RelayMetrics
-from masticfork.relay.own_loads import OwnLoads
 from masticfork.relay.page_listener import PageListener
-from masticfork.relay.peer_loads import PeerLoads
 from masticfork.relay.peers import Peers
 from masticfork.relay.reader_duty import ReaderDuty
 from masticfork.relay.registration import Registration
-from masticfork.relay.rollout_controller import ResponseTime, RolloutController
+from masticfork.relay.rollout_controller import RolloutController
 from masticfork.relay.server_call import CallSink, ServerCall
 from masticfork.relay.session_versions import SessionVersions
 from masticfork.relay.store_view import MIRRORED_KINDS, StoreView
 from masticfork.relay.tables import ServerRow, Tables
-from masticfork.systems.failed_calls import CallOutcome
+from masticfork.systems.graceful_stop import GracefulStop
 from masticfork.systems.model_choice import ConfidenceCascade, ModelPolicy
 from masticfork.systems.retry_budget import WindowedRetryBudget
 from masticfork.systems.server_choice import (
-    UNREACHABLE_SECONDS,
     LowestExpectedDelay,
     ServerPolicy,
     Work,
@@ -57,24 +55,6 @@
 LISTEN_BACKLOG = 1024
 # Interval of the periodic tasks.
 TICK_SECONDS = 0.25
-# Call outcomes that count as evidence about the server's version; None is a complete
-# response.
-VERSION_EVIDENCE_OUTCOMES = (
-    None,
-    CallOutcome.SERVER_ERROR,
-    CallOutcome.DROPPED,
-    CallOutcome.SILENT,
-)
-# Time that the platform needs to stop sending new callers to a host that is not ready:
-# two readiness probes, one per second, and the time they take.
-READINESS_NOTICE_SECONDS = 2.6
-# Time before the end of the grace period at which all connections close.
-STOP_MARGIN_SECONDS = 0.4
-# Time that a stopping host allows for a stream; most end within it. A stream that may
-# outlast the grace period is refused, since it would be cut off.
-STREAM_ALLOWANCE_SECONDS = 5.0
-# The same for requests that are not streams.
-NON_STREAM_ALLOWANCE_SECONDS = 0.5
 # Retry-After from a stopping host; the caller is expected to reach another host.
 OTHER_HOST_RETRY_AFTER_SECONDS = 0.05
 # File descriptors reserved for the store, the listeners and the log.
@@ -108,6 +88,13 @@
         )
         self._retry_budget.hosts = MIN_HOST_COUNT
         self._session_versions = SessionVersions(bounds.session)
+        self._digests = HostDigests(
+            self._loop,
+            settings.host,
+            settings.zone,
+            self._tables,
+            self._session_versions,
+        )
         self._objects = PlatformObjects(settings.store, time.monotonic)
         self._peers = Peers(
             self._loop,
@@ -115,8 +102,8 @@
             settings.seeds,
             settings.host,
             settings.zone,
-            self._count_remote_load,
-            self._on_digest,
+            self._digests.count_peer_load,
+            self._digests.apply,
             self.log,
         )
         self._store_view = StoreView(
@@ -126,7 +113,7 @@
             self._metrics,
             self.log,
             self._on_store_restored,
-            self._send_store_update,
+            self._digests.send_store_update,
         )
         self._followers = [
             Follower(kind, self._objects, self._loop, self._store_view)
@@ -155,12 +142,18 @@
         )
         self._connections: set[CallerConnection] = set()
         self._open_exchanges: set[Exchange] = set()
-        self._loads_elsewhere = PeerLoads(self._tables)
-        self._own_loads = OwnLoads(self._tables, self._schedule_load_update)
-        self._load_update_scheduled = False
+        self._digests.connect(
+            self._peers, self._store_view, self._reader_duty, self._rollout_controller
+        )
+        self._call_evidence = CallEvidence(
+            self._loop,
+            self._tables,
+            self._metrics,
+            self._digests.own_loads,
+            self._rollout_controller,
+        )
         self._started_at = self._loop.now
-        self._stop_deadline: float | None = None
-        self._new_callers_end_at = 0.0
+        self._stop: GracefulStop | None = None
         self._caller_listener = listen(settings.front, LISTEN_BACKLOG)
 
     # Lifecycle and periodic tasks.
@@ -217,45 +210,40 @@
         self.log("reloaded", grace=bounds.grace, drain=bounds.drain)
 
     def _begin_stop(self) -> None:
-        if self._stop_deadline is not None:
+        if self._stop is not None:
             return
-        now = self._loop.now
-        self._stop_deadline = now + self._settings.bounds.grace - STOP_MARGIN_SECONDS
-        self._new_callers_end_at = now + READINESS_NOTICE_SECONDS
+        self._stop = GracefulStop.begun_at(self._loop.now, self._settings.bounds.grace)
         self.log("stopping", open_requests=len(self._open_exchanges))
 
     def _tick(self) -> None:
         self._loop.call_after(TICK_SECONDS, self._tick)
         self._tables.sweep()
         self._session_versions.sweep(self._loop.now)
-        self._report_slow_calls()
+        self._call_evidence.report_slow_calls(self._open_exchanges)
         self._rollout_controller.run(self._loop.now)
         self._retry_budget.hosts = max(
             MIN_HOST_COUNT, self._peers.budget_sharing_host_count
         )
-        self._loads_elsewhere.refresh()
-        if self._peers.is_digest_due():
-            self._peers.send_digest(self._full_digest())
+        self._digests.run()
         self._reader_duty.run()
         self._store_view.run(self._loop.now, self._reader_duty.reading)
         self._log_sink.flush()
         self._metrics.dropped_lines.inc(self._log_sink.take_dropped())
         self._metrics.connections.set(len(self._connections))
-        if self._stop_deadline is not None:
-            self._continue_stop()
+        if self._stop is not None:
+            self._continue_stop(self._stop)
 
-    def _continue_stop(self) -> None:
+    def _continue_stop(self, stop: GracefulStop) -> None:
         """Close idle connections once no new callers arrive; stop by the deadline."""
         now = self._loop.now
-        if now >= self._new_callers_end_at:
+        if stop.closes_idle_connections(now):
             for caller in list(self._connections):
                 caller.close_idle()
-        idle = not self._connections and now >= self._new_callers_end_at
-        if idle or (self._stop_deadline is not None and now >= self._stop_deadline):
+        if stop.is_over(now, bool(self._connections)):
             self._loop.stop()
 
     def _readiness_response(self, path: bytes) -> tuple[int, bytes]:
-        ready = self._tables.complete and self._stop_deadline is None
+        ready = self._tables.complete and self._stop is None
         return (200 if ready else 503), b""
 
     # Peers.
@@ -283,75 +271,10 @@
     def _peer_address(self) -> Address:
         return Address(self._settings.front.host, self._settings.peer_ports[0])
 
-    def _digest_header(self) -> Digest:
-        """Return a digest with the fields that partial and full digests share."""
-        table = self._tables.routes
-        return Digest(
-            host=self._settings.host,
-            incarnation=0,
-            sequence=0,
-            configuration=0 if table is None else table.version,
-            servers=self._store_view.servers_position,
-            loads={},
-            rollouts=(),
-            leaving=self._tables.leaving_incarnations,
-            reading=self._reader_duty.reading,
-            store_failing=self._store_view.store_failing,
-        )
-
-    def _full_digest(self) -> Digest:
-        return attrs.evolve(
-            self._digest_header(),
-            zone=self._settings.zone,
-            kinds=self._store_view.kind_states,
-            loads=self._own_loads.take_all(),
-            rollouts=self._rollout_controller.evidence(),
-            sessions=self._session_versions.next_batch(),
-        )
-
-    def _schedule_load_update(self) -> None:
-        """Schedule a digest of the changed loads unless one is already scheduled."""
-        if not self._load_update_scheduled:
-            self._load_update_scheduled = True
-            self._loop.call_after(
-                self._peers.change_batch_seconds, self._send_load_update
-            )
-
-    def _send_load_update(self) -> None:
-        self._load_update_scheduled = False
-        changed = self._own_loads.take_changed()
-        if changed:
-            self._peers.send_digest(
-                attrs.evolve(self._digest_header(), loads=changed, partial=True)
-            )
-
-    def _send_store_update(self) -> None:
-        """Tell the other hosts what this one has read from the store."""
-        updates = self._store_view.take_updates()
-        if self._reader_duty.reading:
-            update = attrs.evolve(
-                self._digest_header(),
-                kinds=self._store_view.kind_states,
-                updates=updates,
-                partial=True,
-            )
-            self._peers.send_digest(update)
-
     def _on_store_restored(self) -> None:
         """Write this host's entry again; the restored store may lack it."""
         self._registration.start()
 
-    def _count_remote_load(self, server: int, share: HostLoad, sign: int) -> None:
-        """Add a peer's load at a server, or subtract it if `sign` is -1."""
-        self._loads_elsewhere.count(server, share, sign)
-
-    def _on_digest(self, digest: Digest) -> None:
-        """Apply what a peer has observed of sessions, servers and the store."""
-        self._store_view.apply_updates(digest)
-        self._session_versions.apply_report(digest.sessions, self._loop.now)
-        if digest.leaving:
-            self._tables.apply_leaving_incarnations(digest.leaving, digest.host)
-
     # Callers.
 
     @property
@@ -373,7 +296,7 @@
     @property
     def stopping(self) -> bool:
         """Return whether the host is stopping: connections close after a response."""
-        return self._stop_deadline is not None
+        return self._stop is not None
 
     def on_events(self, events: int) -> None:
         """Accept pending connections of callers.
@@ -449,7 +372,7 @@
             return http.HTTPStatus.UNAUTHORIZED
         if not request.head.attempt_id:
             return http.HTTPStatus.BAD_REQUEST
-        if self._may_stop_during(route):
+        if self._stop is not None and self._stop.may_cut_off(route, self._loop.now):
             return http.HTTPStatus.SERVICE_UNAVAILABLE
         priority = route.priority
         if team is not None and team.priority is not None:
@@ -468,18 +391,6 @@
             deadline=request.arrived_at + wait,
         )
 
-    def _may_stop_during(self, route: Route) -> bool:
-        """Return whether the host may stop before a request of the route has ended."""
-        now, stop_deadline = self._loop.now, self._stop_deadline
-        if stop_deadline is None or now < self._new_callers_end_at:
-            return False
-        is_stream = route.kind is RouteKind.STREAM
-        return (
-            now
-            + (STREAM_ALLOWANCE_SECONDS if is_stream else NON_STREAM_ALLOWANCE_SECONDS)
-            > stop_deadline
-        )
-
     def _refuse(
         self, caller: CallerConnection, request: CallerRequest, status: http.HTTPStatus
     ) -> CallerExchange:
@@ -592,80 +503,21 @@
         self._retry_budget.count_request(service, self._loop.now)
 
     def on_call_sent(self, record: CallRecord) -> None:
-        """Add a call that is being sent to the load of its server."""
-        self._own_loads.begin(record)
+        """Record that a call is being sent."""
+        self._call_evidence.on_call_sent(record)
 
     def on_response_started(self, record: CallRecord, head: ResponseHead) -> None:
-        """Remove the prompt of a call from the pending work: its response has begun.
+        """Record that the response to a call has begun."""
+        self._call_evidence.on_response_started(record, head)
 
-        Apply what the server announces about itself in the response.
-        """
-        self._own_loads.read(record)
-        if head.leaving:
-            self._tables.record_leaving(record.row, "response")
-        if head.pause is not None:
-            self._tables.record_pause(record.row, head.pause)
+    def on_call_ended(self, record: CallRecord) -> None:
+        """Record the outcome of a call."""
+        self._call_evidence.on_call_ended(record)
 
     def seconds_until_resumption(self, service: str) -> float:
         """Return how long all servers of a service have asked to pause, or 0."""
         return self._tables.seconds_until_resumption(service)
 
-    def on_call_ended(self, record: CallRecord) -> None:
-        """Record the outcome of a call in loads, metrics and rollout evidence."""
-        load, now = record.row.load, self._loop.now
-        self._own_loads.end(record)
-        outcome = record.outcome
-        service = record.row.server.service
-        label = "gone" if record.failed is None else "answered"
-        self._metrics.calls.labels(service, outcome.value if outcome else label).inc()
-        if record.head_received_at is not None:
-            seconds = record.head_received_at - record.started_at
-            self._metrics.first_byte.labels(service).observe(seconds)
-            if record.work.model is not None:
-                load.remember(record.work.model, record.work.prompt, now)
-            load.record_time(seconds)
-        if outcome is CallOutcome.UNSENT:
-            load.avoid_until = now + UNREACHABLE_SECONDS
-        if record.failed is not None:
-            load.record(record.failed, now)
-        self._report_version_evidence(record)
-
-    def _report_version_evidence(self, record: CallRecord) -> None:
-        """Report a call as evidence for or against the version of its server.
-
-        A crashed server or a lost connection says nothing about the version.
-        """
-        if (
-            record.counted_as_slow
-            or record.failed is None
-            or record.outcome not in VERSION_EVIDENCE_OUTCOMES
-        ):
-            return
-        answered_at = record.head_received_at or record.ended_at or self._loop.now
-        answer_time = ResponseTime(record.work.size, answered_at - record.started_at)
-        failed = record.outcome in (None, CallOutcome.SERVER_ERROR) and record.failed
-        self._rollout_controller.record_answer(
-            record.row.server, failed, answer_time, self._loop.now
-        )
-
-    def _report_slow_calls(self) -> None:
-        """Report calls that have already waited too long as evidence of a slow version.
-
-        Slow responses end late, so without this a slow version would look good until
-        they do.
-        """
-        for exchange in self._open_exchanges:
-            record = exchange.unanswered_call
-            if record is None or record.counted_as_slow:
-                continue
-            wait_time = ResponseTime(
-                record.work.size, self._loop.now - record.started_at
-            )
-            if self._rollout_controller.is_slow(record.row.server, wait_time):
-                record.counted_as_slow = True
-                server, now = record.row.server, self._loop.now
-                self._rollout_controller.record_answer(server, False, wait_time, now)
-
     def on_exchange_ended(self, exchange: Exchange, status: int, why: str) -> None:
         """Record the end of an exchange in metrics and log."""
         self._open_exchanges.discard(exchange)
--- /dev/null
+++ b/masticfork/relay/host_digests.py
@@ -0,0 +1,132 @@
+"""The digests of this host, and what those of other hosts change here."""
+
+import attrs
+
+from masticfork.core.digests import Digest, HostLoad
+from masticfork.relay.loop import Loop
+from masticfork.relay.own_loads import OwnLoads
+from masticfork.relay.peer_loads import PeerLoads
+from masticfork.relay.peers import Peers
+from masticfork.relay.reader_duty import ReaderDuty
+from masticfork.relay.rollout_controller import RolloutController
+from masticfork.relay.session_versions import SessionVersions
+from masticfork.relay.store_view import StoreView
+from masticfork.relay.tables import Tables
+
+
+class HostDigests:
+    """Sends this host's state to its peers, and applies theirs.
+
+    The peers, the store view and the reader duty call it back, so they are `connect`ed
+    after they were made.
+    """
+
+    def __init__(
+        self,
+        loop: Loop,
+        host: str,
+        zone: str,
+        tables: Tables,
+        sessions: SessionVersions,
+    ) -> None:
+        self._loop = loop
+        self._host = host
+        self._zone = zone
+        self._tables = tables
+        self._sessions = sessions
+        self._own_loads = OwnLoads(tables, self._schedule_load_update)
+        self._peer_loads = PeerLoads(tables)
+        self._load_update_scheduled = False
+        self._peers: Peers
+        self._store_view: StoreView
+        self._reader_duty: ReaderDuty
+        self._rollouts: RolloutController
+
+    @property
+    def own_loads(self) -> OwnLoads:
+        """Return the loads of this host's calls."""
+        return self._own_loads
+
+    def connect(
+        self,
+        peers: Peers,
+        store_view: StoreView,
+        reader_duty: ReaderDuty,
+        rollouts: RolloutController,
+    ) -> None:
+        """Set the parts whose state the digests tell."""
+        self._peers = peers
+        self._store_view = store_view
+        self._reader_duty = reader_duty
+        self._rollouts = rollouts
+
+    def run(self) -> None:
+        """Send a full digest if it is due; call it on each tick."""
+        self._peer_loads.refresh()
+        if self._peers.is_digest_due():
+            self._peers.send_digest(self._full_digest())
+
+    def send_store_update(self) -> None:
+        """Tell the other hosts what this one has read from the store."""
+        updates = self._store_view.take_updates()
+        if self._reader_duty.reading:
+            update = attrs.evolve(
+                self._header(),
+                kinds=self._store_view.kind_states,
+                updates=updates,
+                partial=True,
+            )
+            self._peers.send_digest(update)
+
+    def count_peer_load(self, server: int, share: HostLoad, sign: int) -> None:
+        """Add a peer's load at a server, or subtract it if `sign` is -1."""
+        self._peer_loads.count(server, share, sign)
+
+    def apply(self, digest: Digest) -> None:
+        """Apply what a peer has observed of sessions, servers and the store."""
+        self._store_view.apply_updates(digest)
+        self._sessions.apply_report(digest.sessions, self._loop.now)
+        if digest.leaving:
+            self._tables.apply_leaving_incarnations(digest.leaving, digest.host)
+
+    def _header(self) -> Digest:
+        """Return a digest with the fields that partial and full digests share."""
+        table = self._tables.routes
+        return Digest(
+            host=self._host,
+            incarnation=0,
+            sequence=0,
+            configuration=0 if table is None else table.version,
+            servers=self._store_view.servers_position,
+            loads={},
+            rollouts=(),
+            leaving=self._tables.leaving_incarnations,
+            reading=self._reader_duty.reading,
+            store_failing=self._store_view.store_failing,
+        )
+
+    def _full_digest(self) -> Digest:
+        return attrs.evolve(
+            self._header(),
+            zone=self._zone,
+            kinds=self._store_view.kind_states,
+            loads=self._own_loads.take_all(),
+            rollouts=self._rollouts.evidence(),
+            sessions=self._sessions.next_batch(),
+        )
+
+    def _schedule_load_update(self) -> None:
+        """Schedule a digest of the changed loads unless one is already scheduled."""
+        if not self._load_update_scheduled:
+            self._load_update_scheduled = True
+            self._loop.call_after(
+                self._peers.change_batch_seconds, self._send_load_update
+            )
+
+    def _send_load_update(self) -> None:
+        self._load_update_scheduled = False
+        changed = self._own_loads.take_changed()
+        if changed:
+            self._peers.send_digest(
+                attrs.evolve(self._header(), loads=changed, partial=True)
+            )
