Gather datagrams of many hosts before reading them

A host that hears 76 others wakes up 304 times a second for their digests. Fleets below 24 hosts read each datagram at once, as before.

--- a/masticfork/relay/partial_digests_test.py
+++ b/masticfork/relay/partial_digests_test.py
@@ -1,5 +1,8 @@
 """How digests change the loads that a host knows of the other hosts."""
 
+import selectors
+import socket
+
 import attrs
 import pytest
 
@@ -8,9 +11,10 @@
 from masticfork.core.store_position import StorePosition
 from masticfork.relay.digest_codec import encode_digest
 from masticfork.relay.loop import Loop
-from masticfork.relay.peers import Peers
+from masticfork.relay.peers import GATHER_SECONDS, GATHERING_HOSTS, Peers
 from standins.common import LOOPBACK
 from standins.entry_environment import free_address
+from standins.fake_loop import FakeLoop
 
 FULL = Digest(
     host="host-2",
@@ -92,3 +96,53 @@
         ended = {7: HostLoad(0, 0.0, 0.0)}
         assert received.deliver(FULL, sequence=2, loads=ended, partial=True) == {8: 1}
         assert received.deliver(FULL, sequence=3, loads={}) == {}
+
+
+class RecordingLoop(FakeLoop):
+    """A fake loop that records whether a socket is registered."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.registered = False
+
+    def register(self, sock, events, handler) -> None:
+        self.registered = True
+
+    def unregister(self, sock) -> None:
+        self.registered = False
+
+
+class TestGathering:
+    """Pattern: 76 hosts that each send four datagrams a second."""
+
+    def received_after_each_event(self, hosts: int) -> tuple[list[bool], RecordingLoop]:
+        own, loop = free_address(), RecordingLoop()
+        peers = Peers(
+            loop,
+            own,
+            (),
+            "host-1",
+            "zone-a",
+            lambda *_: None,
+            lambda _: None,
+            lambda *_, **__: None,
+        )
+        peers.set_hosts({f"h{n}": Address("127.0.0.9", n + 1) for n in range(hosts)})
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+            for sequence in range(1, 4):
+                digest = attrs.evolve(FULL, sequence=sequence)
+                sender.sendto(encode_digest(digest), (own.host, own.port))
+            peers.on_events(selectors.EVENT_READ)
+        return [digest.sequence == 3 for digest in peers.live_digests], loop
+
+    def test_datagrams_of_many_hosts_are_gathered_before_they_are_read(self):
+        received, loop = self.received_after_each_event(GATHERING_HOSTS)
+        assert received == [True]
+        assert not loop.registered
+        loop.advance(GATHER_SECONDS)
+        assert loop.registered
+
+    def test_datagrams_of_few_hosts_are_read_at_once(self):
+        received, loop = self.received_after_each_event(GATHERING_HOSTS - 2)
+        assert received == [True]
+        assert loop.registered
--- a/masticfork/relay/peers.py
+++ b/masticfork/relay/peers.py
@@ -31,6 +31,10 @@
 # choose the same server.
 CHANGE_BATCH_SECONDS = 0.05
 CHANGE_SCALING_HOSTS = 12
+# Number of hosts from which on datagrams are gathered before they are read, and for
+# how long: a fraction of the time for which their senders collect changes.
+GATHERING_HOSTS = 24
+GATHER_SECONDS = 0.04
 # Age beyond which a digest is ignored.
 DIGEST_LIFETIME_SECONDS = 3.0
 # Silence after which a host no longer shares the retry budget.
@@ -153,7 +157,20 @@
                 self._sock.sendto(data, (address.host, address.port))
 
     def on_events(self, events: int) -> None:
-        """Receive all waiting datagrams."""
+        """Receive all waiting datagrams.
+
+        With many hosts, wait for further ones to gather: most of the cost of a datagram
+        is the wake-up of the loop.
+        """
+        self._receive_waiting()
+        if len(self._addresses) >= GATHERING_HOSTS:
+            self._loop.unregister(self._sock)
+            self._loop.call_after(GATHER_SECONDS, self._resume_receiving)
+
+    def _resume_receiving(self) -> None:
+        self._loop.register(self._sock, selectors.EVENT_READ, self)
+
+    def _receive_waiting(self) -> None:
         while True:
             try:
                 data, source = self._sock.recvfrom(RECEIVE_BUFFER_BYTES)
