Count other hosts' loads at a server from the moment it is added

Traced by reading and shown by a test without network: the index by which reported loads find their server was rebuilt on the tick only, so at a server just added they counted up to 0.25 s late, which is all the time that the test allows.

--- a/masticfork/relay/peer_loads.py
+++ b/masticfork/relay/peer_loads.py
@@ -20,7 +20,6 @@
     def __init__(self, tables: Tables) -> None:
         self._tables = tables
         self._totals: dict[int, _Total] = {}
-        self._rows: dict[int, ServerRow] = {}
 
     def count(self, server: int, share: HostLoad, sign: int) -> None:
         """Add (sign 1) or subtract (sign -1) one host's calls at a server.
@@ -33,17 +32,17 @@
         total.running += sign * share.running
         total.weighted_running += sign * share.weighted_running
         total.pending_work += sign * share.pending_work
-        row = self._rows.get(server)
+        row = self._tables.row_by_key(server)
         if row is not None:
             _copy_to_row(total, row)
         if total.running <= 0 and total.pending_work <= 0.0:
             del self._totals[server]
 
     def refresh(self) -> None:
-        """Rebuild the index of servers from the tables, so that it has new ones."""
-        self._rows = {short_key(row.server.id): row for row in self._tables.rows}
-        for server, row in self._rows.items():
-            _copy_to_row(self._totals.get(server, _Total()), row)
+        """Copy all totals, also to the rows of servers that were added since."""
+        for row in self._tables.rows:
+            total = self._totals.get(short_key(row.server.id), _Total())
+            _copy_to_row(total, row)
 
 
 def _copy_to_row(total: _Total, row: ServerRow) -> None:
--- a/masticfork/relay/tables.py
+++ b/masticfork/relay/tables.py
@@ -6,6 +6,7 @@
 import attrs
 
 from masticfork.core.backend_servers import BackendServer, VersionRollout
+from masticfork.core.ids import short_key
 from masticfork.core.routes import RouteTable
 from masticfork.relay.loop import Loop
 from masticfork.relay.server_call import ServerConnectionPool
@@ -71,6 +72,7 @@
         # Loop times of removal by incarnation, the oldest first.
         self._removed: dict[int, float] = {}
         self._services: dict[str, list[ServerRow]] = {}
+        self._rows_by_key: dict[int, ServerRow] = {}
         self._servers_known = False
         self._rollouts: dict[str, VersionRollout] = {}
         self._rollouts_known = False
@@ -152,6 +154,10 @@
         """Return the row of a server, None if it is unknown."""
         return self._rows.get(server_id)
 
+    def row_by_key(self, key: int) -> ServerRow | None:
+        """Return the row of the server whose identifier has this `short_key`."""
+        return self._rows_by_key.get(key)
+
     def list_servers(
         self,
         servers: Iterable[BackendServer],
@@ -308,6 +314,7 @@
         for row in self._rows.values():
             services.setdefault(row.server.service, []).append(row)
         self._services = services
+        self._rows_by_key = {short_key(name): row for name, row in self._rows.items()}
 
 
 def _same_incarnation(known: BackendServer, reported: BackendServer) -> bool:
