Keep hosts that don't read the store out of its outages

In an outage of the store all hosts turned to it at once, since none of the chosen readers was healthy: now only the chosen ones call, and hosts that fail are replaced in turn. A call in progress when a host stopped reading could fail later and mark it as failing for good. A failed listing of the hosts, which may be stale, marked a reader as failing.

--- a/masticfork/relay/reader_duty.py
+++ b/masticfork/relay/reader_duty.py
@@ -58,13 +58,17 @@
         candidates = [ReaderCandidate(d.host, d.zone, d.store_failing) for d in digests]
         own = ReaderCandidate(self._host, self._zone, self._view.store_failing)
         chosen = choose_readers([own, *candidates])
+        # In an outage the chosen hosts fail one after the other and are replaced; the
+        # rest waits for them, so that the store is not met by all hosts at once.
         others_read = any(
-            digest.reading and not digest.store_failing and digest.host in chosen
-            for digest in digests
+            digest.reading and digest.host in chosen for digest in digests
         )
         should_read = (
             self._host in chosen or not others_read or not self._tables.complete
         )
+        if not self._reading:
+            # A call in progress when the followers were paused may have failed since.
+            self._view.forget_failures()
         if should_read == self._reading:
             return
         self._reading = should_read
@@ -78,5 +82,3 @@
                 follower.resume(self._view.position(follower.kind))
             else:
                 follower.pause()
-        if not should_read:
-            self._view.forget_failures()
--- a/masticfork/relay/reader_duty_test.py
+++ b/masticfork/relay/reader_duty_test.py
@@ -5,6 +5,15 @@
 
 import pytest
 
+from masticfork.core.digests import Digest
+from masticfork.core.store_position import StorePosition
+from masticfork.platform.objects import Listing, PlatformObject
+from masticfork.relay.metrics import RelayMetrics
+from masticfork.relay.reader_duty import ReaderDuty
+from masticfork.relay.store_view import StoreView
+from masticfork.relay.tables import Tables
+from masticfork.store.client import ErrorKind, PlatformError
+from masticfork.systems.store_readers import ReaderCandidate, choose_readers
 from standins.entry_environment import (
     SERVICE,
     configuration,
@@ -12,6 +21,7 @@
     running_entry_host,
     server_entry,
 )
+from standins.fake_loop import FakeLoop
 from standins.object_store import ObjectStore
 from standins.scripted_server import response
 
@@ -133,3 +143,134 @@
             fleet.wait_for_version(4, 4.0)
             fleet.wait_for_readers(2)
             assert not fleet.host_names_reading() & readers
+
+
+class FakePeers:
+    """Digests of other hosts, set by the test."""
+
+    def __init__(self):
+        self.digests = []
+
+    def recent_digests(self, seconds):
+        return self.digests
+
+
+class FakeFollower:
+    """Records whether it follows the store."""
+
+    kind = "servers"
+
+    def __init__(self):
+        self.following = True
+
+    def pause(self):
+        self.following = False
+
+    def resume(self, position):
+        self.following = True
+
+
+class DutyOfOneHost:
+    """The duty of one host among others whose digests the test sets."""
+
+    def __init__(self):
+        self.loop = FakeLoop()
+        self.peers = FakePeers()
+        self.follower = FakeFollower()
+        self.tables = Tables(self.loop, lambda *_, **__: None)
+        self.view = StoreView(
+            self.loop,
+            self.tables,
+            self.peers,
+            RelayMetrics(),
+            lambda *_, **__: None,
+            lambda: None,
+            lambda: None,
+        )
+        spec = configuration(1)
+        stored = PlatformObject("main", 2, 2, spec, None)
+        self.view.on_listing("config", Listing((stored,), 3))
+        self.view.on_listing("servers", Listing((), 3))
+        self.view.on_listing("rollouts", Listing((), 3))
+        self.names = [f"host-{number}" for number in range(9)]
+        candidates = [ReaderCandidate(name, "z", False) for name in self.names]
+        self.chosen = choose_readers(candidates)
+        self.me = next(name for name in self.names if name not in self.chosen)
+        self.duty = ReaderDuty(
+            self.loop,
+            self.me,
+            "z",
+            self.tables,
+            self.peers,
+            self.view,
+            [self.follower],
+            lambda *_, **__: None,
+        )
+
+    def hear(self, failing=(), silent=()):
+        """Set the digests of the other hosts and run the duty."""
+        self.peers.digests = [
+            Digest(
+                name,
+                1,
+                1,
+                1,
+                StorePosition(),
+                {},
+                (),
+                zone="z",
+                reading=name in self.chosen,
+                store_failing=name in failing,
+            )
+            for name in self.names
+            if name not in (self.me, *silent)
+        ]
+        self.duty.run()
+
+
+class TestDuty:
+    """Pattern: 77 hosts whose store fails, for all of them or for some."""
+
+    def test_host_that_was_not_chosen_stops_reading(self):
+        host = DutyOfOneHost()
+        host.hear()
+        assert not host.follower.following
+
+    def test_host_that_hears_no_reader_reads(self):
+        host = DutyOfOneHost()
+        host.hear()
+        assert not host.follower.following
+        host.hear(silent=host.chosen)
+        assert host.follower.following
+        host.hear(silent=host.names)
+        assert host.follower.following
+
+    def test_outage_does_not_make_all_hosts_read(self):
+        host = DutyOfOneHost()
+        host.hear()
+        host.hear(failing=[name for name in host.names if name != host.me])
+        # Now this host is first in rank; once it fails as well, it waits again.
+        assert host.follower.following
+        error = PlatformError(ErrorKind.UNAVAILABLE, "down")
+        host.view.on_store_failure("servers", error)
+        host.loop.now += 1.0
+        host.hear(failing=[name for name in host.names if name != host.me])
+        assert not host.follower.following
+
+    def test_failure_of_a_call_in_progress_does_not_exclude_a_paused_host(self):
+        host = DutyOfOneHost()
+        host.hear()
+        host.view.on_store_failure(
+            "servers", PlatformError(ErrorKind.UNAVAILABLE, "cut")
+        )
+        host.hear()
+        host.loop.now += 5.0
+        assert not host.view.store_failing
+
+    def test_failed_listing_of_hosts_does_not_exclude_a_reader(self):
+        host = DutyOfOneHost()
+        host.view.on_store_failure(
+            "masticfork-hosts", PlatformError(ErrorKind.UNAVAILABLE, "old era")
+        )
+        host.loop.now += 5.0
+        assert not host.view.store_failing
--- a/masticfork/relay/store_view.py
+++ b/masticfork/relay/store_view.py
@@ -237,7 +237,7 @@
     def on_store_failure(self, kind: str, error: PlatformError) -> None:
         """Record the failure of a call to the store."""
         self._failed_at = self._loop.now
-        if self._failing_since is None:
+        if self._failing_since is None and kind in self._mirrors:
             self._failing_since = self._loop.now
         self._metrics.store_failures.labels(kind, error.kind.value).inc()
         if kind not in self._failing:
@@ -252,7 +252,7 @@
         if kind in self._failing:
             self._failing.discard(kind)
             self._log("store regained", kind=kind)
-        if not self._failing:
+        if not self._failing & self._mirrors.keys():
             self._failing_since = None
 
     def _apply_listing(
