Give the two hosts of a test of loads one store

Cause, shown by a run of its set-up that prints addresses (one of three): its hosts had a store each, both with a server i-1. Hosts now apply changes that another host has read from the store, so host-2 took over host-1's i-1, and with the replaced row the loads started anew.

--- a/masticfork/relay/peers_test.py
+++ b/masticfork/relay/peers_test.py
@@ -10,6 +10,7 @@
     running_entry_host,
     server_entry,
 )
+from standins.object_store import ObjectStore
 from standins.scripted_server import ScriptedServer, events, response
 
 
@@ -69,15 +70,20 @@
             time.sleep(0.35)
             yield from events(request, 2, confidence=90)
 
-        with running_entry_host() as one, running_entry_host(host="host-2") as other:
-            introduce(one, other)
+        store = ObjectStore()
+        store.put("config", "main", configuration(1))
+        with (
+            running_entry_host(store=store) as one,
+            running_entry_host(host="host-2", store=store) as other,
+        ):
             one.wait_until(
                 lambda: other.host.live_peer_count == one.host.live_peer_count == 1
             )
+            one.add_server(slow, ENGINES)
             for deployment in (one, other):
-                deployment.add_server(slow, ENGINES)
-            # Only the environment created last receives log records.
-            other.wait_for_servers(2)
+                deployment.wait_until(
+                    lambda host=deployment.host: host.knows_server("i-1")
+                )
             with ThreadPoolExecutor(1) as pool:
                 response = pool.submit(one.send, "/streaming/x")
                 one.wait_until(lambda: bool(one.servers[0].requests))
