Remove twins found on reading the change over

Behaviour is the same: live digests are the recent ones of one lifetime, so one method serves both; the times of removed servers were never read; two model tests share one synchronous executor (standins/fake_loop).

Left as it is: the stage of a rollout in the model test repeats the one of the decisions on purpose, since it judges it.

--- a/masticfork/relay/peers.py
+++ b/masticfork/relay/peers.py
@@ -102,13 +102,7 @@
     @property
     def live_digests(self) -> list[Digest]:
         """Return the digests of hosts that are not silent."""
-        now = self._loop.now
-        peers = self._peers.values()
-        return [
-            peer.digest
-            for peer in peers
-            if now - peer.heard_at < DIGEST_LIFETIME_SECONDS
-        ]
+        return self.recent_digests(DIGEST_LIFETIME_SECONDS)
 
     def recent_digests(self, seconds: float) -> list[Digest]:
         """Return the digests of hosts heard within the last `seconds`."""
--- a/masticfork/relay/restored_store_model_test.py
+++ b/masticfork/relay/restored_store_model_test.py
@@ -6,7 +6,6 @@
 """
 
 import copy
-from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -37,7 +36,7 @@
 from masticfork.relay.tables import RESTORED_ENTRY_PAUSE_SECONDS, Tables
 from masticfork.store.client import ErrorKind, PlatformError
 from standins.entry_environment import configuration
-from standins.fake_loop import FakeLoop
+from standins.fake_loop import FakeLoop, SynchronousExecutor
 
 HOSTS = 3
 ORDER = {"service": "s", "target": "v2", "duration_s": 30.0}
@@ -138,13 +137,6 @@
         self.events.append((self.state.revision, kind, change))
 
 
-class SynchronousExecutor:
-    """An executor that runs each call synchronously."""
-
-    def submit(self, call: Callable[[], None]) -> None:
-        call()
-
-
 class FakePeers:
     """Stand-in for `Peers`; the test passes copies to the host itself."""
 
--- a/masticfork/relay/rollout_progress_model_test.py
+++ b/masticfork/relay/rollout_progress_model_test.py
@@ -1,7 +1,6 @@
 """Model test of hosts that advance one rollout while writes are lost or delayed."""
 
 import itertools
-from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -22,7 +21,7 @@
 )
 from masticfork.relay.tables import Tables
 from masticfork.store.client import ErrorKind, PlatformError
-from standins.fake_loop import FakeLoop
+from standins.fake_loop import FakeLoop, SynchronousExecutor
 
 HOSTS = 3
 DURATION_SECONDS = 20.0
@@ -68,13 +67,6 @@
         return True
 
 
-class SynchronousExecutor:
-    """An executor that runs each call synchronously."""
-
-    def submit(self, call: Callable[[], None]) -> None:
-        call()
-
-
 class Host:
     """The tables and the `RolloutController` of one host."""
 
--- a/masticfork/relay/tables.py
+++ b/masticfork/relay/tables.py
@@ -69,8 +69,8 @@
         self._rows: dict[str, ServerRow] = {}
         self._latest_start_ms: dict[str, int] = {}
         self._notices = ServerNotices()
-        # Loop times of removal by incarnation, the oldest first.
-        self._removed: dict[int, float] = {}
+        # Incarnations of removed servers, the oldest first.
+        self._removed: dict[int, None] = {}
         self._services: dict[str, list[ServerRow]] = {}
         self._rows_by_key: dict[int, ServerRow] = {}
         self._servers_known = False
@@ -228,7 +228,7 @@
             return
         row.connections.close()
         del self._rows[server_id]
-        self._removed[row.notice.key] = self._loop.now
+        self._removed[row.notice.key] = None
         while len(self._removed) > MAX_KNOWN_STARTS:
             del self._removed[next(iter(self._removed))]
         self._log("server removed", server=server_id)
--- a/standins/fake_loop.py
+++ b/standins/fake_loop.py
@@ -34,3 +34,11 @@
         for timer in due:
             if timer.call is not None:
                 timer.call()
+
+
+class SynchronousExecutor:
+    """An executor that runs each call synchronously."""
+
+    def submit(self, call: Callable[[], None]) -> None:
+        """Run a call."""
+        call()
