Log what arrived of a failed call, and data that belongs to no request

'call failed' now says whether the connection was reused, the last event passed on and the bytes held of an event that was not complete; a response of another attempt is named as such; 'stray data from server' tells of bytes on an idle connection or behind a complete response.

--- a/masticfork/relay/at_most_once_model_test.py
+++ b/masticfork/relay/at_most_once_model_test.py
@@ -40,6 +40,7 @@
     open: bool = True
     # Whether the server ran the request; the exchange cannot see this.
     ran_request: bool = False
+    reused_connection: bool = False
 
     def cancel(self) -> None:
         self.open = False
--- a/masticfork/relay/events.py
+++ b/masticfork/relay/events.py
@@ -24,9 +24,9 @@
         return self._last_event_id
 
     @property
-    def has_partial_event(self) -> bool:
-        """Return whether an incomplete event is buffered."""
-        return bool(self._buffer)
+    def partial_event_bytes(self) -> int:
+        """Return the number of buffered bytes of an incomplete event."""
+        return len(self._buffer)
 
     def feed(self, data: bytes) -> bytes:
         """Return the events that the data completes, b"" if there are none.
--- a/masticfork/relay/events_test.py
+++ b/masticfork/relay/events_test.py
@@ -24,7 +24,7 @@
     def test_incomplete_event_is_buffered(self):
         splitter = EventSplitter(None)
         assert splitter.feed(event_stream(1) + b"id: 2\nda") == event_stream(1)
-        assert splitter.has_partial_event
+        assert splitter.partial_event_bytes == len(b"id: 2\nda")
         assert splitter.last_event_id == 1
 
     @pytest.mark.parametrize("first", [1, 3, 5])
--- a/masticfork/relay/exchange.py
+++ b/masticfork/relay/exchange.py
@@ -238,7 +238,7 @@
         self.host.on_response_started(record, head)
         outcome = self._classify_response(head)
         if outcome is not None:
-            self._fail_call(outcome, f"status {head.status}")
+            self._fail_call(outcome, self._describe_unusable(head))
             return
         larger_index = self._larger_model_index(head)
         if larger_index is not None:
@@ -280,7 +280,7 @@
             return
         if self._is_stream and self._response_head.status < 300:
             assert self._event_splitter is not None
-            if self._event_splitter.has_partial_event:
+            if self._event_splitter.partial_event_bytes:
                 self._fail_call(
                     CallOutcome.BROKEN, "stream ended in the middle of an event"
                 )
@@ -390,6 +390,12 @@
             )
         return CallOutcome.SERVER_ERROR if self._response_started else None
 
+    def _describe_unusable(self, head: ResponseHead) -> str:
+        if head.attempt_id != self.request.head.attempt_id:
+            attempt_id = head.attempt_id.decode("latin-1")
+            return f"status {head.status} of attempt {attempt_id!r}"
+        return f"status {head.status}"
+
     def _larger_model_index(self, head: ResponseHead) -> int | None:
         """Return the index of the model to escalate to, None to keep the response."""
         if (
@@ -422,8 +428,10 @@
         record = self._call_record
         if record is None or self._ended:
             return
-        if record.call is not None:
-            record.call.cancel()
+        call, splitter = record.call, self._event_splitter
+        assert splitter is not None
+        if call is not None:
+            call.cancel()
         self._end_call(outcome)
         if outcome is CallOutcome.UNSENT:
             self.history.sent -= 1
@@ -439,6 +447,9 @@
             outcome=outcome.value,
             why=why,
             attempt=self.history.sent,
+            reused_connection=call is not None and call.reused_connection,
+            last_event=splitter.last_event_id,
+            partial_event_bytes=splitter.partial_event_bytes,
         )
         next_step = next_action(self.route, self.history, outcome, self._seconds_left)
         if next_step is not NextAction.RETRY:
--- a/masticfork/relay/response_reader.py
+++ b/masticfork/relay/response_reader.py
@@ -65,6 +65,11 @@
         """Return whether the complete response has been received."""
         return self._done
 
+    @property
+    def has_extra_bytes(self) -> bool:
+        """Return whether data followed the complete response."""
+        return self._has_extra_bytes
+
     @property
     def reusable(self) -> bool:
         """Return whether the connection may be used for another request."""
--- a/masticfork/relay/server_call.py
+++ b/masticfork/relay/server_call.py
@@ -1,6 +1,7 @@
 """Calls of single requests to backend servers, and the pool of their connections."""
 
 import enum
+from collections.abc import Callable
 from typing import Protocol
 
 import attrs
@@ -60,14 +61,16 @@
 class _IdleChannelOwner:
     """Closes an idle connection as soon as any data arrives on it."""
 
-    def __init__(self, channel: Channel) -> None:
+    def __init__(self, channel: Channel, on_stray_data: Callable[[], None]) -> None:
         self._channel = channel
+        self._on_stray_data = on_stray_data
 
     def on_connected(self) -> None:
         """Do nothing: an idle connection is already connected."""
 
     def on_data(self, data: bytes) -> None:
         """Close the connection: the data belongs to no request."""
+        self._on_stray_data()
         self._channel.close()
 
     def on_drained(self) -> None:
@@ -86,9 +89,12 @@
 class ServerConnectionPool:
     """Pool of idle connections to one incarnation of a server."""
 
-    def __init__(self, loop: Loop, server: BackendServer) -> None:
+    def __init__(
+        self, loop: Loop, server: BackendServer, log: Callable[..., None]
+    ) -> None:
         self._loop = loop
         self._server = server
+        self._log = log
         self._idle_connections: list[_IdleConnection] = []
 
     def open(self, require_new: bool) -> tuple[Channel, bool]:
@@ -120,7 +126,7 @@
         if len(self._idle_connections) >= MAX_IDLE_CONNECTIONS_PER_SERVER:
             channel.close()
             return
-        channel.owner = _IdleChannelOwner(channel)
+        channel.owner = _IdleChannelOwner(channel, lambda: self.log_stray_data("idle"))
         channel.resume()
         self._idle_connections.append(
             _IdleConnection(
@@ -128,6 +134,14 @@
             )
         )
 
+    def log_stray_data(self, connection_state: str) -> None:
+        """Log that the server sent data that belongs to no request."""
+        self._log(
+            "stray data from server",
+            server=self._server.id,
+            connection=connection_state,
+        )
+
     def sweep(self) -> None:
         """Close connections whose idle time is over."""
         for idle in self._idle_connections:
@@ -163,6 +177,12 @@
         self._connect_timer: Timer | None = None
         self._stage = Stage.CONNECTING
         self._ended = False
+        self._reused_connection = False
+
+    @property
+    def reused_connection(self) -> bool:
+        """Return whether the request was sent on a connection with earlier ones."""
+        return self._reused_connection
 
     @property
     def stage(self) -> Stage:
@@ -189,6 +209,7 @@
                 CONNECT_TIMEOUT_SECONDS, self._on_connect_timeout
             )
         else:
+            self._reused_connection = True
             self._stage = Stage.SENT
         channel.write(data)
 
@@ -258,6 +279,8 @@
 
     def _release_channel(self) -> None:
         channel, head = self._channel, self._reader.head
+        if self._reader.has_extra_bytes:
+            self._connections.log_stray_data("after a response")
         if channel is None or channel.closed or head is None:
             return
         # Unsent bytes of this request would be sent ahead of the next one.
--- a/masticfork/relay/tables.py
+++ b/masticfork/relay/tables.py
@@ -199,7 +199,7 @@
             return
         if row is not None:
             row.connections.close()
-        connections = ServerConnectionPool(self._loop, server)
+        connections = ServerConnectionPool(self._loop, server, self._log)
         self._rows[server.id] = ServerRow(
             ServerLoad(server), connections, self._notices.of(server)
         )
