Discard what a broken call sent of an incomplete event

Cause: the buffer in which a stream's incomplete event is held belonged to the exchange and was renewed only after the response to the caller had begun. When a server broke off within its first event, the bytes of that event stayed and the first event of the next server's run was joined to them; the caller got it under a valid id. The same happened after a silent call and after a late first event.

The buffer now belongs to the call: each call begins with an empty one that expects the event after the last one passed on.

The fakes of the at-most-once model are now shared, in standins/fake_exchange.py.

--- a/masticfork/relay/at_most_once_model_test.py
+++ b/masticfork/relay/at_most_once_model_test.py
@@ -1,8 +1,5 @@
 """Model test: random sequences of call events for one request, with a real Exchange."""
 
-from typing import Any
-
-import attrs
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
@@ -13,156 +10,21 @@
     rule,
 )
 
-from masticfork.core.backend_servers import Address, BackendServer
-from masticfork.core.forwarding import CallerHead, CallerRequest, ResponseHead
 from masticfork.core.routes import RouteKind
-from masticfork.relay.exchange import CallRecord, Exchange
+from masticfork.relay.exchange import Exchange
 from masticfork.relay.server_call import CallFailure, Stage
-from masticfork.relay.tables import ServerRow
-from masticfork.systems.model_choice import ConfidenceCascade
-from masticfork.systems.server_choice import ServerLoad
-from masticfork.systems.server_notices import ServerNotices
-from standins.fake_loop import FakeLoop
+from standins.fake_exchange import (
+    FakeCall,
+    FakeCaller,
+    FakeHost,
+    caller_request,
+    response_head,
+)
 from standins.typed_routes import typed_route
 
-ATTEMPT_ID = b"a-1"
 TIMEOUT_SECONDS = 2.0
 # Statuses that tell callers that a request has not run and never will.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
-SERVER_COUNT = 4
-
-
-@attrs.define(eq=False)
-class FakeCall:
-    """A call to a server, which may have run the request once it is sent."""
-
-    stage: Stage = Stage.CONNECTING
-    open: bool = True
-    # Whether the server ran the request; the exchange cannot see this.
-    ran_request: bool = False
-    reused_connection: bool = False
-
-    def cancel(self) -> None:
-        self.open = False
-
-    def pause(self) -> None:
-        """Do nothing."""
-
-    def resume(self) -> None:
-        """Do nothing."""
-
-
-class FakeCaller:
-    """A caller that counts the final responses it gets."""
-
-    congested = False
-
-    def __init__(self) -> None:
-        self.status: int | None = None
-        self.final_responses = 0
-        self.body = b""
-
-    def start_response(self, head: ResponseHead, length: int | None) -> None:
-        self.status = head.status
-
-    def write_body(self, data: bytes) -> None:
-        self.body += data
-
-    def end_response(self) -> None:
-        self.final_responses += 1
-
-    def abort_response(self) -> None:
-        self.final_responses += 1
-
-    def send_error(self, status: Any, headers: Any) -> None:
-        self.status = status.value
-        self.final_responses += 1
-
-
-class FakeHost:
-    """A host with four healthy servers and a retry budget that the test controls."""
-
-    def __init__(self) -> None:
-        self.loop = FakeLoop()
-        self.models = ConfidenceCascade()
-        self.calls: list[FakeCall] = []
-        self.retry_allowed = True
-        self.ended_exchanges = 0
-        self._rows = [_row(number) for number in range(SERVER_COUNT)]
-
-    def choose_server(
-        self, service: str, work: Any, session: str, tried_servers: set[str]
-    ) -> Any:
-        untried = [row for row in self._rows if row.server.id not in tried_servers]
-        return untried[0] if untried else None
-
-    def has_other_server(
-        self, service: str, session: str, tried_servers: set[str]
-    ) -> bool:
-        return any(row.server.id not in tried_servers for row in self._rows)
-
-    def min_expected_delay(self, work: Any, session: str) -> float:
-        return 0.1
-
-    def expected_delay(self, row: ServerRow, work: Any) -> float:
-        return 0.1
-
-    def open_call(self, row: Any, sink: Any, request: Any, call: Any) -> FakeCall:
-        self.calls.append(FakeCall())
-        return self.calls[-1]
-
-    def take_retry(self, service: str, reserved_share: float) -> bool:
-        return self.retry_allowed
-
-    def count_request(self, service: str) -> None:
-        """Do nothing."""
-
-    def on_call_sent(self, record: CallRecord) -> None:
-        """Do nothing."""
-
-    def on_response_started(self, record: CallRecord, head: Any) -> None:
-        """Do nothing."""
-
-    def on_call_ended(self, record: CallRecord) -> None:
-        """Do nothing."""
-
-    def on_exchange_ended(self, exchange: Exchange, status: int, why: str) -> None:
-        self.ended_exchanges += 1
-
-    def seconds_until_resumption(self, service: str) -> float:
-        return 0.0
-
-    def error_headers(
-        self, attempt_id: bytes, retry_after: Any = None, not_before: float = 0.0
-    ) -> list[Any]:
-        return []
-
-    def log(self, message: str, **fields: object) -> None:
-        """Do nothing."""
-
-
-def _row(number: int) -> ServerRow:
-    address = Address("127.0.0.1", 1000 + number)
-    server = BackendServer(f"i-{number}", "s", address, "zone-a", "v1", 6, False)
-    notice = ServerNotices().of(server)
-    return ServerRow(ServerLoad(server), None, notice)  # type: ignore[arg-type]
-
-
-def _request() -> CallerRequest:
-    head = CallerHead(
-        attempt_id=ATTEMPT_ID,
-        timeout=None,
-        key=None,
-        model=None,
-        model_chosen_by_router=False,
-        prompt=(),
-        prompt_tokens=0,
-        max_output_tokens=0,
-        session=None,
-        last_event_id=None,
-        forwarded=(),
-    )
-    return CallerRequest(b"POST", b"/x", "a.example", head, b"", 0.0)
 
 
 RESPONSE_HEADS = {
@@ -176,26 +38,6 @@
 }
 
 
-def _head(overrides: dict[str, Any]) -> ResponseHead:
-    head = ResponseHead(
-        status=200,
-        reason=b"OK",
-        attempt_id=ATTEMPT_ID,
-        signed=True,
-        not_run=False,
-        leaving=False,
-        pause=None,
-        confidence=None,
-        encoded=False,
-        closes=False,
-        keep_alive=None,
-        content_length=2,
-        chunked=False,
-        forwarded=(),
-    )
-    return attrs.evolve(head, **overrides)
-
-
 class AtMostOnce(RuleBasedStateMachine):
     """Applies events to the latest call in any order that a connection allows."""
 
@@ -206,7 +48,7 @@
         self.exchange = Exchange(
             host=self.host,
             caller=self.caller,
-            request=_request(),
+            request=caller_request(),
             route=typed_route(kind, timeout=TIMEOUT_SECONDS, services=()),
             service="s",
             team=None,
@@ -234,7 +76,7 @@
         call = self.call
         call.stage = Stage.ANSWERING
         call.ran_request = kind != "refused"
-        self.exchange.on_head(_head(RESPONSE_HEADS[kind]))
+        self.exchange.on_head(response_head(**RESPONSE_HEADS[kind]))
 
     @precondition(lambda self: self._call_is_open_at(Stage.ANSWERING))
     @rule()
--- a/masticfork/relay/exchange.py
+++ b/masticfork/relay/exchange.py
@@ -176,7 +176,7 @@
     _response_started: bool = False
     _buffered_body: list[bytes] = attrs.field(factory=list)
     _buffered_bytes: int = 0
-    _event_splitter: EventSplitter | None = None
+    _event_splitter: EventSplitter = attrs.field(init=False)
     _tried_servers: set[str] = attrs.field(factory=set)
     _deadline_timer: Timer | None = None
     _silence_timer: Timer | None = None
@@ -213,7 +213,6 @@
         loop = self.host.loop
         if self.route.models and self.request.head.model_chosen_by_router:
             self._model_index = self.host.models.initial_size(self.route)
-        self._event_splitter = EventSplitter(self.request.head.last_event_id)
         self._deadline_timer = loop.call_at(self.deadline, self._on_deadline)
         self.host.count_request(self.service)
         self._send_call()
@@ -263,7 +262,6 @@
         if not self._is_stream or self._response_head.status >= 300:
             self._buffer_body(data)
             return
-        assert self._event_splitter is not None
         try:
             complete_events = self._event_splitter.feed(data)
         except InvalidEventStreamError as error:
@@ -279,7 +277,6 @@
         if self._call_record is None or self._response_head is None:
             return
         if self._is_stream and self._response_head.status < 300:
-            assert self._event_splitter is not None
             if self._event_splitter.partial_event_bytes:
                 self._fail_call(
                     CallOutcome.BROKEN, "stream ended in the middle of an event"
@@ -311,15 +308,20 @@
         if row is None:
             self._fail_request(CallOutcome.UNSENT, "no eligible server")
             return
-        assert self._event_splitter is not None
-        resuming = self._response_started and self._is_stream
+        if resuming := self._response_started and self._is_stream:
+            last_event_id = self._event_splitter.last_event_id
+        else:
+            last_event_id = self.request.head.last_event_id
+        # Each call begins with an event of its own: what an earlier call sent of an
+        # incomplete event is discarded.
+        self._event_splitter = EventSplitter(last_event_id)
         dispatch = Dispatch(
             server_id=row.server.id,
             timeout=self._seconds_left,
             team=self.team,
             model=model,
             priority=self.priority if self._is_stream else None,
-            resume_after=self._event_splitter.last_event_id if resuming else None,
+            resume_after=last_event_id if resuming else None,
         )
         loop = self.host.loop
         unread = pending_prompt_work(row.load, work, loop.now)
@@ -429,7 +431,6 @@
         if record is None or self._ended:
             return
         call, splitter = record.call, self._event_splitter
-        assert splitter is not None
         if call is not None:
             call.cancel()
         self._end_call(outcome)
@@ -456,18 +457,13 @@
             self._fail_request(outcome, why)
         elif outcome is CallOutcome.DROPPED:
             self._tried_servers.clear()
-            self._send_again()
+            self._send_call()
         elif outcome is not CallOutcome.UNSENT and not self.host.take_retry(
             self.service, 0.0
         ):
             self._fail_request(outcome, "retry budget exhausted")
         else:
-            self._send_again()
-
-    def _send_again(self) -> None:
-        if self._response_started and self._event_splitter is not None:
-            self._event_splitter = EventSplitter(self._event_splitter.last_event_id)
-        self._send_call()
+            self._send_call()
 
     def _fail_request(self, outcome: CallOutcome, why: str) -> None:
         """End the exchange with an error, or abort a response that has begun."""
