Resume a stream after the last event that was passed on

An event out of sequence ends a server's run.

The test fails on the code before: the next call asks for the events after 4 instead of after 2. The splitter now returns the events up to the first invalid one together with the error, so its last id is always that of an event returned.

--- a/masticfork/relay/events.py
+++ b/masticfork/relay/events.py
@@ -1,11 +1,18 @@
 """Splits a server-sent event stream into complete events."""
 
+import attrs
+
 # A stream with a larger event is treated as invalid.
 MAX_EVENT_BYTES = 1 << 20
 
 
-class InvalidEventStreamError(Exception):
-    """An event exceeds MAX_EVENT_BYTES, or event ids are not consecutive."""
+@attrs.frozen
+class CompleteEvents:
+    """Events that received data completes, and why what follows them is invalid."""
+
+    data: bytes
+    # None if all of the data was valid so far.
+    error: str | None = None
 
 
 class EventSplitter:
@@ -20,7 +27,7 @@
 
     @property
     def last_event_id(self) -> int | None:
-        """Return the id of the last complete event, None before the first."""
+        """Return the id of the last event returned, None before the first."""
         return self._last_event_id
 
     @property
@@ -28,38 +35,34 @@
         """Return the number of buffered bytes of an incomplete event."""
         return len(self._buffer)
 
-    def feed(self, data: bytes) -> bytes:
-        """Return the events that the data completes, b"" if there are none.
-
-        Raise InvalidEventStreamError if an event is too large or out of sequence.
-        """
+    def feed(self, data: bytes) -> CompleteEvents:
+        """Return the events that the data completes, up to the first invalid one."""
         buffered = self._buffer + data
-        end_of_last_event = buffered.rfind(b"\n\n")
-        if end_of_last_event < 0:
-            if len(buffered) > MAX_EVENT_BYTES:
-                raise InvalidEventStreamError("event is larger than 1 MiB")
-            self._buffer = buffered
-            return b""
-        complete_events, self._buffer = (
-            buffered[: end_of_last_event + 2],
-            buffered[end_of_last_event + 2 :],
-        )
-        for event in complete_events.split(b"\n\n")[:-1]:
-            self._check_event_id(event)
-        return complete_events
+        valid_bytes = 0
+        while (event_end := buffered.find(b"\n\n", valid_bytes) + 2) > 1:
+            error = self._accept_event(buffered[valid_bytes:event_end])
+            if error is not None:
+                return CompleteEvents(buffered[:valid_bytes], error)
+            valid_bytes = event_end
+        self._buffer = buffered[valid_bytes:]
+        too_large = len(self._buffer) > MAX_EVENT_BYTES
+        error = "event is larger than 1 MiB" if too_large else None
+        return CompleteEvents(buffered[:valid_bytes], error)
 
-    def _check_event_id(self, event: bytes) -> None:
-        for line in event.split(b"\n"):
-            if line.startswith(b"id:"):
-                self._advance_last_event_id(line[3:].strip())
-                return
-
-    def _advance_last_event_id(self, id_value: bytes) -> None:
-        if not id_value.isdigit():
-            return
+    def _accept_event(self, event: bytes) -> str | None:
+        """Advance the last event id; return why the event is invalid, if it is."""
+        id_value = _id_value(event)
+        if id_value is None or not id_value.isdigit():
+            return None
         event_id = int(id_value)
         if self._last_event_id is not None and event_id != self._last_event_id + 1:
-            raise InvalidEventStreamError(
-                f"event id {event_id} follows {self._last_event_id}"
-            )
+            return f"event id {event_id} follows {self._last_event_id}"
         self._last_event_id = event_id
+        return None
+
+
+def _id_value(event: bytes) -> bytes | None:
+    for line in event.split(b"\n"):
+        if line.startswith(b"id:"):
+            return line[3:].strip()
+    return None
--- a/masticfork/relay/events_test.py
+++ b/masticfork/relay/events_test.py
@@ -2,7 +2,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from masticfork.relay.events import EventSplitter, InvalidEventStreamError
+from masticfork.relay.events import EventSplitter
 
 
 def event_stream(count, first=1):
@@ -15,7 +15,7 @@
         data, splitter, returned = event_stream(6), EventSplitter(None), b""
         offset = 0
         for size in [*sizes, len(data)]:
-            returned += splitter.feed(data[offset : offset + size])
+            returned += splitter.feed(data[offset : offset + size]).data
             offset += size
             assert returned == b"" or returned.endswith(b"\n\n")
         assert returned == data
@@ -23,14 +23,15 @@
 
     def test_incomplete_event_is_buffered(self):
         splitter = EventSplitter(None)
-        assert splitter.feed(event_stream(1) + b"id: 2\nda") == event_stream(1)
+        assert splitter.feed(event_stream(1) + b"id: 2\nda").data == event_stream(1)
         assert splitter.partial_event_bytes == len(b"id: 2\nda")
         assert splitter.last_event_id == 1
 
     @pytest.mark.parametrize("first", [1, 3, 5])
     def test_gap_or_duplicate_in_event_ids_is_rejected(self, first):
-        with pytest.raises(InvalidEventStreamError):
-            EventSplitter(3).feed(event_stream(1, first))
+        events = EventSplitter(3).feed(event_stream(1, first))
+        assert events.data == b""
+        assert events.error == f"event id {first} follows 3"
 
     def test_resumed_stream_continues_after_the_last_event(self):
         splitter = EventSplitter(3)
--- a/masticfork/relay/exchange.py
+++ b/masticfork/relay/exchange.py
@@ -7,7 +7,7 @@
 
 from masticfork.core.forwarding import CallerRequest, Dispatch, Header, ResponseHead
 from masticfork.core.routes import Route, RouteKind
-from masticfork.relay.events import EventSplitter, InvalidEventStreamError
+from masticfork.relay.events import EventSplitter
 from masticfork.relay.loop import Loop, Timer
 from masticfork.relay.server_call import CallFailure, CallSink, ServerCall, Stage
 from masticfork.relay.tables import ServerRow
@@ -262,15 +262,13 @@
         if not self._is_stream or self._response_head.status >= 300:
             self._buffer_body(data)
             return
-        try:
-            complete_events = self._event_splitter.feed(data)
-        except InvalidEventStreamError as error:
-            self._fail_call(CallOutcome.BROKEN, str(error))
-            return
-        if complete_events:
+        events = self._event_splitter.feed(data)
+        if events.data:
             self._restart_silence_timer()
             self._start_stream_response()
-            self._write_body(complete_events)
+            self._write_body(events.data)
+        if events.error is not None:
+            self._fail_call(CallOutcome.BROKEN, events.error)
 
     def on_end(self) -> None:
         """Complete the response to the caller."""
--- a/masticfork/relay/stream_runs_test.py
+++ b/masticfork/relay/stream_runs_test.py
@@ -93,3 +93,15 @@
         ]
         assert all(e.count(b"data") == 1 for e in received)
         assert stream.caller.final_responses == 1
+
+    def test_events_ahead_of_an_invalid_one_are_passed_on(self):
+        """Guards against a run resumed after events that no caller has received."""
+        stream = StreamExchange()
+        stream.begin_response()
+        stream.exchange.on_body(event_stream(1, 2) + event_stream(4, 5))
+        assert stream.call.request.resume_after == 2
+        assert stream.caller.body == event_stream(1, 2)
+        stream.begin_response()
+        stream.exchange.on_body(event_stream(3))
+        stream.exchange.on_end()
+        assert stream.caller.body == event_stream(1)
