--- a/masticfork/relay/events.py
+++ b/masticfork/relay/events.py
@@ -4,6 +4,7 @@
 
 # A stream with a larger event is treated as invalid.
 MAX_EVENT_BYTES = 1 << 20
+_LOGGED_ID_BYTES = 32
 
 
 @attrs.frozen
@@ -52,8 +53,8 @@
     def _accept_event(self, event: bytes) -> str | None:
         """Advance the last event id; return why the event is invalid, if it is."""
         id_value = _id_value(event)
-        if id_value is None or not id_value.isdigit():
-            return None
+        if not id_value.isdigit():
+            return f"event id {id_value[:_LOGGED_ID_BYTES]!r} is not a number"
         event_id = int(id_value)
         if self._last_event_id is not None and event_id != self._last_event_id + 1:
             return f"event id {event_id} follows {self._last_event_id}"
@@ -61,8 +62,9 @@
         return None
 
 
-def _id_value(event: bytes) -> bytes | None:
+def _id_value(event: bytes) -> bytes:
+    """Return the id of an event, b"" if it has none."""
     for line in event.split(b"\n"):
         if line.startswith(b"id:"):
             return line[3:].strip()
-    return None
+    return b""
--- a/masticfork/relay/stream_runs_test.py
+++ b/masticfork/relay/stream_runs_test.py
@@ -1,5 +1,6 @@
 """Streams of which a server breaks off and another one generates the rest."""
 
+import pytest
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
@@ -105,3 +106,12 @@
         stream.exchange.on_body(event_stream(3))
         stream.exchange.on_end()
         assert stream.caller.body == event_stream(1)
+
+    @pytest.mark.parametrize("stray", [b"data: other\n\n", b"id: x\ndata: other\n\n"])
+    def test_event_without_a_valid_id_breaks_the_run(self, stray):
+        """Guards against foreign data that is passed on as an event (MIXED)."""
+        stream = StreamExchange()
+        stream.begin_response()
+        stream.exchange.on_body(event_stream(1, 1) + stray)
+        assert stream.call.request.resume_after == 1
+        assert stream.caller.body == event_stream(1, 1)
