Believe a refusal only if it belongs to the request

A response that says 'not run' was believed before its attempt id was compared. A second response that a server sends late, on a connection in use again, could so end another request as not run, which promises callers that they may send it again. Requests that may run once only get new connections, so no request can have run twice through it here; the other ones were counted as certainly not run.

The tests fail on the code before (503 instead of 502). A rejecting server need not have read the id of what it rejects: a refusal without any id still counts.

--- a/masticfork/relay/exchange.py
+++ b/masticfork/relay/exchange.py
@@ -367,9 +367,11 @@
 
     def _classify_response(self, head: ResponseHead) -> CallOutcome | None:
         """Return why a response is unusable, None if it may be passed on."""
-        if head.not_run:
+        # A server that rejects a request need not have read its attempt id.
+        is_own = head.attempt_id == self.request.head.attempt_id
+        if head.not_run and (is_own or not head.attempt_id):
             return CallOutcome.REFUSED
-        if head.attempt_id != self.request.head.attempt_id or head.encoded:
+        if not is_own or head.encoded:
             return CallOutcome.BROKEN
         if head.status < 300:
             return None if head.signed else CallOutcome.BROKEN
