Log the shared prompt parts of calls that end without an answer

What callers and logs showed could not tell whether a request, its key, a shared part or nothing at all was common to the crashes. The line 'call failed' now lists the shared parts of a prompt whose call got no event.

--- a/masticfork/relay/exchange.py
+++ b/masticfork/relay/exchange.py
@@ -146,6 +146,8 @@
     # sending.
     expected_delay: float
     head_received_at: float | None = None
+    # Whether a complete event, or the head of a response of another kind, arrived.
+    answered: bool = False
     # Whether the call was counted as slow against its version while still waiting.
     counted_as_slow: bool = False
     ended_at: float | None = None
@@ -154,6 +156,11 @@
     outcome: CallOutcome | None = None
     call: ServerCall | None = None
 
+    @property
+    def shared_part_ids(self) -> list[str]:
+        """Return the prompt parts that other requests may share: all but the last."""
+        return [part.id for part in self.work.prompt[:-1]]
+
 
 @attrs.define(eq=False)
 class Exchange:
@@ -264,6 +271,7 @@
             return
         events = self._event_splitter.feed(data)
         if events.data:
+            self._call_record.answered = True
             self._restart_silence_timer()
             self._start_stream_response()
             self._write_body(events.data)
@@ -451,6 +459,7 @@
             reused_connection=call is not None and call.reused_connection,
             last_event=splitter.last_event_id,
             partial_event_bytes=splitter.partial_event_bytes,
+            unanswered_prompt=None if record.answered else record.shared_part_ids,
         )
         next_step = next_action(self.route, self.history, outcome, self._seconds_left)
         if next_step is not NextAction.RETRY:
