Keep prompt parts that crash servers from them

Cause: a failed call was taken for a fault of its server alone. Each request that crashed a server was sent to the next one, up to max_attempts, and the caller's own retry again; nothing ever connected the crashes with what was being answered.

What now happens: each host notes the shared parts of the prompts that were unanswered where a server's connections were lost, and clears parts that are answered later and servers that go on answering. Hosts tell each other what they noted. A part that explains three crashes best is kept from the service's servers for five minutes: new requests with it are refused at once (503, not run, and when to come back), unanswered ones end with 502. Crashes that it explains accuse no other part, crashes within 0.25 s count as one, and an answer that begins later, or a part that explains more, ends a quarantine.

Tests fail without the mechanism (no part is ever quarantined): the deadly request reaches three servers each time, and the simulated fleets of 4 and of 30 hosts get more than 3 such requests later than 3 s after the fifth crash.

--- a/masticfork/core/digests.py
+++ b/masticfork/core/digests.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from masticfork.core.crash_reports import CrashReport
 from masticfork.core.store_position import StorePosition
 
 
@@ -73,6 +74,7 @@
     sessions: dict[int, int] = attrs.field(factory=dict)
     # Hashes of the incarnations of servers that announced that they leave.
     leaving: frozenset[int] = frozenset()
+    crashes: CrashReport = attrs.field(factory=CrashReport)
     # Availability zone of the host; empty in partial digests.
     zone: str = ""
     # By index of the kind among those that hosts mirror.
--- a/masticfork/core/forwarding.py
+++ b/masticfork/core/forwarding.py
@@ -13,6 +13,11 @@
     tokens: int
 
 
+def shared_parts(prompt: tuple[PromptPart, ...]) -> tuple[PromptPart, ...]:
+    """Return the parts that other requests may share: all but the last."""
+    return prompt[:-1]
+
+
 @attrs.frozen
 class CallerHead:
     """Parsed headers of a caller's request."""
--- a/masticfork/relay/call_evidence.py
+++ b/masticfork/relay/call_evidence.py
@@ -7,6 +7,7 @@
 from masticfork.relay.loop import Loop
 from masticfork.relay.metrics import RelayMetrics
 from masticfork.relay.own_loads import OwnLoads
+from masticfork.relay.prompt_quarantine import PromptQuarantine
 from masticfork.relay.rollout_controller import ResponseTime, RolloutController
 from masticfork.relay.tables import Tables
 from masticfork.systems.failed_calls import CallOutcome
@@ -32,12 +33,14 @@
         metrics: RelayMetrics,
         own_loads: OwnLoads,
         rollouts: RolloutController,
+        quarantine: PromptQuarantine,
     ) -> None:
         self._loop = loop
         self._tables = tables
         self._metrics = metrics
         self._own_loads = own_loads
         self._rollouts = rollouts
+        self._quarantine = quarantine
 
     def on_call_sent(self, record: CallRecord) -> None:
         """Add a call that is being sent to the load of its server."""
@@ -54,6 +57,10 @@
         if head.pause is not None:
             self._tables.record_pause(record.row, head.pause)
 
+    def on_answered(self, record: CallRecord) -> None:
+        """Record that an event of the answer has arrived."""
+        self._quarantine.record_answer(record)
+
     def on_call_ended(self, record: CallRecord) -> None:
         """Record the outcome of a call in loads, metrics and rollout evidence."""
         load, now = record.row.load, self._loop.now
@@ -72,6 +79,8 @@
             load.avoid_until = now + UNREACHABLE_SECONDS
         if record.failed is not None:
             load.record(record.failed, now)
+        if record.connection_lost and not record.answered:
+            self._quarantine.record_crash(record)
         self._report_version_evidence(record)
 
     def report_slow_calls(self, exchanges: Iterable[Exchange]) -> None:
--- a/masticfork/relay/digest.capnp
+++ b/masticfork/relay/digest.capnp
@@ -36,6 +36,16 @@
   packedLoads @16 :Data;
   # The sessions likewise, in records of 8 bytes with the fields of `Session`.
   packedSessions @17 :Data;
+  # Prompt parts that were unanswered at servers when these crashed, as records of 11
+  # bytes: hashes of the part and of the server's incarnation, the part's index in its
+  # prompt (UInt8) and the milliseconds since the crash (UInt16).
+  packedCrashes @18 :Data;
+  # Answers that show parts, or servers, to be sound: records of 8 bytes with the hash
+  # and the milliseconds since the answer.
+  packedAnswered @19 :Data;
+  # Prompt parts in quarantine: records of 8 bytes with the hash and the milliseconds
+  # left.
+  packedQuarantined @20 :Data;
 }
 
 struct Kind {
--- a/masticfork/relay/digest_codec.py
+++ b/masticfork/relay/digest_codec.py
@@ -1,12 +1,14 @@
 """Encoding of digests as Cap'n Proto datagrams."""
 
 import struct
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
 
 import capnp
 from result import Err, Ok, Result
 
+from masticfork.core.crash_reports import CrashReport, PartObservation
 from masticfork.core.digests import (
     Digest,
     HostLoad,
@@ -19,12 +21,16 @@
 # Units in which digests carry pending work and weighted calls.
 PENDING_TOKENS_PER_UNIT = 1000.0
 BUSY_CALLS_PER_UNIT = 0.1
-_MAX_UINT16 = 0xFFFF
+_MAX_UINT8, _MAX_UINT16, _MAX_UINT32 = 0xFF, 0xFFFF, 0xFFFFFFFF
+_MILLISECONDS_PER_SECOND = 1000.0
 
 # The fields of `Load` in the schema, in their order there.
 _LOAD_RECORD = struct.Struct("<IHHH")
 # The same for `Session`.
 _SESSION_RECORD = struct.Struct("<II")
+# The records of the packed fields on crashes.
+_CRASH_RECORD = struct.Struct("<IIBH")
+_KEY_TIME_RECORD = struct.Struct("<II")
 
 _schema = capnp.load(str(Path(__file__).with_name("digest.capnp")))
 
@@ -82,6 +88,17 @@
         packedSessions=b"".join(
             _SESSION_RECORD.pack(*item) for item in digest.sessions.items()
         ),
+        packedCrashes=b"".join(
+            _CRASH_RECORD.pack(
+                seen.part,
+                seen.server,
+                min(_MAX_UINT8, seen.position),
+                _milliseconds(seen.age, _MAX_UINT16),
+            )
+            for seen in digest.crashes.observations
+        ),
+        packedAnswered=_pack_key_times(digest.crashes.answered),
+        packedQuarantined=_pack_key_times(digest.crashes.quarantined),
     )
     return bytes(message.to_bytes_packed())
 
@@ -102,23 +119,57 @@
     )
 
 
+def _milliseconds(seconds: float, maximum: int) -> int:
+    return min(maximum, max(0, round(seconds * _MILLISECONDS_PER_SECOND)))
+
+
+def _pack_key_times(seconds_by_key: dict[int, float]) -> bytes:
+    return b"".join(
+        _KEY_TIME_RECORD.pack(key, _milliseconds(seconds, _MAX_UINT32))
+        for key, seconds in seconds_by_key.items()
+    )
+
+
+def _unpack_records(packed: bytes, record: struct.Struct) -> Iterator[Any]:
+    """Return the records; raise ValueError if the last one is truncated."""
+    if len(packed) % record.size:
+        raise ValueError("truncated records")
+    return record.iter_unpack(packed)
+
+
+def _unpack_key_times(packed: bytes) -> dict[int, float]:
+    return {
+        key: milliseconds / _MILLISECONDS_PER_SECOND
+        for key, milliseconds in _unpack_records(packed, _KEY_TIME_RECORD)
+    }
+
+
+def _unpack_crashes(reader: Any) -> CrashReport:
+    """Return the report on crashes; raise ValueError if it is malformed."""
+    observations = _unpack_records(reader.packedCrashes, _CRASH_RECORD)
+    return CrashReport(
+        tuple(
+            PartObservation(part, server, position, age / _MILLISECONDS_PER_SECOND)
+            for part, server, position, age in observations
+        ),
+        _unpack_key_times(reader.packedAnswered),
+        _unpack_key_times(reader.packedQuarantined),
+    )
+
+
 def _unpack_sessions(reader: Any) -> dict[int, int]:
     """Return the versions by session; raise ValueError if they are malformed."""
     packed = reader.packedSessions
-    if len(packed) % _SESSION_RECORD.size:
-        raise ValueError("truncated sessions")
     if packed:
-        return dict(_SESSION_RECORD.iter_unpack(packed))
+        return dict(_unpack_records(packed, _SESSION_RECORD))
     return {item.key: item.version for item in reader.sessions}
 
 
 def _unpack_loads(reader: Any) -> dict[int, HostLoad]:
     """Return the loads by server; raise ValueError if they are malformed."""
     packed = reader.packedLoads
-    if len(packed) % _LOAD_RECORD.size:
-        raise ValueError("truncated loads")
     if packed:
-        records = _LOAD_RECORD.iter_unpack(packed)
+        records = _unpack_records(packed, _LOAD_RECORD)
     else:
         records = (
             (load.server, load.running, load.pending, load.busy)
@@ -176,6 +227,7 @@
                     for item in reader.updates
                 ),
                 leaving=frozenset(reader.leaving),
+                crashes=_unpack_crashes(reader),
                 partial=reader.partial,
             )
         )
--- a/masticfork/relay/digest_codec_test.py
+++ b/masticfork/relay/digest_codec_test.py
@@ -3,6 +3,7 @@
 from hypothesis import strategies as st
 from result import Err, Ok
 
+from masticfork.core.crash_reports import CrashReport, PartObservation
 from masticfork.core.digests import Digest, HostLoad, RolloutEvidence
 from masticfork.core.store_position import StorePosition
 from masticfork.relay.digest_codec import decode_digest, encode_digest
@@ -30,6 +31,15 @@
         digest = attrs.evolve(DIGEST, loads=loads, sessions=sessions)
         assert len(encode_digest(digest)) < 1400
 
+    def test_round_trip_of_crash_reports(self):
+        seen = (
+            PartObservation(3_000_000_001, 7, 2, 1.25),
+            PartObservation(1, 9, 0, 0.0),
+        )
+        report = CrashReport(seen, {4_000_000_000: 0.5}, {5: 299.875})
+        digest = attrs.evolve(DIGEST, crashes=report)
+        assert decode_digest(encode_digest(digest)) == Ok(digest)
+
     def test_values_outside_the_field_range_are_clamped(self):
         loads = {1: HostLoad(100_000, -1.0, 1e12)}
         decoded = decode_digest(encode_digest(attrs.evolve(DIGEST, loads=loads)))
--- a/masticfork/relay/entry.py
+++ b/masticfork/relay/entry.py
@@ -18,6 +18,7 @@
     CallerRequest,
     Dispatch,
     Header,
+    PromptPart,
     ResponseHead,
 )
 from masticfork.core.routes import CallerLimits, Route
@@ -27,7 +28,7 @@
 from masticfork.relay.call_evidence import CallEvidence
 from masticfork.relay.caller import CallerConnection, CallerExchange, NoExchange
 from masticfork.relay.channel import CALLER_USER_TIMEOUT_MS, Channel, listen
-from masticfork.relay.exchange import CallRecord, Exchange
+from masticfork.relay.exchange import CallRecord, Exchange, QuarantinedPart
 from masticfork.relay.followers import Follower, Lister
 from masticfork.relay.host_digests import HostDigests
 from masticfork.relay.logs import LogSink, relay_logger
@@ -35,6 +36,7 @@
 from masticfork.relay.metrics import RelayMetrics
 from masticfork.relay.page_listener import PageListener
 from masticfork.relay.peers import Peers
+from masticfork.relay.prompt_quarantine import PromptQuarantine
 from masticfork.relay.reader_duty import ReaderDuty
 from masticfork.relay.registration import Registration
 from masticfork.relay.rollout_controller import RolloutController
@@ -88,12 +90,14 @@
         )
         self._retry_budget.hosts = MIN_HOST_COUNT
         self._session_versions = SessionVersions(bounds.session)
+        self._prompt_quarantine = PromptQuarantine(self._loop, self._metrics, self.log)
         self._digests = HostDigests(
             self._loop,
             settings.host,
             settings.zone,
             self._tables,
             self._session_versions,
+            self._prompt_quarantine,
         )
         self._objects = PlatformObjects(settings.store, time.monotonic)
         self._peers = Peers(
@@ -151,6 +155,7 @@
             self._metrics,
             self._digests.own_loads,
             self._rollout_controller,
+            self._prompt_quarantine,
         )
         self._started_at = self._loop.now
         self._stop: GracefulStop | None = None
@@ -220,6 +225,9 @@
         self._tables.sweep()
         self._session_versions.sweep(self._loop.now)
         self._call_evidence.report_slow_calls(self._open_exchanges)
+        if self._prompt_quarantine.run():
+            for exchange in list(self._open_exchanges):
+                exchange.on_quarantine()
         self._rollout_controller.run(self._loop.now)
         self._retry_budget.hosts = max(
             MIN_HOST_COUNT, self._peers.budget_sharing_host_count
@@ -510,6 +518,10 @@
         """Record that the response to a call has begun."""
         self._call_evidence.on_response_started(record, head)
 
+    def on_answered(self, record: CallRecord) -> None:
+        """Record that a call has produced its first event."""
+        self._call_evidence.on_answered(record)
+
     def on_call_ended(self, record: CallRecord) -> None:
         """Record the outcome of a call."""
         self._call_evidence.on_call_ended(record)
@@ -518,6 +530,12 @@
         """Return how long all servers of a service have asked to pause, or 0."""
         return self._tables.seconds_until_resumption(service)
 
+    def quarantined_part(
+        self, service: str, prompt: tuple[PromptPart, ...]
+    ) -> QuarantinedPart | None:
+        """Return the part for which a prompt must not reach a service's servers."""
+        return self._prompt_quarantine.part_of(service, prompt)
+
     def on_exchange_ended(self, exchange: Exchange, status: int, why: str) -> None:
         """Record the end of an exchange in metrics and log."""
         self._open_exchanges.discard(exchange)
--- a/masticfork/relay/exchange.py
+++ b/masticfork/relay/exchange.py
@@ -5,7 +5,14 @@
 
 import attrs
 
-from masticfork.core.forwarding import CallerRequest, Dispatch, Header, ResponseHead
+from masticfork.core.forwarding import (
+    CallerRequest,
+    Dispatch,
+    Header,
+    PromptPart,
+    ResponseHead,
+    shared_parts,
+)
 from masticfork.core.routes import Route, RouteKind
 from masticfork.relay.events import EventSplitter
 from masticfork.relay.loop import Loop, Timer
@@ -32,6 +39,13 @@
 ABORTED_STATUS = 0
 
 _MIN_SERVER_ERROR_STATUS = 500
+# Outcomes of calls that say nothing against their server; None is a complete response.
+_OUTCOMES_OF_SOUND_SERVERS = (
+    None,
+    CallOutcome.DROPPED,
+    CallOutcome.REFUSED,
+    CallOutcome.QUARANTINED,
+)
 # Statuses that tell callers that a request has not run. A response with one of them is
 # not passed on; unless the server states that it did not run the request, the call
 # counts as broken.
@@ -108,6 +122,9 @@
     def on_response_started(self, record: "CallRecord", head: ResponseHead) -> None:
         """Record that the response to a call has begun."""
 
+    def on_answered(self, record: "CallRecord") -> None:
+        """Record that a call has produced its first event."""
+
     def on_call_ended(self, record: "CallRecord") -> None:
         """Record the outcome of a call."""
 
@@ -117,6 +134,11 @@
     def seconds_until_resumption(self, service: str) -> float:
         """Return how long all servers of a service have asked to pause, or 0."""
 
+    def quarantined_part(
+        self, service: str, prompt: tuple[PromptPart, ...]
+    ) -> "QuarantinedPart | None":
+        """Return the part for which a prompt must not reach a service's servers."""
+
     def error_headers(
         self,
         attempt_id: bytes,
@@ -132,6 +154,14 @@
         """Write one log line."""
 
 
+@attrs.frozen
+class QuarantinedPart:
+    """A prompt part that crashes the servers of a service."""
+
+    id: str
+    seconds_left: float
+
+
 @attrs.define(eq=False)
 class CallRecord:
     """One call of an exchange to a server."""
@@ -146,8 +176,10 @@
     # sending.
     expected_delay: float
     head_received_at: float | None = None
-    # Whether a complete event, or the head of a response of another kind, arrived.
+    # Whether an event of the answer has arrived.
     answered: bool = False
+    # Whether the call ended with the loss of its connection.
+    connection_lost: bool = False
     # Whether the call was counted as slow against its version while still waiting.
     counted_as_slow: bool = False
     ended_at: float | None = None
@@ -158,8 +190,8 @@
 
     @property
     def shared_part_ids(self) -> list[str]:
-        """Return the prompt parts that other requests may share: all but the last."""
-        return [part.id for part in self.work.prompt[:-1]]
+        """Return the prompt parts that other requests may share."""
+        return [part.id for part in shared_parts(self.work.prompt)]
 
 
 @attrs.define(eq=False)
@@ -211,6 +243,11 @@
         """Return the caller's session id, or the attempt id if there is no session."""
         return self.request.head.session or self.attempt_id
 
+    @property
+    def _quarantined_part(self) -> QuarantinedPart | None:
+        prompt = self.request.head.prompt
+        return self.host.quarantined_part(self.service, prompt)
+
     @property
     def _seconds_left(self) -> float:
         return self.deadline - self.host.loop.now
@@ -264,14 +301,17 @@
 
     def on_body(self, data: bytes) -> None:
         """Pass complete events to the caller; buffer the body of other responses."""
-        if self._call_record is None or self._response_head is None:
+        record = self._call_record
+        if record is None or self._response_head is None:
             return
         if not self._is_stream or self._response_head.status >= 300:
             self._buffer_body(data)
             return
         events = self._event_splitter.feed(data)
         if events.data:
-            self._call_record.answered = True
+            if not record.answered:
+                record.answered = True
+                self.host.on_answered(record)
             self._restart_silence_timer()
             self._start_stream_response()
             self._write_body(events.data)
@@ -301,11 +341,24 @@
         """Fail the call, as unsent if its connection was never established."""
         unsent = failure.stage is Stage.CONNECTING
         outcome = CallOutcome.UNSENT if unsent else CallOutcome.BROKEN
+        if self._call_record is not None and not unsent:
+            self._call_record.connection_lost = failure.connection_lost
         self._fail_call(outcome, failure.message)
 
+    def on_quarantine(self) -> None:
+        """End an unanswered exchange whose prompt must not reach servers any more."""
+        record = self._call_record
+        if self._ended or record is None or record.answered:
+            return
+        if (part := self._quarantined_part) is not None:
+            self._fail_call(CallOutcome.QUARANTINED, f"prompt part {part.id}")
+
     # Calls to servers.
 
     def _send_call(self) -> None:
+        if (part := self._quarantined_part) is not None:
+            self._fail_request(CallOutcome.QUARANTINED, f"prompt part {part.id}")
+            return
         model = self._model_for_call()
         work = self._work_for_call(model)
         row = self.host.choose_server(
@@ -462,7 +515,7 @@
             unanswered_prompt=None if record.answered else record.shared_part_ids,
         )
         next_step = next_action(self.route, self.history, outcome, self._seconds_left)
-        if next_step is not NextAction.RETRY:
+        if next_step is not NextAction.RETRY or outcome is CallOutcome.QUARANTINED:
             self._fail_request(outcome, why)
         elif outcome is CallOutcome.DROPPED:
             self._tried_servers.clear()
@@ -485,6 +538,8 @@
         self._record_end(status.value, reason)
         attempt_id = self.request.head.attempt_id
         pause = self.host.seconds_until_resumption(self.service)
+        if (part := self._quarantined_part) is not None:
+            pause = max(pause, part.seconds_left)
         headers = self.host.error_headers(attempt_id, retry_after, pause)
         self.caller.send_error(status, headers)
 
@@ -572,7 +627,7 @@
         record.ended_at = self.host.loop.now
         record.outcome = outcome
         status = self._response_head.status if self._response_head is not None else 0
-        server_failed = outcome not in (None, CallOutcome.DROPPED, CallOutcome.REFUSED)
+        server_failed = outcome not in _OUTCOMES_OF_SOUND_SERVERS
         record.failed = server_failed or status >= _MIN_SERVER_ERROR_STATUS
         self.host.on_call_ended(record)
 
--- a/masticfork/relay/host_digests.py
+++ b/masticfork/relay/host_digests.py
@@ -7,6 +7,7 @@
 from masticfork.relay.own_loads import OwnLoads
 from masticfork.relay.peer_loads import PeerLoads
 from masticfork.relay.peers import Peers
+from masticfork.relay.prompt_quarantine import PromptQuarantine
 from masticfork.relay.reader_duty import ReaderDuty
 from masticfork.relay.rollout_controller import RolloutController
 from masticfork.relay.session_versions import SessionVersions
@@ -28,12 +29,14 @@
         zone: str,
         tables: Tables,
         sessions: SessionVersions,
+        quarantine: PromptQuarantine,
     ) -> None:
         self._loop = loop
         self._host = host
         self._zone = zone
         self._tables = tables
         self._sessions = sessions
+        self._quarantine = quarantine
         self._own_loads = OwnLoads(tables, self._schedule_load_update)
         self._peer_loads = PeerLoads(tables)
         self._load_update_scheduled = False
@@ -86,6 +89,7 @@
         """Apply what a peer has observed of sessions, servers and the store."""
         self._store_view.apply_updates(digest)
         self._sessions.apply_report(digest.sessions, self._loop.now)
+        self._quarantine.apply_report(digest.crashes)
         if digest.leaving:
             self._tables.apply_leaving_incarnations(digest.leaving, digest.host)
 
@@ -101,6 +105,7 @@
             loads={},
             rollouts=(),
             leaving=self._tables.leaving_incarnations,
+            crashes=self._quarantine.report(),
             reading=self._reader_duty.reading,
             store_failing=self._store_view.store_failing,
         )
--- a/masticfork/relay/metrics.py
+++ b/masticfork/relay/metrics.py
@@ -70,6 +70,12 @@
             registry=registry,
         )
 
+        self.quarantined_parts = Gauge(
+            "masticfork_relay_quarantined_prompt_parts",
+            "Prompt parts that crash servers and are kept from them",
+            registry=registry,
+        )
+
     def exposition(self) -> bytes:
         """Return the metrics in the Prometheus text format."""
         return generate_latest(self._registry)
--- /dev/null
+++ b/masticfork/relay/prompt_quarantine.py
@@ -0,0 +1,97 @@
+"""Quarantine of the prompt parts that crash servers, by this host's calls."""
+
+from collections import OrderedDict
+from collections.abc import Callable
+
+import attrs
+
+from masticfork.core.crash_reports import CrashReport
+from masticfork.core.forwarding import PromptPart, shared_parts
+from masticfork.core.ids import short_key
+from masticfork.relay.exchange import CallRecord, QuarantinedPart
+from masticfork.relay.loop import Loop
+from masticfork.relay.metrics import RelayMetrics
+from masticfork.systems.crash_quarantine import CrashQuarantine
+
+# Parts of lost calls whose names are remembered for the log.
+MAX_NAMED_PARTS = 4096
+
+
+@attrs.define(eq=False)
+class PromptQuarantine:
+    """Feeds calls and reports of other hosts to the quarantine, and logs its changes.
+
+    A part is identified together with its service: what crashes the servers of one
+    service may be sound at another one.
+    """
+
+    _loop: Loop
+    _metrics: RelayMetrics
+    _log: Callable[..., None]
+    _quarantine: CrashQuarantine = attrs.field(factory=CrashQuarantine)
+    _names: OrderedDict[int, str] = attrs.field(factory=OrderedDict)
+
+    def record_crash(self, record: CallRecord) -> None:
+        """Record that a call's connection was lost before its answer began."""
+        service = record.row.server.service
+        parts = shared_parts(record.work.prompt)
+        keys = [_part_key(service, part) for part in parts]
+        for key, part in zip(keys, parts, strict=True):
+            self._names[key] = part.id
+        while len(self._names) > MAX_NAMED_PARTS:
+            self._names.popitem(last=False)
+        self._quarantine.record_crash(keys, record.row.notice.key, self._loop.now)
+
+    def record_answer(self, record: CallRecord) -> None:
+        """Record that the answer to a call has begun."""
+        service = record.row.server.service
+        parts = shared_parts(record.work.prompt)
+        keys = [_part_key(service, part) for part in parts]
+        self._quarantine.record_answer(keys, record.row.notice.key, self._loop.now)
+
+    def part_of(
+        self, service: str, prompt: tuple[PromptPart, ...]
+    ) -> QuarantinedPart | None:
+        """Return the part for which a prompt must not reach a service's servers."""
+        if not self._quarantine.quarantines:
+            return None
+        now = self._loop.now
+        for part in shared_parts(prompt):
+            quarantine = self._quarantine.quarantines.get(_part_key(service, part))
+            if quarantine is not None and quarantine.until > now:
+                return QuarantinedPart(part.id, quarantine.until - now)
+        return None
+
+    def apply_report(self, report: CrashReport) -> None:
+        """Apply what another host has observed."""
+        self._quarantine.apply_report(report, self._loop.now)
+
+    def report(self) -> CrashReport:
+        """Return what other hosts should know."""
+        return self._quarantine.report(self._loop.now)
+
+    def run(self) -> bool:
+        """Update the quarantines; return whether there are new ones."""
+        now = self._loop.now
+        changes = self._quarantine.run(now)
+        for quarantine in changes.added:
+            self._log(
+                "prompt part quarantined",
+                part=self._names.get(quarantine.part),
+                key=quarantine.part,
+                source="peer" if quarantine.crashes is None else "own decision",
+                crashes=quarantine.crashes,
+                seconds=round(quarantine.until - now, 1),
+            )
+        for quarantine in changes.released:
+            self._log(
+                "prompt part released",
+                part=self._names.get(quarantine.part),
+                key=quarantine.part,
+            )
+        self._metrics.quarantined_parts.set(len(self._quarantine.quarantines))
+        return bool(changes.added)
+
+
+def _part_key(service: str, part: PromptPart) -> int:
+    return short_key(f"{service}/{part.id}")
--- /dev/null
+++ b/masticfork/relay/prompt_quarantine_test.py
@@ -0,0 +1,84 @@
+"""Servers that crash when they begin to answer a prompt with a certain part."""
+
+import time
+
+import pytest
+
+from masticfork.core.routes import RouteKind
+from masticfork.relay.exchange import Exchange, QuarantinedPart
+from masticfork.relay.server_call import CallFailure, Stage
+from standins.entry_environment import ENGINES, running_entry_host
+from standins.fake_exchange import FakeCaller, FakeHost, caller_request, response_head
+from standins.scripted_server import CloseConnectionError, events
+from standins.typed_routes import typed_route
+
+DEADLY_PROMPT = {"X-Masticfork-Prompt-Prefix": "a1:60,dead:20,b2:20"}
+SOUND_PROMPT = {"X-Masticfork-Prompt-Prefix": "a1:60,b3:40"}
+
+
+def crash_on_deadly_part(request):
+    # Crashes that are further apart than those of a failing rack.
+    time.sleep(0.3)
+    if "dead" in request.headers["x-masticfork-prompt-prefix"]:
+        raise CloseConnectionError
+    yield from events(request, 2, confidence=90)
+
+
+class TestDeadlyPart:
+    def test_requests_with_it_are_refused_and_others_served(self):
+        """Guards against requests of one kind that crash server after server."""
+        with running_entry_host() as env:
+            servers = [env.add_server(crash_on_deadly_part, ENGINES) for _ in range(4)]
+            env.wait_for_servers(4)
+            assert env.send("/streaming/x", headers=SOUND_PROMPT).status == 200
+            assert env.send("/streaming/x", headers=DEADLY_PROMPT).status == 502
+            env.wait_until(lambda: env.logged("prompt part quarantined", part="dead"))
+            sent_before = sum(len(server.requests) for server in servers)
+            refused = env.send("/streaming/x", headers=DEADLY_PROMPT)
+            assert refused.status == 503
+            assert float(refused.headers["retry-after"]) > 200.0
+            assert sum(len(server.requests) for server in servers) == sent_before
+            assert env.send("/streaming/x", headers=SOUND_PROMPT).status == 200
+            assert env.logged("end", status=503, why="quarantined: prompt part dead")
+
+
+class TestExchangesUnderWay:
+    @pytest.fixture()
+    def exchange(self):
+        exchange = Exchange(
+            host=FakeHost(),
+            caller=FakeCaller(),
+            request=caller_request(),
+            route=typed_route(RouteKind.STREAM, resumable=True, max_attempts=4),
+            service="s",
+            team=None,
+            priority=1,
+            deadline=9.0,
+        )
+        exchange.start()
+        exchange.host.calls[-1].stage = Stage.SENT
+        return exchange
+
+    def test_unanswered_exchange_ends_without_a_promise(self, exchange):
+        exchange.host.quarantine = QuarantinedPart("dead", 60.0)
+        exchange.on_quarantine()
+        assert exchange.caller.status == 502
+        assert exchange.host.ended_exchanges == 1
+        assert not any(call.open for call in exchange.host.calls)
+
+    def test_exchange_with_another_prompt_goes_on(self, exchange):
+        exchange.on_quarantine()
+        assert exchange.host.calls[-1].open
+
+    def test_answered_exchange_goes_on(self, exchange):
+        exchange.on_head(response_head(chunked=True, content_length=None))
+        exchange.on_body(b"id: 1\ndata: x\n\n")
+        exchange.host.quarantine = QuarantinedPart("dead", 60.0)
+        exchange.on_quarantine()
+        assert exchange.host.calls[-1].open
+
+    def test_failed_call_is_not_repeated(self, exchange):
+        exchange.host.quarantine = QuarantinedPart("dead", 60.0)
+        exchange.on_failed(CallFailure(Stage.SENT, "closed", connection_lost=True))
+        assert exchange.caller.status == 502
+        assert len(exchange.host.calls) == 1
--- a/masticfork/relay/server_call.py
+++ b/masticfork/relay/server_call.py
@@ -40,6 +40,8 @@
 
     stage: Stage
     message: str
+    # Whether the connection was closed or reset, as it is if the server crashes.
+    connection_lost: bool = False
 
 
 class CallSink(Protocol):
@@ -252,7 +254,8 @@
             return
         complete = error is None and self._reader.feed_end()
         if not complete:
-            self._fail("closed by the server" if error is None else str(error))
+            message = "closed by the server" if error is None else str(error)
+            self._fail(message, connection_lost=True)
 
     # Callbacks of the response reader.
 
@@ -294,11 +297,11 @@
         if self._stage is Stage.CONNECTING:
             self._fail("connect: timed out")
 
-    def _fail(self, message: str) -> None:
+    def _fail(self, message: str, connection_lost: bool = False) -> None:
         if not self._ended:
             self._ended = True
             self._close_channel()
-            self._sink.on_failed(CallFailure(self._stage, message))
+            self._sink.on_failed(CallFailure(self._stage, message, connection_lost))
 
     def _close_channel(self) -> None:
         if self._connect_timer is not None:
--- /dev/null
+++ b/masticfork/systems/crash_quarantine_test.py
@@ -0,0 +1,315 @@
+import itertools
+import random
+from collections import defaultdict
+
+import attrs
+import pytest
+
+from masticfork.core.crash_reports import CrashReport
+from masticfork.systems.crash_quarantine import (
+    INCIDENT_SECONDS,
+    MAX_OBSERVATIONS,
+    MAX_REPORTED,
+    MIN_CRASHES,
+    MIN_CRASHES_OF_ANSWERED_PARTS,
+    OBSERVATION_LIFETIME_SECONDS,
+    QUARANTINE_SECONDS,
+    REPORT_SECONDS,
+    SETTLING_SECONDS,
+    CrashQuarantine,
+)
+
+COMMON, DEADLY, OTHER = 1, 2, 3
+# Keys of servers, distinct from those of parts.
+SERVERS = itertools.count(1000)
+
+
+def crash(quarantine, parts, at):
+    quarantine.record_crash(parts, next(SERVERS), at)
+
+
+def quarantined(quarantine, now):
+    quarantine.run(now)
+    return set(quarantine.quarantines)
+
+
+class TestSuspicion:
+    def test_part_common_to_several_crashes_is_quarantined(self):
+        quarantine = CrashQuarantine()
+        for number in range(MIN_CRASHES):
+            assert not quarantined(quarantine, number + 0.9)
+            crash(quarantine, [10 + number, DEADLY], number + 1.0)
+        assert quarantined(quarantine, MIN_CRASHES + 1.0) == {DEADLY}
+
+    def test_answer_clears_a_part_of_earlier_crashes_only(self):
+        """Guards against sound parts that are shared with the deadly requests."""
+        quarantine = CrashQuarantine()
+        for number in range(MIN_CRASHES):
+            crash(quarantine, [COMMON, DEADLY], float(number))
+            quarantine.record_answer([COMMON], 7, number + 0.5)
+        assert quarantined(quarantine, MIN_CRASHES + 1.0) == {DEADLY}
+
+    def test_answer_of_the_server_shows_that_it_did_not_crash(self):
+        """Guards against lost responses and resets that are taken for crashes."""
+        quarantine = CrashQuarantine()
+        for number in range(9):
+            quarantine.record_crash([OTHER], 50 + number, float(number))
+            quarantine.record_answer([], 50 + number, number + 0.1)
+        assert not quarantined(quarantine, 10.0)
+
+    def test_crashes_at_the_same_time_count_as_one(self):
+        """Guards against a lost rack that condemns what its servers were reading."""
+        quarantine = CrashQuarantine()
+        for number in range(9):
+            crash(quarantine, [OTHER], 1.0 + number * INCIDENT_SECONDS / 10)
+        assert not quarantined(quarantine, 5.0)
+
+    def test_crash_that_a_quarantined_part_explains_accuses_no_other(self):
+        quarantine = CrashQuarantine()
+        for number in range(6):
+            server = next(SERVERS)
+            quarantine.record_crash([DEADLY], server, float(number))
+            if number > 1:
+                quarantine.record_crash([OTHER], server, float(number))
+        assert quarantined(quarantine, 8.0) == {DEADLY}
+
+    def test_two_deadly_parts_are_both_found(self):
+        quarantine = CrashQuarantine()
+        for number in range(MIN_CRASHES):
+            crash(quarantine, [DEADLY], float(number))
+            crash(quarantine, [OTHER], number + 0.4)
+        assert quarantined(quarantine, 5.0) == {DEADLY, OTHER}
+
+    def test_old_crashes_are_forgotten(self):
+        quarantine = CrashQuarantine()
+        for number in range(MIN_CRASHES + 2):
+            at = number * OBSERVATION_LIFETIME_SECONDS / (MIN_CRASHES - 1)
+            crash(quarantine, [OTHER], at)
+            assert not quarantined(quarantine, at + SETTLING_SECONDS)
+
+    def test_memory_is_bounded(self):
+        quarantine = CrashQuarantine()
+        for number in range(MAX_OBSERVATIONS + 50):
+            quarantine.record_crash([number], 5, 1.0)
+        assert len(quarantine.report(1.0).observations) == MAX_REPORTED
+        quarantine.record_crash([0], 6, 1.5)
+        quarantine.record_crash([0], 7, 2.0)
+        assert not quarantined(quarantine, 3.0)
+
+
+class TestPartsOfTheSameRequests:
+    def test_part_that_was_never_answered_is_chosen_at_once(self):
+        quarantine = CrashQuarantine()
+        quarantine.record_answer([COMMON], 7, 0.0)
+        for number in range(MIN_CRASHES):
+            crash(quarantine, [COMMON, DEADLY], number + 1.0)
+        assert quarantined(quarantine, MIN_CRASHES + 2.0) == {DEADLY}
+
+    def test_without_answers_the_later_part_is_chosen(self):
+        """Guards against servers that all crash before any answer tells parts apart."""
+        quarantine = CrashQuarantine()
+        for number in range(MIN_CRASHES):
+            crash(quarantine, [COMMON, DEADLY], number + 1.0)
+        assert quarantined(quarantine, MIN_CRASHES + 2.0) == {DEADLY}
+
+    def test_part_that_turned_deadly_is_the_one_answered_longest_ago(self):
+        quarantine = CrashQuarantine()
+        quarantine.record_answer([DEADLY], 7, 0.0)
+        quarantine.record_answer([COMMON], 7, 0.5)
+        for number in range(MIN_CRASHES_OF_ANSWERED_PARTS):
+            assert not quarantined(quarantine, number + 0.9)
+            crash(quarantine, [DEADLY, COMMON], number + 1.0)
+        assert quarantined(quarantine, 9.0) == {DEADLY}
+
+
+class TestQuarantines:
+    def test_quarantine_ends_by_itself(self):
+        quarantine = CrashQuarantine()
+        for number in range(MIN_CRASHES):
+            crash(quarantine, [DEADLY], float(number))
+        (added,) = quarantine.run(5.0).added
+        assert (added.part, added.crashes) == (DEADLY, MIN_CRASHES)
+        assert added.until == 5.0 + QUARANTINE_SECONDS
+        assert quarantine.run(5.1).added == ()
+        assert not quarantine.run(added.until - 0.1).released
+        assert quarantine.run(added.until + 0.1).released == (added,)
+        assert not quarantine.quarantines
+
+    def test_quarantine_of_another_host_is_adopted_once(self):
+        quarantine = CrashQuarantine()
+        for now in (1.0, 1.3, 1.6):
+            quarantine.apply_report(CrashReport(quarantined={DEADLY: 60.0 - now}), now)
+        (added,) = quarantine.run(2.0).added
+        assert (added.part, added.until, added.crashes) == (DEADLY, 60.0, None)
+
+    def test_answer_that_begins_later_ends_a_quarantine_on_all_hosts(self):
+        first, second = CrashQuarantine(), CrashQuarantine()
+        for number in range(MIN_CRASHES):
+            crash(first, [OTHER], float(number))
+        assert quarantined(first, 5.0) == {OTHER}
+        second.apply_report(first.report(5.1), 5.1)
+        first.record_answer([OTHER], 7, 5.2)
+        assert not quarantined(first, 5.3)
+        first.apply_report(second.report(5.3), 5.3)
+        second.apply_report(first.report(5.4), 5.4)
+        assert not quarantined(first, 5.5)
+        assert not quarantined(second, 5.5)
+
+    def test_part_that_explains_more_crashes_replaces_another(self):
+        """Guards against a sound part that was held by the first deadly requests."""
+        quarantine = CrashQuarantine()
+        for number in range(MIN_CRASHES):
+            crash(quarantine, [DEADLY, OTHER], float(number))
+        assert quarantined(quarantine, 4.0) == {OTHER}
+        for number in range(MIN_CRASHES):
+            crash(quarantine, [DEADLY], 5.0 + number)
+        changes = quarantine.run(9.0)
+        assert set(quarantine.quarantines) == {DEADLY}
+        assert [item.part for item in changes.released] == [OTHER]
+
+
+class TestReports:
+    def test_observations_of_all_hosts_count_together(self):
+        """Guards against requests of which no two reach the same host."""
+        hosts = [CrashQuarantine() for _ in range(MIN_CRASHES)]
+        for number, host in enumerate(hosts):
+            crash(host, [10 + number, DEADLY], float(number))
+            for other in hosts:
+                if other is not host:
+                    other.apply_report(host.report(number + 0.1), number + 0.2)
+        assert all(quarantined(host, 9.0) == {DEADLY} for host in hosts)
+
+    def test_observation_is_repeated_for_some_time_and_not_passed_on(self):
+        first, second = CrashQuarantine(), CrashQuarantine()
+        crash(first, [DEADLY], 1.0)
+        second.apply_report(first.report(1.5), 1.5)
+        assert not second.report(1.6).observations
+        assert first.report(1.0 + REPORT_SECONDS / 2).observations
+        assert not first.report(1.1 + REPORT_SECONDS).observations
+
+    def test_answer_at_one_host_clears_a_part_at_all(self):
+        first, second = CrashQuarantine(), CrashQuarantine()
+        for number in range(MIN_CRASHES):
+            crash(first, [COMMON], float(number))
+        second.apply_report(first.report(2.1), 2.1)
+        second.record_answer([COMMON], 7, 2.2)
+        first.apply_report(second.report(2.3), 2.3)
+        assert not quarantined(first, 5.0)
+
+    def test_cleared_observation_does_not_come_back(self):
+        """Guards against reports that cross the answer that clears them."""
+        first, second = CrashQuarantine(), CrashQuarantine()
+        crash(first, [COMMON], 1.0)
+        report = first.report(1.1)
+        second.apply_report(report, 1.1)
+        second.record_answer([COMMON], 7, 1.2)
+        second.apply_report(attrs.evolve(report), 1.1)
+        second.apply_report(first.report(1.3), 1.3)
+        assert not second._observations
+
+
+@attrs.define
+class Fleet:
+    """Hosts that exchange reports now and then, and servers that a part crashes."""
+
+    host_count: int
+    server_count: int
+    rng: random.Random
+    restart_seconds: float = 3.0
+    now: float = 0.0
+    hosts: list = attrs.field(init=False)
+    # Incarnation of each server, and the time from which it runs.
+    servers: list = attrs.field(init=False)
+    # Requests at each incarnation that have no answer yet: host and parts.
+    waiting: defaultdict = attrs.field(factory=lambda: defaultdict(list))
+    crashes: list = attrs.field(factory=list)
+    deadly_sends: list = attrs.field(factory=list)
+    sound_refused: int = 0
+    sound_sent: int = 0
+    in_flight: list = attrs.field(factory=list)
+
+    def __attrs_post_init__(self):
+        self.hosts = [CrashQuarantine() for _ in range(self.host_count)]
+        self.servers = [[next(SERVERS), 0.0] for _ in range(self.server_count)]
+
+    def send(self, parts):
+        host = self.rng.choice(self.hosts)
+        deadly = DEADLY in parts
+        if set(parts) & set(host.quarantines):
+            self.sound_refused += not deadly
+            return
+        self.sound_sent += not deadly
+        self.dispatch(host, parts, 1)
+
+    def dispatch(self, host, parts, attempt):
+        running = [s for s in self.servers if s[1] <= self.now]
+        if not running or set(parts) & set(host.quarantines):
+            return
+        server = self.rng.choice(running)
+        if DEADLY in parts:
+            self.deadly_sends.append(self.now)
+        begins = self.now + self.rng.uniform(0.1, 0.8)
+        self.in_flight.append((begins, server[0], server, host, parts, attempt))
+
+    def step(self, seconds):
+        self.now += seconds
+        for due in sorted(f for f in self.in_flight if f[0] <= self.now):
+            if due in self.in_flight and due[2][0] == due[1]:
+                self.begin_answer(due)
+        self.in_flight = [f for f in self.in_flight if f[0] > self.now]
+        for host in self.hosts:
+            host.run(self.now)
+
+    def begin_answer(self, call):
+        _, incarnation, server, host, parts, _ = call
+        if DEADLY not in parts:
+            host.record_answer(parts, incarnation, self.now)
+            return
+        self.crashes.append(self.now)
+        lost = [f for f in self.in_flight if f[1] == incarnation]
+        self.in_flight = [f for f in self.in_flight if f[1] != incarnation]
+        server[:] = [next(SERVERS), self.now + self.restart_seconds]
+        for _, _, _, owner, lost_parts, attempt in lost:
+            owner.record_crash(lost_parts, incarnation, self.now)
+            if attempt < 3:
+                self.dispatch(owner, lost_parts, attempt + 1)
+
+    def exchange_reports(self):
+        reports = [host.report(self.now) for host in self.hosts]
+        for receiver, (sender, report) in itertools.product(
+            self.hosts, zip(self.hosts, reports, strict=True)
+        ):
+            if receiver is not sender:
+                receiver.apply_report(report, self.now)
+
+
+class TestFleetUnderADeadlyPart:
+    """A share of one class of requests holds a part that crashes servers."""
+
+    @pytest.mark.parametrize("seed", range(4))
+    @pytest.mark.parametrize(
+        ("hosts", "servers", "rate"), [(4, 6, 22.0), (30, 56, 90.0)]
+    )
+    @pytest.mark.parametrize("share", [0.02, 0.05, 0.2])
+    def test_deadly_requests_stop_and_sound_ones_go_on(
+        self, seed, hosts, servers, rate, share
+    ):
+        fleet = Fleet(hosts, servers, random.Random(seed))
+        rng, step = fleet.rng, 0.05
+        for tick in range(600):
+            fleet.step(step)
+            for _ in range(
+                sum(rng.random() < 0.1 for _ in range(int(rate * step * 10)))
+            ):
+                topic = 100 + rng.randrange(40)
+                parts = [COMMON, topic]
+                if rng.random() < share:
+                    parts = [COMMON, topic, DEADLY]
+                fleet.send(parts)
+            if tick % 6 == 0:
+                fleet.exchange_reports()
+        if len(fleet.crashes) >= 5:
+            limit = fleet.crashes[4] + 3.0
+            assert sum(at > limit for at in fleet.deadly_sends) <= 3
+        assert all(set(host.quarantines) <= {DEADLY} for host in fleet.hosts)
+        assert fleet.sound_refused == 0
--- a/masticfork/systems/failed_calls.py
+++ b/masticfork/systems/failed_calls.py
@@ -40,6 +40,8 @@
     SILENT = "silent"
     # The answer was discarded in favour of one from a larger model.
     DROPPED = "dropped"
+    # The request holds a prompt part that crashes servers, see `crash_quarantine`.
+    QUARANTINED = "quarantined"
 
     @property
     def certainly_not_run(self) -> bool:
--- a/standins/fake_exchange.py
+++ b/standins/fake_exchange.py
@@ -11,9 +11,10 @@
     CallerRequest,
     Dispatch,
     Header,
+    PromptPart,
     ResponseHead,
 )
-from masticfork.relay.exchange import CallRecord, Exchange
+from masticfork.relay.exchange import CallRecord, Exchange, QuarantinedPart
 from masticfork.relay.server_call import CallSink, ServerConnectionPool, Stage
 from masticfork.relay.tables import ServerRow
 from masticfork.systems.model_choice import ConfidenceCascade
@@ -88,6 +89,7 @@
         self.calls: list[FakeCall] = []
         self.retry_allowed = True
         self.ended_exchanges = 0
+        self.quarantine: QuarantinedPart | None = None
         self._rows = [_server_row(number) for number in range(SERVER_COUNT)]
 
     def choose_server(
@@ -131,6 +133,9 @@
     def on_response_started(self, record: CallRecord, head: ResponseHead) -> None:
         """Do nothing."""
 
+    def on_answered(self, record: CallRecord) -> None:
+        """Do nothing."""
+
     def on_call_ended(self, record: CallRecord) -> None:
         """Do nothing."""
 
@@ -142,6 +147,12 @@
         """Return 0: no server has asked to pause."""
         return 0.0
 
+    def quarantined_part(
+        self, service: str, prompt: tuple[PromptPart, ...]
+    ) -> QuarantinedPart | None:
+        """Return what the test has set."""
+        return self.quarantine
+
     def error_headers(
         self,
         attempt_id: bytes,
