--- a/masticfork/relay/exchange.py
+++ b/masticfork/relay/exchange.py
@@ -7,7 +7,7 @@
 
 from masticfork.core.forwarding import CallerRequest, Dispatch, Header, ResponseHead
 from masticfork.core.routes import Route, RouteKind
-from masticfork.relay.events import EventSplitter, InvalidEventStreamError
+from masticfork.relay.events import EventSplitter
 from masticfork.relay.loop import Loop, Timer
 from masticfork.relay.server_call import CallFailure, CallSink, ServerCall, Stage
 from masticfork.relay.tables import ServerRow
@@ -176,7 +176,7 @@
     _response_started: bool = False
     _buffered_body: list[bytes] = attrs.field(factory=list)
     _buffered_bytes: int = 0
-    _event_splitter: EventSplitter | None = None
+    _event_splitter: EventSplitter = attrs.field(init=False)
     _tried_servers: set[str] = attrs.field(factory=set)
     _deadline_timer: Timer | None = None
     _silence_timer: Timer | None = None
@@ -213,7 +213,6 @@
         loop = self.host.loop
         if self.route.models and self.request.head.model_chosen_by_router:
             self._model_index = self.host.models.initial_size(self.route)
-        self._event_splitter = EventSplitter(self.request.head.last_event_id)
         self._deadline_timer = loop.call_at(self.deadline, self._on_deadline)
         self.host.count_request(self.service)
         self._send_call()
@@ -238,7 +237,7 @@
         self.host.on_response_started(record, head)
         outcome = self._classify_response(head)
         if outcome is not None:
-            self._fail_call(outcome, f"status {head.status}")
+            self._fail_call(outcome, self._describe_unusable(head))
             return
         larger_index = self._larger_model_index(head)
         if larger_index is not None:
@@ -263,24 +262,20 @@
         if not self._is_stream or self._response_head.status >= 300:
             self._buffer_body(data)
             return
-        assert self._event_splitter is not None
-        try:
-            complete_events = self._event_splitter.feed(data)
-        except InvalidEventStreamError as error:
-            self._fail_call(CallOutcome.BROKEN, str(error))
-            return
-        if complete_events:
+        events = self._event_splitter.feed(data)
+        if events.data:
             self._restart_silence_timer()
             self._start_stream_response()
-            self._write_body(complete_events)
+            self._write_body(events.data)
+        if events.error is not None:
+            self._fail_call(CallOutcome.BROKEN, events.error)
 
     def on_end(self) -> None:
         """Complete the response to the caller."""
         if self._call_record is None or self._response_head is None:
             return
         if self._is_stream and self._response_head.status < 300:
-            assert self._event_splitter is not None
-            if self._event_splitter.has_partial_event:
+            if self._event_splitter.partial_event_bytes:
                 self._fail_call(
                     CallOutcome.BROKEN, "stream ended in the middle of an event"
                 )
@@ -311,15 +306,20 @@
         if row is None:
             self._fail_request(CallOutcome.UNSENT, "no eligible server")
             return
-        assert self._event_splitter is not None
-        resuming = self._response_started and self._is_stream
+        if resuming := self._response_started and self._is_stream:
+            last_event_id = self._event_splitter.last_event_id
+        else:
+            last_event_id = self.request.head.last_event_id
+        # Each call begins with an event of its own: what an earlier call sent of an
+        # incomplete event is discarded.
+        self._event_splitter = EventSplitter(last_event_id)
         dispatch = Dispatch(
             server_id=row.server.id,
             timeout=self._seconds_left,
             team=self.team,
             model=model,
             priority=self.priority if self._is_stream else None,
-            resume_after=self._event_splitter.last_event_id if resuming else None,
+            resume_after=last_event_id if resuming else None,
         )
         loop = self.host.loop
         unread = pending_prompt_work(row.load, work, loop.now)
@@ -367,9 +367,11 @@
 
     def _classify_response(self, head: ResponseHead) -> CallOutcome | None:
         """Return why a response is unusable, None if it may be passed on."""
-        if head.not_run:
+        # A server that rejects a request need not have read its attempt id.
+        is_own = head.attempt_id == self.request.head.attempt_id
+        if head.not_run and (is_own or not head.attempt_id):
             return CallOutcome.REFUSED
-        if head.attempt_id != self.request.head.attempt_id or head.encoded:
+        if not is_own or head.encoded:
             return CallOutcome.BROKEN
         if head.status < 300:
             return None if head.signed else CallOutcome.BROKEN
@@ -390,6 +392,12 @@
             )
         return CallOutcome.SERVER_ERROR if self._response_started else None
 
+    def _describe_unusable(self, head: ResponseHead) -> str:
+        if head.attempt_id != self.request.head.attempt_id:
+            attempt_id = head.attempt_id.decode("latin-1")
+            return f"status {head.status} of attempt {attempt_id!r}"
+        return f"status {head.status}"
+
     def _larger_model_index(self, head: ResponseHead) -> int | None:
         """Return the index of the model to escalate to, None to keep the response."""
         if (
@@ -422,8 +430,9 @@
         record = self._call_record
         if record is None or self._ended:
             return
-        if record.call is not None:
-            record.call.cancel()
+        call, splitter = record.call, self._event_splitter
+        if call is not None:
+            call.cancel()
         self._end_call(outcome)
         if outcome is CallOutcome.UNSENT:
             self.history.sent -= 1
@@ -439,24 +448,22 @@
             outcome=outcome.value,
             why=why,
             attempt=self.history.sent,
+            reused_connection=call is not None and call.reused_connection,
+            last_event=splitter.last_event_id,
+            partial_event_bytes=splitter.partial_event_bytes,
         )
         next_step = next_action(self.route, self.history, outcome, self._seconds_left)
         if next_step is not NextAction.RETRY:
             self._fail_request(outcome, why)
         elif outcome is CallOutcome.DROPPED:
             self._tried_servers.clear()
-            self._send_again()
+            self._send_call()
         elif outcome is not CallOutcome.UNSENT and not self.host.take_retry(
             self.service, 0.0
         ):
             self._fail_request(outcome, "retry budget exhausted")
         else:
-            self._send_again()
-
-    def _send_again(self) -> None:
-        if self._response_started and self._event_splitter is not None:
-            self._event_splitter = EventSplitter(self._event_splitter.last_event_id)
-        self._send_call()
+            self._send_call()
 
     def _fail_request(self, outcome: CallOutcome, why: str) -> None:
         """End the exchange with an error, or abort a response that has begun."""
