--- a/masticfork/relay/whole_path_test.py
+++ b/masticfork/relay/whole_path_test.py
@@ -119,6 +119,23 @@
             connection.close()
         assert server.requests[0].body == b"onetwo"
 
+    def test_trailers_change_no_header_of_the_request(self):
+        """Guards against a request that runs under the id or key of its trailers."""
+        with running_entry_host() as env:
+            server = env.add_server(complete_response, SERVICE)
+            env.wait_for_servers(1)
+            headers = {**env.headers(), "Transfer-Encoding": "chunked"}
+            lines = [f"{name}: {value}\r\n" for name, value in headers.items()]
+            attempt_id = headers["X-Masticfork-Attempt-Id"]
+            head = "POST /safe/1 HTTP/1.1\r\n" + "".join(lines) + "\r\n"
+            trailers = "X-Masticfork-Attempt-Id: other\r\nHost: other.example\r\n"
+            data = head + "3\r\none\r\n0\r\n" + trailers + "\r\n"
+            with socket.create_connection((env.front.host, env.front.port), 5) as sock:
+                sock.sendall(data.encode())
+                assert sock.recv(65536).startswith(b"HTTP/1.1 200")
+        assert server.requests[0].headers["x-masticfork-attempt-id"] == attempt_id
+        assert server.requests[0].headers["host"] == headers["Host"]
+
 
 # Faulty responses of a server, and the status that the caller of a non-idempotent
 # request gets: 503 only if the request has certainly not run.
