Fail a call whose server switches protocols

The parser reports a response with status 101 by an exception that is not one of its errors. It left the callback as an internal error, and the call stayed without an outcome: a request that may run once waited until its deadline (504 instead of 502), and an idempotent one until the silence limit.

The test fails on the code before: no 'end' with status 502 in the log. Ruled out: the caller's side, which handles the same exception already.

--- a/masticfork/relay/response_reader.py
+++ b/masticfork/relay/response_reader.py
@@ -88,7 +88,7 @@
             return
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError as error:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             if not self._done:
                 raise MalformedResponseError(str(error)) from error
             self._has_extra_bytes = True
--- a/masticfork/relay/whole_path_test.py
+++ b/masticfork/relay/whole_path_test.py
@@ -164,6 +164,14 @@
     yield b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
 
 
+def switched_protocols(request):
+    # Guards against a call that is left without an outcome.
+    yield (
+        b"HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\n"
+        b"Upgrade: other\r\n\r\n"
+    )
+
+
 def unframed_then_reset(request):
     yield (
         f"HTTP/1.1 200 OK\r\nX-Masticfork-Attempt-Id: {request.attempt_id}\r\n"
@@ -182,6 +190,7 @@
     (encoded_response, 502),
     (status_503_without_proof, 502),
     (unframed_then_reset, 502),
+    (switched_protocols, 502),
     (refuse_request, 503),
 ]
 
