Abort a begun response instead of continuing it from another server

What callers saw: a response of more than 256 KiB whose server broke off went on with the body of another server, and ended as complete (MIXED). The same joined an error response of that size on a streaming route with the events of a stream.

Cause: a body beyond the buffer limit is passed on before it is complete. A failure of the call after that was still answered by another call on routes that allow it, whose body was appended to what the caller had received. Only events may be continued this way, since their ids tell where.

Evidence: with a response without a length that is reset after 512 KiB, the caller got it in full, and 'body of another server' behind it, complete; the new tests fail with that (and with 'run 2' behind the body of a 404). Ruled out for responses of at most 256 KiB, and for events: the tests of both pass on the code before.

A begun response that consists of no events is now aborted when its call fails, which resets the caller's connection, so it cannot look complete. The other tests of responses without a length pin what already held: complete at a clean close, broken off by a reset or inside an event, resumed after the last whole event.

--- a/masticfork/relay/exchange.py
+++ b/masticfork/relay/exchange.py
@@ -199,6 +199,20 @@
     def _is_stream(self) -> bool:
         return self.route.kind is RouteKind.STREAM
 
+    @property
+    def _is_event_response(self) -> bool:
+        """Return whether the response consists of events, which another may continue.
+
+        Errors on streaming routes have an ordinary body.
+        """
+        head = self._response_head
+        return self._is_stream and head is not None and head.status < 300
+
+    @property
+    def _can_replace_call(self) -> bool:
+        """Return whether the response to the caller can come from another call."""
+        return not self._response_started or self._is_event_response
+
     @property
     def _session_key(self) -> str:
         """Return the caller's session id, or the attempt id if there is no session."""
@@ -259,7 +273,7 @@
         """Pass complete events to the caller; buffer the body of other responses."""
         if self._call_record is None or self._response_head is None:
             return
-        if not self._is_stream or self._response_head.status >= 300:
+        if not self._is_event_response:
             self._buffer_body(data)
             return
         events = self._event_splitter.feed(data)
@@ -274,7 +288,7 @@
         """Complete the response to the caller."""
         if self._call_record is None or self._response_head is None:
             return
-        if self._is_stream and self._response_head.status < 300:
+        if self._is_event_response:
             if self._event_splitter.partial_event_bytes:
                 self._fail_call(
                     CallOutcome.BROKEN, "stream ended in the middle of an event"
@@ -453,7 +467,7 @@
             partial_event_bytes=splitter.partial_event_bytes,
         )
         next_step = next_action(self.route, self.history, outcome, self._seconds_left)
-        if next_step is not NextAction.RETRY:
+        if next_step is not NextAction.RETRY or not self._can_replace_call:
             self._fail_request(outcome, why)
         elif outcome is CallOutcome.DROPPED:
             self._tried_servers.clear()
