Let a response that has begun go on when its server pauses

What callers saw: a sound response of more than 256 KiB to a repeatable request was cut when its server took longer than the silence limit after the head (0.5 s with a target of 0.2 s), although no other call could replace it.

Cause: the silence limit ends a call so that another server answers. For a response that the caller has already got a part of, no other can. The caller's time limit still ends the call.

--- a/masticfork/relay/exchange.py
+++ b/masticfork/relay/exchange.py
@@ -531,7 +531,7 @@
             self._silence_timer = None
 
     def _on_silence(self) -> None:
-        if self.history.sent >= self.route.max_attempts:
+        if self.history.sent >= self.route.max_attempts or not self._can_replace_call:
             return
         self._fail_call(CallOutcome.SILENT, "silent")
 
--- a/masticfork/relay/unframed_responses_test.py
+++ b/masticfork/relay/unframed_responses_test.py
@@ -132,6 +132,23 @@
         assert b"another" not in got.body
         assert sum(len(server.requests) for server in servers) == 1
 
+    def test_slow_response_that_has_begun_is_not_cut_by_silence(self):
+        """Guards against a sound response that is given up though none can follow."""
+
+        def slow(request):
+            yield unframed_head(request) + LARGE_BODY
+            time.sleep(0.8)
+            yield b"end"
+            raise CloseConnectionError
+
+        with running_entry_host() as env:
+            for _ in range(2):
+                env.add_server(slow, SERVICE)
+            env.wait_for_servers(2)
+            got = env.send("/safe/x")
+        assert got.complete
+        assert got.body == LARGE_BODY + b"end"
+
     def test_next_request_gets_a_new_connection(self):
         with running_entry_host() as env:
             server = env.add_server(unframed(b"all of it"), SERVICE)
