Send no body framing where a response has no body

What callers saw: after a HEAD request, or a 204 or 304, on a streaming route, five bytes ('0', CRLF, CRLF) that belong to no answer, ahead of the next answer on the kept connection. On other routes a HEAD request lost the length that the server had stated and got 'content-length: 0', which 204 responses got as well, where none is allowed.

Cause: the head was framed by the route and the received body, without regard to whether a body may follow.

--- a/masticfork/core/forwarding.py
+++ b/masticfork/core/forwarding.py
@@ -4,6 +4,8 @@
 
 Header = tuple[bytes, bytes]
 
+_BODILESS_STATUSES = (204, 304)
+
 
 @attrs.frozen
 class PromptPart:
@@ -98,3 +100,8 @@
     chunked: bool
     # Headers that are forwarded to the caller unchanged.
     forwarded: tuple[Header, ...]
+
+
+def may_have_body(status: int, is_head_request: bool) -> bool:
+    """Return whether a final response may have a body, whatever its headers say."""
+    return not is_head_request and status not in _BODILESS_STATUSES
--- a/masticfork/relay/caller.py
+++ b/masticfork/relay/caller.py
@@ -7,7 +7,13 @@
 import attrs
 import httptools
 
-from masticfork.core.forwarding import CallerHead, CallerRequest, Header, ResponseHead
+from masticfork.core.forwarding import (
+    CallerHead,
+    CallerRequest,
+    Header,
+    ResponseHead,
+    may_have_body,
+)
 from masticfork.core.routes import CallerLimits
 from masticfork.relay.channel import Channel
 from masticfork.relay.loop import Loop, Timer
@@ -20,6 +26,9 @@
 # response instead of a reset.
 LINGER_SECONDS = 1.0
 
+# The only final status with which no Content-Length may be sent.
+_NO_CONTENT_STATUS = 204
+
 
 class CallerExchange(Protocol):
     """Handles one request until its final response."""
@@ -82,6 +91,8 @@
         self._partial_request: _PartialRequest | None = None
         self._queued_requests: deque[tuple[CallerRequest, bool]] = deque()
         self._exchange: CallerExchange | None = None
+        # Whether the request being handled asks for a head only.
+        self._is_head_request = False
         self._response_chunked = False
         self._close_after_response = False
         self._rejected = False
@@ -208,13 +219,17 @@
 
     def start_response(self, head: ResponseHead, length: int | None) -> None:
         """Write the head of a response; without a length its body is chunked."""
-        self._response_chunked = length is None
-        framing = (
-            (b"transfer-encoding", b"chunked")
-            if length is None
-            else (b"content-length", b"%d" % length)
-        )
-        self._write_response_head(head.status, head.reason, [*head.forwarded, framing])
+        has_body = may_have_body(head.status, self._is_head_request)
+        if not has_body:
+            # The server states the length of the body that it leaves out.
+            length = head.content_length if head.status != _NO_CONTENT_STATUS else None
+        self._response_chunked = has_body and length is None
+        headers = list(head.forwarded)
+        if length is not None:
+            headers.append((b"content-length", b"%d" % length))
+        elif has_body:
+            headers.append((b"transfer-encoding", b"chunked"))
+        self._write_response_head(head.status, head.reason, headers)
 
     def write_body(self, data: bytes) -> None:
         """Write a part of the body."""
@@ -287,6 +302,7 @@
             return
         request, keep_alive = self._queued_requests.popleft()
         self._cancel_timer()
+        self._is_head_request = request.method == b"HEAD"
         self._close_after_response = not keep_alive or self._rejected
         # An exchange may end before `begin_exchange` returns.
         placeholder = NoExchange()
--- a/masticfork/relay/unframed_responses_test.py
+++ b/masticfork/relay/unframed_responses_test.py
@@ -236,6 +236,56 @@
         assert sum(len(server.requests) for server in servers) == 1
 
 
+class TestResponsesWithoutBody:
+    @pytest.mark.parametrize("path", ["/safe/x", "/streaming/x"])
+    @pytest.mark.parametrize("framing", ["", "Content-Length: 7\r\n"])
+    def test_head_request_gets_no_byte_of_a_body(self, path, framing):
+        """Guards against bytes ahead of the next response on the connection."""
+
+        def script(request):
+            head = unframed_head(request).removesuffix(b"\r\n") + framing.encode()
+            yield head + b"\r\n"
+
+        with running_entry_host() as env:
+            for service in (SERVICE, ENGINES):
+                env.add_server(script, service)
+            env.wait_for_servers(2)
+            head = raw_request(env, path).replace(b"POST", b"HEAD", 1)
+            got = exchange_raw(
+                env, head + raw_request(env, "/other/x", Connection="close")
+            )
+        first, _, rest = got.partition(b"\r\n\r\n")
+        assert first.startswith(b"HTTP/1.1 200")
+        assert rest.startswith(b"HTTP/1.1 404")
+        length = b"content-length: 7" if framing else b""
+        assert length in first
+        assert b"content-length: 0" not in first
+
+    @pytest.mark.parametrize("path", ["/safe/x", "/unsafe/x", "/streaming/x"])
+    @pytest.mark.parametrize("status", ["204 No Content", "304 Not Modified"])
+    def test_status_without_body_is_complete_at_once(self, path, status):
+        """Guards against chunks behind a status that has no body."""
+
+        def script(request):
+            yield unframed_head(request, status)
+            time.sleep(1)
+
+        with running_entry_host() as env:
+            for service in (SERVICE, ENGINES):
+                env.add_server(script, service)
+            env.wait_for_servers(2)
+            began = time.monotonic()
+            data = raw_request(env, path)
+            data += raw_request(env, "/other/x", Connection="close")
+            got = exchange_raw(env, data)
+        assert time.monotonic() - began < 0.8
+        first, _, rest = got.partition(b"\r\n\r\n")
+        assert first.startswith(b"HTTP/1.1 " + status.encode())
+        assert b"transfer-encoding" not in first
+        assert b"content-length" not in first
+        assert rest.startswith(b"HTTP/1.1 404")
+
+
 class TestCallersConnections:
     def test_kept_alive_connection_serves_the_next_request(self):
         with running_entry_host() as env:
