Send no chunks to callers of HTTP/1.0

What callers saw: on HTTP/1.0, chunk sizes and line ends as parts of the body, in streams and in responses of more than 256 KiB without a length.

Cause: a response without a length was chunked for every caller; HTTP/1.0 knows no chunks. Such a response now ends with the caller's connection; one that breaks off still resets it.

--- a/masticfork/relay/caller.py
+++ b/masticfork/relay/caller.py
@@ -77,9 +77,20 @@
     body: list[bytes] = attrs.field(factory=list)
     body_bytes: int = 0
     keep_alive: bool = True
+    # Callers of HTTP/1.0 do not know chunked bodies.
+    accepts_chunks: bool = True
     head_complete: bool = False
 
 
+@attrs.frozen
+class _QueuedRequest:
+    """A complete request that has not been handled yet."""
+
+    request: CallerRequest
+    keep_alive: bool
+    accepts_chunks: bool
+
+
 class CallerConnection:
     """One connection of a caller, which handles one request at a time."""
 
@@ -89,10 +100,11 @@
         self._host = host
         self._parser = httptools.HttpRequestParser(self)
         self._partial_request: _PartialRequest | None = None
-        self._queued_requests: deque[tuple[CallerRequest, bool]] = deque()
+        self._queued_requests: deque[_QueuedRequest] = deque()
         self._exchange: CallerExchange | None = None
         # Whether the request being handled asks for a head only.
         self._is_head_request = False
+        self._accepts_chunks = True
         self._response_chunked = False
         self._close_after_response = False
         self._rejected = False
@@ -175,6 +187,7 @@
             return
         partial_request.head_complete = True
         partial_request.keep_alive = self._parser.should_keep_alive()
+        partial_request.accepts_chunks = self._parser.get_http_version() != "1.0"
         limits = self._host.limits
         if partial_request.header_bytes > limits.max_header_bytes:
             self._reject_input(http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
@@ -211,24 +224,34 @@
             body=b"".join(partial_request.body),
             arrived_at=partial_request.arrived_at,
         )
-        self._queued_requests.append((request, partial_request.keep_alive))
+        self._queued_requests.append(
+            _QueuedRequest(
+                request, partial_request.keep_alive, partial_request.accepts_chunks
+            )
+        )
         if len(self._queued_requests) > MAX_QUEUED_REQUESTS:
             self._channel.pause()
 
     # Called by the exchange.
 
     def start_response(self, head: ResponseHead, length: int | None) -> None:
-        """Write the head of a response; without a length its body is chunked."""
+        """Write the head of a response.
+
+        Without a length its body is chunked, or ends with the connection if the caller
+        does not know chunks.
+        """
         has_body = may_have_body(head.status, self._is_head_request)
         if not has_body:
             # The server states the length of the body that it leaves out.
             length = head.content_length if head.status != _NO_CONTENT_STATUS else None
-        self._response_chunked = has_body and length is None
+        self._response_chunked = has_body and length is None and self._accepts_chunks
         headers = list(head.forwarded)
         if length is not None:
             headers.append((b"content-length", b"%d" % length))
-        elif has_body:
+        elif self._response_chunked:
             headers.append((b"transfer-encoding", b"chunked"))
+        elif has_body:
+            self._close_after_response = True
         self._write_response_head(head.status, head.reason, headers)
 
     def write_body(self, data: bytes) -> None:
@@ -300,10 +323,12 @@
             or self._channel.closed
         ):
             return
-        request, keep_alive = self._queued_requests.popleft()
+        queued = self._queued_requests.popleft()
+        request = queued.request
         self._cancel_timer()
         self._is_head_request = request.method == b"HEAD"
-        self._close_after_response = not keep_alive or self._rejected
+        self._accepts_chunks = queued.accepts_chunks
+        self._close_after_response = not queued.keep_alive or self._rejected
         # An exchange may end before `begin_exchange` returns.
         placeholder = NoExchange()
         self._exchange = placeholder
--- a/masticfork/relay/unframed_responses_test.py
+++ b/masticfork/relay/unframed_responses_test.py
@@ -313,6 +313,25 @@
         assert got.body == body
         assert got.headers["connection"] == "close"
 
+    @pytest.mark.parametrize("connection", ["", "keep-alive"])
+    @pytest.mark.parametrize(
+        ("path", "body"),
+        [("/safe/x", b"small"), ("/safe/x", LARGE_BODY), ("/streaming/x", event(1))],
+    )
+    def test_http_1_0_caller_gets_no_chunks(self, path, body, connection):
+        """Guards against chunk sizes that such a caller reads as the body (MIXED)."""
+        with running_entry_host() as env:
+            env.add_server(unframed(body), ENGINES if path[2] == "t" else SERVICE)
+            env.wait_for_servers(1)
+            with socket.create_connection((env.front.host, env.front.port), 5) as sock:
+                sock.sendall(raw_request(env, path, "1.0", Connection=connection))
+                got = http.client.HTTPResponse(sock)
+                got.begin()
+                assert got.getheader("transfer-encoding") is None
+                assert got.read() == body
+                if got.getheader("content-length") is None:
+                    assert got.getheader("connection") == "close"
+
     @pytest.mark.parametrize("path", ["/safe/x", "/streaming/x"])
     def test_http_1_0_caller_sees_a_broken_response_as_a_reset(self, path):
         data = event(1) if path[2] == "t" else LARGE_BODY
