Fail a call whose server switches protocols

What callers saw: after a response 101 from a server no answer until the time limit (504 after 2.0 s, on the whole path), though the route may have allowed another call.

Cause: httptools reports a switch of protocols by an error that is not one of its parser errors. It passed through the reader and the call and was logged by the loop as an internal error ('HttpParserUpgrade(69)'), while the call went on waiting.

--- a/masticfork/relay/response_reader.py
+++ b/masticfork/relay/response_reader.py
@@ -86,6 +86,8 @@
             return
         try:
             self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade as error:
+            raise MalformedResponseError("it switches protocols") from error
         except httptools.HttpParserError as error:
             if not self._done:
                 raise MalformedResponseError(str(error)) from error
