Limit all bytes of a response that are not its body

What callers saw: nothing until their time limit (or until the silence limit, where the route has one) while a server sent a status line, a header line, headers, interim responses or empty lines without end, and after the head the same with extensions of chunks, chunk sizes of endless zeros, and trailers.

Cause: only names and values of complete headers counted towards the 64 KiB of a head, and nothing after it was counted. The parser collects an incomplete line itself, so the host's memory grew with what the server sent, and trailers were kept as headers.

Now every byte received up to the head counts, and after it every byte that is not content of the body: 64 KiB and 16 times the content so far, since chunks of one byte, which are sound, need five. The call then fails as malformed, so another server answers or the caller gets 502.

13 of the new test cases fail on the code before (DID NOT RAISE within the limit and two reads, 256 KiB or 1 MiB); those of a head of the largest size and of 300,000 chunks of one byte pass before and after. Headers that end, but do not stop, did reach the old limit later, since only a part of their bytes counted.

--- a/masticfork/relay/response_reader.py
+++ b/masticfork/relay/response_reader.py
@@ -7,8 +7,14 @@
 
 from masticfork.core.forwarding import Header, ResponseHead, may_have_body
 
-# A response with more bytes of header names and values is treated as malformed.
-MAX_RESPONSE_HEAD_BYTES = 65536
+# A response with a larger head, including interim (1xx) responses and empty lines ahead
+# of it, is treated as malformed.
+MAX_RESPONSE_HEAD_BYTES = 64 << 10
+# Limit on the bytes of a body that are not its content (sizes and extensions of chunks,
+# trailers): a constant, and a multiple of the content received so far. One byte to a
+# chunk needs five.
+MAX_FRAMING_BYTES = 64 << 10
+MAX_FRAMING_BYTES_PER_BODY_BYTE = 16
 
 
 class ResponseSink(Protocol):
@@ -46,7 +52,11 @@
         self._is_head_request = is_head_request
         self._parser = httptools.HttpResponseParser(self)
         self._headers: list[Header] = []
+        # Bytes received up to the end of the read that completed the head.
         self._head_bytes = 0
+        # Bytes received after that, and how many of all were content of the body.
+        self._framed_bytes = 0
+        self._body_bytes = 0
         self._status_reason = b""
         self._head: ResponseHead | None = None
         self._ends_at_close = False
@@ -84,6 +94,10 @@
         if self._done:
             self._has_extra_bytes = True
             return
+        if self._head is None:
+            self._head_bytes += len(data)
+        else:
+            self._framed_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as error:
@@ -92,8 +106,7 @@
             if not self._done:
                 raise MalformedResponseError(str(error)) from error
             self._has_extra_bytes = True
-        if self._head is None and self._head_bytes > MAX_RESPONSE_HEAD_BYTES:
-            raise MalformedResponseError("response head is larger than 64 KiB")
+        self._check_sizes()
 
     def feed_end(self) -> bool:
         """Process the end of the connection; return whether the response is complete.
@@ -117,9 +130,8 @@
             self._status_reason += status
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect one header."""
-        if not self._done:
-            self._head_bytes += len(name) + len(value)
+        """Collect one header; trailers are dropped."""
+        if self._head is None:
             self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
@@ -143,6 +155,7 @@
     def on_body(self, data: bytes) -> None:
         """Pass a part of the body to the sink."""
         if not self._done:
+            self._body_bytes += len(data)
             self._sink.on_body(data)
 
     def on_message_complete(self) -> None:
@@ -150,6 +163,17 @@
         if self._head is not None and not self._done:
             self._finish()
 
+    def _check_sizes(self) -> None:
+        """Raise MalformedResponseError if too much is not content of the body."""
+        if self._head is None:
+            if self._head_bytes > MAX_RESPONSE_HEAD_BYTES:
+                raise MalformedResponseError("head is larger than 64 KiB")
+        elif not self._done:
+            framing_bytes = self._framed_bytes - self._body_bytes
+            content_share = MAX_FRAMING_BYTES_PER_BODY_BYTE * self._body_bytes
+            if framing_bytes > MAX_FRAMING_BYTES + content_share:
+                raise MalformedResponseError("framing is larger than its limit")
+
     def _finish(self) -> None:
         self._done = True
         self._sink.on_end()
--- a/masticfork/relay/response_reader_test.py
+++ b/masticfork/relay/response_reader_test.py
@@ -35,7 +35,39 @@
     return ResponseReader(decode_response_head, sink, is_head_request), sink
 
 
+def feed_without_end(reader, start, repeated, max_bytes):
+    """Feed data until the reader rejects it; fail if it takes more than `max_bytes`."""
+    piece = repeated * (PIECE_BYTES // len(repeated) + 1)
+    with pytest.raises(MalformedResponseError) as raised:
+        reader.feed(start)
+        fed = len(start)
+        while fed < max_bytes:
+            reader.feed(piece)
+            fed += len(piece)
+    return str(raised.value)
+
+
 class TestResponsesWithoutEnd:
+    @pytest.mark.parametrize(
+        ("start", "repeated"),
+        [
+            (b"", b"x"),
+            (b"", b"\r\n"),
+            (b"HTTP/1.1 200 ", b"x"),
+            (b"HTTP/1.1 200 OK\r\nA: ", b"x"),
+            (b"HTTP/1.1 200 OK\r\n", b"x"),
+            (b"HTTP/1.1 200 OK\r\n", b"A: b\r\n"),
+            (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+            (b"", b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"),
+        ],
+    )
+    def test_head_without_end_is_rejected(self, start, repeated):
+        """Guards against a head that is read, and kept, until the caller's deadline."""
+        reader, sink = make_reader()
+        limit = MAX_RESPONSE_HEAD_BYTES + 2 * PIECE_BYTES
+        feed_without_end(reader, start, repeated, limit)
+        assert sink.statuses == []
+
     def test_head_of_the_largest_size_is_accepted(self):
         reader, sink = make_reader()
         start = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nA: "
@@ -44,6 +76,28 @@
         reader.feed(b"\r\n\r\n")
         assert sink.statuses == [200]
 
+    @pytest.mark.parametrize(
+        ("start", "repeated"),
+        [
+            (b"5;", b"x"),
+            (b"5;", b"a=b;"),
+            (b"", b"0"),
+            (b"0\r\n", b"A: b\r\n"),
+            (b"0\r\nA: ", b"x"),
+        ],
+    )
+    def test_framing_without_end_is_rejected(self, start, repeated):
+        """Guards against chunk headers and trailers that are read without bound."""
+        reader, sink = make_reader()
+        feed_without_end(reader, CHUNKED_HEAD + start, repeated, 1 << 18)
+        assert sink.statuses == [200]
+        assert (sink.body, sink.ends) == (b"", 0)
+
+    def test_long_framing_of_each_chunk_is_rejected(self):
+        reader, _ = make_reader()
+        chunk = b"1;" + b"x" * 200 + b"\r\ny\r\n"
+        feed_without_end(reader, CHUNKED_HEAD, chunk, 1 << 20)
+
     @pytest.mark.parametrize("chunk", [b"1\r\nx\r\n", b"000001\r\nx\r\n"])
     def test_body_of_many_small_chunks_is_accepted(self, chunk):
         reader, sink = make_reader()
