Reject event ids that do not fit into 64 bits

An id of more than 4,300 digits cannot be converted: the error passed through the call, which then waited until the caller's time limit. It did so only since the body of a read is passed on outside of the parser, which had turned it into a malformed response. Ids of more than 18 digits are now invalid, like those that are no numbers.

The new test fails on the code before for 5,000 digits with ValueError, for 19 digits as the id was accepted; the cases '-1', '1.0' and '' failed only by the changed wording.

--- a/masticfork/relay/events.py
+++ b/masticfork/relay/events.py
@@ -5,6 +5,8 @@
 # A stream with a larger event is treated as invalid.
 MAX_EVENT_BYTES = 1 << 20
 _EVENT_END = b"\n\n"
+# A larger id does not fit into 64 bits.
+_MAX_ID_DIGITS = 18
 _LOGGED_ID_BYTES = 32
 
 
@@ -59,8 +61,8 @@
     def _accept_event(self, event: bytes) -> str | None:
         """Advance the last event id; return why the event is invalid, if it is."""
         id_value = _id_value(event)
-        if not id_value.isdigit():
-            return f"event id {id_value[:_LOGGED_ID_BYTES]!r} is not a number"
+        if not id_value.isdigit() or len(id_value) > _MAX_ID_DIGITS:
+            return f"event id {id_value[:_LOGGED_ID_BYTES]!r} is no valid number"
         event_id = int(id_value)
         if self._last_event_id is not None and event_id != self._last_event_id + 1:
             return f"event id {event_id} follows {self._last_event_id}"
--- a/masticfork/relay/events_test.py
+++ b/masticfork/relay/events_test.py
@@ -45,6 +45,13 @@
         splitter.feed(b"x-masticfork-weight-versions: 2\nid: 4\ndata: x\n\n")
         assert splitter.last_event_id == 4
 
+    @pytest.mark.parametrize("id_value", [b"9" * 19, b"9" * 5000, b"-1", b"1.0", b""])
+    def test_id_that_is_no_valid_number_is_rejected(self, id_value):
+        """Guards against an error of the conversion that leaves a call without end."""
+        error = EventSplitter(None).feed(b"id: " + id_value + b"\ndata: x\n\n").error
+        assert error is not None
+        assert "is no valid number" in error
+
 
 class TestEventsWithoutEnd:
     def test_event_is_rejected_once_it_is_larger_than_the_limit(self):
