--- a/masticfork/relay/response_reader.py
+++ b/masticfork/relay/response_reader.py
@@ -5,11 +5,16 @@
 
 import httptools
 
-from masticfork.core.forwarding import Header, ResponseHead
+from masticfork.core.forwarding import Header, ResponseHead, may_have_body
 
-# A response with more bytes of header names and values is treated as malformed.
-MAX_RESPONSE_HEAD_BYTES = 65536
-_BODILESS_STATUSES = (204, 304)
+# A response with a larger head, including interim (1xx) responses and empty lines ahead
+# of it, is treated as malformed.
+MAX_RESPONSE_HEAD_BYTES = 64 << 10
+# Limit on the bytes of a body that are not its content (sizes and extensions of chunks,
+# trailers): a constant, and a multiple of the content received so far. One byte to a
+# chunk needs five.
+MAX_FRAMING_BYTES = 64 << 10
+MAX_FRAMING_BYTES_PER_BODY_BYTE = 16
 
 
 class ResponseSink(Protocol):
@@ -44,11 +49,16 @@
     ) -> None:
         self._decode = decode
         self._sink = sink
-        # A response to HEAD has no body, whatever its Content-Length.
         self._is_head_request = is_head_request
         self._parser = httptools.HttpResponseParser(self)
         self._headers: list[Header] = []
+        # Bytes received up to the end of the read that completed the head.
         self._head_bytes = 0
+        # Bytes received after that, and how many of all were content of the body.
+        self._framed_bytes = 0
+        self._body_bytes = 0
+        # Parts of the body in the data that is being parsed.
+        self._body_parts: list[bytes] = []
         self._status_reason = b""
         self._head: ResponseHead | None = None
         self._ends_at_close = False
@@ -82,18 +92,35 @@
         )
 
     def feed(self, data: bytes) -> None:
-        """Parse received data; raise MalformedResponseError if it is invalid."""
+        """Parse received data; raise MalformedResponseError if it is invalid.
+
+        The sink gets all parts of the body in the data at once, so that small chunks
+        cost no call each.
+        """
         if self._done:
             self._has_extra_bytes = True
             return
+        try:
+            self._parse(data)
+        finally:
+            self._flush_body()
+        self._check_sizes()
+
+    def _parse(self, data: bytes) -> None:
+        if self._head is None:
+            self._head_bytes += len(data)
+        else:
+            self._framed_bytes += len(data)
         try:
             self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+        except httptools.HttpParserUpgrade as error:
+            if not self._done:
+                raise MalformedResponseError("it switches protocols") from error
+            self._has_extra_bytes = True
+        except httptools.HttpParserError as error:
             if not self._done:
                 raise MalformedResponseError(str(error)) from error
             self._has_extra_bytes = True
-        if self._head is None and self._head_bytes > MAX_RESPONSE_HEAD_BYTES:
-            raise MalformedResponseError("response head is larger than 64 KiB")
 
     def feed_end(self) -> bool:
         """Process the end of the connection; return whether the response is complete.
@@ -117,9 +144,8 @@
             self._status_reason += status
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect one header."""
-        if not self._done:
-            self._head_bytes += len(name) + len(value)
+        """Collect one header; trailers are dropped."""
+        if self._head is None:
             self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
@@ -134,22 +160,41 @@
         head = self._decode(status, status_reason, headers)
         self._head = head
         has_framing = head.chunked or head.content_length is not None
-        has_no_body = self._is_head_request or status in _BODILESS_STATUSES
-        self._ends_at_close = not has_framing and not has_no_body
+        has_body = may_have_body(status, self._is_head_request)
+        self._ends_at_close = has_body and not has_framing
         self._sink.on_head(head)
-        if has_no_body:
+        if not has_body:
             self._finish()
 
     def on_body(self, data: bytes) -> None:
-        """Pass a part of the body to the sink."""
+        """Collect a part of the body."""
         if not self._done:
-            self._sink.on_body(data)
+            self._body_bytes += len(data)
+            self._body_parts.append(data)
 
     def on_message_complete(self) -> None:
         """End the response, unless it is an interim (1xx) one."""
         if self._head is not None and not self._done:
             self._finish()
 
+    def _check_sizes(self) -> None:
+        """Raise MalformedResponseError if too much is not content of the body."""
+        if self._head is None:
+            if self._head_bytes > MAX_RESPONSE_HEAD_BYTES:
+                raise MalformedResponseError("head is larger than 64 KiB")
+        elif not self._done:
+            framing_bytes = self._framed_bytes - self._body_bytes
+            content_share = MAX_FRAMING_BYTES_PER_BODY_BYTE * self._body_bytes
+            if framing_bytes > MAX_FRAMING_BYTES + content_share:
+                raise MalformedResponseError("framing is larger than its limit")
+
+    def _flush_body(self) -> None:
+        """Pass the collected parts of the body to the sink."""
+        if self._body_parts:
+            parts, self._body_parts = self._body_parts, []
+            self._sink.on_body(b"".join(parts))
+
     def _finish(self) -> None:
         self._done = True
+        self._flush_body()
         self._sink.on_end()
