Never join the bodies of two servers' responses

What callers could get: a body of which the first part comes from one server and the rest, or all of it once more, from another one, under the head of the first (MIXED).

Cause: a response that is not a stream is passed on before it is complete once it is larger than 256 KiB. If its server then broke off, or sent no end within the silence limit (which runs on from the head), the request was still sent again, and the body of the next response was written behind what the caller had. The same holds for a large error response on a streaming route.

A response that has begun is now only continued if it consists of events; a broken one is aborted, and a silent one has until the deadline.

--- a/masticfork/relay/exchange.py
+++ b/masticfork/relay/exchange.py
@@ -199,6 +199,21 @@
     def _is_stream(self) -> bool:
         return self.route.kind is RouteKind.STREAM
 
+    @property
+    def _passes_on_events(self) -> bool:
+        """Return whether the body of the response consists of events."""
+        head = self._response_head
+        return self._is_stream and head is not None and head.status < 300
+
+    @property
+    def _can_be_replaced(self) -> bool:
+        """Return whether another call can take the place of the current one.
+
+        Of a response that has begun, only events can be continued: a body differs from
+        server to server.
+        """
+        return not self._response_started or self._passes_on_events
+
     @property
     def _session_key(self) -> str:
         """Return the caller's session id, or the attempt id if there is no session."""
@@ -259,7 +274,7 @@
         """Pass complete events to the caller; buffer the body of other responses."""
         if self._call_record is None or self._response_head is None:
             return
-        if not self._is_stream or self._response_head.status >= 300:
+        if not self._passes_on_events:
             self._buffer_body(data)
             return
         events = self._event_splitter.feed(data)
@@ -274,7 +289,7 @@
         """Complete the response to the caller."""
         if self._call_record is None or self._response_head is None:
             return
-        if self._is_stream and self._response_head.status < 300:
+        if self._passes_on_events:
             if self._event_splitter.partial_event_bytes:
                 self._fail_call(
                     CallOutcome.BROKEN, "stream ended in the middle of an event"
@@ -453,7 +468,7 @@
             partial_event_bytes=splitter.partial_event_bytes,
         )
         next_step = next_action(self.route, self.history, outcome, self._seconds_left)
-        if next_step is not NextAction.RETRY:
+        if next_step is not NextAction.RETRY or not self._can_be_replaced:
             self._fail_request(outcome, why)
         elif outcome is CallOutcome.DROPPED:
             self._tried_servers.clear()
@@ -517,7 +532,7 @@
             self._silence_timer = None
 
     def _on_silence(self) -> None:
-        if self.history.sent >= self.route.max_attempts:
+        if self.history.sent >= self.route.max_attempts or not self._can_be_replaced:
             return
         self._fail_call(CallOutcome.SILENT, "silent")
 
--- a/standins/fake_exchange.py
+++ b/standins/fake_exchange.py
@@ -55,6 +55,7 @@
     def __init__(self) -> None:
         self.status: int | None = None
         self.final_responses = 0
+        self.aborted = False
         self.body = b""
 
     def start_response(self, head: ResponseHead, length: int | None) -> None:
@@ -71,6 +72,7 @@
 
     def abort_response(self) -> None:
         """Count a response that ends early."""
+        self.aborted = True
         self.final_responses += 1
 
     def send_error(self, status: http.HTTPStatus, headers: list[Header]) -> None:
