Write no chunk after a response without a body

Cause: every successful response on a streaming route was passed on as a chunked stream, also one that has no body. Such a response is now passed on like those of other routes, with its length.

Whether a response has a body is now decided in one place, ResponseHead.has_body.

--- a/masticfork/core/forwarding.py
+++ b/masticfork/core/forwarding.py
@@ -4,6 +4,8 @@
 
 Header = tuple[bytes, bytes]
 
+_BODILESS_STATUSES = (204, 304)
+
 
 @attrs.frozen
 class PromptPart:
@@ -54,6 +56,11 @@
         """Return the path without the query."""
         return self.target.split(b"?", 1)[0].decode("latin-1")
 
+    @property
+    def is_head_request(self) -> bool:
+        """Return whether the response has no body, whatever its Content-Length."""
+        return self.method == b"HEAD"
+
 
 @attrs.frozen
 class Dispatch:
@@ -98,3 +105,7 @@
     chunked: bool
     # Headers that are forwarded to the caller unchanged.
     forwarded: tuple[Header, ...]
+
+    def has_body(self, is_head_request: bool) -> bool:
+        """Return whether a body follows the head."""
+        return not is_head_request and self.status not in _BODILESS_STATUSES
--- a/masticfork/relay/entry.py
+++ b/masticfork/relay/entry.py
@@ -486,7 +486,7 @@
             row.connections,
             wire.decode_response_head,
             sink,
-            request.method == b"HEAD",
+            request.is_head_request,
         )
         require_new = not (isinstance(sink, Exchange) and sink.route.retryable)
         server_call.start(
--- a/masticfork/relay/exchange.py
+++ b/masticfork/relay/exchange.py
@@ -201,9 +201,11 @@
 
     @property
     def _passes_on_events(self) -> bool:
-        """Return whether the body of the response consists of events."""
+        """Return whether the response has a body that consists of events."""
         head = self._response_head
-        return self._is_stream and head is not None and head.status < 300
+        if not self._is_stream or head is None or head.status >= 300:
+            return False
+        return head.has_body(self.request.is_head_request)
 
     @property
     def _can_be_replaced(self) -> bool:
--- a/masticfork/relay/response_reader.py
+++ b/masticfork/relay/response_reader.py
@@ -9,7 +9,6 @@
 
 # A response with more bytes of header names and values is treated as malformed.
 MAX_RESPONSE_HEAD_BYTES = 65536
-_BODILESS_STATUSES = (204, 304)
 
 
 class ResponseSink(Protocol):
@@ -44,7 +43,6 @@
     ) -> None:
         self._decode = decode
         self._sink = sink
-        # A response to HEAD has no body, whatever its Content-Length.
         self._is_head_request = is_head_request
         self._parser = httptools.HttpResponseParser(self)
         self._headers: list[Header] = []
@@ -134,10 +132,10 @@
         head = self._decode(status, status_reason, headers)
         self._head = head
         has_framing = head.chunked or head.content_length is not None
-        has_no_body = self._is_head_request or status in _BODILESS_STATUSES
-        self._ends_at_close = not has_framing and not has_no_body
+        has_body = head.has_body(self._is_head_request)
+        self._ends_at_close = has_body and not has_framing
         self._sink.on_head(head)
-        if has_no_body:
+        if not has_body:
             self._finish()
 
     def on_body(self, data: bytes) -> None:
