Fail a call whose server switches protocols

A 101 response ended the read with an exception of the parser that nobody caught: the call stayed as it was, with a connection that could not be parsed any more, until the silence limit or the deadline; callers of requests that may run once got a 504 after their whole time.

It now counts as malformed like other bytes that are no response. The test fails on the code before (no answer with 502; 504 after two seconds).

--- a/masticfork/relay/response_reader.py
+++ b/masticfork/relay/response_reader.py
@@ -86,9 +86,9 @@
             return
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError as error:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             if not self._done:
-                raise MalformedResponseError(str(error)) from error
+                raise MalformedResponseError(repr(error)) from error
             self._has_extra_bytes = True
         if self._head is None and self._head_bytes > MAX_RESPONSE_HEAD_BYTES:
             raise MalformedResponseError("response head is larger than 64 KiB")
--- a/masticfork/relay/whole_path_test.py
+++ b/masticfork/relay/whole_path_test.py
@@ -143,6 +143,11 @@
     yield response(request, b"x", extra={"Content-Encoding": "gzip"})
 
 
+def switched_protocol(request):
+    yield b"HTTP/1.1 101 Other\r\nConnection: upgrade\r\nUpgrade: other\r\n\r\n"
+    time.sleep(1)
+
+
 def status_503_without_proof(request):
     yield b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
 
@@ -163,6 +168,7 @@
     (unsigned_response, 502),
     (other_request_response, 502),
     (encoded_response, 502),
+    (switched_protocol, 502),
     (status_503_without_proof, 502),
     (unframed_then_reset, 502),
     (refuse_request, 503),
