Read every value of a repeated header

Headers were put into a dict, in which the last value of a repeated header wins. A response that names two requests was so believed to belong to the one named last, one with 'Content-Encoding: gzip' and 'identity' passed as not encoded (MIXED), one with 'Connection: close' and 'keep-alive' had its connection kept, and of a caller's headers those listed by the first of two 'Connection' headers were forwarded.

Distinct values of a repeated header are now joined as RFC 9110, section 5.2, says, so a response with two ids belongs to neither request; one that repeats the same id still belongs to it. Five of the six new tests fail on the code before; the sixth keeps the repeated id valid.

--- a/masticfork/platform/wire.py
+++ b/masticfork/platform/wire.py
@@ -44,7 +44,7 @@
     `forward_authorization` forwards `Authorization` to the server, for
     configurations where the router checks no keys.
     """
-    fields = dict(headers)
+    fields = _joined_values(headers)
     model = _decode_text(fields.get(names.MODEL))
     prompt_tokens, max_output_tokens = _token_usage(fields.get(names.TOKEN_USAGE))
     dropped = _CONNECTION_HEADERS | names.SYSTEM_HEADERS | _connection_options(fields)
@@ -94,7 +94,7 @@
     status: int, reason: bytes, headers: list[Header]
 ) -> ResponseHead:
     """Decode the status and headers of a server's response."""
-    fields = dict(headers)
+    fields = _joined_values(headers)
     dropped = _CONNECTION_HEADERS | _connection_options(fields)
     confidence = _parse_number(fields.get(names.CONFIDENCE))
     length = _parse_number(fields.get(b"content-length"))
@@ -127,6 +127,20 @@
     return headers
 
 
+def _joined_values(headers: list[Header]) -> dict[bytes, bytes]:
+    """Return the value of each header, that of a repeated one with all its values.
+
+    A value that is repeated as it is counts once.
+    """
+    fields = dict(headers)
+    if len(fields) == len(headers):
+        return fields
+    values: dict[bytes, dict[bytes, None]] = {}
+    for name, value in headers:
+        values.setdefault(name, {})[value] = None
+    return {name: b", ".join(distinct) for name, distinct in values.items()}
+
+
 def _connection_options(fields: dict[bytes, bytes]) -> frozenset[bytes]:
     """Return the hop-by-hop headers that `Connection` lists."""
     options = fields.get(b"connection", b"").lower().split(b",")
--- a/masticfork/platform/wire_test.py
+++ b/masticfork/platform/wire_test.py
@@ -65,6 +65,11 @@
         assert b"x-own" not in fields
         assert fields[b"x-masticfork-attempt-id"] == b"9c41"
 
+    def test_drops_headers_listed_by_any_of_several_connection_headers(self):
+        listed = [(b"connection", b"x-own"), (b"connection", b"keep-alive")]
+        head = decode_caller_head([*CALLER_HEADERS, *listed], False)
+        assert b"x-own" not in dict(head.forwarded)
+
     @pytest.mark.parametrize(
         ("value", "parts"),
         [(b"", 0), (b"x", 0), (b"a:1,b", 1), (b"a:-1", 0), (b"a:1,b:x,c:3", 1)],
@@ -117,6 +122,27 @@
         head = decode_response_head(status, b"", headers)
         assert getattr(head, field) == value
 
+    @pytest.mark.parametrize("ids", [(b"9c41", b"7f00"), (b"7f00", b"9c41")])
+    def test_response_that_names_two_requests_belongs_to_neither(self, ids):
+        """Guards against another request's response that is taken for one's own."""
+        headers = [(b"x-masticfork-attempt-id", value) for value in ids]
+        assert decode_response_head(200, b"", headers).attempt_id not in ids
+
+    @pytest.mark.parametrize(
+        ("name", "values", "field", "value"),
+        [
+            (b"x-masticfork-attempt-id", (b"9c41", b"9c41"), "attempt_id", b"9c41"),
+            (b"content-encoding", (b"gzip", b"identity"), "encoded", True),
+            (b"connection", (b"close", b"keep-alive"), "closes", True),
+        ],
+    )
+    def test_repeated_header_counts_with_all_its_values(
+        self, name, values, field, value
+    ):
+        """Guards against an encoded body that passes for the server's own."""
+        headers = [(name, each) for each in values]
+        assert getattr(decode_response_head(200, b"", headers), field) == value
+
 
 class TestEncodeRefusal:
     def test_sets_retry_after_and_attempt_id(self):
