Notice bytes behind the response to a HEAD request

A response to HEAD ends with its head, but the parser counts what follows in the same piece of data as its body, up to its Content-Length. These bytes were dropped without making the connection unfit for reuse, so the rest of a second response could arrive on it for the next request. Its id would not have been that request's, so it would have been rejected; the fault cost a failed call.

The two cases for HEAD fail on the code before.

--- a/masticfork/relay/response_reader.py
+++ b/masticfork/relay/response_reader.py
@@ -139,8 +139,10 @@
             self._finish()
 
     def on_body(self, data: bytes) -> None:
-        """Pass a part of the body to the sink."""
-        if not self._done:
+        """Pass a part of the body to the sink; a complete response has no more of it."""
+        if self._done:
+            self._has_extra_bytes = True
+        else:
             self._sink.on_body(data)
 
     def on_message_complete(self) -> None:
