--- a/masticfork/relay/response_reader.py
+++ b/masticfork/relay/response_reader.py
@@ -139,7 +139,7 @@
             self._finish()
 
     def on_body(self, data: bytes) -> None:
-        """Pass a part of the body to the sink; a complete response has no more of it."""
+        """Pass a part of the body to the sink, unless the response is complete."""
         if self._done:
             self._has_extra_bytes = True
         else:
--- a/masticfork/relay/response_reader_test.py
+++ b/masticfork/relay/response_reader_test.py
@@ -1,3 +1,5 @@
+import itertools
+
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -53,7 +55,7 @@
         sink = RecordingSink()
         reader = ResponseReader(decode_response_head, sink, is_head_request=False)
         bounds = [0, *sorted(min(cut, len(data)) for cut in cuts), len(data)]
-        for start, end in zip(bounds, bounds[1:], strict=False):
+        for start, end in itertools.pairwise(bounds):
             if start < end:
                 reader.feed(data[start:end])
         assert (sink.ids, sink.body, sink.ends) == ([b"own"], b"first", 1)
