Test late second responses on connections in use again

Servers that answer each request a second time, ahead of the next response or late, cut at a place that moves on through the response: no caller gets another request's body. With the comparison of the attempt id taken out, all four cases fail ('own-0' for 'own-1').

--- a/masticfork/relay/stray_responses_test.py
+++ b/masticfork/relay/stray_responses_test.py
@@ -1,12 +1,42 @@
 """Responses of servers that belong to another request."""
 
+import itertools
+import time
+
 import pytest
 
 from masticfork.core.routes import RouteKind
 from masticfork.relay.exchange import Exchange
+from standins.entry_environment import SERVICE, configuration, route, running_entry_host
 from standins.fake_exchange import FakeCaller, FakeHost, caller_request, response_head
+from standins.scripted_server import response
 from standins.typed_routes import typed_route
 
+REQUEST_COUNT = 24
+
+
+class Stutter:
+    """Answers each request, and the one before it once more, ahead of it or late."""
+
+    def __init__(self, ahead, cut_step):
+        self.ahead = ahead
+        # Bytes by which the place at which the second response is cut moves on.
+        self.cut_step = cut_step
+        self.numbers = itertools.count()
+        self.before = b""
+
+    def __call__(self, request):
+        own = response(request, request.attempt_id.encode())
+        cut = next(self.numbers) * self.cut_step
+        second = self.before if self.ahead else own
+        self.before = own
+        if not self.ahead:
+            yield own
+            time.sleep(0.01)
+        yield second[:cut]
+        time.sleep(0.005)
+        yield second[cut:] + (own if self.ahead else b"")
+
 
 class TestResponsesToOtherRequests:
     @pytest.mark.parametrize("status", [421, 429, 503])
@@ -26,3 +56,26 @@
         exchange.start()
         exchange.on_head(response_head(status=status, not_run=True, attempt_id=b"a-2"))
         assert caller.status == 502
+
+
+class TestLateSecondResponses:
+    @pytest.mark.parametrize("ahead", [True, False])
+    @pytest.mark.parametrize("cut_step", [0, 5])
+    def test_callers_get_no_response_of_another_request(self, ahead, cut_step):
+        """Guards against late second responses that end another request (MIXED)."""
+        spec = configuration(1, route("safe", max_attempts=2))
+        with running_entry_host(spec) as env:
+            for _ in range(2):
+                env.add_server(Stutter(ahead, cut_step), SERVICE)
+            env.wait_for_servers(2)
+            answers = []
+            for number in range(REQUEST_COUNT):
+                headers = {"X-Masticfork-Attempt-Id": f"own-{number}"}
+                answers.append(env.send("/safe/x", headers=headers))
+                time.sleep(number % 4 * 0.005)
+            failures = env.logged("call failed", reused_connection=True)
+            stray = env.logged("stray data from server")
+        assert failures if ahead else failures or stray
+        for number, got in enumerate(answers):
+            assert got.status in (200, 502)
+            assert got.status == 502 or got.body == b"own-%d" % number
