Answer a complete request ahead of invalid input

A request that was read completely got no answer if invalid input, or its own offer to switch protocols ('Connection: Upgrade'), followed it in the same piece of data: the request was dropped from the queue, and the connection stayed open in silence until its idle timeout.

The first queued request is now answered, and the connection closes after it, as it did for a request already in progress. What is queued behind it is not passed on.

The two tests of it fail on the code before (no byte is received). The test of pipelined requests passed: their answers were in order before, too.

--- a/masticfork/relay/caller.py
+++ b/masticfork/relay/caller.py
@@ -302,8 +302,8 @@
         self._rejected = True
         self._partial_request = None
         if self.busy:
-            # The request in progress is answered first; then the connection closes.
-            self._queued_requests.clear()
+            # The request in progress, or the first one queued, is answered first; then
+            # the connection closes.
             self._close_after_response = True
             return
         self._close_after_response = True
@@ -365,6 +365,7 @@
 
     def _close_when_sent(self) -> None:
         self._cancel_timer()
+        self._queued_requests.clear()
         self._channel.owner = None
         self._channel.close_when_sent()
         self._host.remove_connection(self)
