Close connections put back after their server was removed

A call that was still running when its server was removed, or had restarted, put its connection into the closed pool, where nothing swept or closed it: a connection and a file descriptor stayed open until the server closed it.

--- a/masticfork/relay/server_call.py
+++ b/masticfork/relay/server_call.py
@@ -96,6 +96,7 @@
         self._server = server
         self._log = log
         self._idle_connections: list[_IdleConnection] = []
+        self._closed = False
 
     def open(self, require_new: bool) -> tuple[Channel, bool]:
         """Return a connection and whether it is new; reuse none if `require_new`.
@@ -113,7 +114,7 @@
         return connect(self._loop, self._server.address), True
 
     def put_back(self, channel: Channel, keep_alive: float | None) -> None:
-        """Keep an idle connection for reuse, or close it if enough are kept.
+        """Keep an idle connection for reuse; close it if enough are kept, or none.
 
         `keep_alive` is the idle time in seconds that the server allows, if it says so.
         """
@@ -123,7 +124,8 @@
         self._idle_connections = [
             idle for idle in self._idle_connections if not idle.channel.closed
         ]
-        if len(self._idle_connections) >= MAX_IDLE_CONNECTIONS_PER_SERVER:
+        is_full = len(self._idle_connections) >= MAX_IDLE_CONNECTIONS_PER_SERVER
+        if self._closed or is_full:
             channel.close()
             return
         channel.owner = _IdleChannelOwner(channel, lambda: self.log_stray_data("idle"))
@@ -152,7 +154,8 @@
         ]
 
     def close(self) -> None:
-        """Close all idle connections."""
+        """Close all idle connections, and others as they are put back."""
+        self._closed = True
         for idle in self._idle_connections:
             idle.channel.close()
         self._idle_connections = []
