Take no measurement from a response to another request

A late second response of another request counted as the first byte of the call on whose connection it arrived, though it was then rejected: the server's response time was recorded as next to nothing, so a server that stutters looked fast and drew requests, its cache was believed to hold a prompt that it need not have read, and a pause that it had asked for earlier began anew.

A response is now compared with the request before anything is recorded. Three of the five cases fail on the code before; the others keep own responses and rejections without an id counted.

--- a/masticfork/relay/exchange.py
+++ b/masticfork/relay/exchange.py
@@ -250,11 +250,16 @@
         record = self._call_record
         if record is None:
             return
+        if not self._is_own(head):
+            attempt_id = head.attempt_id.decode("latin-1")
+            why = f"status {head.status} of attempt {attempt_id!r}"
+            self._fail_call(CallOutcome.BROKEN, why)
+            return
         record.head_received_at = self.host.loop.now
         self.host.on_response_started(record, head)
         outcome = self._classify_response(head)
         if outcome is not None:
-            self._fail_call(outcome, self._describe_unusable(head))
+            self._fail_call(outcome, f"status {head.status}")
             return
         larger_index = self._larger_model_index(head)
         if larger_index is not None:
@@ -382,13 +387,18 @@
 
     # Evaluation of responses, and retries.
 
-    def _classify_response(self, head: ResponseHead) -> CallOutcome | None:
-        """Return why a response is unusable, None if it may be passed on."""
+    def _is_own(self, head: ResponseHead) -> bool:
+        """Return whether a response belongs to the request."""
+        if head.attempt_id == self.request.head.attempt_id:
+            return True
         # A server that rejects a request need not have read its attempt id.
-        is_own = head.attempt_id == self.request.head.attempt_id
-        if head.not_run and (is_own or not head.attempt_id):
+        return head.not_run and not head.attempt_id
+
+    def _classify_response(self, head: ResponseHead) -> CallOutcome | None:
+        """Return why an own response is unusable, None if it may be passed on."""
+        if head.not_run:
             return CallOutcome.REFUSED
-        if not is_own or head.encoded:
+        if head.encoded:
             return CallOutcome.BROKEN
         if head.status < 300:
             return None if head.signed else CallOutcome.BROKEN
@@ -409,12 +419,6 @@
             )
         return CallOutcome.SERVER_ERROR if self._response_started else None
 
-    def _describe_unusable(self, head: ResponseHead) -> str:
-        if head.attempt_id != self.request.head.attempt_id:
-            attempt_id = head.attempt_id.decode("latin-1")
-            return f"status {head.status} of attempt {attempt_id!r}"
-        return f"status {head.status}"
-
     def _larger_model_index(self, head: ResponseHead) -> int | None:
         """Return the index of the model to escalate to, None to keep the response."""
         if (
--- a/masticfork/relay/stray_responses_test.py
+++ b/masticfork/relay/stray_responses_test.py
@@ -38,25 +38,49 @@
         yield second[cut:] + (own if self.ahead else b"")
 
 
+def single_call_exchange(host, caller):
+    exchange = Exchange(
+        host=host,
+        caller=caller,
+        request=caller_request(),
+        route=typed_route(RouteKind.IDEMPOTENT, max_attempts=1),
+        service="s",
+        team=None,
+        priority=1,
+        deadline=2.0,
+    )
+    exchange.start()
+    return exchange
+
+
 class TestResponsesToOtherRequests:
     @pytest.mark.parametrize("status", [421, 429, 503])
     def test_late_refusal_of_another_request_is_no_proof_of_not_run(self, status):
         """Guards against a late second response that is taken for a refusal."""
-        host, caller = FakeHost(), FakeCaller()
-        exchange = Exchange(
-            host=host,
-            caller=caller,
-            request=caller_request(),
-            route=typed_route(RouteKind.IDEMPOTENT, max_attempts=1),
-            service="s",
-            team=None,
-            priority=1,
-            deadline=2.0,
-        )
-        exchange.start()
+        caller = FakeCaller()
+        exchange = single_call_exchange(FakeHost(), caller)
         exchange.on_head(response_head(status=status, not_run=True, attempt_id=b"a-2"))
         assert caller.status == 502
 
+    @pytest.mark.parametrize(
+        ("head", "own"),
+        [
+            ({"attempt_id": b"a-2"}, False),
+            ({"attempt_id": b""}, False),
+            ({"attempt_id": b"a-2", "not_run": True, "status": 503}, False),
+            ({"attempt_id": b"", "not_run": True, "status": 503}, True),
+            ({}, True),
+        ],
+    )
+    def test_only_own_responses_tell_of_their_server(self, head, own):
+        """Guards against a server that looks fast since it answers others late."""
+        host = FakeHost()
+        exchange = single_call_exchange(host, FakeCaller())
+        record = exchange.unanswered_call
+        exchange.on_head(response_head(**head))
+        assert host.started_responses == int(own)
+        assert (record.head_received_at is not None) is own
+
 
 class TestLateSecondResponses:
     @pytest.mark.parametrize("ahead", [True, False])
--- a/standins/fake_exchange.py
+++ b/standins/fake_exchange.py
@@ -90,6 +90,7 @@
         self.calls: list[FakeCall] = []
         self.retry_allowed = True
         self.ended_exchanges = 0
+        self.started_responses = 0
         self._rows = [_server_row(number) for number in range(SERVER_COUNT)]
 
     def choose_server(
@@ -131,7 +132,8 @@
         """Do nothing."""
 
     def on_response_started(self, record: CallRecord, head: ResponseHead) -> None:
-        """Do nothing."""
+        """Count a response."""
+        self.started_responses += 1
 
     def on_call_ended(self, record: CallRecord) -> None:
         """Do nothing."""
