Close a connection whose response was not read as a whole

A call to an engine for its load, its cache events, a lookup or a cancellation that got the head of its response but not all of the body counted as successful with an empty body, and its connection went back into the pool with the rest of the body still to come. The next call on it failed (ResponseNotReady), or, for a generation, found that rest ahead of its own response. A lookup of a running generation answered 'not there'.

Reading the body, and releasing or closing the connection after it, is now one function of the pool for both clients, and a body that cannot be read is a failed call. Both tests fail on the code before.

--- a/masticfork/backends/connections.py
+++ b/masticfork/backends/connections.py
@@ -122,6 +122,29 @@
             return sent
         return Ok(connection)
 
+    def finish(
+        self, server: BackendServer, opened: OpenResponse
+    ) -> Result[bytes, CallFailure]:
+        """Return the body of a response, and its connection to the pool.
+
+        The connection is closed if the body cannot be read as a whole.
+        """
+        try:
+            body = opened.response.read()
+        except TimeoutError:
+            opened.connection.http.close()
+            message = "reading the response timed out"
+            return Err(CallFailure(Stage.ANSWERING, FailureKind.TIMEOUT, message))
+        except (OSError, http.client.HTTPException) as error:
+            opened.connection.http.close()
+            name = type(error).__name__
+            return Err(CallFailure(Stage.ANSWERING, FailureKind.CONNECTION, name))
+        if opened.response.will_close:
+            opened.connection.http.close()
+        else:
+            self.release(server, opened.connection)
+        return Ok(body)
+
     def release(self, server: BackendServer, connection: Connection) -> None:
         """Return a connection to the pool; its response must be read completely."""
         idle_connection = attrs.evolve(
--- /dev/null
+++ b/masticfork/backends/connections_test.py
@@ -0,0 +1,81 @@
+"""Connections on which a response was not read as a whole, or more than one came."""
+
+import itertools
+import time
+from contextlib import contextmanager
+
+import pytest
+from result import Err
+
+from masticfork.backends.connections import ConnectionPool
+from masticfork.backends.engine import EngineClient
+from masticfork.backends.stream_reader import StreamReader
+from masticfork.core.deadlines import Deadline
+from masticfork.core.ids import ServerName, ZoneName
+from masticfork.core.manifest import BackendServer
+from standins.scripted_server import CloseConnectionError, ScriptedServer
+
+SHORT_SECONDS = 0.2
+
+
+def sized(body):
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+
+
+def numbered(first):
+    """Return a script that answers requests with their number, the first by `first`."""
+    numbers = itertools.count(1)
+
+    def script(request):
+        number = next(numbers)
+        yield from first() if number == 1 else [sized(b'{"number": %d}' % number)]
+
+    return script
+
+
+@contextmanager
+def backend(script):
+    """Run a scripted server; yield it and its description."""
+    server = ScriptedServer(script)
+    host, port = server.address.split(":")
+    try:
+        yield server, BackendServer(ServerName("s"), host, int(port), ZoneName("z"))
+    finally:
+        server.close()
+
+
+def deadline(seconds=5.0):
+    return Deadline.after(time.time(), seconds)
+
+
+@pytest.fixture
+def engines():
+    reader = StreamReader(time.time)
+    yield EngineClient(ConnectionPool(time.time), reader, time.time)
+    reader.stop()
+
+
+class TestPartlyReadResponses:
+    def test_late_rest_of_a_body_reaches_no_other_call(self, engines):
+        """Guards against a half-read connection that is put back into the pool."""
+
+        def slow_body():
+            yield sized(b'{"number": 1}')[:-4]
+            time.sleep(2 * SHORT_SECONDS)
+            yield b": 1}"
+
+        with backend(numbered(slow_body)) as (server, target):
+            late = engines.load(target, deadline(SHORT_SECONDS))
+            assert engines.load(target, deadline()).unwrap() == {"number": 2}
+        assert isinstance(late, Err)
+        assert server.connections == 2
+
+    def test_truncated_body_is_a_failure(self, engines):
+        """Guards against a lost report that counts as an empty one."""
+
+        def truncated():
+            yield sized(b'{"number": 1}')[:-4]
+            raise CloseConnectionError
+
+        with backend(numbered(truncated)) as (_, target):
+            assert isinstance(engines.load(target, deadline()), Err)
--- a/masticfork/backends/engine.py
+++ b/masticfork/backends/engine.py
@@ -1,6 +1,5 @@
 """Client of model engines: generation streams, cancellation, load, cache events."""
 
-import http.client
 import json
 from collections.abc import Callable
 
@@ -10,7 +9,6 @@
 from masticfork.backends.connections import (
     Connection,
     ConnectionPool,
-    OpenResponse,
     Request,
 )
 from masticfork.backends.engine_stream import STALL_SECONDS, EngineStream
@@ -147,12 +145,10 @@
         if isinstance(started, Err):
             return started
         opened = started.ok_value
-        body = _read_json_object(opened)
-        if opened.response.will_close:
-            opened.connection.http.close()
-        else:
-            self._pool.release(server, opened.connection)
-        return Ok((opened.response.status, body))
+        body = self._pool.finish(server, opened)
+        if isinstance(body, Err):
+            return body
+        return Ok((opened.response.status, _parse_json_object(body.ok_value)))
 
     def _release_callback(
         self, server: BackendServer
@@ -211,13 +207,6 @@
     )
 
 
-def _read_json_object(opened: OpenResponse) -> dict[str, object]:
-    try:
-        return _parse_json_object(opened.response.read())
-    except (OSError, http.client.HTTPException):
-        return {}
-
-
 def _parse_json_object(content: bytes) -> dict[str, object]:
     try:
         body = json.loads(content or b"{}")
--- a/masticfork/backends/service.py
+++ b/masticfork/backends/service.py
@@ -1,6 +1,5 @@
 """Client of plain services."""
 
-import http.client
 from collections.abc import Callable
 
 import attrs
@@ -70,24 +69,9 @@
         self, server: BackendServer, opened: OpenResponse
     ) -> Result[ServiceResponse, CallFailure]:
         response = opened.response
-        try:
-            body = response.read()
-        except TimeoutError:
-            opened.connection.http.close()
-            return Err(
-                CallFailure(
-                    Stage.ANSWERING,
-                    FailureKind.TIMEOUT,
-                    "reading the response timed out",
-                )
-            )
-        except (OSError, http.client.HTTPException) as error:
-            opened.connection.http.close()
-            failure = CallFailure(
-                Stage.ANSWERING, FailureKind.CONNECTION, type(error).__name__
-            )
-            return Err(failure)
-        self._release(server, opened)
+        body = self._pool.finish(server, opened)
+        if isinstance(body, Err):
+            return body
         if response.status == UNAVAILABLE_STATUS and response.getheader(NOT_RUN_HEADER):
             return Err(
                 CallFailure(
@@ -96,13 +80,11 @@
                     "the service refused the call without running it",
                 )
             )
-        return Ok(ServiceResponse(response.status, tuple(response.getheaders()), body))
-
-    def _release(self, server: BackendServer, opened: OpenResponse) -> None:
-        if opened.response.will_close:
-            opened.connection.http.close()
-        else:
-            self._pool.release(server, opened.connection)
+        return Ok(
+            ServiceResponse(
+                response.status, tuple(response.getheaders()), body.ok_value
+            )
+        )
 
 
 def _lost_before_response(result: Result[ServiceResponse, CallFailure]) -> bool:
