Never take an interim response for the final one

What callers of the router's own interface could get: the response to another request. Measured on the code before, with a service that sends 103 and its final response 0.2 s later: the first call returned status 103 without a body, and the second call, on the same connection, returned the body of the first one's final response.

Cause: http.client skips only status 100, and the reader of generations took any status for the final one; the connection went back into the pool with the final response still to come.

Generations now skip interim responses. http.client cannot read on after one, so such a call of a service fails and its connection is closed.

--- a/masticfork/backends/connections.py
+++ b/masticfork/backends/connections.py
@@ -16,6 +16,8 @@
 MAX_IDLE_CONNECTIONS_PER_SERVER = 256
 MAX_IDLE_SECONDS = 20.0
 CONNECT_TIMEOUT_SECONDS = 1.0
+# Responses with lower status codes are interim: the final one follows.
+MIN_FINAL_STATUS = 200
 # A socket timeout of zero would make the socket non-blocking.
 MIN_SOCKET_TIMEOUT_SECONDS = 0.001
 
@@ -97,6 +99,14 @@
         except (OSError, http.client.HTTPException) as error:
             connection.http.close()
             return Err(CallFailure(Stage.SENT, FailureKind.CONNECTION, repr(error)))
+        if response.status < MIN_FINAL_STATUS:
+            # `http.client` takes it for a final response and leaves that one unread.
+            connection.http.close()
+            message = f"interim response {response.status}"
+            failure = CallFailure(
+                Stage.ANSWERING, FailureKind.MALFORMED_ANSWER, message
+            )
+            return Err(failure)
         return Ok(OpenResponse(connection, response))
 
     def send(
--- a/masticfork/backends/connections_test.py
+++ b/masticfork/backends/connections_test.py
@@ -7,11 +7,12 @@
 import pytest
 from result import Err
 
-from masticfork.backends.connections import ConnectionPool
-from masticfork.backends.engine import EngineClient
+from masticfork.backends.connections import ConnectionPool, Request
+from masticfork.backends.engine import EngineCall, EngineClient
+from masticfork.backends.service import ServiceClient
 from masticfork.backends.stream_reader import StreamReader
 from masticfork.core.deadlines import Deadline
-from masticfork.core.ids import ServerName, ZoneName
+from masticfork.core.ids import AttemptId, ServerName, VersionId, ZoneName
 from masticfork.core.manifest import BackendServer
 from standins.scripted_server import CloseConnectionError, ScriptedServer
 
@@ -48,6 +49,10 @@
     return Deadline.after(time.time(), seconds)
 
 
+def generation(number):
+    return EngineCall(AttemptId(f"attempt-{number}"), VersionId("a@1"), {}, 0)
+
+
 @pytest.fixture
 def engines():
     reader = StreamReader(time.time)
@@ -79,3 +84,39 @@
 
         with backend(numbered(truncated)) as (_, target):
             assert isinstance(engines.load(target, deadline()), Err)
+
+
+def early_hints_then(body, pause=SHORT_SECONDS):
+    """Return a script's first response: an interim one, and later the final one."""
+
+    def first():
+        yield b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+        time.sleep(pause)
+        yield sized(body)
+
+    return first
+
+
+class TestInterimResponses:
+    """Guards against a final response that the next call on a connection gets."""
+
+    def test_service_call_leaves_no_response_to_the_next_one(self):
+        pool = ConnectionPool(time.time)
+        client = ServiceClient(pool, time.time)
+        request = Request("GET", "/x", ())
+        with backend(numbered(early_hints_then(b'{"number": 1}'))) as (_, target):
+            first = client.call(target, request, deadline(), idempotent=True)
+            second = client.call(target, request, deadline(), idempotent=True)
+        assert isinstance(first, Err)
+        assert second.unwrap().body == b'{"number": 2}'
+
+    def test_generation_waits_for_the_final_response(self, engines):
+        frames = b"id: 1\ndata: a\n\ndata: [DONE]\n\n"
+        script = numbered(early_hints_then(frames))
+        received = []
+        with backend(script) as (_, target):
+            stream = engines.start(target, generation("1"), deadline()).unwrap()
+            assert stream.forward_frames(lambda f: received.append(f.raw)) is None
+            stream.close()
+            assert engines.load(target, deadline()).unwrap() == {"number": 2}
+        assert received == [b"id: 1\ndata: a"]
--- a/masticfork/backends/engine_stream.py
+++ b/masticfork/backends/engine_stream.py
@@ -9,7 +9,7 @@
 import httptools
 from result import Err, Ok, Result
 
-from masticfork.backends.connections import Connection
+from masticfork.backends.connections import MIN_FINAL_STATUS, Connection
 from masticfork.backends.failures import CallFailure, FailureKind, Stage
 from masticfork.core.deadlines import Deadline
 
@@ -69,6 +69,7 @@
         self._lock = threading.Lock()
         self._undelivered: list[ServerSentEvent] = []
         self._sink: FrameSink | None = None
+        self._is_interim = False
         self._streaming = False
         self._response_complete = False
         self._keep_alive = False
@@ -144,7 +145,7 @@
         self._stalls_at = self._now() + STALL_SECONDS
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError as error:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._failure = _failure(FailureKind.MALFORMED_ANSWER, repr(error))
         return self._failure is None and not self._response_complete
 
@@ -185,8 +186,11 @@
             self._release(self._connection, False)
 
     def on_headers_complete(self) -> None:
-        """Publish the status code; called by the parser."""
+        """Publish the status code of the final response; called by the parser."""
         status = self._parser.get_status_code()
+        self._is_interim = status < MIN_FINAL_STATUS
+        if self._is_interim:
+            return
         self._streaming = status == _OK
         self._status_future.set_result(status)
 
@@ -203,7 +207,9 @@
                 self._failure = self._deliver(ServerSentEvent(raw, _parse_offset(raw)))
 
     def on_message_complete(self) -> None:
-        """Record the end of the response; called by the parser."""
+        """Record the end of the final response; called by the parser."""
+        if self._is_interim:
+            return
         self._response_complete = True
         # Asked for here, since the parser afterwards expects another response.
         self._keep_alive = self._parser.should_keep_alive()
