Take no interim response of the store for the final one

The store's client had the same fault as the clients of services: after a 103 the connection went back into the pool with the final response still to come, and the next call got it as its own. On the code before, a read returned the object of an earlier call (version 7 instead of 8). A write to which an interim response came was reported as having had no effect, though it may have had one.

Such a call now fails with its effect unknown, and its connection is closed. Both tests fail on the code before. Which status codes are interim is now decided in one place.

--- a/masticfork/backends/connections.py
+++ b/masticfork/backends/connections.py
@@ -11,13 +11,12 @@
 
 from masticfork.backends.failures import CallFailure, FailureKind, Stage
 from masticfork.core.deadlines import Deadline
+from masticfork.core.http_status import is_interim
 from masticfork.core.manifest import BackendServer
 
 MAX_IDLE_CONNECTIONS_PER_SERVER = 256
 MAX_IDLE_SECONDS = 20.0
 CONNECT_TIMEOUT_SECONDS = 1.0
-# Responses with lower status codes are interim: the final one follows.
-MIN_FINAL_STATUS = 200
 # A socket timeout of zero would make the socket non-blocking.
 MIN_SOCKET_TIMEOUT_SECONDS = 0.001
 
@@ -99,7 +98,7 @@
         except (OSError, http.client.HTTPException) as error:
             connection.http.close()
             return Err(CallFailure(Stage.SENT, FailureKind.CONNECTION, repr(error)))
-        if response.status < MIN_FINAL_STATUS:
+        if is_interim(response.status):
             # `http.client` takes it for a final response and leaves that one unread.
             connection.http.close()
             message = f"interim response {response.status}"
--- a/masticfork/backends/engine_stream.py
+++ b/masticfork/backends/engine_stream.py
@@ -9,9 +9,10 @@
 import httptools
 from result import Err, Ok, Result
 
-from masticfork.backends.connections import MIN_FINAL_STATUS, Connection
+from masticfork.backends.connections import Connection
 from masticfork.backends.failures import CallFailure, FailureKind, Stage
 from masticfork.core.deadlines import Deadline
+from masticfork.core.http_status import is_interim
 
 # Longest time without data before a stream counts as stalled.
 STALL_SECONDS = 10.0
@@ -188,7 +189,7 @@
     def on_headers_complete(self) -> None:
         """Publish the status code of the final response; called by the parser."""
         status = self._parser.get_status_code()
-        self._is_interim = status < MIN_FINAL_STATUS
+        self._is_interim = is_interim(status)
         if self._is_interim:
             return
         self._streaming = status == _OK
--- a/masticfork/relay/response_reader.py
+++ b/masticfork/relay/response_reader.py
@@ -6,6 +6,7 @@
 import httptools
 
 from masticfork.core.forwarding import Header, ResponseHead
+from masticfork.core.http_status import is_interim
 
 # A response with more bytes of header names and values is treated as malformed.
 MAX_RESPONSE_HEAD_BYTES = 65536
@@ -127,7 +128,7 @@
         status = self._parser.get_status_code()
         headers, self._headers = self._headers, []
         status_reason, self._status_reason = self._status_reason, b""
-        if status < 200:
+        if is_interim(status):
             return
         head = self._decode(status, status_reason, headers)
         self._head = head
--- a/masticfork/store/connections.py
+++ b/masticfork/store/connections.py
@@ -11,6 +11,7 @@
 from result import Err, Ok, Result
 
 from masticfork.core.deadlines import Deadline
+from masticfork.core.http_status import is_interim
 
 # Maximum number of idle connections in a pool.
 MAX_IDLE_CONNECTIONS = 8
@@ -100,7 +101,7 @@
             connection.request(call.method, call.target, call.body, call.headers)
             stage = Stage.SENT
             self._set_timeout(connection, call.deadline)
-            received = connection.getresponse()
+            received = _final_response(connection)
             stage, status = Stage.ANSWERED, received.status
             headers = {name.lower(): value for name, value in received.getheaders()}
             response = HttpResponse(
@@ -153,6 +154,19 @@
             connection.sock.settimeout(remaining)
 
 
+def _final_response(
+    connection: http.client.HTTPConnection,
+) -> http.client.HTTPResponse:
+    """Return the response; raise HTTPException if it is an interim one.
+
+    `http.client` takes it for the final response, which is still to come.
+    """
+    response = connection.getresponse()
+    if is_interim(response.status):
+        raise http.client.HTTPException(f"interim response {response.status}")
+    return response
+
+
 def _enable_keepalive_probes(connection: http.client.HTTPConnection) -> None:
     """Detect a server that disappears without a reset while its response is awaited."""
     sock: socket.socket = connection.sock
--- a/masticfork/store/http_test.py
+++ b/masticfork/store/http_test.py
@@ -18,6 +18,7 @@
 
 CREATED = response(201, b'{"key": "k", "version": 7}')
 OBJECT = response(200, b'{"key": "k", "version": 7, "value": {"n": 1}}')
+INTERIM = b"HTTP/1.1 103 Early Hints\r\n\r\n"
 
 
 class ScriptedServer:
@@ -96,6 +97,7 @@
     (b"", ErrorKind.UNKNOWN),
     (b"HTTP/1.1 20", ErrorKind.UNKNOWN),
     (CREATED[:-5], ErrorKind.UNKNOWN),
+    (INTERIM, ErrorKind.UNKNOWN),
     (b"nonsense\r\n\r\n", ErrorKind.UNKNOWN),
     (response(201, b"not json"), ErrorKind.UNKNOWN),
     (response(500), ErrorKind.UNKNOWN),
@@ -158,6 +160,15 @@
         assert server.requests == 3
         assert store.counter.calls() == {CallKind.GET: 3}
 
+    def test_final_response_after_an_interim_one_reaches_no_other_call(
+        self, start_server
+    ):
+        """Guards against a connection that is used again with a response to come."""
+        newer = response(200, b'{"key": "k", "version": 8, "value": {"n": 2}}')
+        store, _ = start_server([INTERIM, OBJECT], [newer])
+        assert store.create("k", {"n": 1}, make_deadline()).is_err()
+        assert store.get("k", make_deadline()).unwrap().version == 8
+
     @pytest.mark.parametrize("step", ["close unread", b"", OBJECT[:-3], response(500)])
     def test_failure_is_unavailable(self, start_server, step):
         store, _ = start_server([step], [step])
