Ignore bytes after the response of a generation

A generation whose complete response was followed by more bytes in the same piece of data (a second response, or bytes that are none) counted as failed after its last token, so it was resumed or run again. If they were the beginning of a second response, it succeeded, but its connection was used again with that response read in part: the next call on it failed.

The parser now stops at such bytes, and the connection is closed.

--- a/masticfork/backends/engine_stream.py
+++ b/masticfork/backends/engine_stream.py
@@ -147,7 +147,11 @@
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            self._failure = _failure(FailureKind.MALFORMED_ANSWER, repr(error))
+            if self._response_complete:
+                # Bytes after the response make the connection unfit for reuse.
+                self._keep_alive = False
+            else:
+                self._failure = _failure(FailureKind.MALFORMED_ANSWER, repr(error))
         return self._failure is None and not self._response_complete
 
     def check_timeouts(self, now: float) -> bool:
@@ -186,6 +190,11 @@
         if self._closed:
             self._release(self._connection, False)
 
+    def on_message_begin(self) -> None:
+        """Stop at a second response; called by the parser."""
+        if self._response_complete:
+            raise SecondResponseError
+
     def on_headers_complete(self) -> None:
         """Publish the status code of the final response; called by the parser."""
         status = self._parser.get_status_code()
@@ -248,6 +257,10 @@
         self.failure = failure
 
 
+class SecondResponseError(Exception):
+    """Stops the parser, since what follows the response belongs to no request."""
+
+
 def _failure(kind: FailureKind, message: str) -> CallFailure:
     return CallFailure(Stage.ANSWERING, kind, message)
 
--- /dev/null
+++ b/masticfork/backends/engine_stream_test.py
@@ -0,0 +1,65 @@
+import http.client
+import socket
+
+import pytest
+
+from masticfork.backends.connections import Connection
+from masticfork.backends.engine_stream import EngineStream
+from masticfork.core.deadlines import Deadline
+
+FRAMES = b"id: 1\ndata: a\n\ndata: [DONE]\n\n"
+RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(FRAMES), FRAMES)
+
+
+class StreamOnSocket:
+    """A generation stream whose bytes the test feeds in place of the reader thread."""
+
+    def __init__(self):
+        self.sockets = socket.socketpair()
+        http_connection = http.client.HTTPConnection("127.0.0.1")
+        http_connection.sock = self.sockets[0]
+        deadline = Deadline.after(0.0, 5.0)
+        connection = Connection(http_connection, fresh=True, idle_deadline=deadline)
+        self.released = []
+        self.stream = EngineStream(
+            connection,
+            deadline,
+            lambda: 0.0,
+            lambda _, reuse: self.released.append(reuse),
+        )
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        for sock in self.sockets:
+            sock.close()
+
+    def feed(self, data):
+        """Feed data as the reader thread does."""
+        if not self.stream.feed(data):
+            self.stream.finish()
+
+    def frames(self):
+        received = []
+        failure = self.stream.forward_frames(lambda f: received.append(f.raw))
+        return received, failure
+
+
+class TestEngineStream:
+    @pytest.mark.parametrize(
+        "extra", [b"x", b"HTTP/1.1 200 OK\r\nX-", RESPONSE, RESPONSE[:60]]
+    )
+    def test_bytes_after_the_response_are_ignored(self, extra):
+        """Guards against a second response that fails the first or the next one."""
+        with StreamOnSocket() as on_socket:
+            on_socket.feed(RESPONSE + extra)
+            assert on_socket.frames() == ([b"id: 1\ndata: a"], None)
+            on_socket.stream.close()
+            assert on_socket.released == [False]
+
+    def test_connection_of_a_complete_response_is_released_for_reuse(self):
+        with StreamOnSocket() as on_socket:
+            on_socket.feed(RESPONSE)
+            on_socket.stream.close()
+            assert on_socket.released == [True]
