Release the connection of a generation once

The thread that handles a request may return a complete generation's connection to the pool while the reader thread is still reporting the end of the stream. The reader then saw that the stream was closed, and closed the connection, which another request may already have been using: that request failed, and its descriptor could be given to yet another connection.

Whichever thread comes first now decides. The test, which closes the stream at that moment, fails on the code before: released for reuse, then closed.

--- a/masticfork/backends/engine_stream.py
+++ b/masticfork/backends/engine_stream.py
@@ -76,6 +76,7 @@
         self._keep_alive = False
         self._done_seen = False
         self._closed = False
+        self._released = False
 
     @property
     def socket(self) -> socket.socket:
@@ -123,7 +124,7 @@
         self._closed = True
         reusable = self._response_complete and self._end_future.done()
         if reusable and self._keep_alive:
-            self._release(self._connection, True)
+            self._release_once(True)
             return
         # The shutdown wakes the reader thread, which then unregisters the stream.
         try:
@@ -131,7 +132,7 @@
         except OSError:
             self._response_complete = False
         if self._end_future.done():
-            self._release(self._connection, False)
+            self._release_once(False)
 
     def feed(self, data: bytes) -> bool:
         """Parse bytes from the connection; none mean that it was closed."""
@@ -188,7 +189,7 @@
         if not self._end_future.done():
             self._end_future.set_result(self._failure)
         if self._closed:
-            self._release(self._connection, False)
+            self._release_once(False)
 
     def on_message_begin(self) -> None:
         """Stop at a second response; called by the parser."""
@@ -233,6 +234,14 @@
                 return None
         return self._sink(frame)
 
+    def _release_once(self, reusable: bool) -> None:
+        """Release the connection unless the other thread has just done so."""
+        with self._lock:
+            if self._released:
+                return
+            self._released = True
+        self._release(self._connection, reusable)
+
     def _on_connection_closed(self) -> None:
         # A response without a length ends when the connection is closed.
         self._response_complete = self._response_complete or (
--- a/masticfork/backends/engine_stream_test.py
+++ b/masticfork/backends/engine_stream_test.py
@@ -1,5 +1,6 @@
 import http.client
 import socket
+from concurrent.futures import Future
 
 import pytest
 
@@ -63,3 +64,17 @@
             on_socket.feed(RESPONSE)
             on_socket.stream.close()
             assert on_socket.released == [True]
+
+    def test_connection_in_use_again_is_not_closed(self, monkeypatch):
+        """Guards against a close while the reader thread reports the end."""
+        with StreamOnSocket() as on_socket:
+            set_result = Future.set_result
+
+            def close_first(future, result):
+                set_result(future, result)
+                if result is None:
+                    on_socket.stream.close()
+
+            monkeypatch.setattr(Future, "set_result", close_first)
+            on_socket.feed(RESPONSE)
+            assert on_socket.released == [True]
