--- a/masticfork/core/forwarding.py
+++ b/masticfork/core/forwarding.py
@@ -61,6 +61,11 @@
         """Return the path without the query."""
         return self.target.split(b"?", 1)[0].decode("latin-1")
 
+    @property
+    def is_head_request(self) -> bool:
+        """Return whether the response has no body, whatever its Content-Length."""
+        return self.method == b"HEAD"
+
 
 @attrs.frozen
 class Dispatch:
--- a/masticfork/relay/caller.py
+++ b/masticfork/relay/caller.py
@@ -326,7 +326,7 @@
         queued = self._queued_requests.popleft()
         request = queued.request
         self._cancel_timer()
-        self._is_head_request = request.method == b"HEAD"
+        self._is_head_request = request.is_head_request
         self._accepts_chunks = queued.accepts_chunks
         self._close_after_response = not queued.keep_alive or self._rejected
         # An exchange may end before `begin_exchange` returns.
@@ -343,8 +343,8 @@
         self._rejected = True
         self._partial_request = None
         if self.busy:
-            # The request in progress is answered first; then the connection closes.
-            self._queued_requests.clear()
+            # The request in progress, or the first one queued, is answered first; then
+            # the connection closes.
             self._close_after_response = True
             return
         self._close_after_response = True
@@ -406,6 +406,7 @@
 
     def _close_when_sent(self) -> None:
         self._cancel_timer()
+        self._queued_requests.clear()
         self._channel.owner = None
         self._channel.close_when_sent()
         self._host.remove_connection(self)
--- a/masticfork/relay/response_reader.py
+++ b/masticfork/relay/response_reader.py
@@ -6,6 +6,7 @@
 import httptools
 
 from masticfork.core.forwarding import Header, ResponseHead, may_have_body
+from masticfork.core.http_status import is_interim
 
 # A response with a larger head, including interim (1xx) responses and empty lines ahead
 # of it, is treated as malformed.
@@ -119,7 +120,7 @@
             self._has_extra_bytes = True
         except httptools.HttpParserError as error:
             if not self._done:
-                raise MalformedResponseError(str(error)) from error
+                raise MalformedResponseError(repr(error)) from error
             self._has_extra_bytes = True
 
     def feed_end(self) -> bool:
@@ -155,7 +156,7 @@
         status = self._parser.get_status_code()
         headers, self._headers = self._headers, []
         status_reason, self._status_reason = self._status_reason, b""
-        if status < 200:
+        if is_interim(status):
             return
         head = self._decode(status, status_reason, headers)
         self._head = head
@@ -167,8 +168,10 @@
             self._finish()
 
     def on_body(self, data: bytes) -> None:
-        """Collect a part of the body."""
-        if not self._done:
+        """Collect a part of the body, unless the response is complete."""
+        if self._done:
+            self._has_extra_bytes = True
+        else:
             self._body_bytes += len(data)
             self._body_parts.append(data)
 
--- a/standins/fake_exchange.py
+++ b/standins/fake_exchange.py
@@ -56,6 +56,7 @@
     def __init__(self) -> None:
         self.status: int | None = None
         self.final_responses = 0
+        self.aborted = False
         self.body = b""
 
     def start_response(self, head: ResponseHead, length: int | None) -> None:
@@ -72,6 +73,7 @@
 
     def abort_response(self) -> None:
         """Count a response that ends early."""
+        self.aborted = True
         self.final_responses += 1
 
     def send_error(self, status: http.HTTPStatus, headers: list[Header]) -> None:
@@ -90,6 +92,7 @@
         self.retry_allowed = True
         self.ended_exchanges = 0
         self.quarantine: QuarantinedPart | None = None
+        self.started_responses = 0
         self._rows = [_server_row(number) for number in range(SERVER_COUNT)]
 
     def choose_server(
@@ -131,7 +134,8 @@
         """Do nothing."""
 
     def on_response_started(self, record: CallRecord, head: ResponseHead) -> None:
-        """Do nothing."""
+        """Count a response."""
+        self.started_responses += 1
 
     def on_answered(self, record: CallRecord) -> None:
         """Do nothing."""
