Suspect prompt parts that were never answered before all others

What callers could see: all requests of a class refused for five minutes, while the part that crashes servers goes unfound.

Cause: the part that explains most crashes was chosen, whether it had ever been answered or not. The first part of a class is in nearly all crashes. If no answer begins between some of them, as where all servers crash or have just come back, it explains each crash that the deadly part explains, and any other one as well: a server that was killed, or one where the deadly request had just left for a larger model. A tie was decided for the part that was never answered; one crash more, and the sound part was chosen.

Now parts that were never answered and explain enough crashes come first; parts that were answered before are looked at only if there is no such part.

The test failed before with {1} == {2}: the common part in quarantine in place of the deadly one.

--- a/masticfork/systems/crash_quarantine.py
+++ b/masticfork/systems/crash_quarantine.py
@@ -182,30 +182,34 @@
         self._released.append(quarantine)
 
     def _main_suspect(self, now: float) -> int | None:
-        """Return the part that explains most crashes, None if there are too few."""
+        """Return the part that explains most crashes, None if there are too few.
+
+        Parts that were never answered come first: an answer shows that a part was
+        sound, and parts that many requests share are in most crashes by chance.
+        """
         suspects = self._unexplained_suspects(now)
-        counts = {part: _count_incidents(seen) for part, seen in suspects.items()}
-        highest = max(counts.values(), default=0)
-        if highest < MIN_CRASHES:
-            return None
-        tied = [part for part, count in counts.items() if count == highest]
-        # A part that has been answered before is less likely to be the cause.
-        unanswered = [part for part in tied if part not in self._answered_at]
-        if len(tied) > 1 and not unanswered and highest < MIN_CRASHES_OF_ANSWERED_PARTS:
+        counts = {
+            part: count
+            for part, seen in suspects.items()
+            if (count := _count_incidents(seen)) >= MIN_CRASHES
+        }
+        unanswered = counts.keys() - self._answered_at.keys()
+        candidates = unanswered or counts.keys()
+        highest = max((counts[part] for part in candidates), default=0)
+        tied = [part for part in candidates if counts[part] == highest]
+        needs_more = not unanswered and highest < MIN_CRASHES_OF_ANSWERED_PARTS
+        if not tied or (len(tied) > 1 and needs_more):
             return None
-        return min(
-            unanswered or tied,
-            key=lambda part: self._guilt_order(part, suspects[part]),
-        )
+        return min(tied, key=lambda part: self._guilt_order(part, suspects[part]))
 
     def _guilt_order(
         self, part: int, observations: list[_Observation]
     ) -> tuple[float, int]:
         """Return a sort key by which the most suspicious of tied parts comes first.
 
-        A part that was answered long ago or never comes before one that was answered
-        recently, and a later part of the prompts before an earlier one, which is held
-        by more requests.
+        A part that was answered long ago comes before one that was answered recently,
+        and a later part of the prompts before an earlier one, which is held by more
+        requests.
         """
         answered_at = self._answered_at.get(part, float("-inf"))
         return answered_at, -max(item.position for item in observations)
--- a/masticfork/systems/crash_quarantine_test.py
+++ b/masticfork/systems/crash_quarantine_test.py
@@ -105,6 +105,15 @@
             crash(quarantine, [COMMON, DEADLY], number + 1.0)
         assert quarantined(quarantine, MIN_CRASHES + 2.0) == {DEADLY}
 
+    def test_part_never_answered_comes_before_one_in_more_crashes(self):
+        """Guards against another crash, before any answer, that condemns a class."""
+        quarantine = CrashQuarantine()
+        quarantine.record_answer([COMMON], 7, 0.0)
+        crash(quarantine, [COMMON], 1.0)
+        for number in range(MIN_CRASHES):
+            crash(quarantine, [COMMON, DEADLY], number + 2.0)
+        assert quarantined(quarantine, MIN_CRASHES + 3.0) == {DEADLY}
+
     def test_without_answers_the_later_part_is_chosen(self):
         """Guards against servers that all crash before any answer tells parts apart."""
         quarantine = CrashQuarantine()
