Find a prompt part that crashes all servers at once after two crashes

Cause: crashes within 0.25 s count as one, since servers of a rack fail together, and three are needed. Where a third of a class's requests hold the part, all servers crash within a second: five crashes, but two that can be told apart. The third one comes when the servers are back, and by then more servers have been sent such requests.

Now two crashes suffice if they took four servers or more, for a part that was never answered and only on a host that knows answers of other parts in those crashes: one that was just started as all servers are lost has none.

--- a/masticfork/systems/crash_quarantine.py
+++ b/masticfork/systems/crash_quarantine.py
@@ -24,6 +24,10 @@
 # Crashes after which a part is put into quarantine, and crashes after which one of
 # several parts that explain the same number is, if all have been answered before.
 MIN_CRASHES, MIN_CRASHES_OF_ANSWERED_PARTS = 3, 5
+# Crashes after which a part that was never answered is put into quarantine if they took
+# many servers, and the number of these: where many requests hold a deadly part, all
+# servers crash within a second, and the next ones only when they are back.
+MIN_INCIDENTS_OF_MANY_SERVERS, MANY_SERVERS = 2, 4
 OBSERVATION_LIFETIME_SECONDS = 60.0
 # Time for which this host repeats an observation to the others.
 REPORT_SECONDS = 4.0
@@ -188,12 +192,20 @@
         sound, and parts that many requests share are in most crashes by chance.
         """
         suspects = self._unexplained_suspects(now)
+        unanswered = suspects.keys() - self._answered_at.keys()
+        # A host that was just started has no answers by which to tell parts apart.
+        suspicious = unanswered if len(unanswered) < len(suspects) else set()
         counts = {
             part: count
             for part, seen in suspects.items()
             if (count := _count_incidents(seen)) >= MIN_CRASHES
+            or (
+                part in suspicious
+                and count >= MIN_INCIDENTS_OF_MANY_SERVERS
+                and len(seen) >= MANY_SERVERS
+            )
         }
-        unanswered = counts.keys() - self._answered_at.keys()
+        unanswered &= counts.keys()
         candidates = unanswered or counts.keys()
         highest = max((counts[part] for part in candidates), default=0)
         tied = [part for part in candidates if counts[part] == highest]
--- a/masticfork/systems/crash_quarantine_test.py
+++ b/masticfork/systems/crash_quarantine_test.py
@@ -8,6 +8,7 @@
 from masticfork.core.crash_reports import CrashReport
 from masticfork.systems.crash_quarantine import (
     INCIDENT_SECONDS,
+    MANY_SERVERS,
     MAX_OBSERVATIONS,
     MAX_REPORTED,
     MIN_CRASHES,
@@ -64,6 +65,29 @@
             crash(quarantine, [OTHER], 1.0 + number * INCIDENT_SECONDS / 10)
         assert not quarantined(quarantine, 5.0)
 
+    def test_part_on_many_crashed_servers_needs_only_two_incidents(self):
+        """Guards against deadly requests that come faster than crashes can be told."""
+        quarantine = CrashQuarantine()
+        quarantine.record_answer([COMMON], 7, 0.0)
+        for server in range(MANY_SERVERS):
+            assert not quarantined(quarantine, 3.0)
+            crash(quarantine, [COMMON, DEADLY], 1.0 + server % 2 * INCIDENT_SECONDS)
+        assert quarantined(quarantine, 3.0) == {DEADLY}
+
+    def test_host_without_memory_of_answers_needs_all_incidents(self):
+        """Guards against a host that was just started as all servers are lost."""
+        quarantine = CrashQuarantine()
+        for server in range(2 * MANY_SERVERS):
+            crash(quarantine, [COMMON, OTHER], 1.0 + server % 2 * INCIDENT_SECONDS)
+        assert not quarantined(quarantine, 3.0)
+
+    def test_two_lost_racks_condemn_no_part_that_was_answered_before(self):
+        quarantine = CrashQuarantine()
+        quarantine.record_answer([COMMON], 7, 0.0)
+        for server in range(2 * MANY_SERVERS):
+            crash(quarantine, [COMMON], 1.0 + server % 2 * INCIDENT_SECONDS)
+        assert not quarantined(quarantine, 3.0)
+
     def test_crash_that_a_quarantined_part_explains_accuses_no_other(self):
         quarantine = CrashQuarantine()
         for number in range(6):
@@ -292,6 +316,29 @@
                 receiver.apply_report(report, self.now)
 
 
+def play(fleet, rate, share, since=0.0, seconds=30.0):
+    """Send requests of one class; from `since` on, a share holds the deadly part."""
+    rng, step = fleet.rng, 0.05
+    for tick in range(round(seconds / step)):
+        fleet.step(step)
+        for _ in range(sum(rng.random() < 0.1 for _ in range(int(rate * step * 10)))):
+            topic = 100 + rng.randrange(40)
+            parts = [COMMON, topic]
+            if rng.random() < share and fleet.now > since:
+                parts = [COMMON, topic, DEADLY]
+            fleet.send(parts)
+        if tick % 6 == 0:
+            fleet.exchange_reports()
+
+
+def check_that_deadly_requests_stopped(fleet):
+    if len(fleet.crashes) >= 5:
+        limit = fleet.crashes[4] + 3.0
+        assert sum(at > limit for at in fleet.deadly_sends) <= 3
+    assert all(set(host.quarantines) <= {DEADLY} for host in fleet.hosts)
+    assert fleet.sound_refused == 0
+
+
 class TestFleetUnderADeadlyPart:
     """A share of one class of requests holds a part that crashes servers."""
 
@@ -304,21 +351,17 @@
         self, seed, hosts, servers, rate, share
     ):
         fleet = Fleet(hosts, servers, random.Random(seed))
-        rng, step = fleet.rng, 0.05
-        for tick in range(600):
-            fleet.step(step)
-            for _ in range(
-                sum(rng.random() < 0.1 for _ in range(int(rate * step * 10)))
-            ):
-                topic = 100 + rng.randrange(40)
-                parts = [COMMON, topic]
-                if rng.random() < share:
-                    parts = [COMMON, topic, DEADLY]
-                fleet.send(parts)
-            if tick % 6 == 0:
-                fleet.exchange_reports()
-        if len(fleet.crashes) >= 5:
-            limit = fleet.crashes[4] + 3.0
-            assert sum(at > limit for at in fleet.deadly_sends) <= 3
-        assert all(set(host.quarantines) <= {DEADLY} for host in fleet.hosts)
-        assert fleet.sound_refused == 0
+        play(fleet, rate, share)
+        check_that_deadly_requests_stopped(fleet)
+
+    @pytest.mark.parametrize("seed", range(6))
+    @pytest.mark.parametrize(
+        ("servers", "rate", "share"), [(6, 22.0, 0.3), (12, 60.0, 0.6), (3, 60.0, 0.6)]
+    )
+    def test_requests_that_crash_all_servers_at_once_stop(
+        self, seed, servers, rate, share
+    ):
+        """Guards against servers that all crash before three crashes can be told."""
+        fleet = Fleet(4, servers, random.Random(seed))
+        play(fleet, rate, share, since=5.0)
+        check_that_deadly_requests_stopped(fleet)
