Take an answer as a sign of life from before it was read

Cause: an answer that begins at a server clears what was observed there up to that time, since a server that goes on answering has not crashed. It was dated at the loop iteration in which its first event was read. A crash and an answer of another call that the server sent before it are read in one iteration of a busy host, with one time, and the observation was dropped. A host that was frozen or slow reads such answers seconds late, and cleared the crashes meanwhile on all hosts, the deadly part among them.

An answer now proves its server alive no later than the iteration before the one in which it was read, less the time on the link, and no earlier than the call was sent. It still clears parts up to now: the deadly part is not answered. `record_answer` is split for this; the tests say the same with the new calls.

The tests failed before (the part was not put into quarantine): an answer read with each crash, and answers of three crashed servers read by a host that was frozen meanwhile. That a server which goes on answering is cleared passed before and passes now.

--- a/masticfork/relay/loop.py
+++ b/masticfork/relay/loop.py
@@ -47,7 +47,8 @@
 class Loop:
     """Runs socket handlers, timers and posted calls on one thread.
 
-    `now` is the time in seconds of CLOCK_BOOTTIME at which the current iteration began.
+    `now` is the time in seconds of CLOCK_BOOTTIME at which the current iteration began,
+    `previous_now` that of the iteration before.
     """
 
     def __init__(self) -> None:
@@ -64,7 +65,7 @@
         os.set_blocking(self._wakeup_write_fd, False)
         self._selector.register(self._wakeup_read_fd, selectors.EVENT_READ, None)
         self._running = True
-        self.now = now()
+        self.now = self.previous_now = now()
 
     @property
     def running(self) -> bool:
@@ -113,7 +114,7 @@
 
     def _run_once(self) -> None:
         ready = self._selector.select(self._select_timeout())
-        self.now = now()
+        self.previous_now, self.now = self.now, now()
         for key, events in ready:
             handler = key.data
             if handler is None:
--- a/masticfork/relay/prompt_quarantine.py
+++ b/masticfork/relay/prompt_quarantine.py
@@ -15,6 +15,8 @@
 
 # Parts of lost calls whose names are remembered for the log.
 MAX_NAMED_PARTS = 4096
+# Longest time that data takes from a server to this host, unless it is lost on the way.
+MAX_LINK_SECONDS = 0.02
 
 
 @attrs.define(eq=False)
@@ -47,7 +49,11 @@
         service = record.row.server.service
         parts = shared_parts(record.work.prompt)
         keys = [_part_key(service, part) for part in parts]
-        self._quarantine.record_answer(keys, record.row.notice.key, self._loop.now)
+        self._quarantine.record_answer(keys, self._loop.now)
+        # What is read now may have been sent by a server that has crashed since.
+        sent_after = self._loop.previous_now - MAX_LINK_SECONDS
+        alive_at = max(record.started_at, sent_after)
+        self._quarantine.record_alive(record.row.notice.key, alive_at)
 
     def part_of(
         self, service: str, prompt: tuple[PromptPart, ...]
--- a/masticfork/relay/prompt_quarantine_test.py
+++ b/masticfork/relay/prompt_quarantine_test.py
@@ -4,11 +4,23 @@
 
 import pytest
 
+from masticfork.core.forwarding import PromptPart
 from masticfork.core.routes import RouteKind
-from masticfork.relay.exchange import Exchange, QuarantinedPart
+from masticfork.relay.exchange import CallRecord, Exchange, QuarantinedPart
+from masticfork.relay.metrics import RelayMetrics
+from masticfork.relay.prompt_quarantine import MAX_LINK_SECONDS, PromptQuarantine
 from masticfork.relay.server_call import CallFailure, Stage
+from masticfork.systems.crash_quarantine import MIN_CRASHES
+from masticfork.systems.server_choice import Work
 from standins.entry_environment import ENGINES, running_entry_host
-from standins.fake_exchange import FakeCaller, FakeHost, caller_request, response_head
+from standins.fake_exchange import (
+    FakeCaller,
+    FakeHost,
+    caller_request,
+    response_head,
+    server_row,
+)
+from standins.fake_loop import FakeLoop
 from standins.scripted_server import CloseConnectionError, events
 from standins.typed_routes import typed_route
 
@@ -42,6 +54,63 @@
             assert env.logged("end", status=503, why="quarantined: prompt part dead")
 
 
+class TestSignsOfLife:
+    """Answers of a server that has lost a call with the deadly part."""
+
+    @pytest.fixture()
+    def loop(self):
+        return FakeLoop(100.0)
+
+    @pytest.fixture()
+    def quarantine(self, loop):
+        return PromptQuarantine(loop, RelayMetrics(), lambda *args, **fields: None)
+
+    def lose_call(self, quarantine, loop):
+        """Lose a call to a server of its own, and return another call there."""
+        row = server_row(round(loop.now * 10))
+        lost, other = (
+            CallRecord(row, Work("s", prompt=prompt), 0.0, loop.now - 1.0, 0.0)
+            for prompt in (
+                (PromptPart("dead", 20), PromptPart("b2", 20)),
+                (PromptPart("a1", 60), PromptPart("b3", 40)),
+            )
+        )
+        quarantine.record_crash(lost)
+        return other
+
+    def is_quarantined(self, quarantine, loop):
+        loop.advance(1.0)
+        quarantine.run()
+        return quarantine.part_of("s", (PromptPart("dead", 1), PromptPart("x", 1)))
+
+    def test_answer_read_together_with_the_crash_clears_nothing(self, quarantine, loop):
+        """Guards against answers sent before a crash that are read at its time."""
+        for _ in range(MIN_CRASHES):
+            loop.advance(1.0)
+            quarantine.record_answer(self.lose_call(quarantine, loop))
+        assert self.is_quarantined(quarantine, loop)
+
+    def test_answer_read_by_a_host_that_was_frozen_clears_nothing(
+        self, quarantine, loop
+    ):
+        """Guards against answers that waited for the host while the server crashed."""
+        answered = []
+        for _ in range(MIN_CRASHES):
+            answered.append(self.lose_call(quarantine, loop))
+            loop.now += 0.5
+        for record in answered:
+            quarantine.record_answer(record)
+        assert self.is_quarantined(quarantine, loop)
+
+    def test_server_that_goes_on_answering_has_not_crashed(self, quarantine, loop):
+        for _ in range(MIN_CRASHES):
+            answered = self.lose_call(quarantine, loop)
+            loop.advance(MAX_LINK_SECONDS)
+            loop.advance(0.1)
+            quarantine.record_answer(answered)
+        assert not self.is_quarantined(quarantine, loop)
+
+
 class TestExchangesUnderWay:
     @pytest.fixture()
     def exchange(self):
--- a/masticfork/systems/crash_quarantine.py
+++ b/masticfork/systems/crash_quarantine.py
@@ -106,10 +106,14 @@
         for position, part in enumerate(parts):
             self._observe(_Observation(part, server, position, now, own=True))
 
-    def record_answer(self, parts: Iterable[int], server: int, now: float) -> None:
+    def record_answer(self, parts: Iterable[int], now: float) -> None:
         """Record that the answer to a request with these parts has begun."""
-        for key in (*parts, server):
-            self._clear(key, now)
+        for part in parts:
+            self._clear(part, now)
+
+    def record_alive(self, server: int, at: float) -> None:
+        """Record that a server was running at a time."""
+        self._clear(server, at)
 
     def apply_report(self, report: CrashReport, now: float) -> None:
         """Apply what another host has observed."""
--- a/masticfork/systems/crash_quarantine_test.py
+++ b/masticfork/systems/crash_quarantine_test.py
@@ -47,7 +47,7 @@
         quarantine = CrashQuarantine()
         for number in range(MIN_CRASHES):
             crash(quarantine, [COMMON, DEADLY], float(number))
-            quarantine.record_answer([COMMON], 7, number + 0.5)
+            quarantine.record_answer([COMMON], number + 0.5)
         assert quarantined(quarantine, MIN_CRASHES + 1.0) == {DEADLY}
 
     def test_answer_of_the_server_shows_that_it_did_not_crash(self):
@@ -55,7 +55,7 @@
         quarantine = CrashQuarantine()
         for number in range(9):
             quarantine.record_crash([OTHER], 50 + number, float(number))
-            quarantine.record_answer([], 50 + number, number + 0.1)
+            quarantine.record_alive(50 + number, number + 0.1)
         assert not quarantined(quarantine, 10.0)
 
     def test_crashes_at_the_same_time_count_as_one(self):
@@ -68,7 +68,7 @@
     def test_part_on_many_crashed_servers_needs_only_two_incidents(self):
         """Guards against deadly requests that come faster than crashes can be told."""
         quarantine = CrashQuarantine()
-        quarantine.record_answer([COMMON], 7, 0.0)
+        quarantine.record_answer([COMMON], 0.0)
         for server in range(MANY_SERVERS):
             assert not quarantined(quarantine, 3.0)
             crash(quarantine, [COMMON, DEADLY], 1.0 + server % 2 * INCIDENT_SECONDS)
@@ -83,7 +83,7 @@
 
     def test_two_lost_racks_condemn_no_part_that_was_answered_before(self):
         quarantine = CrashQuarantine()
-        quarantine.record_answer([COMMON], 7, 0.0)
+        quarantine.record_answer([COMMON], 0.0)
         for server in range(2 * MANY_SERVERS):
             crash(quarantine, [COMMON], 1.0 + server % 2 * INCIDENT_SECONDS)
         assert not quarantined(quarantine, 3.0)
@@ -124,7 +124,7 @@
 class TestPartsOfTheSameRequests:
     def test_part_that_was_never_answered_is_chosen_at_once(self):
         quarantine = CrashQuarantine()
-        quarantine.record_answer([COMMON], 7, 0.0)
+        quarantine.record_answer([COMMON], 0.0)
         for number in range(MIN_CRASHES):
             crash(quarantine, [COMMON, DEADLY], number + 1.0)
         assert quarantined(quarantine, MIN_CRASHES + 2.0) == {DEADLY}
@@ -132,7 +132,7 @@
     def test_part_never_answered_comes_before_one_in_more_crashes(self):
         """Guards against another crash, before any answer, that condemns a class."""
         quarantine = CrashQuarantine()
-        quarantine.record_answer([COMMON], 7, 0.0)
+        quarantine.record_answer([COMMON], 0.0)
         crash(quarantine, [COMMON], 1.0)
         for number in range(MIN_CRASHES):
             crash(quarantine, [COMMON, DEADLY], number + 2.0)
@@ -147,8 +147,8 @@
 
     def test_part_that_turned_deadly_is_the_one_answered_longest_ago(self):
         quarantine = CrashQuarantine()
-        quarantine.record_answer([DEADLY], 7, 0.0)
-        quarantine.record_answer([COMMON], 7, 0.5)
+        quarantine.record_answer([DEADLY], 0.0)
+        quarantine.record_answer([COMMON], 0.5)
         for number in range(MIN_CRASHES_OF_ANSWERED_PARTS):
             assert not quarantined(quarantine, number + 0.9)
             crash(quarantine, [DEADLY, COMMON], number + 1.0)
@@ -181,7 +181,7 @@
             crash(first, [OTHER], float(number))
         assert quarantined(first, 5.0) == {OTHER}
         second.apply_report(first.report(5.1), 5.1)
-        first.record_answer([OTHER], 7, 5.2)
+        first.record_answer([OTHER], 5.2)
         assert not quarantined(first, 5.3)
         first.apply_report(second.report(5.3), 5.3)
         second.apply_report(first.report(5.4), 5.4)
@@ -225,7 +225,7 @@
         for number in range(MIN_CRASHES):
             crash(first, [COMMON], float(number))
         second.apply_report(first.report(2.1), 2.1)
-        second.record_answer([COMMON], 7, 2.2)
+        second.record_answer([COMMON], 2.2)
         first.apply_report(second.report(2.3), 2.3)
         assert not quarantined(first, 5.0)
 
@@ -235,7 +235,7 @@
         crash(first, [COMMON], 1.0)
         report = first.report(1.1)
         second.apply_report(report, 1.1)
-        second.record_answer([COMMON], 7, 1.2)
+        second.record_answer([COMMON], 1.2)
         second.apply_report(attrs.evolve(report), 1.1)
         second.apply_report(first.report(1.3), 1.3)
         assert not second._observations
@@ -296,7 +296,8 @@
     def begin_answer(self, call):
         _, incarnation, server, host, parts, _ = call
         if DEADLY not in parts:
-            host.record_answer(parts, incarnation, self.now)
+            host.record_answer(parts, self.now)
+            host.record_alive(incarnation, self.now)
             return
         self.crashes.append(self.now)
         lost = [f for f in self.in_flight if f[1] == incarnation]
--- a/standins/fake_exchange.py
+++ b/standins/fake_exchange.py
@@ -90,7 +90,7 @@
         self.retry_allowed = True
         self.ended_exchanges = 0
         self.quarantine: QuarantinedPart | None = None
-        self._rows = [_server_row(number) for number in range(SERVER_COUNT)]
+        self._rows = [server_row(number) for number in range(SERVER_COUNT)]
 
     def choose_server(
         self, service: str, work: Work, session: str, tried_servers: set[str]
@@ -166,7 +166,8 @@
         """Do nothing."""
 
 
-def _server_row(number: int) -> ServerRow:
+def server_row(number: int) -> ServerRow:
+    """Return the row of a server."""
     address = Address("127.0.0.1", 1000 + number)
     server = BackendServer(f"i-{number}", "s", address, "zone-a", "v1", 6, False)
     # Calls are faked, so no connection is ever opened.
--- a/standins/fake_loop.py
+++ b/standins/fake_loop.py
@@ -9,7 +9,7 @@
     """Runs posted callbacks immediately, and timers as the clock is advanced."""
 
     def __init__(self, now: float = 0.0) -> None:
-        self.now = now
+        self.now = self.previous_now = now
         self._timers: list[Timer] = []
 
     def call_at(self, at: float, call: Callable[[], None]) -> Timer:
@@ -28,7 +28,7 @@
 
     def advance(self, seconds: float) -> None:
         """Advance the clock and run the timers that are due."""
-        self.now += seconds
+        self.previous_now, self.now = self.now, self.now + seconds
         due = [timer for timer in self._timers if timer.at <= self.now]
         self._timers = [timer for timer in self._timers if timer.at > self.now]
         for timer in due:
