Let an answer after the last crash end a quarantine on all hosts

What callers could see: a sound part refused for five minutes, by one host or by all of them, though it is answered meanwhile.

Cause: a host that knows a later answer did not adopt the quarantine, but kept this to itself: a clearance was told only if it cleared an observation of that host. The host that had decided, cut off or frozen at the time, refuses all requests with the part, so it sees no answer of its own. And an answer counted only if it was later than the quarantine's beginning as the receiver computes it, which is later than the decision by the digest's time on the way: an answer in between ended nothing, and the host that had released the part took it back from the next digest.

Now a host tells of the answer when it is told of a quarantine that the answer refutes, for as long as clearances are told. An answer counts if it is later than the crashes that led to the quarantine, which are at least SETTLING_SECONDS older than the decision. A deadly part is not answered, so its quarantines are not touched.

Both tests failed before: the part stayed in quarantine at the host that had been cut off, and was adopted by a host that had an answer 20 ms after the decision.

--- a/masticfork/systems/crash_quarantine.py
+++ b/masticfork/systems/crash_quarantine.py
@@ -52,6 +52,11 @@
         """Return the time at which the quarantine began on the host that found it."""
         return self.until - QUARANTINE_SECONDS
 
+    @property
+    def evidence_until(self) -> float:
+        """Return a time after all crashes that count; later answers refute them."""
+        return self.since - SETTLING_SECONDS
+
 
 @attrs.frozen
 class QuarantineChanges:
@@ -73,6 +78,14 @@
     own: bool
 
 
+@attrs.frozen
+class _Clearance:
+    """An answer that other hosts are told of."""
+
+    answered_at: float
+    told_until: float
+
+
 @attrs.define(eq=False)
 class CrashQuarantine:
     """The prompt parts under suspicion, and those in quarantine.
@@ -90,7 +103,7 @@
     # Latest time at which a part, or a server, was seen to produce an answer.
     _answered_at: OrderedDict[int, float] = attrs.field(factory=OrderedDict)
     # Answers that clear an observation, to be told to other hosts.
-    _clearances: dict[int, float] = attrs.field(factory=dict)
+    _clearances: dict[int, _Clearance] = attrs.field(factory=dict)
     _quarantines: dict[int, PartQuarantine] = attrs.field(factory=dict)
     # Quarantines that have begun or ended and that `run` has not returned yet.
     _added: list[PartQuarantine] = attrs.field(factory=list)
@@ -127,7 +140,9 @@
         for part, seconds_left in report.quarantined.items():
             quarantine = PartQuarantine(part, now + seconds_left)
             answered_at = self._answered_at.get(part, float("-inf"))
-            if part not in self._quarantines and answered_at < quarantine.since:
+            if answered_at > quarantine.evidence_until:
+                self._clearances[part] = _Clearance(answered_at, now + REPORT_SECONDS)
+            elif part not in self._quarantines:
                 self._quarantines[part] = quarantine
                 self._added.append(quarantine)
 
@@ -146,8 +161,8 @@
                 for item in recent[:MAX_REPORTED]
             ),
             {
-                key: now - at
-                for key, at in list(self._clearances.items())[-MAX_REPORTED:]
+                key: now - item.answered_at
+                for key, item in list(self._clearances.items())[-MAX_REPORTED:]
             },
             {part: item.until - now for part, item in self._quarantines.items()},
         )
@@ -160,7 +175,7 @@
         for item in [i for i in self._observations.values() if i.at <= oldest]:
             self._forget(item)
         self._clearances = {
-            key: at for key, at in self._clearances.items() if now - at < REPORT_SECONDS
+            key: item for key, item in self._clearances.items() if now < item.told_until
         }
         for quarantine in list(self._quarantines.values()):
             if quarantine.until <= now:
@@ -276,11 +291,11 @@
         for item in cleared:
             self._forget(item)
         quarantine = self._quarantines.get(key)
-        if quarantine is not None and quarantine.since < at:
+        if quarantine is not None and quarantine.evidence_until < at:
             self._release(quarantine)
         elif not cleared:
             return
-        self._clearances[key] = at
+        self._clearances[key] = _Clearance(at, at + REPORT_SECONDS)
 
 
 def _count_incidents(observations: list[_Observation]) -> int:
--- a/masticfork/systems/crash_quarantine_test.py
+++ b/masticfork/systems/crash_quarantine_test.py
@@ -188,6 +188,32 @@
         assert not quarantined(first, 5.5)
         assert not quarantined(second, 5.5)
 
+    def test_host_that_was_cut_off_learns_that_a_part_was_answered(self):
+        """Guards against a wrong quarantine that one host alone keeps to its end."""
+        cut_off, other = CrashQuarantine(), CrashQuarantine()
+        for number in range(MIN_CRASHES):
+            crash(cut_off, [OTHER], float(number))
+        assert quarantined(cut_off, 5.0) == {OTHER}
+        other.record_answer([OTHER], 9.0)
+        other.run(9.0 + 2 * REPORT_SECONDS)
+        other.apply_report(cut_off.report(20.0), 20.0)
+        assert not quarantined(other, 20.1)
+        cut_off.apply_report(other.report(20.2), 20.2)
+        assert not quarantined(cut_off, 20.3)
+
+    def test_answer_on_the_way_of_a_quarantine_ends_it(self):
+        """Guards against answers that begin between a decision and its arrival."""
+        first, second = CrashQuarantine(), CrashQuarantine()
+        for number in range(MIN_CRASHES):
+            crash(first, [OTHER], float(number))
+        assert quarantined(first, 5.0) == {OTHER}
+        report = first.report(5.0)
+        second.record_answer([OTHER], 5.02)
+        second.apply_report(report, 5.1)
+        assert not quarantined(second, 5.2)
+        first.apply_report(second.report(5.2), 5.2)
+        assert not quarantined(first, 5.3)
+
     def test_part_that_explains_more_crashes_replaces_another(self):
         """Guards against a sound part that was held by the first deadly requests."""
         quarantine = CrashQuarantine()
