--- a/masticfork/backends/connections.py
+++ b/masticfork/backends/connections.py
@@ -11,6 +11,7 @@
 
 from masticfork.backends.failures import CallFailure, FailureKind, Stage
 from masticfork.core.deadlines import Deadline
+from masticfork.core.http_status import is_interim
 from masticfork.core.manifest import BackendServer
 
 MAX_IDLE_CONNECTIONS_PER_SERVER = 256
@@ -97,6 +98,14 @@
         except (OSError, http.client.HTTPException) as error:
             connection.http.close()
             return Err(CallFailure(Stage.SENT, FailureKind.CONNECTION, repr(error)))
+        if is_interim(response.status):
+            # `http.client` takes it for a final response and leaves that one unread.
+            connection.http.close()
+            message = f"interim response {response.status}"
+            failure = CallFailure(
+                Stage.ANSWERING, FailureKind.MALFORMED_ANSWER, message
+            )
+            return Err(failure)
         return Ok(OpenResponse(connection, response))
 
     def send(
@@ -122,6 +131,29 @@
             return sent
         return Ok(connection)
 
+    def finish(
+        self, server: BackendServer, opened: OpenResponse
+    ) -> Result[bytes, CallFailure]:
+        """Return the body of a response, and its connection to the pool.
+
+        The connection is closed if the body cannot be read as a whole.
+        """
+        try:
+            body = opened.response.read()
+        except TimeoutError:
+            opened.connection.http.close()
+            message = "reading the response timed out"
+            return Err(CallFailure(Stage.ANSWERING, FailureKind.TIMEOUT, message))
+        except (OSError, http.client.HTTPException) as error:
+            opened.connection.http.close()
+            name = type(error).__name__
+            return Err(CallFailure(Stage.ANSWERING, FailureKind.CONNECTION, name))
+        if opened.response.will_close:
+            opened.connection.http.close()
+        else:
+            self.release(server, opened.connection)
+        return Ok(body)
+
     def release(self, server: BackendServer, connection: Connection) -> None:
         """Return a connection to the pool; its response must be read completely."""
         idle_connection = attrs.evolve(
--- a/masticfork/backends/engine_stream.py
+++ b/masticfork/backends/engine_stream.py
@@ -12,6 +12,7 @@
 from masticfork.backends.connections import Connection
 from masticfork.backends.failures import CallFailure, FailureKind, Stage
 from masticfork.core.deadlines import Deadline
+from masticfork.core.http_status import is_interim
 
 # Longest time without data before a stream counts as stalled.
 STALL_SECONDS = 10.0
@@ -69,11 +70,13 @@
         self._lock = threading.Lock()
         self._undelivered: list[ServerSentEvent] = []
         self._sink: FrameSink | None = None
+        self._is_interim = False
         self._streaming = False
         self._response_complete = False
         self._keep_alive = False
         self._done_seen = False
         self._closed = False
+        self._released = False
 
     @property
     def socket(self) -> socket.socket:
@@ -121,7 +124,7 @@
         self._closed = True
         reusable = self._response_complete and self._end_future.done()
         if reusable and self._keep_alive:
-            self._release(self._connection, True)
+            self._release_once(True)
             return
         # The shutdown wakes the reader thread, which then unregisters the stream.
         try:
@@ -129,7 +132,7 @@
         except OSError:
             self._response_complete = False
         if self._end_future.done():
-            self._release(self._connection, False)
+            self._release_once(False)
 
     def feed(self, data: bytes) -> bool:
         """Parse bytes from the connection; none mean that it was closed."""
@@ -144,8 +147,12 @@
         self._stalls_at = self._now() + STALL_SECONDS
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError as error:
-            self._failure = _failure(FailureKind.MALFORMED_ANSWER, repr(error))
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            if self._response_complete:
+                # Bytes after the response make the connection unfit for reuse.
+                self._keep_alive = False
+            else:
+                self._failure = _failure(FailureKind.MALFORMED_ANSWER, repr(error))
         return self._failure is None and not self._response_complete
 
     def check_timeouts(self, now: float) -> bool:
@@ -182,11 +189,19 @@
         if not self._end_future.done():
             self._end_future.set_result(self._failure)
         if self._closed:
-            self._release(self._connection, False)
+            self._release_once(False)
+
+    def on_message_begin(self) -> None:
+        """Stop at a second response; called by the parser."""
+        if self._response_complete:
+            raise SecondResponseError
 
     def on_headers_complete(self) -> None:
-        """Publish the status code; called by the parser."""
+        """Publish the status code of the final response; called by the parser."""
         status = self._parser.get_status_code()
+        self._is_interim = is_interim(status)
+        if self._is_interim:
+            return
         self._streaming = status == _OK
         self._status_future.set_result(status)
 
@@ -203,7 +218,9 @@
                 self._failure = self._deliver(ServerSentEvent(raw, _parse_offset(raw)))
 
     def on_message_complete(self) -> None:
-        """Record the end of the response; called by the parser."""
+        """Record the end of the final response; called by the parser."""
+        if self._is_interim:
+            return
         self._response_complete = True
         # Asked for here, since the parser afterwards expects another response.
         self._keep_alive = self._parser.should_keep_alive()
@@ -217,6 +234,14 @@
                 return None
         return self._sink(frame)
 
+    def _release_once(self, reusable: bool) -> None:
+        """Release the connection unless the other thread has just done so."""
+        with self._lock:
+            if self._released:
+                return
+            self._released = True
+        self._release(self._connection, reusable)
+
     def _on_connection_closed(self) -> None:
         # A response without a length ends when the connection is closed.
         self._response_complete = self._response_complete or (
@@ -241,6 +266,10 @@
         self.failure = failure
 
 
+class SecondResponseError(Exception):
+    """Stops the parser, since what follows the response belongs to no request."""
+
+
 def _failure(kind: FailureKind, message: str) -> CallFailure:
     return CallFailure(Stage.ANSWERING, kind, message)
 
--- a/masticfork/core/forwarding.py
+++ b/masticfork/core/forwarding.py
@@ -4,6 +4,8 @@
 
 Header = tuple[bytes, bytes]
 
+_BODILESS_STATUSES = (204, 304)
+
 
 @attrs.frozen
 class PromptPart:
@@ -59,6 +61,11 @@
         """Return the path without the query."""
         return self.target.split(b"?", 1)[0].decode("latin-1")
 
+    @property
+    def is_head_request(self) -> bool:
+        """Return whether the response has no body, whatever its Content-Length."""
+        return self.method == b"HEAD"
+
 
 @attrs.frozen
 class Dispatch:
@@ -103,3 +110,8 @@
     chunked: bool
     # Headers that are forwarded to the caller unchanged.
     forwarded: tuple[Header, ...]
+
+
+def may_have_body(status: int, is_head_request: bool) -> bool:
+    """Return whether a final response may have a body, whatever its headers say."""
+    return not is_head_request and status not in _BODILESS_STATUSES
--- a/masticfork/relay/exchange.py
+++ b/masticfork/relay/exchange.py
@@ -238,6 +238,20 @@
     def _is_stream(self) -> bool:
         return self.route.kind is RouteKind.STREAM
 
+    @property
+    def _is_event_response(self) -> bool:
+        """Return whether the response consists of events, which another may continue.
+
+        Errors on streaming routes have an ordinary body.
+        """
+        head = self._response_head
+        return self._is_stream and head is not None and head.status < 300
+
+    @property
+    def _can_replace_call(self) -> bool:
+        """Return whether the response to the caller can come from another call."""
+        return not self._response_started or self._is_event_response
+
     @property
     def _session_key(self) -> str:
         """Return the caller's session id, or the attempt id if there is no session."""
@@ -277,11 +291,16 @@
         record = self._call_record
         if record is None:
             return
+        if not self._is_own(head):
+            attempt_id = head.attempt_id.decode("latin-1")
+            why = f"status {head.status} of attempt {attempt_id!r}"
+            self._fail_call(CallOutcome.BROKEN, why)
+            return
         record.head_received_at = self.host.loop.now
         self.host.on_response_started(record, head)
         outcome = self._classify_response(head)
         if outcome is not None:
-            self._fail_call(outcome, self._describe_unusable(head))
+            self._fail_call(outcome, f"status {head.status}")
             return
         larger_index = self._larger_model_index(head)
         if larger_index is not None:
@@ -304,7 +323,7 @@
         record = self._call_record
         if record is None or self._response_head is None:
             return
-        if not self._is_stream or self._response_head.status >= 300:
+        if not self._is_event_response:
             self._buffer_body(data)
             return
         events = self._event_splitter.feed(data)
@@ -322,7 +341,7 @@
         """Complete the response to the caller."""
         if self._call_record is None or self._response_head is None:
             return
-        if self._is_stream and self._response_head.status < 300:
+        if self._is_event_response:
             if self._event_splitter.partial_event_bytes:
                 self._fail_call(
                     CallOutcome.BROKEN, "stream ended in the middle of an event"
@@ -426,13 +445,18 @@
 
     # Evaluation of responses, and retries.
 
-    def _classify_response(self, head: ResponseHead) -> CallOutcome | None:
-        """Return why a response is unusable, None if it may be passed on."""
+    def _is_own(self, head: ResponseHead) -> bool:
+        """Return whether a response belongs to the request."""
+        if head.attempt_id == self.request.head.attempt_id:
+            return True
         # A server that rejects a request need not have read its attempt id.
-        is_own = head.attempt_id == self.request.head.attempt_id
-        if head.not_run and (is_own or not head.attempt_id):
+        return head.not_run and not head.attempt_id
+
+    def _classify_response(self, head: ResponseHead) -> CallOutcome | None:
+        """Return why an own response is unusable, None if it may be passed on."""
+        if head.not_run:
             return CallOutcome.REFUSED
-        if not is_own or head.encoded:
+        if head.encoded:
             return CallOutcome.BROKEN
         if head.status < 300:
             return None if head.signed else CallOutcome.BROKEN
@@ -453,12 +477,6 @@
             )
         return CallOutcome.SERVER_ERROR if self._response_started else None
 
-    def _describe_unusable(self, head: ResponseHead) -> str:
-        if head.attempt_id != self.request.head.attempt_id:
-            attempt_id = head.attempt_id.decode("latin-1")
-            return f"status {head.status} of attempt {attempt_id!r}"
-        return f"status {head.status}"
-
     def _larger_model_index(self, head: ResponseHead) -> int | None:
         """Return the index of the model to escalate to, None to keep the response."""
         if (
@@ -515,7 +533,8 @@
             unanswered_prompt=None if record.answered else record.shared_part_ids,
         )
         next_step = next_action(self.route, self.history, outcome, self._seconds_left)
-        if next_step is not NextAction.RETRY or outcome is CallOutcome.QUARANTINED:
+        can_retry = next_step is NextAction.RETRY and self._can_replace_call
+        if not can_retry or outcome is CallOutcome.QUARANTINED:
             self._fail_request(outcome, why)
         elif outcome is CallOutcome.DROPPED:
             self._tried_servers.clear()
@@ -581,7 +600,7 @@
             self._silence_timer = None
 
     def _on_silence(self) -> None:
-        if self.history.sent >= self.route.max_attempts:
+        if self.history.sent >= self.route.max_attempts or not self._can_replace_call:
             return
         self._fail_call(CallOutcome.SILENT, "silent")
 
--- a/masticfork/systems/crash_quarantine.py
+++ b/masticfork/systems/crash_quarantine.py
@@ -24,6 +24,10 @@
 # Crashes after which a part is put into quarantine, and crashes after which one of
 # several parts that explain the same number is, if all have been answered before.
 MIN_CRASHES, MIN_CRASHES_OF_ANSWERED_PARTS = 3, 5
+# Crashes after which a part that was never answered is put into quarantine if they took
+# many servers, and the number of these: where many requests hold a deadly part, all
+# servers crash within a second, and the next ones only when they are back.
+MIN_INCIDENTS_OF_MANY_SERVERS, MANY_SERVERS = 2, 4
 OBSERVATION_LIFETIME_SECONDS = 60.0
 # Time for which this host repeats an observation to the others.
 REPORT_SECONDS = 4.0
@@ -48,6 +52,11 @@
         """Return the time at which the quarantine began on the host that found it."""
         return self.until - QUARANTINE_SECONDS
 
+    @property
+    def evidence_until(self) -> float:
+        """Return a time after all crashes that count; later answers refute them."""
+        return self.since - SETTLING_SECONDS
+
 
 @attrs.frozen
 class QuarantineChanges:
@@ -69,6 +78,14 @@
     own: bool
 
 
+@attrs.frozen
+class _Clearance:
+    """An answer that other hosts are told of."""
+
+    answered_at: float
+    told_until: float
+
+
 @attrs.define(eq=False)
 class CrashQuarantine:
     """The prompt parts under suspicion, and those in quarantine.
@@ -86,7 +103,7 @@
     # Latest time at which a part, or a server, was seen to produce an answer.
     _answered_at: OrderedDict[int, float] = attrs.field(factory=OrderedDict)
     # Answers that clear an observation, to be told to other hosts.
-    _clearances: dict[int, float] = attrs.field(factory=dict)
+    _clearances: dict[int, _Clearance] = attrs.field(factory=dict)
     _quarantines: dict[int, PartQuarantine] = attrs.field(factory=dict)
     # Quarantines that have begun or ended and that `run` has not returned yet.
     _added: list[PartQuarantine] = attrs.field(factory=list)
@@ -102,10 +119,14 @@
         for position, part in enumerate(parts):
             self._observe(_Observation(part, server, position, now, own=True))
 
-    def record_answer(self, parts: Iterable[int], server: int, now: float) -> None:
+    def record_answer(self, parts: Iterable[int], now: float) -> None:
         """Record that the answer to a request with these parts has begun."""
-        for key in (*parts, server):
-            self._clear(key, now)
+        for part in parts:
+            self._clear(part, now)
+
+    def record_alive(self, server: int, at: float) -> None:
+        """Record that a server was running at a time."""
+        self._clear(server, at)
 
     def apply_report(self, report: CrashReport, now: float) -> None:
         """Apply what another host has observed."""
@@ -119,7 +140,9 @@
         for part, seconds_left in report.quarantined.items():
             quarantine = PartQuarantine(part, now + seconds_left)
             answered_at = self._answered_at.get(part, float("-inf"))
-            if part not in self._quarantines and answered_at < quarantine.since:
+            if answered_at > quarantine.evidence_until:
+                self._clearances[part] = _Clearance(answered_at, now + REPORT_SECONDS)
+            elif part not in self._quarantines:
                 self._quarantines[part] = quarantine
                 self._added.append(quarantine)
 
@@ -138,8 +161,8 @@
                 for item in recent[:MAX_REPORTED]
             ),
             {
-                key: now - at
-                for key, at in list(self._clearances.items())[-MAX_REPORTED:]
+                key: now - item.answered_at
+                for key, item in list(self._clearances.items())[-MAX_REPORTED:]
             },
             {part: item.until - now for part, item in self._quarantines.items()},
         )
@@ -152,7 +175,7 @@
         for item in [i for i in self._observations.values() if i.at <= oldest]:
             self._forget(item)
         self._clearances = {
-            key: at for key, at in self._clearances.items() if now - at < REPORT_SECONDS
+            key: item for key, item in self._clearances.items() if now < item.told_until
         }
         for quarantine in list(self._quarantines.values()):
             if quarantine.until <= now:
@@ -182,30 +205,42 @@
         self._released.append(quarantine)
 
     def _main_suspect(self, now: float) -> int | None:
-        """Return the part that explains most crashes, None if there are too few."""
+        """Return the part that explains most crashes, None if there are too few.
+
+        Parts that were never answered come first: an answer shows that a part was
+        sound, and parts that many requests share are in most crashes by chance.
+        """
         suspects = self._unexplained_suspects(now)
-        counts = {part: _count_incidents(seen) for part, seen in suspects.items()}
-        highest = max(counts.values(), default=0)
-        if highest < MIN_CRASHES:
-            return None
-        tied = [part for part, count in counts.items() if count == highest]
-        # A part that has been answered before is less likely to be the cause.
-        unanswered = [part for part in tied if part not in self._answered_at]
-        if len(tied) > 1 and not unanswered and highest < MIN_CRASHES_OF_ANSWERED_PARTS:
+        unanswered = suspects.keys() - self._answered_at.keys()
+        # A host that was just started has no answers by which to tell parts apart.
+        suspicious = unanswered if len(unanswered) < len(suspects) else set()
+        counts = {
+            part: count
+            for part, seen in suspects.items()
+            if (count := _count_incidents(seen)) >= MIN_CRASHES
+            or (
+                part in suspicious
+                and count >= MIN_INCIDENTS_OF_MANY_SERVERS
+                and len(seen) >= MANY_SERVERS
+            )
+        }
+        unanswered &= counts.keys()
+        candidates = unanswered or counts.keys()
+        highest = max((counts[part] for part in candidates), default=0)
+        tied = [part for part in candidates if counts[part] == highest]
+        needs_more = not unanswered and highest < MIN_CRASHES_OF_ANSWERED_PARTS
+        if not tied or (len(tied) > 1 and needs_more):
             return None
-        return min(
-            unanswered or tied,
-            key=lambda part: self._guilt_order(part, suspects[part]),
-        )
+        return min(tied, key=lambda part: self._guilt_order(part, suspects[part]))
 
     def _guilt_order(
         self, part: int, observations: list[_Observation]
     ) -> tuple[float, int]:
         """Return a sort key by which the most suspicious of tied parts comes first.
 
-        A part that was answered long ago or never comes before one that was answered
-        recently, and a later part of the prompts before an earlier one, which is held
-        by more requests.
+        A part that was answered long ago comes before one that was answered recently,
+        and a later part of the prompts before an earlier one, which is held by more
+        requests.
         """
         answered_at = self._answered_at.get(part, float("-inf"))
         return answered_at, -max(item.position for item in observations)
@@ -256,11 +291,11 @@
         for item in cleared:
             self._forget(item)
         quarantine = self._quarantines.get(key)
-        if quarantine is not None and quarantine.since < at:
+        if quarantine is not None and quarantine.evidence_until < at:
             self._release(quarantine)
         elif not cleared:
             return
-        self._clearances[key] = at
+        self._clearances[key] = _Clearance(at, at + REPORT_SECONDS)
 
 
 def _count_incidents(observations: list[_Observation]) -> int:
--- a/masticfork/systems/crash_quarantine_test.py
+++ b/masticfork/systems/crash_quarantine_test.py
@@ -8,6 +8,7 @@
 from masticfork.core.crash_reports import CrashReport
 from masticfork.systems.crash_quarantine import (
     INCIDENT_SECONDS,
+    MANY_SERVERS,
     MAX_OBSERVATIONS,
     MAX_REPORTED,
     MIN_CRASHES,
@@ -46,7 +47,7 @@
         quarantine = CrashQuarantine()
         for number in range(MIN_CRASHES):
             crash(quarantine, [COMMON, DEADLY], float(number))
-            quarantine.record_answer([COMMON], 7, number + 0.5)
+            quarantine.record_answer([COMMON], number + 0.5)
         assert quarantined(quarantine, MIN_CRASHES + 1.0) == {DEADLY}
 
     def test_answer_of_the_server_shows_that_it_did_not_crash(self):
@@ -54,7 +55,7 @@
         quarantine = CrashQuarantine()
         for number in range(9):
             quarantine.record_crash([OTHER], 50 + number, float(number))
-            quarantine.record_answer([], 50 + number, number + 0.1)
+            quarantine.record_alive(50 + number, number + 0.1)
         assert not quarantined(quarantine, 10.0)
 
     def test_crashes_at_the_same_time_count_as_one(self):
@@ -64,6 +65,29 @@
             crash(quarantine, [OTHER], 1.0 + number * INCIDENT_SECONDS / 10)
         assert not quarantined(quarantine, 5.0)
 
+    def test_part_on_many_crashed_servers_needs_only_two_incidents(self):
+        """Guards against deadly requests that come faster than crashes can be told."""
+        quarantine = CrashQuarantine()
+        quarantine.record_answer([COMMON], 0.0)
+        for server in range(MANY_SERVERS):
+            assert not quarantined(quarantine, 3.0)
+            crash(quarantine, [COMMON, DEADLY], 1.0 + server % 2 * INCIDENT_SECONDS)
+        assert quarantined(quarantine, 3.0) == {DEADLY}
+
+    def test_host_without_memory_of_answers_needs_all_incidents(self):
+        """Guards against a host that was just started as all servers are lost."""
+        quarantine = CrashQuarantine()
+        for server in range(2 * MANY_SERVERS):
+            crash(quarantine, [COMMON, OTHER], 1.0 + server % 2 * INCIDENT_SECONDS)
+        assert not quarantined(quarantine, 3.0)
+
+    def test_two_lost_racks_condemn_no_part_that_was_answered_before(self):
+        quarantine = CrashQuarantine()
+        quarantine.record_answer([COMMON], 0.0)
+        for server in range(2 * MANY_SERVERS):
+            crash(quarantine, [COMMON], 1.0 + server % 2 * INCIDENT_SECONDS)
+        assert not quarantined(quarantine, 3.0)
+
     def test_crash_that_a_quarantined_part_explains_accuses_no_other(self):
         quarantine = CrashQuarantine()
         for number in range(6):
@@ -100,11 +124,20 @@
 class TestPartsOfTheSameRequests:
     def test_part_that_was_never_answered_is_chosen_at_once(self):
         quarantine = CrashQuarantine()
-        quarantine.record_answer([COMMON], 7, 0.0)
+        quarantine.record_answer([COMMON], 0.0)
         for number in range(MIN_CRASHES):
             crash(quarantine, [COMMON, DEADLY], number + 1.0)
         assert quarantined(quarantine, MIN_CRASHES + 2.0) == {DEADLY}
 
+    def test_part_never_answered_comes_before_one_in_more_crashes(self):
+        """Guards against another crash, before any answer, that condemns a class."""
+        quarantine = CrashQuarantine()
+        quarantine.record_answer([COMMON], 0.0)
+        crash(quarantine, [COMMON], 1.0)
+        for number in range(MIN_CRASHES):
+            crash(quarantine, [COMMON, DEADLY], number + 2.0)
+        assert quarantined(quarantine, MIN_CRASHES + 3.0) == {DEADLY}
+
     def test_without_answers_the_later_part_is_chosen(self):
         """Guards against servers that all crash before any answer tells parts apart."""
         quarantine = CrashQuarantine()
@@ -114,8 +147,8 @@
 
     def test_part_that_turned_deadly_is_the_one_answered_longest_ago(self):
         quarantine = CrashQuarantine()
-        quarantine.record_answer([DEADLY], 7, 0.0)
-        quarantine.record_answer([COMMON], 7, 0.5)
+        quarantine.record_answer([DEADLY], 0.0)
+        quarantine.record_answer([COMMON], 0.5)
         for number in range(MIN_CRASHES_OF_ANSWERED_PARTS):
             assert not quarantined(quarantine, number + 0.9)
             crash(quarantine, [DEADLY, COMMON], number + 1.0)
@@ -148,13 +181,39 @@
             crash(first, [OTHER], float(number))
         assert quarantined(first, 5.0) == {OTHER}
         second.apply_report(first.report(5.1), 5.1)
-        first.record_answer([OTHER], 7, 5.2)
+        first.record_answer([OTHER], 5.2)
         assert not quarantined(first, 5.3)
         first.apply_report(second.report(5.3), 5.3)
         second.apply_report(first.report(5.4), 5.4)
         assert not quarantined(first, 5.5)
         assert not quarantined(second, 5.5)
 
+    def test_host_that_was_cut_off_learns_that_a_part_was_answered(self):
+        """Guards against a wrong quarantine that one host alone keeps to its end."""
+        cut_off, other = CrashQuarantine(), CrashQuarantine()
+        for number in range(MIN_CRASHES):
+            crash(cut_off, [OTHER], float(number))
+        assert quarantined(cut_off, 5.0) == {OTHER}
+        other.record_answer([OTHER], 9.0)
+        other.run(9.0 + 2 * REPORT_SECONDS)
+        other.apply_report(cut_off.report(20.0), 20.0)
+        assert not quarantined(other, 20.1)
+        cut_off.apply_report(other.report(20.2), 20.2)
+        assert not quarantined(cut_off, 20.3)
+
+    def test_answer_on_the_way_of_a_quarantine_ends_it(self):
+        """Guards against answers that begin between a decision and its arrival."""
+        first, second = CrashQuarantine(), CrashQuarantine()
+        for number in range(MIN_CRASHES):
+            crash(first, [OTHER], float(number))
+        assert quarantined(first, 5.0) == {OTHER}
+        report = first.report(5.0)
+        second.record_answer([OTHER], 5.02)
+        second.apply_report(report, 5.1)
+        assert not quarantined(second, 5.2)
+        first.apply_report(second.report(5.2), 5.2)
+        assert not quarantined(first, 5.3)
+
     def test_part_that_explains_more_crashes_replaces_another(self):
         """Guards against a sound part that was held by the first deadly requests."""
         quarantine = CrashQuarantine()
@@ -192,7 +251,7 @@
         for number in range(MIN_CRASHES):
             crash(first, [COMMON], float(number))
         second.apply_report(first.report(2.1), 2.1)
-        second.record_answer([COMMON], 7, 2.2)
+        second.record_answer([COMMON], 2.2)
         first.apply_report(second.report(2.3), 2.3)
         assert not quarantined(first, 5.0)
 
@@ -202,7 +261,7 @@
         crash(first, [COMMON], 1.0)
         report = first.report(1.1)
         second.apply_report(report, 1.1)
-        second.record_answer([COMMON], 7, 1.2)
+        second.record_answer([COMMON], 1.2)
         second.apply_report(attrs.evolve(report), 1.1)
         second.apply_report(first.report(1.3), 1.3)
         assert not second._observations
@@ -263,7 +322,8 @@
     def begin_answer(self, call):
         _, incarnation, server, host, parts, _ = call
         if DEADLY not in parts:
-            host.record_answer(parts, incarnation, self.now)
+            host.record_answer(parts, self.now)
+            host.record_alive(incarnation, self.now)
             return
         self.crashes.append(self.now)
         lost = [f for f in self.in_flight if f[1] == incarnation]
@@ -283,6 +343,29 @@
                 receiver.apply_report(report, self.now)
 
 
+def play(fleet, rate, share, since=0.0, seconds=30.0):
+    """Send requests of one class; from `since` on, a share holds the deadly part."""
+    rng, step = fleet.rng, 0.05
+    for tick in range(round(seconds / step)):
+        fleet.step(step)
+        for _ in range(sum(rng.random() < 0.1 for _ in range(int(rate * step * 10)))):
+            topic = 100 + rng.randrange(40)
+            parts = [COMMON, topic]
+            if rng.random() < share and fleet.now > since:
+                parts = [COMMON, topic, DEADLY]
+            fleet.send(parts)
+        if tick % 6 == 0:
+            fleet.exchange_reports()
+
+
+def check_that_deadly_requests_stopped(fleet):
+    if len(fleet.crashes) >= 5:
+        limit = fleet.crashes[4] + 3.0
+        assert sum(at > limit for at in fleet.deadly_sends) <= 3
+    assert all(set(host.quarantines) <= {DEADLY} for host in fleet.hosts)
+    assert fleet.sound_refused == 0
+
+
 class TestFleetUnderADeadlyPart:
     """A share of one class of requests holds a part that crashes servers."""
 
@@ -295,21 +378,17 @@
         self, seed, hosts, servers, rate, share
     ):
         fleet = Fleet(hosts, servers, random.Random(seed))
-        rng, step = fleet.rng, 0.05
-        for tick in range(600):
-            fleet.step(step)
-            for _ in range(
-                sum(rng.random() < 0.1 for _ in range(int(rate * step * 10)))
-            ):
-                topic = 100 + rng.randrange(40)
-                parts = [COMMON, topic]
-                if rng.random() < share:
-                    parts = [COMMON, topic, DEADLY]
-                fleet.send(parts)
-            if tick % 6 == 0:
-                fleet.exchange_reports()
-        if len(fleet.crashes) >= 5:
-            limit = fleet.crashes[4] + 3.0
-            assert sum(at > limit for at in fleet.deadly_sends) <= 3
-        assert all(set(host.quarantines) <= {DEADLY} for host in fleet.hosts)
-        assert fleet.sound_refused == 0
+        play(fleet, rate, share)
+        check_that_deadly_requests_stopped(fleet)
+
+    @pytest.mark.parametrize("seed", range(6))
+    @pytest.mark.parametrize(
+        ("servers", "rate", "share"), [(6, 22.0, 0.3), (12, 60.0, 0.6), (3, 60.0, 0.6)]
+    )
+    def test_requests_that_crash_all_servers_at_once_stop(
+        self, seed, servers, rate, share
+    ):
+        """Guards against servers that all crash before three crashes can be told."""
+        fleet = Fleet(4, servers, random.Random(seed))
+        play(fleet, rate, share, since=5.0)
+        check_that_deadly_requests_stopped(fleet)
