Try out one request with a quarantined part after some time

Now one host, the first one for the part among those heard, lets a single request with it through after 20 s, and after four times that each time a trial crashes its server. An answer ends the quarantine on all hosts, a crash extends it. Callers get the time of the next trial as Retry-After.

Ruled out: a shorter quarantine, which admits requests at all hosts at once; a trial at each host, one crash for each of them.

The tests fail on the code before: no request is tried, so none of them is answered.

--- a/masticfork/relay/entry.py
+++ b/masticfork/relay/entry.py
@@ -21,6 +21,7 @@
     PromptPart,
     ResponseHead,
 )
+from masticfork.core.ids import stable_hash
 from masticfork.core.routes import CallerLimits, Route
 from masticfork.platform import names, wire
 from masticfork.platform.objects import PlatformObjects
@@ -90,7 +91,9 @@
         )
         self._retry_budget.hosts = MIN_HOST_COUNT
         self._session_versions = SessionVersions(bounds.session)
-        self._prompt_quarantine = PromptQuarantine(self._loop, self._metrics, self.log)
+        self._prompt_quarantine = PromptQuarantine(
+            self._loop, self._metrics, self.log, self._is_first_host_for
+        )
         self._digests = HostDigests(
             self._loop,
             settings.host,
@@ -275,6 +278,12 @@
         row = self._tables.row(server_id)
         return 0 if row is None else row.load.running_elsewhere
 
+    def _is_first_host_for(self, key: int) -> bool:
+        """Return whether this host is the first of all live ones for a key."""
+        own_host = self._settings.host
+        hosts = {own_host, *(digest.host for digest in self._peers.live_digests)}
+        return own_host == min(hosts, key=lambda host: stable_hash(str(key), host))
+
     @property
     def _peer_address(self) -> Address:
         return Address(self._settings.front.host, self._settings.peer_ports[0])
@@ -536,6 +545,10 @@
         """Return the part for which a prompt must not reach a service's servers."""
         return self._prompt_quarantine.part_of(service, prompt)
 
+    def admits_prompt(self, service: str, prompt: tuple[PromptPart, ...]) -> bool:
+        """Return whether a prompt with such a part may be sent as a trial."""
+        return self._prompt_quarantine.admits(service, prompt)
+
     def on_exchange_ended(self, exchange: Exchange, status: int, why: str) -> None:
         """Record the end of an exchange in metrics and log."""
         self._open_exchanges.discard(exchange)
--- a/masticfork/relay/exchange.py
+++ b/masticfork/relay/exchange.py
@@ -139,6 +139,9 @@
     ) -> "QuarantinedPart | None":
         """Return the part for which a prompt must not reach a service's servers."""
 
+    def admits_prompt(self, service: str, prompt: tuple[PromptPart, ...]) -> bool:
+        """Return whether a prompt with such a part may be sent as a trial."""
+
     def error_headers(
         self,
         attempt_id: bytes,
@@ -159,7 +162,8 @@
     """A prompt part that crashes the servers of a service."""
 
     id: str
-    seconds_left: float
+    # Seconds until a request with the part is tried again.
+    trial_in: float
 
 
 @attrs.define(eq=False)
@@ -375,7 +379,10 @@
     # Calls to servers.
 
     def _send_call(self) -> None:
-        if (part := self._quarantined_part) is not None:
+        part = self._quarantined_part
+        if part is not None and not self.host.admits_prompt(
+            self.service, self.request.head.prompt
+        ):
             self._fail_request(CallOutcome.QUARANTINED, f"prompt part {part.id}")
             return
         model = self._model_for_call()
@@ -558,7 +565,7 @@
         attempt_id = self.request.head.attempt_id
         pause = self.host.seconds_until_resumption(self.service)
         if (part := self._quarantined_part) is not None:
-            pause = max(pause, part.seconds_left)
+            pause = max(pause, part.trial_in)
         headers = self.host.error_headers(attempt_id, retry_after, pause)
         self.caller.send_error(status, headers)
 
--- a/masticfork/relay/prompt_quarantine.py
+++ b/masticfork/relay/prompt_quarantine.py
@@ -30,6 +30,8 @@
     _loop: Loop
     _metrics: RelayMetrics
     _log: Callable[..., None]
+    # Whether this host tries out the part with a key; one of the hosts does.
+    _tries_part: Callable[[int], bool]
     _quarantine: CrashQuarantine = attrs.field(factory=CrashQuarantine)
     _names: OrderedDict[int, str] = attrs.field(factory=OrderedDict)
 
@@ -65,9 +67,26 @@
         for part in shared_parts(prompt):
             quarantine = self._quarantine.quarantines.get(_part_key(service, part))
             if quarantine is not None and quarantine.until > now:
-                return QuarantinedPart(part.id, quarantine.until - now)
+                return QuarantinedPart(part.id, max(0.0, quarantine.trial_at - now))
         return None
 
+    def admits(self, service: str, prompt: tuple[PromptPart, ...]) -> bool:
+        """Return whether a prompt may be sent to a server, if only as a trial."""
+        now = self._loop.now
+        keys = (_part_key(service, part) for part in shared_parts(prompt))
+        quarantines = self._quarantine.quarantines
+        parts = [k for k in keys if k in quarantines and quarantines[k].until > now]
+        if not parts:
+            return True
+        # With several such parts, the outcome would not tell which one failed.
+        part = parts[0]
+        if len(parts) > 1 or not self._tries_part(part):
+            return False
+        if not self._quarantine.begin_trial(part, now):
+            return False
+        self._log("prompt part tried", part=self._names.get(part), key=part)
+        return True
+
     def apply_report(self, report: CrashReport) -> None:
         """Apply what another host has observed."""
         self._quarantine.apply_report(report, self._loop.now)
--- a/masticfork/systems/crash_quarantine.py
+++ b/masticfork/systems/crash_quarantine.py
@@ -32,6 +32,9 @@
 # Time for which this host repeats an observation to the others.
 REPORT_SECONDS = 4.0
 QUARANTINE_SECONDS = 300.0
+# Time until one request with the part is tried again, and the factor by which it grows
+# with each trial that crashes a server.
+FIRST_TRIAL_SECONDS, TRIAL_GROWTH_FACTOR = 20.0, 4.0
 MAX_OBSERVATIONS = 2048
 # Bounds the size of a digest.
 MAX_REPORTED = 96
@@ -46,6 +49,13 @@
     until: float
     # Crashes that the part explains; None if another host has found it.
     crashes: int | None = None
+    # Time of the next trial, and the time between it and the one before.
+    trial_at: float = attrs.field()
+    trial_interval: float = FIRST_TRIAL_SECONDS
+
+    @trial_at.default
+    def _first_trial_at(self) -> float:
+        return self.since + FIRST_TRIAL_SECONDS
 
     @property
     def since(self) -> float:
@@ -118,6 +128,7 @@
         """Record that a request with these parts was lost without an answer."""
         for position, part in enumerate(parts):
             self._observe(_Observation(part, server, position, now, own=True))
+            self._extend_quarantine(part, now + QUARANTINE_SECONDS)
 
     def record_answer(self, parts: Iterable[int], now: float) -> None:
         """Record that the answer to a request with these parts has begun."""
@@ -128,6 +139,20 @@
         """Record that a server was running at a time."""
         self._clear(server, at)
 
+    def begin_trial(self, part: int, now: float) -> bool:
+        """Return whether one request with a quarantined part may be sent; count it.
+
+        An answer to it ends the quarantine. Until then the next trial is put off.
+        """
+        quarantine = self._quarantines[part]
+        if now < quarantine.trial_at:
+            return False
+        interval = quarantine.trial_interval * TRIAL_GROWTH_FACTOR
+        self._quarantines[part] = attrs.evolve(
+            quarantine, trial_at=now + interval, trial_interval=interval
+        )
+        return True
+
     def apply_report(self, report: CrashReport, now: float) -> None:
         """Apply what another host has observed."""
         for key, age in report.answered.items():
@@ -145,6 +170,8 @@
             elif part not in self._quarantines:
                 self._quarantines[part] = quarantine
                 self._added.append(quarantine)
+            else:
+                self._extend_quarantine(part, quarantine.until)
 
     def report(self, now: float) -> CrashReport:
         """Return what other hosts should know."""
@@ -197,6 +224,11 @@
         self._quarantines[part] = quarantine
         self._added.append(quarantine)
 
+    def _extend_quarantine(self, part: int, until: float) -> None:
+        quarantine = self._quarantines.get(part)
+        if quarantine is not None and until > quarantine.until:
+            self._quarantines[part] = attrs.evolve(quarantine, until=until)
+
     def _crashed_servers(self, part: int) -> set[int]:
         return {server for _, server in self._observations_of.get(part, ())}
 
--- a/masticfork/systems/crash_quarantine_test.py
+++ b/masticfork/systems/crash_quarantine_test.py
@@ -7,6 +7,7 @@
 
 from masticfork.core.crash_reports import CrashReport
 from masticfork.systems.crash_quarantine import (
+    FIRST_TRIAL_SECONDS,
     INCIDENT_SECONDS,
     MANY_SERVERS,
     MAX_OBSERVATIONS,
@@ -17,6 +18,7 @@
     QUARANTINE_SECONDS,
     REPORT_SECONDS,
     SETTLING_SECONDS,
+    TRIAL_GROWTH_FACTOR,
     CrashQuarantine,
 )
 
@@ -227,6 +229,45 @@
         assert [item.part for item in changes.released] == [OTHER]
 
 
+class TestTrials:
+    @pytest.fixture()
+    def quarantine(self):
+        quarantine = CrashQuarantine()
+        for number in range(MIN_CRASHES):
+            crash(quarantine, [OTHER], float(number))
+        assert quarantined(quarantine, 4.0) == {OTHER}
+        return quarantine
+
+    def test_one_request_is_tried_after_some_time(self, quarantine):
+        assert not quarantine.begin_trial(OTHER, 3.9 + FIRST_TRIAL_SECONDS)
+        assert quarantine.begin_trial(OTHER, 4.1 + FIRST_TRIAL_SECONDS)
+        assert not quarantine.begin_trial(OTHER, 4.2 + FIRST_TRIAL_SECONDS)
+
+    def test_answered_trial_ends_the_quarantine(self, quarantine):
+        """Guards against a sound part that is refused long after crashes."""
+        now = 5.0 + FIRST_TRIAL_SECONDS
+        assert quarantine.begin_trial(OTHER, now)
+        quarantine.record_answer([OTHER], now + 1.0)
+        assert not quarantined(quarantine, now + 1.1)
+
+    def test_trials_that_crash_servers_become_rarer_and_extend_it(self, quarantine):
+        now = 5.0 + FIRST_TRIAL_SECONDS
+        assert quarantine.begin_trial(OTHER, now)
+        crash(quarantine, [OTHER], now + 1.0)
+        quarantine.run(now + 2.0)
+        interval = FIRST_TRIAL_SECONDS * TRIAL_GROWTH_FACTOR
+        assert not quarantine.begin_trial(OTHER, now + interval - 0.1)
+        assert quarantine.begin_trial(OTHER, now + interval)
+        assert quarantined(quarantine, now + QUARANTINE_SECONDS) == {OTHER}
+
+    def test_extension_is_adopted_by_other_hosts(self, quarantine):
+        other = CrashQuarantine()
+        other.apply_report(quarantine.report(4.0), 4.0)
+        crash(quarantine, [OTHER], 30.0)
+        other.apply_report(quarantine.report(31.0), 31.0)
+        assert quarantined(other, 29.0 + QUARANTINE_SECONDS) == {OTHER}
+
+
 class TestReports:
     def test_observations_of_all_hosts_count_together(self):
         """Guards against requests of which no two reach the same host."""
--- a/standins/fake_exchange.py
+++ b/standins/fake_exchange.py
@@ -157,6 +157,10 @@
         """Return what the test has set."""
         return self.quarantine
 
+    def admits_prompt(self, service: str, prompt: tuple[PromptPart, ...]) -> bool:
+        """Return False: no part is tried out."""
+        return False
+
     def error_headers(
         self,
         attempt_id: bytes,
