Let a quarantine end on all hosts

Cause: a host releases a quarantine at its next tick, up to 0.25 s after the end, and until then tells others of it with no time left. Another host that has released it takes it up again, to its own next tick, and tells the first one. Between hosts with ticks at different moments this never stops. Such a quarantine refuses nothing, but it explains all crashes by the part, so these are never counted again; it is logged as begun and ended by each host at each tick.

Now a quarantine with less than MIN_TOLD_SECONDS left is not told. Ends differ between hosts by the time of a digest on the way, which is far shorter.

The test failed before: the three hosts took it up again and again after its end.

--- a/masticfork/systems/crash_quarantine.py
+++ b/masticfork/systems/crash_quarantine.py
@@ -32,6 +32,9 @@
 # Time for which this host repeats an observation to the others.
 REPORT_SECONDS = 4.0
 QUARANTINE_SECONDS = 300.0
+# Remaining time below which a quarantine is not told any more: the others hold it too,
+# and its end differs by the time of a digest on the way.
+MIN_TOLD_SECONDS = 5.0
 MAX_OBSERVATIONS = 2048
 # Bounds the size of a digest.
 MAX_REPORTED = 96
@@ -164,7 +167,11 @@
                 key: now - item.answered_at
                 for key, item in list(self._clearances.items())[-MAX_REPORTED:]
             },
-            {part: item.until - now for part, item in self._quarantines.items()},
+            {
+                part: item.until - now
+                for part, item in self._quarantines.items()
+                if item.until - now > MIN_TOLD_SECONDS
+            },
         )
 
     def run(self, now: float) -> QuarantineChanges:
--- a/masticfork/systems/crash_quarantine_test.py
+++ b/masticfork/systems/crash_quarantine_test.py
@@ -175,6 +175,42 @@
         (added,) = quarantine.run(2.0).added
         assert (added.part, added.until, added.crashes) == (DEADLY, 60.0, None)
 
+    def test_quarantine_that_has_ended_is_not_adopted_again(self):
+        """Guards against hosts that tell each other for ever of one that has ended.
+
+        It would explain all later crashes, so the part would never be found again.
+        """
+        hosts = [CrashQuarantine() for _ in range(3)]
+        for number in range(MIN_CRASHES):
+            crash(hosts[0], [DEADLY], float(number))
+        assert quarantined(hosts[0], 4.0) == {DEADLY}
+        added = self.exchange_and_run(hosts, 4.0, 8.0)
+        assert len(added) == len(hosts) - 1
+        end = 4.0 + QUARANTINE_SECONDS
+        assert not self.exchange_and_run(hosts, end - 2.0, end + 20.0)
+        assert not any(host.quarantines for host in hosts)
+        for number in range(MIN_CRASHES):
+            crash(hosts[0], [DEADLY], end + 20.0 + number)
+        added = self.exchange_and_run(hosts, end + 23.0, end + 25.0)
+        assert len(added) == len(hosts)
+
+    def exchange_and_run(self, hosts, since, until):
+        """Let hosts report every 0.1 s and run every 0.3 s; return what they added."""
+        added = []
+        for step in range(round((until - since) / 0.1)):
+            for number, host in enumerate(hosts):
+                now = since + step * 0.1 + number * 0.03
+                if step % 3 == number:
+                    added += host.run(now).added
+                report = host.report(now)
+                # Digests hold no negative times.
+                left = {k: max(0.0, v) for k, v in report.quarantined.items()}
+                report = attrs.evolve(report, quarantined=left)
+                for other in hosts:
+                    if other is not host:
+                        other.apply_report(report, now + 0.01)
+        return added
+
     def test_answer_that_begins_later_ends_a_quarantine_on_all_hosts(self):
         first, second = CrashQuarantine(), CrashQuarantine()
         for number in range(MIN_CRASHES):
