Report the latest answers that clear prompt parts

What callers could see: a sound part put into quarantine on other hosts, in a storm of crashes. Found by reading.

Cause: a report holds the last 96 clearances in the order in which their keys were first cleared. The first part of a class is cleared again and again and keeps its early place, so once 96 other parts or servers have been cleared within four seconds its newest answer is not told, just where it matters most.

A clearance now takes the place of its time. The test failed before: the answer was not in the report (KeyError).

--- a/masticfork/systems/crash_quarantine.py
+++ b/masticfork/systems/crash_quarantine.py
@@ -144,7 +144,7 @@
             quarantine = PartQuarantine(part, now + seconds_left)
             answered_at = self._answered_at.get(part, float("-inf"))
             if answered_at > quarantine.evidence_until:
-                self._clearances[part] = _Clearance(answered_at, now + REPORT_SECONDS)
+                self._tell(part, _Clearance(answered_at, now + REPORT_SECONDS))
             elif part not in self._quarantines:
                 self._quarantines[part] = quarantine
                 self._added.append(quarantine)
@@ -302,7 +302,12 @@
             self._release(quarantine)
         elif not cleared:
             return
-        self._clearances[key] = _Clearance(at, at + REPORT_SECONDS)
+        self._tell(key, _Clearance(at, at + REPORT_SECONDS))
+
+    def _tell(self, key: int, clearance: _Clearance) -> None:
+        """Tell other hosts of a clearance, before those of earlier ones."""
+        self._clearances.pop(key, None)
+        self._clearances[key] = clearance
 
 
 def _count_incidents(observations: list[_Observation]) -> int:
--- a/masticfork/systems/crash_quarantine_test.py
+++ b/masticfork/systems/crash_quarantine_test.py
@@ -291,6 +291,16 @@
         first.apply_report(second.report(2.3), 2.3)
         assert not quarantined(first, 5.0)
 
+    def test_latest_answers_are_reported_first(self):
+        """Guards against a common part whose last of many answers is not told."""
+        quarantine = CrashQuarantine()
+        for part in range(MAX_REPORTED + 10):
+            crash(quarantine, [part], 1.0)
+            quarantine.record_answer([part], 1.1)
+        crash(quarantine, [0], 1.2)
+        quarantine.record_answer([0], 1.3)
+        assert quarantine.report(1.3).answered[0] == 0.0
+
     def test_cleared_observation_does_not_come_back(self):
         """Guards against reports that cross the answer that clears them."""
         first, second = CrashQuarantine(), CrashQuarantine()
