Report prompt parts that were never answered first

Found by reading.

Cause: a host reports at most 96 observations, those of parts seen in most crashes and the latest first. After a first crash all have one crash and one time, so the order is that of the calls: where a crash cuts calls with more than 96 shared parts at one host, the same 96 are told for four seconds and the deadly part may never be.

Parts without an answer now come first. The test failed before: the part was not in the report.

--- a/masticfork/systems/crash_quarantine.py
+++ b/masticfork/systems/crash_quarantine.py
@@ -156,8 +156,15 @@
             for item in self._observations.values()
             if item.own and now - item.at < REPORT_SECONDS
         ]
-        # Parts seen in several crashes first, then the latest.
-        recent.sort(key=lambda item: (-len(self._observations_of[item.part]), -item.at))
+        # Parts that were never answered first, then those seen in several crashes, then
+        # the latest.
+        recent.sort(
+            key=lambda item: (
+                item.part in self._answered_at,
+                -len(self._observations_of[item.part]),
+                -item.at,
+            )
+        )
         return CrashReport(
             tuple(
                 PartObservation(item.part, item.server, item.position, now - item.at)
--- a/masticfork/systems/crash_quarantine_test.py
+++ b/masticfork/systems/crash_quarantine_test.py
@@ -301,6 +301,18 @@
         quarantine.record_answer([0], 1.3)
         assert quarantine.report(1.3).answered[0] == 0.0
 
+    def test_parts_that_were_never_answered_are_reported_first(self):
+        """Guards against a part that is lost among those of many requests."""
+        quarantine = CrashQuarantine()
+        topics = range(10, 10 + MAX_REPORTED)
+        quarantine.record_answer(topics, 0.0)
+        server = next(SERVERS)
+        for topic in topics:
+            quarantine.record_crash([topic], server, 1.0)
+        quarantine.record_crash([topics[0], DEADLY], server, 1.0)
+        reported = {item.part for item in quarantine.report(1.1).observations}
+        assert DEADLY in reported
+
     def test_cleared_observation_does_not_come_back(self):
         """Guards against reports that cross the answer that clears them."""
         first, second = CrashQuarantine(), CrashQuarantine()
