--- a/masticfork/systems/crash_quarantine.py
+++ b/masticfork/systems/crash_quarantine.py
@@ -35,6 +35,9 @@
 # Time until one request with the part is tried again, and the factor by which it grows
 # with each trial that crashes a server.
 FIRST_TRIAL_SECONDS, TRIAL_GROWTH_FACTOR = 20.0, 4.0
+# Remaining time below which a quarantine is not told any more: the others hold it too,
+# and its end differs by the time of a digest on the way.
+MIN_TOLD_SECONDS = 5.0
 MAX_OBSERVATIONS = 2048
 # Bounds the size of a digest.
 MAX_REPORTED = 96
@@ -166,7 +169,7 @@
             quarantine = PartQuarantine(part, now + seconds_left)
             answered_at = self._answered_at.get(part, float("-inf"))
             if answered_at > quarantine.evidence_until:
-                self._clearances[part] = _Clearance(answered_at, now + REPORT_SECONDS)
+                self._tell(part, _Clearance(answered_at, now + REPORT_SECONDS))
             elif part not in self._quarantines:
                 self._quarantines[part] = quarantine
                 self._added.append(quarantine)
@@ -180,8 +183,15 @@
             for item in self._observations.values()
             if item.own and now - item.at < REPORT_SECONDS
         ]
-        # Parts seen in several crashes first, then the latest.
-        recent.sort(key=lambda item: (-len(self._observations_of[item.part]), -item.at))
+        # Parts that were never answered first, then those seen in several crashes, then
+        # the latest.
+        recent.sort(
+            key=lambda item: (
+                item.part in self._answered_at,
+                -len(self._observations_of[item.part]),
+                -item.at,
+            )
+        )
         return CrashReport(
             tuple(
                 PartObservation(item.part, item.server, item.position, now - item.at)
@@ -191,7 +201,11 @@
                 key: now - item.answered_at
                 for key, item in list(self._clearances.items())[-MAX_REPORTED:]
             },
-            {part: item.until - now for part, item in self._quarantines.items()},
+            {
+                part: item.until - now
+                for part, item in self._quarantines.items()
+                if item.until - now > MIN_TOLD_SECONDS
+            },
         )
 
     def run(self, now: float) -> QuarantineChanges:
@@ -327,7 +341,12 @@
             self._release(quarantine)
         elif not cleared:
             return
-        self._clearances[key] = _Clearance(at, at + REPORT_SECONDS)
+        self._tell(key, _Clearance(at, at + REPORT_SECONDS))
+
+    def _tell(self, key: int, clearance: _Clearance) -> None:
+        """Tell other hosts of a clearance, before those of earlier ones."""
+        self._clearances.pop(key, None)
+        self._clearances[key] = clearance
 
 
 def _count_incidents(observations: list[_Observation]) -> int:
--- a/masticfork/systems/crash_quarantine_test.py
+++ b/masticfork/systems/crash_quarantine_test.py
@@ -177,6 +177,42 @@
         (added,) = quarantine.run(2.0).added
         assert (added.part, added.until, added.crashes) == (DEADLY, 60.0, None)
 
+    def test_quarantine_that_has_ended_is_not_adopted_again(self):
+        """Guards against hosts that tell each other for ever of one that has ended.
+
+        It would explain all later crashes, so the part would never be found again.
+        """
+        hosts = [CrashQuarantine() for _ in range(3)]
+        for number in range(MIN_CRASHES):
+            crash(hosts[0], [DEADLY], float(number))
+        assert quarantined(hosts[0], 4.0) == {DEADLY}
+        added = self.exchange_and_run(hosts, 4.0, 8.0)
+        assert len(added) == len(hosts) - 1
+        end = 4.0 + QUARANTINE_SECONDS
+        assert not self.exchange_and_run(hosts, end - 2.0, end + 20.0)
+        assert not any(host.quarantines for host in hosts)
+        for number in range(MIN_CRASHES):
+            crash(hosts[0], [DEADLY], end + 20.0 + number)
+        added = self.exchange_and_run(hosts, end + 23.0, end + 25.0)
+        assert len(added) == len(hosts)
+
+    def exchange_and_run(self, hosts, since, until):
+        """Let hosts report every 0.1 s and run every 0.3 s; return what they added."""
+        added = []
+        for step in range(round((until - since) / 0.1)):
+            for number, host in enumerate(hosts):
+                now = since + step * 0.1 + number * 0.03
+                if step % 3 == number:
+                    added += host.run(now).added
+                report = host.report(now)
+                # Digests hold no negative times.
+                left = {k: max(0.0, v) for k, v in report.quarantined.items()}
+                report = attrs.evolve(report, quarantined=left)
+                for other in hosts:
+                    if other is not host:
+                        other.apply_report(report, now + 0.01)
+        return added
+
     def test_answer_that_begins_later_ends_a_quarantine_on_all_hosts(self):
         first, second = CrashQuarantine(), CrashQuarantine()
         for number in range(MIN_CRASHES):
@@ -296,6 +332,28 @@
         first.apply_report(second.report(2.3), 2.3)
         assert not quarantined(first, 5.0)
 
+    def test_latest_answers_are_reported_first(self):
+        """Guards against a common part whose last of many answers is not told."""
+        quarantine = CrashQuarantine()
+        for part in range(MAX_REPORTED + 10):
+            crash(quarantine, [part], 1.0)
+            quarantine.record_answer([part], 1.1)
+        crash(quarantine, [0], 1.2)
+        quarantine.record_answer([0], 1.3)
+        assert quarantine.report(1.3).answered[0] == 0.0
+
+    def test_parts_that_were_never_answered_are_reported_first(self):
+        """Guards against a part that is lost among those of many requests."""
+        quarantine = CrashQuarantine()
+        topics = range(10, 10 + MAX_REPORTED)
+        quarantine.record_answer(topics, 0.0)
+        server = next(SERVERS)
+        for topic in topics:
+            quarantine.record_crash([topic], server, 1.0)
+        quarantine.record_crash([topics[0], DEADLY], server, 1.0)
+        reported = {item.part for item in quarantine.report(1.1).observations}
+        assert DEADLY in reported
+
     def test_cleared_observation_does_not_come_back(self):
         """Guards against reports that cross the answer that clears them."""
         first, second = CrashQuarantine(), CrashQuarantine()
