Compare a generation's response with its attempt

What callers of the router's own interface could get: tokens that were generated for another request. An engine that answers an attempt a second time, on a connection that is in use again, had that response read as the next attempt's (measured on the code before: the second generation's only token is 'first', from attempt-1). Plain HTTP cannot tell them apart, but every chunk names its attempt.

The first frame of a response is now compared with the attempt, and a connection on which anything failed is closed, since the own response may still come. Both tests fail on the code before.

--- a/masticfork/backends/connections_test.py
+++ b/masticfork/backends/connections_test.py
@@ -1,6 +1,7 @@
 """Connections on which a response was not read as a whole, or more than one came."""
 
 import itertools
+import json
 import time
 from contextlib import contextmanager
 
@@ -9,6 +10,7 @@
 
 from masticfork.backends.connections import ConnectionPool, Request
 from masticfork.backends.engine import EngineCall, EngineClient
+from masticfork.backends.failures import FailureKind
 from masticfork.backends.service import ServiceClient
 from masticfork.backends.stream_reader import StreamReader
 from masticfork.core.deadlines import Deadline
@@ -111,12 +113,36 @@
         assert second.unwrap().body == b'{"number": 2}'
 
     def test_generation_waits_for_the_final_response(self, engines):
-        frames = b"id: 1\ndata: a\n\ndata: [DONE]\n\n"
-        script = numbered(early_hints_then(frames))
+        script = numbered(early_hints_then(generated("attempt-1", "own")))
         received = []
         with backend(script) as (_, target):
             stream = engines.start(target, generation("1"), deadline()).unwrap()
             assert stream.forward_frames(lambda f: received.append(f.raw)) is None
             stream.close()
             assert engines.load(target, deadline()).unwrap() == {"number": 2}
-        assert received == [b"id: 1\ndata: a"]
+        assert received == [generated("attempt-1", "own").partition(b"\n\n")[0]]
+
+
+def generated(attempt_id, text):
+    data = json.dumps({"id": attempt_id, "choices": [{"delta": {"content": text}}]})
+    return f"id: 1\ndata: {data}\n\ndata: [DONE]\n\n".encode()
+
+
+class TestLateSecondResponses:
+    def test_generation_is_not_answered_with_another_one(self, engines):
+        """Guards against tokens that were generated for another request (MIXED)."""
+
+        def answer_the_first_twice(request):
+            attempt_id = request.headers["x-request-id"]
+            if attempt_id == "attempt-2":
+                yield sized(generated("attempt-1", "first"))
+            yield sized(generated(attempt_id, "own"))
+
+        received = []
+        with backend(answer_the_first_twice) as (_, target):
+            for number in "12":
+                stream = engines.start(target, generation(number), deadline()).unwrap()
+                failure = stream.forward_frames(lambda f: received.append(f.raw))
+                stream.close()
+        assert b"first" not in b"".join(received)
+        assert failure.kind is FailureKind.MALFORMED_ANSWER
--- a/masticfork/backends/engine.py
+++ b/masticfork/backends/engine.py
@@ -90,7 +90,11 @@
             return sent
         connection = sent.ok_value
         stream = EngineStream(
-            connection, deadline, self._now, self._release_callback(server)
+            connection,
+            call.attempt_id,
+            deadline,
+            self._now,
+            self._release_callback(server),
         )
         self._reader.add(stream)
         status = stream.wait_for_status()
--- a/masticfork/backends/engine_stream.py
+++ b/masticfork/backends/engine_stream.py
@@ -1,5 +1,6 @@
 """The response stream of one generation."""
 
+import json
 import socket
 import threading
 from collections.abc import Callable
@@ -13,6 +14,7 @@
 from masticfork.backends.failures import CallFailure, FailureKind, Stage
 from masticfork.core.deadlines import Deadline
 from masticfork.core.http_status import is_interim
+from masticfork.core.ids import AttemptId
 
 # Longest time without data before a stream counts as stalled.
 STALL_SECONDS = 10.0
@@ -50,11 +52,14 @@
     def __init__(
         self,
         connection: Connection,
+        attempt: AttemptId,
         deadline: Deadline,
         now: Callable[[], float],
         release: Callable[[Connection, bool], None],
     ) -> None:
         self._connection = connection
+        self._attempt = attempt
+        self._attempt_checked = False
         self._socket: socket.socket = connection.http.sock
         self._socket.setblocking(False)
         self._deadline = deadline
@@ -122,8 +127,8 @@
         if self._closed:
             return
         self._closed = True
-        reusable = self._response_complete and self._end_future.done()
-        if reusable and self._keep_alive:
+        ended = self._response_complete and self._end_future.done()
+        if ended and self._keep_alive and self._failure is None:
             self._release_once(True)
             return
         # The shutdown wakes the reader thread, which then unregisters the stream.
@@ -215,7 +220,10 @@
             if raw == _DONE_EVENT:
                 self._done_seen = True
             elif self._failure is None:
-                self._failure = self._deliver(ServerSentEvent(raw, _parse_offset(raw)))
+                self._failure = self._check_attempt(raw)
+                self._failure = self._failure or self._deliver(
+                    ServerSentEvent(raw, _parse_offset(raw))
+                )
 
     def on_message_complete(self) -> None:
         """Record the end of the final response; called by the parser."""
@@ -225,6 +233,19 @@
         # Asked for here, since the parser afterwards expects another response.
         self._keep_alive = self._parser.should_keep_alive()
 
+    def _check_attempt(self, raw: bytes) -> CallFailure | None:
+        """Return a failure if the response is to another attempt.
+
+        The first frame tells for the others.
+        """
+        if not self._attempt_checked:
+            named = _parse_attempt(raw)
+            if named != self._attempt:
+                message = f"response to attempt {named!r}"
+                return _failure(FailureKind.MALFORMED_ANSWER, message)
+            self._attempt_checked = True
+        return None
+
     def _deliver(self, frame: ServerSentEvent) -> CallFailure | None:
         if self._sink is not None:
             return self._sink(frame)
@@ -274,6 +295,20 @@
     return CallFailure(Stage.ANSWERING, kind, message)
 
 
+def event_data(raw: bytes) -> bytes:
+    """Return the bytes after `data: ` in a server-sent event."""
+    return raw.partition(b"data: ")[2]
+
+
+def _parse_attempt(raw: bytes) -> object:
+    """Return the attempt that a frame names, None if it names none."""
+    try:
+        chunk = json.loads(event_data(raw))
+    except ValueError:
+        return None
+    return chunk.get("id") if isinstance(chunk, dict) else None
+
+
 def _parse_offset(raw: bytes) -> int:
     if not raw.startswith(_ID_FIELD):
         return 0
--- a/masticfork/backends/engine_stream_test.py
+++ b/masticfork/backends/engine_stream_test.py
@@ -6,9 +6,12 @@
 
 from masticfork.backends.connections import Connection
 from masticfork.backends.engine_stream import EngineStream
+from masticfork.backends.failures import FailureKind
 from masticfork.core.deadlines import Deadline
+from masticfork.core.ids import AttemptId
 
-FRAMES = b"id: 1\ndata: a\n\ndata: [DONE]\n\n"
+FRAME = b'id: 1\ndata: {"id": "attempt-1"}'
+FRAMES = FRAME + b"\n\ndata: [DONE]\n\n"
 RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(FRAMES), FRAMES)
 
 
@@ -24,6 +27,7 @@
         self.released = []
         self.stream = EngineStream(
             connection,
+            AttemptId("attempt-1"),
             deadline,
             lambda: 0.0,
             lambda _, reuse: self.released.append(reuse),
@@ -55,7 +59,17 @@
         """Guards against a second response that fails the first or the next one."""
         with StreamOnSocket() as on_socket:
             on_socket.feed(RESPONSE + extra)
-            assert on_socket.frames() == ([b"id: 1\ndata: a"], None)
+            assert on_socket.frames() == ([FRAME], None)
+            on_socket.stream.close()
+            assert on_socket.released == [False]
+
+    def test_connection_on_which_another_attempt_is_answered_is_closed(self):
+        """Guards against an own response that comes once the connection is reused."""
+        with StreamOnSocket() as on_socket:
+            on_socket.feed(RESPONSE.replace(b"attempt-1", b"attempt-2"))
+            received, failure = on_socket.frames()
+            assert received == []
+            assert failure.kind is FailureKind.MALFORMED_ANSWER
             on_socket.stream.close()
             assert on_socket.released == [False]
 
--- a/masticfork/entry/answer.py
+++ b/masticfork/entry/answer.py
@@ -14,7 +14,11 @@
 from result import Err
 
 from masticfork.backends.engine import EngineCall, EngineClient, Usage
-from masticfork.backends.engine_stream import EngineStream, ServerSentEvent
+from masticfork.backends.engine_stream import (
+    EngineStream,
+    ServerSentEvent,
+    event_data,
+)
 from masticfork.backends.failures import CallFailure, FailureKind, Stage
 from masticfork.core.calls import ChatCall
 from masticfork.core.deadlines import Deadline
@@ -30,7 +34,6 @@
     comparable_content,
     joined_message_text,
 )
-from masticfork.entry.frames import event_data
 from masticfork.entry.routing import PRIORITIES, Router, VersionChoice
 from masticfork.systems.prefixes import prompt_of
 from masticfork.systems.retries import MAX_ATTEMPTS
--- a/masticfork/entry/chat_answer.py
+++ b/masticfork/entry/chat_answer.py
@@ -9,6 +9,7 @@
 from result import Err
 
 from masticfork.backends.engine import EngineClient
+from masticfork.backends.engine_stream import event_data
 from masticfork.backends.failures import CallFailure, FailureKind, Stage
 from masticfork.core.calls import ChatCall
 from masticfork.core.events import Billed, Ended, EventLog, Refused, Relayed
@@ -17,7 +18,7 @@
 from masticfork.entry.adoption import Adopter
 from masticfork.entry.answer import AnswerRun
 from masticfork.entry.billing import BillSink, make_bill
-from masticfork.entry.frames import event_data, frames_text
+from masticfork.entry.frames import frames_text
 from masticfork.entry.gate import AdmissionGate
 from masticfork.entry.reports import (
     ANSWERED,
--- a/masticfork/entry/frames.py
+++ b/masticfork/entry/frames.py
@@ -5,10 +5,7 @@
 
 from result import Err, Ok, Result
 
-
-def event_data(raw: bytes) -> bytes:
-    """Return the bytes after `data: ` in a server-sent event."""
-    return raw.partition(b"data: ")[2]
+from masticfork.backends.engine_stream import event_data
 
 
 def frames_text(frames: Iterable[bytes]) -> Result[str, str]:
