Limit the body of a response to 64 MiB

What callers saw: a body without end was passed on to them until their time limit.

Cause: HTTP has no limit for a body that ends with its connection, and the relay had none either. Streams of events have no such limit: each event has one, and ids that have to follow each other.

A body that has exceeded 256 KiB cannot be replaced by another server's, since the caller has a part of it; holding back more would let one faulty server fill the memory.

--- a/masticfork/relay/exchange.py
+++ b/masticfork/relay/exchange.py
@@ -24,6 +24,8 @@
 # Non-stream responses up to this size are buffered until they are complete, so that the
 # request can be retried if the response breaks.
 MAX_BUFFERED_RESPONSE_BYTES = 256 << 10
+# A body other than a stream of events that is larger is treated as one without end.
+MAX_RESPONSE_BODY_BYTES = 64 << 20
 # Retry-After of a 503 response sent because no server could run the request.
 RETRY_AFTER_SECONDS = 0.25
 # Share of the retry budget that escalation to a larger model leaves to failed calls.
@@ -175,7 +177,8 @@
     _response_head: ResponseHead | None = None
     _response_started: bool = False
     _buffered_body: list[bytes] = attrs.field(factory=list)
-    _buffered_bytes: int = 0
+    # Size of the body received from the current call, streams of events excepted.
+    _body_bytes: int = 0
     _event_splitter: EventSplitter = attrs.field(init=False)
     _tried_servers: set[str] = attrs.field(factory=set)
     _deadline_timer: Timer | None = None
@@ -296,7 +299,7 @@
                 return
             self._start_stream_response()
         elif not self._response_started:
-            self.caller.start_response(self._response_head, self._buffered_bytes)
+            self.caller.start_response(self._response_head, self._body_bytes)
             for data in self._buffered_body:
                 self.caller.write_body(data)
         self._end_call(None)
@@ -452,7 +455,7 @@
             self.history.sent -= 1
         if not outcome.certainly_not_run:
             self.history.may_have_run = True
-        self._buffered_body, self._buffered_bytes = [], 0
+        self._buffered_body, self._body_bytes = [], 0
         if not self._response_started:
             self._response_head = None
         self.host.log(
@@ -548,13 +551,16 @@
 
     def _buffer_body(self, data: bytes) -> None:
         """Buffer a part of the body, or pass it on once the buffer limit is passed."""
+        self._body_bytes += len(data)
+        if self._body_bytes > MAX_RESPONSE_BODY_BYTES:
+            self._fail_call(CallOutcome.BROKEN, "body is larger than 64 MiB")
+            return
         if self._response_started:
             self._write_body(data)
             return
         self._buffered_body.append(data)
-        self._buffered_bytes += len(data)
         head = self._response_head
-        if self._buffered_bytes > MAX_BUFFERED_RESPONSE_BYTES and head is not None:
+        if self._body_bytes > MAX_BUFFERED_RESPONSE_BYTES and head is not None:
             self._response_started = True
             self.caller.start_response(head, head.content_length)
             buffered, self._buffered_body = self._buffered_body, []
