Count no server as silent while it is not read

The server counted as failed.

Cause: reading from the server stops while more than 256 KiB for the caller are unsent, but the silence timer went on. It now stops with the reading and starts anew with it. The time limit of the request goes on.

The new test (60 events of 100 KB, a caller that reads after 1.5 s) fails on the code before: the response is aborted.

--- a/masticfork/relay/endless_responses_test.py
+++ b/masticfork/relay/endless_responses_test.py
@@ -2,6 +2,7 @@
 
 import http.client
 import itertools
+import socket
 import threading
 import time
 
@@ -14,6 +15,7 @@
     ENGINES,
     SERVICE,
     configuration,
+    read_response,
     route,
     running_entry_host,
 )
@@ -245,6 +247,33 @@
 
 
 class TestSoundResponses:
+    def test_stream_of_a_caller_that_reads_slowly_is_not_cut(self):
+        """Guards against a server that counts as silent while it is not read."""
+        count, text = 60, "x" * 100_000
+
+        def script(request):
+            first = int(request.headers.get("last-event-id", "0")) + 1
+            yield stream_head(request)
+            for number in range(first, count + 1):
+                yield chunk(event(number, text))
+            yield b"0\r\n\r\n"
+
+        with running_entry_host() as env:
+            servers = [env.add_server(script, ENGINES) for _ in range(2)]
+            env.wait_for_servers(2)
+            sock = socket.socket()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 16)
+            sock.connect((env.front.host, env.front.port))
+            connection = http.client.HTTPConnection(env.front.host, env.front.port, 5)
+            connection.sock = sock
+            connection.request("POST", "/streaming/x", b"x", env.headers())
+            time.sleep(1.5)
+            got = read_response(connection)
+            connection.close()
+        assert got.complete
+        assert got.body == b"".join(event(n, text) for n in range(1, count + 1))
+        assert sum(len(server.requests) for server in servers) == 1
+
     def test_slow_stream_is_not_cut(self):
         with running_entry_host() as env:
             servers = [
--- a/masticfork/relay/exchange.py
+++ b/masticfork/relay/exchange.py
@@ -180,6 +180,8 @@
     # Size of the body received from the current call, streams of events excepted.
     _body_bytes: int = 0
     _event_splitter: EventSplitter = attrs.field(init=False)
+    # Whether the current call is not read because the caller reads too slowly.
+    _is_call_paused: bool = False
     _tried_servers: set[str] = attrs.field(factory=set)
     _deadline_timer: Timer | None = None
     _silence_timer: Timer | None = None
@@ -242,6 +244,9 @@
         """Resume reading from the server."""
         if self._call_record is not None and self._call_record.call is not None:
             self._call_record.call.resume()
+            if self._is_call_paused:
+                self._is_call_paused = False
+                self._restart_silence_timer()
 
     # Callbacks of the call to the server.
 
@@ -330,6 +335,7 @@
         # Each call begins with an event of its own: what an earlier call sent of an
         # incomplete event is discarded.
         self._event_splitter = EventSplitter(last_event_id)
+        self._is_call_paused = False
         dispatch = Dispatch(
             server_id=row.server.id,
             timeout=self._seconds_left,
@@ -572,6 +578,9 @@
         record = self._call_record
         if self.caller.congested and record is not None and record.call is not None:
             record.call.pause()
+            # A server that is not read is not silent.
+            self._is_call_paused = True
+            self._cancel_silence_timer()
 
     # End of calls and of the exchange.
 
