Take no trailers of a request for headers

What servers saw: a request with a chunked body and a trailer arrived under the trailer's value where both have the same name: with 'X-Masticfork-Attempt-Id: a-2' as a trailer, request a-1 was run as a-2. A trailer could so replace the key, the model, the prompt or the time limit that its head had stated, after the size of the head had been checked.

Cause: the parser reports trailers like headers, and the head was decoded at the end of the body. RFC 9110 (6.5.1) allows merging a trailer only where its definition says so. Trailers are now dropped, as a proxy may (6.5.2). Found while looking for what a caller can send without end.

--- a/masticfork/relay/caller.py
+++ b/masticfork/relay/caller.py
@@ -174,9 +174,9 @@
             partial_request.header_bytes += len(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect one header."""
+        """Collect one header; trailers are dropped."""
         partial_request = self._partial_request
-        if partial_request is not None:
+        if partial_request is not None and not partial_request.head_complete:
             partial_request.headers.append((name.lower(), value))
             partial_request.header_bytes += len(name) + len(value) + 4
 
