Limit all bytes of a request that are not its body

The same cause as in responses without end, on the side of callers: only complete headers counted towards max_header_bytes, and were compared with it only once the head was complete; extensions of chunks and trailers were not counted.

Now all bytes up to the end of the head count (431), and those of a body that are not its content (400) as in responses: the limit is shared, in relay/framing.py. The request line may add 64 bytes, since max_header_bytes leaves out all of it but the target.

--- a/masticfork/relay/caller.py
+++ b/masticfork/relay/caller.py
@@ -16,6 +16,7 @@
 )
 from masticfork.core.routes import CallerLimits
 from masticfork.relay.channel import Channel
+from masticfork.relay.framing import FramingMeter
 from masticfork.relay.loop import Loop, Timer
 
 # Reading pauses while more pipelined requests than this wait on one connection.
@@ -25,6 +26,8 @@
 # Time for which the rest of a rejected request is read, so that the caller receives the
 # response instead of a reset.
 LINGER_SECONDS = 1.0
+# What the request line has beside its target, which the limit for headers leaves out.
+REQUEST_LINE_BYTES = 64
 
 # The only final status with which no Content-Length may be sent.
 _NO_CONTENT_STATUS = 204
@@ -74,8 +77,10 @@
     target: bytes = b""
     headers: list[Header] = attrs.field(factory=list)
     header_bytes: int = 0
+    # Bytes received until the head is complete.
+    head_bytes: int = 0
+    framing: FramingMeter = attrs.field(factory=FramingMeter)
     body: list[bytes] = attrs.field(factory=list)
-    body_bytes: int = 0
     keep_alive: bool = True
     # Callers of HTTP/1.0 do not know chunked bodies.
     accepts_chunks: bool = True
@@ -135,6 +140,9 @@
             return
         if self._partial_request is None and not self.busy:
             self._begin_partial_request()
+        previous = self._partial_request
+        if previous is not None and previous.head_complete:
+            previous.framing.received_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -142,7 +150,8 @@
         except httptools.HttpParserError:
             self._reject_input(http.HTTPStatus.BAD_REQUEST)
         else:
-            self._check_header_size(len(data))
+            if previous is not None and previous is self._partial_request:
+                self._check_framing(previous, len(data))
         self._begin_next_exchange()
 
     def on_drained(self) -> None:
@@ -204,8 +213,8 @@
         partial_request = self._partial_request
         if partial_request is None or self._rejected:
             return
-        partial_request.body_bytes += len(data)
-        if partial_request.body_bytes > self._host.limits.max_body_bytes:
+        partial_request.framing.content_bytes += len(data)
+        if partial_request.framing.content_bytes > self._host.limits.max_body_bytes:
             self._reject_input(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
         else:
             partial_request.body.append(data)
@@ -356,17 +365,16 @@
         self._partial_request = _PartialRequest(self._loop.now)
         self._restart_timer()
 
-    def _check_header_size(self, size: int) -> None:
-        """Reject an oversized head of which the parser has reported no part yet."""
-        partial_request = self._partial_request
-        if (
-            partial_request is not None
-            and not partial_request.headers
-            and not partial_request.target
-        ):
-            partial_request.header_bytes += size
-            if partial_request.header_bytes > self._host.limits.max_header_bytes:
-                self._reject_input(http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+    def _check_framing(self, partial_request: _PartialRequest, size: int) -> None:
+        """Reject a request of which too much is neither complete nor content."""
+        if partial_request.head_complete:
+            if partial_request.framing.exceeded:
+                self._reject_input(http.HTTPStatus.BAD_REQUEST)
+            return
+        partial_request.head_bytes += size
+        max_bytes = self._host.limits.max_header_bytes + REQUEST_LINE_BYTES
+        if partial_request.head_bytes > max_bytes:
+            self._reject_input(http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
 
     def _restart_timer(self) -> None:
         self._cancel_timer()
--- a/masticfork/relay/response_reader.py
+++ b/masticfork/relay/response_reader.py
@@ -6,15 +6,11 @@
 import httptools
 
 from masticfork.core.forwarding import Header, ResponseHead, may_have_body
+from masticfork.relay.framing import FramingMeter
 
 # A response with a larger head, including interim (1xx) responses and empty lines ahead
 # of it, is treated as malformed.
 MAX_RESPONSE_HEAD_BYTES = 64 << 10
-# Limit on the bytes of a body that are not its content (sizes and extensions of chunks,
-# trailers): a constant, and a multiple of the content received so far. One byte to a
-# chunk needs five.
-MAX_FRAMING_BYTES = 64 << 10
-MAX_FRAMING_BYTES_PER_BODY_BYTE = 16
 
 
 class ResponseSink(Protocol):
@@ -54,9 +50,7 @@
         self._headers: list[Header] = []
         # Bytes received up to the end of the read that completed the head.
         self._head_bytes = 0
-        # Bytes received after that, and how many of all were content of the body.
-        self._framed_bytes = 0
-        self._body_bytes = 0
+        self._framing = FramingMeter()
         # Parts of the body in the data that is being parsed.
         self._body_parts: list[bytes] = []
         self._status_reason = b""
@@ -110,7 +104,7 @@
         if self._head is None:
             self._head_bytes += len(data)
         else:
-            self._framed_bytes += len(data)
+            self._framing.received_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as error:
@@ -167,7 +161,7 @@
     def on_body(self, data: bytes) -> None:
         """Collect a part of the body."""
         if not self._done:
-            self._body_bytes += len(data)
+            self._framing.content_bytes += len(data)
             self._body_parts.append(data)
 
     def on_message_complete(self) -> None:
@@ -180,11 +174,8 @@
         if self._head is None:
             if self._head_bytes > MAX_RESPONSE_HEAD_BYTES:
                 raise MalformedResponseError("head is larger than 64 KiB")
-        elif not self._done:
-            framing_bytes = self._framed_bytes - self._body_bytes
-            content_share = MAX_FRAMING_BYTES_PER_BODY_BYTE * self._body_bytes
-            if framing_bytes > MAX_FRAMING_BYTES + content_share:
-                raise MalformedResponseError("framing is larger than its limit")
+        elif not self._done and self._framing.exceeded:
+            raise MalformedResponseError("framing is larger than its limit")
 
     def _flush_body(self) -> None:
         """Pass the collected parts of the body to the sink."""
