Give each call of a plain service a connection of its own

What callers of the router's own interface could get: the response to another call. A service that answers a call a second time, late, on a connection in use again had that response returned to the next call; the test failed before with '/1' for '/2'.

Responses of plain services name no request, so nothing can tell two of them apart. Their connections are now closed after one response, as those of calls that may run once were before. The price is a connection for each repeatable call. Ruled out: a look for waiting bytes ahead of a call, which the pool does; the second response comes later.

--- a/masticfork/backends/connections.py
+++ b/masticfork/backends/connections.py
@@ -138,21 +138,12 @@
 
         The connection is closed if the body cannot be read as a whole.
         """
-        try:
-            body = opened.response.read()
-        except TimeoutError:
-            opened.connection.http.close()
-            message = "reading the response timed out"
-            return Err(CallFailure(Stage.ANSWERING, FailureKind.TIMEOUT, message))
-        except (OSError, http.client.HTTPException) as error:
-            opened.connection.http.close()
-            name = type(error).__name__
-            return Err(CallFailure(Stage.ANSWERING, FailureKind.CONNECTION, name))
-        if opened.response.will_close:
+        body = read_body(opened)
+        if isinstance(body, Err) or opened.response.will_close:
             opened.connection.http.close()
         else:
             self.release(server, opened.connection)
-        return Ok(body)
+        return body
 
     def release(self, server: BackendServer, connection: Connection) -> None:
         """Return a connection to the pool; its response must be read completely."""
@@ -242,3 +233,15 @@
     connection: http.client.HTTPConnection, deadline: Deadline, now: float
 ) -> None:
     connection.sock.settimeout(max(MIN_SOCKET_TIMEOUT_SECONDS, deadline.remaining(now)))
+
+
+def read_body(opened: OpenResponse) -> Result[bytes, CallFailure]:
+    """Read the body of a response; the connection stays open."""
+    try:
+        return Ok(opened.response.read())
+    except TimeoutError:
+        message = "reading the response timed out"
+        return Err(CallFailure(Stage.ANSWERING, FailureKind.TIMEOUT, message))
+    except (OSError, http.client.HTTPException) as error:
+        name = type(error).__name__
+        return Err(CallFailure(Stage.ANSWERING, FailureKind.CONNECTION, name))
--- a/masticfork/backends/connections_test.py
+++ b/masticfork/backends/connections_test.py
@@ -88,6 +88,24 @@
             assert isinstance(engines.load(target, deadline()), Err)
 
 
+class TestDoubledResponses:
+    def test_second_response_of_a_service_reaches_no_other_call(self):
+        """Guards against a late second response that the next call gets."""
+
+        def doubled(request):
+            body = request.target.encode()
+            yield sized(body)
+            time.sleep(SHORT_SECONDS)
+            yield sized(body)
+
+        client = ServiceClient(ConnectionPool(time.time), time.time)
+        with backend(doubled) as (_, target):
+            for path in ("/1", "/2", "/3"):
+                request = Request("GET", path, ())
+                called = client.call(target, request, deadline(), idempotent=True)
+                assert called.unwrap().body == path.encode()
+
+
 def early_hints_then(body, pause=SHORT_SECONDS):
     """Return a script's first response: an interim one, and later the final one."""
 
--- a/masticfork/backends/service.py
+++ b/masticfork/backends/service.py
@@ -5,7 +5,12 @@
 import attrs
 from result import Err, Ok, Result
 
-from masticfork.backends.connections import ConnectionPool, OpenResponse, Request
+from masticfork.backends.connections import (
+    ConnectionPool,
+    OpenResponse,
+    Request,
+    read_body,
+)
 from masticfork.backends.failures import CallFailure, FailureKind, Stage
 from masticfork.core.deadlines import Deadline
 from masticfork.core.manifest import BackendServer
@@ -44,12 +49,9 @@
         `may_send` is called right before the request is sent; if it returns false,
         nothing is sent.
         """
-        # An idle connection may be closed while a request is sent on it, which leaves
-        # open whether the call ran. Only idempotent calls are repeated, so the others
-        # get a new connection.
-        result = self._call_once(server, request, deadline, not idempotent, may_send)
+        result = self._call_once(server, request, deadline, may_send)
         if idempotent and _lost_before_response(result):
-            return self._call_once(server, request, deadline, True, may_send)
+            return self._call_once(server, request, deadline, may_send)
         return result
 
     def _call_once(
@@ -57,19 +59,19 @@
         server: BackendServer,
         request: Request,
         deadline: Deadline,
-        fresh: bool,
         may_send: Callable[[], bool],
     ) -> Result[ServiceResponse, CallFailure]:
-        started = self._pool.start(server, request, deadline, fresh, may_send)
+        # Responses of services name no request, so a second one, sent late on a
+        # connection in use again, would be taken for that of the next call.
+        started = self._pool.start(server, request, deadline, True, may_send)
         if isinstance(started, Err):
             return started
-        return self._read_body(server, started.ok_value)
+        return self._read_body(started.ok_value)
 
-    def _read_body(
-        self, server: BackendServer, opened: OpenResponse
-    ) -> Result[ServiceResponse, CallFailure]:
+    def _read_body(self, opened: OpenResponse) -> Result[ServiceResponse, CallFailure]:
         response = opened.response
-        body = self._pool.finish(server, opened)
+        body = read_body(opened)
+        opened.connection.http.close()
         if isinstance(body, Err):
             return body
         if response.status == UNAVAILABLE_STATUS and response.getheader(NOT_RUN_HEADER):
