Count calls that were given up just before a server crashed

Servers send the head of the answer about 0.1 s before they crash.

Cause: a call that this host ends itself is closed, so its server's crash is not seen by it. Other calls at the server are, and only their parts were noted.

Now unanswered calls that were given up (for the confidence, for silence, by a quarantine or by the caller) are remembered, and their parts noted if a connection to the same server is lost within half a second after, here or at another host that reports it. The loss of an answered call counts for this too. Answers clear such parts like others.

Without the memory of given-up calls the six new tests of its use fail (the part is not found).

--- a/masticfork/relay/call_evidence.py
+++ b/masticfork/relay/call_evidence.py
@@ -79,8 +79,7 @@
             load.avoid_until = now + UNREACHABLE_SECONDS
         if record.failed is not None:
             load.record(record.failed, now)
-        if record.connection_lost and not record.answered:
-            self._quarantine.record_crash(record)
+        self._quarantine.record_end(record)
         self._report_version_evidence(record)
 
     def report_slow_calls(self, exchanges: Iterable[Exchange]) -> None:
--- a/masticfork/relay/exchange.py
+++ b/masticfork/relay/exchange.py
@@ -46,6 +46,12 @@
     CallOutcome.REFUSED,
     CallOutcome.QUARANTINED,
 )
+# Outcomes of calls that the server may still be at work on.
+_OUTCOMES_OF_ABANDONED_CALLS = (
+    CallOutcome.SILENT,
+    CallOutcome.DROPPED,
+    CallOutcome.QUARANTINED,
+)
 # Statuses that tell callers that a request has not run. A response with one of them is
 # not passed on; unless the server states that it did not run the request, the call
 # counts as broken.
@@ -188,6 +194,11 @@
     outcome: CallOutcome | None = None
     call: ServerCall | None = None
 
+    @property
+    def abandoned(self) -> bool:
+        """Return whether this host or the caller ended the call, not the server."""
+        return self.failed is None or self.outcome in _OUTCOMES_OF_ABANDONED_CALLS
+
     @property
     def shared_part_ids(self) -> list[str]:
         """Return the prompt parts that other requests may share."""
--- a/masticfork/relay/prompt_quarantine.py
+++ b/masticfork/relay/prompt_quarantine.py
@@ -33,28 +33,31 @@
     _quarantine: CrashQuarantine = attrs.field(factory=CrashQuarantine)
     _names: OrderedDict[int, str] = attrs.field(factory=OrderedDict)
 
-    def record_crash(self, record: CallRecord) -> None:
-        """Record that a call's connection was lost before its answer began."""
-        service = record.row.server.service
-        parts = shared_parts(record.work.prompt)
-        keys = [_part_key(service, part) for part in parts]
-        for key, part in zip(keys, parts, strict=True):
-            self._names[key] = part.id
-        while len(self._names) > MAX_NAMED_PARTS:
-            self._names.popitem(last=False)
-        self._quarantine.record_crash(keys, record.row.notice.key, self._loop.now)
+    def record_end(self, record: CallRecord) -> None:
+        """Record the end of a call if it may tell of a crash."""
+        server, now = record.row.notice.key, self._loop.now
+        if record.connection_lost:
+            unanswered = [] if record.answered else self._named_keys(record)
+            self._quarantine.record_crash(unanswered, server, now)
+        elif record.abandoned and not record.answered:
+            self._quarantine.record_abandoned(self._named_keys(record), server, now)
 
     def record_answer(self, record: CallRecord) -> None:
         """Record that the answer to a call has begun."""
-        service = record.row.server.service
-        parts = shared_parts(record.work.prompt)
-        keys = [_part_key(service, part) for part in parts]
-        self._quarantine.record_answer(keys, self._loop.now)
+        self._quarantine.record_answer(_part_keys(record), self._loop.now)
         # What is read now may have been sent by a server that has crashed since.
         sent_after = self._loop.previous_now - MAX_LINK_SECONDS
         alive_at = max(record.started_at, sent_after)
         self._quarantine.record_alive(record.row.notice.key, alive_at)
 
+    def _named_keys(self, record: CallRecord) -> list[int]:
+        """Return the keys of a call's shared parts, and remember their names."""
+        keys = _part_keys(record)
+        self._names.update(zip(keys, record.shared_part_ids, strict=True))
+        while len(self._names) > MAX_NAMED_PARTS:
+            self._names.popitem(last=False)
+        return keys
+
     def part_of(
         self, service: str, prompt: tuple[PromptPart, ...]
     ) -> QuarantinedPart | None:
@@ -99,5 +102,10 @@
         return bool(changes.added)
 
 
+def _part_keys(record: CallRecord) -> list[int]:
+    service = record.row.server.service
+    return [_part_key(service, part) for part in shared_parts(record.work.prompt)]
+
+
 def _part_key(service: str, part: PromptPart) -> int:
     return short_key(f"{service}/{part.id}")
--- a/masticfork/relay/prompt_quarantine_test.py
+++ b/masticfork/relay/prompt_quarantine_test.py
@@ -11,6 +11,7 @@
 from masticfork.relay.prompt_quarantine import MAX_LINK_SECONDS, PromptQuarantine
 from masticfork.relay.server_call import CallFailure, Stage
 from masticfork.systems.crash_quarantine import MIN_CRASHES
+from masticfork.systems.failed_calls import CallOutcome
 from masticfork.systems.server_choice import Work
 from standins.entry_environment import ENGINES, running_entry_host
 from standins.fake_exchange import (
@@ -75,7 +76,8 @@
                 (PromptPart("a1", 60), PromptPart("b3", 40)),
             )
         )
-        quarantine.record_crash(lost)
+        lost.connection_lost = True
+        quarantine.record_end(lost)
         return other
 
     def is_quarantined(self, quarantine, loop):
@@ -111,6 +113,39 @@
         assert not self.is_quarantined(quarantine, loop)
 
 
+class TestAbandonedCalls:
+    @pytest.mark.parametrize("answered", [False, True])
+    @pytest.mark.parametrize("outcome", [CallOutcome.DROPPED, CallOutcome.SILENT])
+    def test_dropped_call_accuses_its_part_if_the_server_then_crashes(
+        self, outcome, answered
+    ):
+        """Guards against a low confidence that arrives just before the crash."""
+        loop = FakeLoop(100.0)
+        quarantine = PromptQuarantine(
+            loop, RelayMetrics(), lambda *args, **fields: None
+        )
+        dead, sound = PromptPart("dead", 20), PromptPart("a1", 60)
+        last = PromptPart("b2", 20)
+        for number in range(MIN_CRASHES):
+            loop.advance(1.0)
+            row = server_row(number)
+            dropped = CallRecord(row, Work("s", prompt=(dead, last)), 0.0, 99.0, 0.0)
+            dropped.outcome, dropped.failed = outcome, False
+            quarantine.record_end(dropped)
+            loop.advance(0.1)
+            prompt = (PromptPart(f"t{number}", 5), sound, last)
+            lost = CallRecord(row, Work("s", prompt=prompt), 0.0, 99.0, 0.0)
+            lost.outcome, lost.failed = CallOutcome.BROKEN, True
+            lost.connection_lost, lost.answered = True, answered
+            quarantine.record_end(lost)
+        other = CallRecord(row, Work("s", prompt=(sound, last)), 0.0, 99.0, 0.0)
+        quarantine.record_answer(other)
+        loop.advance(1.0)
+        quarantine.run()
+        assert quarantine.part_of("s", (dead, last))
+        assert not quarantine.part_of("s", (sound, last))
+
+
 class TestExchangesUnderWay:
     @pytest.fixture()
     def exchange(self):
--- a/masticfork/systems/crash_quarantine.py
+++ b/masticfork/systems/crash_quarantine.py
@@ -9,7 +9,7 @@
 part need to reach the same host.
 """
 
-from collections import OrderedDict, defaultdict
+from collections import OrderedDict, defaultdict, deque
 from collections.abc import Iterable, Mapping
 
 import attrs
@@ -28,6 +28,10 @@
 # many servers, and the number of these: where many requests hold a deadly part, all
 # servers crash within a second, and the next ones only when they are back.
 MIN_INCIDENTS_OF_MANY_SERVERS, MANY_SERVERS = 2, 4
+# Time after which a server does not crash any more by a call that this host has ended,
+# and the number of such calls that are remembered.
+ABANDONED_SECONDS = 0.5
+MAX_ABANDONED_CALLS = 512
 OBSERVATION_LIFETIME_SECONDS = 60.0
 # Time for which this host repeats an observation to the others.
 REPORT_SECONDS = 4.0
@@ -81,6 +85,15 @@
     own: bool
 
 
+@attrs.frozen
+class _AbandonedCall:
+    """An unanswered call that this host has ended while its server was at work."""
+
+    parts: tuple[int, ...]
+    server: int
+    at: float
+
+
 @attrs.frozen
 class _Clearance:
     """An answer that other hosts are told of."""
@@ -103,6 +116,10 @@
     _observations_of: defaultdict[int, set[tuple[int, int]]] = attrs.field(
         factory=lambda: defaultdict(set)
     )
+    # The latest ones.
+    _abandoned: deque[_AbandonedCall] = attrs.field(
+        factory=lambda: deque(maxlen=MAX_ABANDONED_CALLS)
+    )
     # Latest time at which a part, or a server, was seen to produce an answer.
     _answered_at: OrderedDict[int, float] = attrs.field(factory=OrderedDict)
     # Answers that clear an observation, to be told to other hosts.
@@ -118,10 +135,15 @@
         return self._quarantines
 
     def record_crash(self, parts: Iterable[int], server: int, now: float) -> None:
-        """Record that a request with these parts was lost without an answer."""
+        """Record that a request was lost, and its parts that got no answer."""
+        self._observe_abandoned_calls(server, now)
         for position, part in enumerate(parts):
             self._observe(_Observation(part, server, position, now, own=True))
 
+    def record_abandoned(self, parts: Iterable[int], server: int, now: float) -> None:
+        """Record that this host has ended an unanswered request with these parts."""
+        self._abandoned.append(_AbandonedCall(tuple(parts), server, now))
+
     def record_answer(self, parts: Iterable[int], now: float) -> None:
         """Record that the answer to a request with these parts has begun."""
         for part in parts:
@@ -137,6 +159,8 @@
             self._clear(key, now - age)
         for item in report.observations:
             at = now - item.age
+            if item.server not in self._observations_of:
+                self._observe_abandoned_calls(item.server, at)
             self._observe(
                 _Observation(item.part, item.server, item.position, at, own=False)
             )
@@ -286,6 +310,13 @@
         if len(self._observations) > MAX_OBSERVATIONS:
             self._forget(next(iter(self._observations.values())))
 
+    def _observe_abandoned_calls(self, server: int, at: float) -> None:
+        """Record the parts of calls that this host had ended just before a crash."""
+        for call in self._abandoned:
+            if call.server == server and 0.0 <= at - call.at <= ABANDONED_SECONDS:
+                for position, part in enumerate(call.parts):
+                    self._observe(_Observation(part, server, position, at, own=True))
+
     def _forget(self, seen: _Observation) -> None:
         key = (seen.part, seen.server)
         del self._observations[key]
--- a/masticfork/systems/crash_quarantine_test.py
+++ b/masticfork/systems/crash_quarantine_test.py
@@ -7,6 +7,7 @@
 
 from masticfork.core.crash_reports import CrashReport
 from masticfork.systems.crash_quarantine import (
+    ABANDONED_SECONDS,
     INCIDENT_SECONDS,
     MANY_SERVERS,
     MAX_OBSERVATIONS,
@@ -121,6 +122,40 @@
         assert not quarantined(quarantine, 3.0)
 
 
+class TestAbandonedCalls:
+    """Calls that the host has ended itself, of which the server may still crash."""
+
+    def test_call_that_was_dropped_just_before_accuses_its_parts(self):
+        """Guards against a request that crashes a server after it left for another."""
+        quarantine = CrashQuarantine()
+        for number in range(MIN_CRASHES):
+            server = next(SERVERS)
+            quarantine.record_abandoned([10 + number, DEADLY], server, number + 0.9)
+            quarantine.record_crash([20 + number], server, number + 1.0)
+        assert quarantined(quarantine, MIN_CRASHES + 1.0) == {DEADLY}
+
+    def test_crash_that_only_another_host_has_seen_accuses_its_parts(self):
+        first, second = CrashQuarantine(), CrashQuarantine()
+        for number in range(MIN_CRASHES):
+            server = next(SERVERS)
+            first.record_abandoned([DEADLY], server, number + 0.9)
+            second.record_crash([20 + number], server, number + 1.0)
+            first.apply_report(second.report(number + 1.1), number + 1.11)
+            second.apply_report(first.report(number + 1.2), number + 1.21)
+        assert quarantined(first, MIN_CRASHES + 1.0) == {DEADLY}
+        assert quarantined(second, MIN_CRASHES + 1.0) == {DEADLY}
+
+    def test_older_ones_and_those_at_other_servers_accuse_nothing(self):
+        quarantine = CrashQuarantine()
+        for number in range(MIN_CRASHES):
+            server = next(SERVERS)
+            at = number + 1.0 - 2 * ABANDONED_SECONDS
+            quarantine.record_abandoned([DEADLY], server, at)
+            quarantine.record_abandoned([DEADLY], next(SERVERS), number + 0.9)
+            quarantine.record_crash([20 + number], server, number + 1.0)
+        assert not quarantined(quarantine, MIN_CRASHES + 1.0)
+
+
 class TestPartsOfTheSameRequests:
     def test_part_that_was_never_answered_is_chosen_at_once(self):
         quarantine = CrashQuarantine()
