Keep a prompt part that was answered before until five crashes accuse it

Cause: five crashes were asked for only if several answered parts explained the same number. The first part of a class is in more crashes than any other, so it is alone at the top: three crashes in a row between which no answer begins condemned it, and with it the class at all hosts, which then get no answer that could clear it.

A part that was answered before now always needs five. A part that crashes servers from its first request on is not answered, and needs three or two as before.

The test failed before: the common part in quarantine after three crashes.

--- a/masticfork/systems/crash_quarantine.py
+++ b/masticfork/systems/crash_quarantine.py
@@ -21,8 +21,8 @@
 # Time for which observations wait for those of other hosts, which may explain the same
 # crash better.
 SETTLING_SECONDS = 0.6
-# Crashes after which a part is put into quarantine, and crashes after which one of
-# several parts that explain the same number is, if all have been answered before.
+# Crashes after which a part is put into quarantine if it was never answered, and if it
+# was answered before the first of them.
 MIN_CRASHES, MIN_CRASHES_OF_ANSWERED_PARTS = 3, 5
 # Crashes after which a part that was never answered is put into quarantine if they took
 # many servers, and the number of these: where many requests hold a deadly part, all
@@ -251,25 +251,25 @@
         suspects = self._unexplained_suspects(now)
         unanswered = suspects.keys() - self._answered_at.keys()
         # A host that was just started has no answers by which to tell parts apart.
-        suspicious = unanswered if len(unanswered) < len(suspects) else set()
-        counts = {
-            part: count
-            for part, seen in suspects.items()
-            if (count := _count_incidents(seen)) >= MIN_CRASHES
-            or (
-                part in suspicious
-                and count >= MIN_INCIDENTS_OF_MANY_SERVERS
-                and len(seen) >= MANY_SERVERS
-            )
-        }
-        unanswered &= counts.keys()
-        candidates = unanswered or counts.keys()
+        has_answers = len(unanswered) < len(suspects)
+        counts: dict[int, int] = {}
+        for part, seen in suspects.items():
+            count = _count_incidents(seen)
+            if part not in unanswered:
+                suffices = count >= MIN_CRASHES_OF_ANSWERED_PARTS
+            elif has_answers and len(seen) >= MANY_SERVERS:
+                suffices = count >= MIN_INCIDENTS_OF_MANY_SERVERS
+            else:
+                suffices = count >= MIN_CRASHES
+            if suffices:
+                counts[part] = count
+        candidates = (counts.keys() & unanswered) or counts.keys()
         highest = max((counts[part] for part in candidates), default=0)
-        tied = [part for part in candidates if counts[part] == highest]
-        needs_more = not unanswered and highest < MIN_CRASHES_OF_ANSWERED_PARTS
-        if not tied or (len(tied) > 1 and needs_more):
-            return None
-        return min(tied, key=lambda part: self._guilt_order(part, suspects[part]))
+        return min(
+            (part for part in candidates if counts[part] == highest),
+            key=lambda part: self._guilt_order(part, suspects[part]),
+            default=None,
+        )
 
     def _guilt_order(
         self, part: int, observations: list[_Observation]
--- a/masticfork/systems/crash_quarantine_test.py
+++ b/masticfork/systems/crash_quarantine_test.py
@@ -180,6 +180,15 @@
             crash(quarantine, [COMMON, DEADLY], number + 1.0)
         assert quarantined(quarantine, MIN_CRASHES + 2.0) == {DEADLY}
 
+    def test_part_that_was_answered_before_needs_more_crashes(self):
+        """Guards against a class that is refused since servers crash one by one."""
+        quarantine = CrashQuarantine()
+        quarantine.record_answer([COMMON], 0.0)
+        for number in range(MIN_CRASHES_OF_ANSWERED_PARTS):
+            assert not quarantined(quarantine, number + 0.9)
+            crash(quarantine, [COMMON, 10 + number], number + 1.0)
+        assert quarantined(quarantine, 9.0) == {COMMON}
+
     def test_part_that_turned_deadly_is_the_one_answered_longest_ago(self):
         quarantine = CrashQuarantine()
         quarantine.record_answer([DEADLY], 0.0)
