--- a/masticfork/relay/prompt_quarantine_test.py
+++ b/masticfork/relay/prompt_quarantine_test.py
@@ -12,6 +12,7 @@
 from masticfork.relay.server_call import CallFailure, Stage
 from masticfork.systems import crash_quarantine
 from masticfork.systems.crash_quarantine import MIN_CRASHES
+from masticfork.systems.failed_calls import CallOutcome
 from masticfork.systems.server_choice import Work
 from standins.entry_environment import (
     ENGINES,
@@ -44,6 +45,13 @@
     yield from events(request, 2, confidence=90)
 
 
+def prompt_quarantine(loop):
+    """Return a quarantine whose host tries out no part."""
+    return PromptQuarantine(
+        loop, RelayMetrics(), lambda *args, **fields: None, lambda key: False
+    )
+
+
 class TestDeadlyPart:
     def test_requests_with_it_are_refused_and_others_served(self):
         """Guards against requests of one kind that crash server after server."""
@@ -90,9 +98,7 @@
 
     @pytest.fixture()
     def quarantine(self, loop):
-        return PromptQuarantine(
-            loop, RelayMetrics(), lambda *args, **fields: None, lambda key: False
-        )
+        return prompt_quarantine(loop)
 
     def lose_call(self, quarantine, loop):
         """Lose a call to a server of its own, and return another call there."""
@@ -104,7 +110,8 @@
                 (PromptPart("a1", 60), PromptPart("b3", 40)),
             )
         )
-        quarantine.record_crash(lost)
+        lost.connection_lost = True
+        quarantine.record_end(lost)
         return other
 
     def is_quarantined(self, quarantine, loop):
@@ -140,6 +147,37 @@
         assert not self.is_quarantined(quarantine, loop)
 
 
+class TestAbandonedCalls:
+    @pytest.mark.parametrize("answered", [False, True])
+    @pytest.mark.parametrize("outcome", [CallOutcome.DROPPED, CallOutcome.SILENT])
+    def test_dropped_call_accuses_its_part_if_the_server_then_crashes(
+        self, outcome, answered
+    ):
+        """Guards against a low confidence that arrives just before the crash."""
+        loop = FakeLoop(100.0)
+        quarantine = prompt_quarantine(loop)
+        dead, sound = PromptPart("dead", 20), PromptPart("a1", 60)
+        last = PromptPart("b2", 20)
+        for number in range(MIN_CRASHES):
+            loop.advance(1.0)
+            row = server_row(number)
+            dropped = CallRecord(row, Work("s", prompt=(dead, last)), 0.0, 99.0, 0.0)
+            dropped.outcome, dropped.failed = outcome, False
+            quarantine.record_end(dropped)
+            loop.advance(0.1)
+            prompt = (PromptPart(f"t{number}", 5), sound, last)
+            lost = CallRecord(row, Work("s", prompt=prompt), 0.0, 99.0, 0.0)
+            lost.outcome, lost.failed = CallOutcome.BROKEN, True
+            lost.connection_lost, lost.answered = True, answered
+            quarantine.record_end(lost)
+        other = CallRecord(row, Work("s", prompt=(sound, last)), 0.0, 99.0, 0.0)
+        quarantine.record_answer(other)
+        loop.advance(1.0)
+        quarantine.run()
+        assert quarantine.part_of("s", (dead, last))
+        assert not quarantine.part_of("s", (sound, last))
+
+
 class TestExchangesUnderWay:
     @pytest.fixture()
     def exchange(self):
--- a/masticfork/systems/crash_quarantine.py
+++ b/masticfork/systems/crash_quarantine.py
@@ -9,7 +9,7 @@
 part need to reach the same host.
 """
 
-from collections import OrderedDict, defaultdict
+from collections import OrderedDict, defaultdict, deque
 from collections.abc import Iterable, Mapping
 
 import attrs
@@ -21,13 +21,17 @@
 # Time for which observations wait for those of other hosts, which may explain the same
 # crash better.
 SETTLING_SECONDS = 0.6
-# Crashes after which a part is put into quarantine, and crashes after which one of
-# several parts that explain the same number is, if all have been answered before.
+# Crashes after which a part is put into quarantine if it was never answered, and if it
+# was answered before the first of them.
 MIN_CRASHES, MIN_CRASHES_OF_ANSWERED_PARTS = 3, 5
 # Crashes after which a part that was never answered is put into quarantine if they took
 # many servers, and the number of these: where many requests hold a deadly part, all
 # servers crash within a second, and the next ones only when they are back.
 MIN_INCIDENTS_OF_MANY_SERVERS, MANY_SERVERS = 2, 4
+# Time after which a server does not crash any more by a call that this host has ended,
+# and the number of such calls that are remembered.
+ABANDONED_SECONDS = 0.5
+MAX_ABANDONED_CALLS = 512
 OBSERVATION_LIFETIME_SECONDS = 60.0
 # Time for which this host repeats an observation to the others.
 REPORT_SECONDS = 4.0
@@ -91,6 +95,15 @@
     own: bool
 
 
+@attrs.frozen
+class _AbandonedCall:
+    """An unanswered call that this host has ended while its server was at work."""
+
+    parts: tuple[int, ...]
+    server: int
+    at: float
+
+
 @attrs.frozen
 class _Clearance:
     """An answer that other hosts are told of."""
@@ -113,6 +126,10 @@
     _observations_of: defaultdict[int, set[tuple[int, int]]] = attrs.field(
         factory=lambda: defaultdict(set)
     )
+    # The latest ones.
+    _abandoned: deque[_AbandonedCall] = attrs.field(
+        factory=lambda: deque(maxlen=MAX_ABANDONED_CALLS)
+    )
     # Latest time at which a part, or a server, was seen to produce an answer.
     _answered_at: OrderedDict[int, float] = attrs.field(factory=OrderedDict)
     # Answers that clear an observation, to be told to other hosts.
@@ -128,11 +145,16 @@
         return self._quarantines
 
     def record_crash(self, parts: Iterable[int], server: int, now: float) -> None:
-        """Record that a request with these parts was lost without an answer."""
+        """Record that a request was lost, and its parts that got no answer."""
+        self._observe_abandoned_calls(server, now)
         for position, part in enumerate(parts):
             self._observe(_Observation(part, server, position, now, own=True))
             self._extend_quarantine(part, now + QUARANTINE_SECONDS)
 
+    def record_abandoned(self, parts: Iterable[int], server: int, now: float) -> None:
+        """Record that this host has ended an unanswered request with these parts."""
+        self._abandoned.append(_AbandonedCall(tuple(parts), server, now))
+
     def record_answer(self, parts: Iterable[int], now: float) -> None:
         """Record that the answer to a request with these parts has begun."""
         for part in parts:
@@ -162,11 +184,14 @@
             self._clear(key, now - age)
         for item in report.observations:
             at = now - item.age
+            if item.server not in self._observations_of:
+                self._observe_abandoned_calls(item.server, at)
             self._observe(
                 _Observation(item.part, item.server, item.position, at, own=False)
             )
         for part, seconds_left in report.quarantined.items():
-            quarantine = PartQuarantine(part, now + seconds_left)
+            until = now + min(seconds_left, QUARANTINE_SECONDS)
+            quarantine = PartQuarantine(part, until)
             answered_at = self._answered_at.get(part, float("-inf"))
             if answered_at > quarantine.evidence_until:
                 self._tell(part, _Clearance(answered_at, now + REPORT_SECONDS))
@@ -259,25 +284,25 @@
         suspects = self._unexplained_suspects(now)
         unanswered = suspects.keys() - self._answered_at.keys()
         # A host that was just started has no answers by which to tell parts apart.
-        suspicious = unanswered if len(unanswered) < len(suspects) else set()
-        counts = {
-            part: count
-            for part, seen in suspects.items()
-            if (count := _count_incidents(seen)) >= MIN_CRASHES
-            or (
-                part in suspicious
-                and count >= MIN_INCIDENTS_OF_MANY_SERVERS
-                and len(seen) >= MANY_SERVERS
-            )
-        }
-        unanswered &= counts.keys()
-        candidates = unanswered or counts.keys()
+        has_answers = len(unanswered) < len(suspects)
+        counts: dict[int, int] = {}
+        for part, seen in suspects.items():
+            count = _count_incidents(seen)
+            if part not in unanswered:
+                suffices = count >= MIN_CRASHES_OF_ANSWERED_PARTS
+            elif has_answers and len(seen) >= MANY_SERVERS:
+                suffices = count >= MIN_INCIDENTS_OF_MANY_SERVERS
+            else:
+                suffices = count >= MIN_CRASHES
+            if suffices:
+                counts[part] = count
+        candidates = (counts.keys() & unanswered) or counts.keys()
         highest = max((counts[part] for part in candidates), default=0)
-        tied = [part for part in candidates if counts[part] == highest]
-        needs_more = not unanswered and highest < MIN_CRASHES_OF_ANSWERED_PARTS
-        if not tied or (len(tied) > 1 and needs_more):
-            return None
-        return min(tied, key=lambda part: self._guilt_order(part, suspects[part]))
+        return min(
+            (part for part in candidates if counts[part] == highest),
+            key=lambda part: self._guilt_order(part, suspects[part]),
+            default=None,
+        )
 
     def _guilt_order(
         self, part: int, observations: list[_Observation]
@@ -318,6 +343,13 @@
         if len(self._observations) > MAX_OBSERVATIONS:
             self._forget(next(iter(self._observations.values())))
 
+    def _observe_abandoned_calls(self, server: int, at: float) -> None:
+        """Record the parts of calls that this host had ended just before a crash."""
+        for call in self._abandoned:
+            if call.server == server and 0.0 <= at - call.at <= ABANDONED_SECONDS:
+                for position, part in enumerate(call.parts):
+                    self._observe(_Observation(part, server, position, at, own=True))
+
     def _forget(self, seen: _Observation) -> None:
         key = (seen.part, seen.server)
         del self._observations[key]
--- a/masticfork/systems/crash_quarantine_test.py
+++ b/masticfork/systems/crash_quarantine_test.py
@@ -7,6 +7,7 @@
 
 from masticfork.core.crash_reports import CrashReport
 from masticfork.systems.crash_quarantine import (
+    ABANDONED_SECONDS,
     FIRST_TRIAL_SECONDS,
     INCIDENT_SECONDS,
     MANY_SERVERS,
@@ -123,6 +124,40 @@
         assert not quarantined(quarantine, 3.0)
 
 
+class TestAbandonedCalls:
+    """Calls that the host has ended itself, of which the server may still crash."""
+
+    def test_call_that_was_dropped_just_before_accuses_its_parts(self):
+        """Guards against a request that crashes a server after it left for another."""
+        quarantine = CrashQuarantine()
+        for number in range(MIN_CRASHES):
+            server = next(SERVERS)
+            quarantine.record_abandoned([10 + number, DEADLY], server, number + 0.9)
+            quarantine.record_crash([20 + number], server, number + 1.0)
+        assert quarantined(quarantine, MIN_CRASHES + 1.0) == {DEADLY}
+
+    def test_crash_that_only_another_host_has_seen_accuses_its_parts(self):
+        first, second = CrashQuarantine(), CrashQuarantine()
+        for number in range(MIN_CRASHES):
+            server = next(SERVERS)
+            first.record_abandoned([DEADLY], server, number + 0.9)
+            second.record_crash([20 + number], server, number + 1.0)
+            first.apply_report(second.report(number + 1.1), number + 1.11)
+            second.apply_report(first.report(number + 1.2), number + 1.21)
+        assert quarantined(first, MIN_CRASHES + 1.0) == {DEADLY}
+        assert quarantined(second, MIN_CRASHES + 1.0) == {DEADLY}
+
+    def test_older_ones_and_those_at_other_servers_accuse_nothing(self):
+        quarantine = CrashQuarantine()
+        for number in range(MIN_CRASHES):
+            server = next(SERVERS)
+            at = number + 1.0 - 2 * ABANDONED_SECONDS
+            quarantine.record_abandoned([DEADLY], server, at)
+            quarantine.record_abandoned([DEADLY], next(SERVERS), number + 0.9)
+            quarantine.record_crash([20 + number], server, number + 1.0)
+        assert not quarantined(quarantine, MIN_CRASHES + 1.0)
+
+
 class TestPartsOfTheSameRequests:
     def test_part_that_was_never_answered_is_chosen_at_once(self):
         quarantine = CrashQuarantine()
@@ -147,6 +182,15 @@
             crash(quarantine, [COMMON, DEADLY], number + 1.0)
         assert quarantined(quarantine, MIN_CRASHES + 2.0) == {DEADLY}
 
+    def test_part_that_was_answered_before_needs_more_crashes(self):
+        """Guards against a class that is refused since servers crash one by one."""
+        quarantine = CrashQuarantine()
+        quarantine.record_answer([COMMON], 0.0)
+        for number in range(MIN_CRASHES_OF_ANSWERED_PARTS):
+            assert not quarantined(quarantine, number + 0.9)
+            crash(quarantine, [COMMON, 10 + number], number + 1.0)
+        assert quarantined(quarantine, 9.0) == {COMMON}
+
     def test_part_that_turned_deadly_is_the_one_answered_longest_ago(self):
         quarantine = CrashQuarantine()
         quarantine.record_answer([DEADLY], 0.0)
@@ -296,6 +340,12 @@
         assert quarantine.begin_trial(OTHER, now + interval)
         assert quarantined(quarantine, now + QUARANTINE_SECONDS) == {OTHER}
 
+    def test_reported_time_left_is_limited(self):
+        """Guards against a faulty report that refuses a part for good."""
+        quarantine = CrashQuarantine()
+        quarantine.apply_report(CrashReport(quarantined={OTHER: 1e6}), 1.0)
+        assert not quarantined(quarantine, 1.0 + QUARANTINE_SECONDS)
+
     def test_extension_is_adopted_by_other_hosts(self, quarantine):
         other = CrashQuarantine()
         other.apply_report(quarantine.report(4.0), 4.0)
