Count a response for or against a version when it begins

A new version's good streams counted only when they ended, seconds after they had begun, while a call that waited too long counted at once; so a good version looked slow in its first seconds. A 504 at the time limit of its request counted as a failure of the version.

Both now count when the head of a response has been checked. Nothing that happened to a response after its head was evidence before, except a silence, which counted as a good answer. A 504 that comes earlier than at the time limit counts as before.

--- a/masticfork/relay/call_evidence.py
+++ b/masticfork/relay/call_evidence.py
@@ -12,15 +12,6 @@
 from masticfork.systems.failed_calls import CallOutcome
 from masticfork.systems.server_choice import UNREACHABLE_SECONDS
 
-# Call outcomes that count as evidence about the server's version; None is a complete
-# response.
-VERSION_EVIDENCE_OUTCOMES = (
-    None,
-    CallOutcome.SERVER_ERROR,
-    CallOutcome.DROPPED,
-    CallOutcome.SILENT,
-)
-
 
 class CallEvidence:
     """Records calls in loads, metrics, server notices and the evidence on rollouts."""
@@ -54,6 +45,18 @@
         if head.pause is not None:
             self._tables.record_pause(record.row, head.pause)
 
+    def on_own_response(self, record: CallRecord, failed: bool) -> None:
+        """Report a response as evidence for or against the version of its server.
+
+        What happens to a response that has begun well, such as the crash of its server
+        or the loss of its connection, says nothing about the version.
+        """
+        if record.counted_as_slow:
+            return
+        now = self._loop.now
+        response_time = ResponseTime(record.work.size, now - record.started_at)
+        self._rollouts.record_answer(record.row.server, failed, response_time, now)
+
     def on_call_ended(self, record: CallRecord) -> None:
         """Record the outcome of a call in loads, metrics and rollout evidence."""
         load, now = record.row.load, self._loop.now
@@ -72,7 +75,6 @@
             load.avoid_until = now + UNREACHABLE_SECONDS
         if record.failed is not None:
             load.record(record.failed, now)
-        self._report_version_evidence(record)
 
     def report_slow_calls(self, exchanges: Iterable[Exchange]) -> None:
         """Report calls that have already waited too long as evidence of a slow version.
@@ -91,21 +93,3 @@
                 record.counted_as_slow = True
                 server, now = record.row.server, self._loop.now
                 self._rollouts.record_answer(server, False, wait_time, now)
-
-    def _report_version_evidence(self, record: CallRecord) -> None:
-        """Report a call as evidence for or against the version of its server.
-
-        A crashed server or a lost connection says nothing about the version.
-        """
-        if (
-            record.counted_as_slow
-            or record.failed is None
-            or record.outcome not in VERSION_EVIDENCE_OUTCOMES
-        ):
-            return
-        answered_at = record.head_received_at or record.ended_at or self._loop.now
-        answer_time = ResponseTime(record.work.size, answered_at - record.started_at)
-        failed = record.outcome in (None, CallOutcome.SERVER_ERROR) and record.failed
-        self._rollouts.record_answer(
-            record.row.server, failed, answer_time, self._loop.now
-        )
--- a/masticfork/relay/exchange.py
+++ b/masticfork/relay/exchange.py
@@ -28,6 +28,8 @@
 RETRY_AFTER_SECONDS = 0.25
 # Share of the retry budget that escalation to a larger model leaves to failed calls.
 CASCADE_RETRY_RESERVE = 0.3
+# A server may report a timeout when this fraction of the time limit is left.
+TIME_LIMIT_SLACK = 0.1
 # Logged as the status of a response that was aborted after its head was sent.
 ABORTED_STATUS = 0
 
@@ -108,6 +110,9 @@
     def on_response_started(self, record: "CallRecord", head: ResponseHead) -> None:
         """Record that the response to a call has begun."""
 
+    def on_own_response(self, record: "CallRecord", failed: bool) -> None:
+        """Record that a response has begun that belongs to its call."""
+
     def on_call_ended(self, record: "CallRecord") -> None:
         """Record the outcome of a call."""
 
@@ -236,6 +241,8 @@
         record.head_received_at = self.host.loop.now
         self.host.on_response_started(record, head)
         outcome = self._classify_response(head)
+        if outcome in (None, CallOutcome.SERVER_ERROR):
+            self.host.on_own_response(record, self._is_server_failure(head, record))
         if outcome is not None:
             self._fail_call(outcome, self._describe_unusable(head))
             return
@@ -392,6 +399,16 @@
             )
         return CallOutcome.SERVER_ERROR if self._response_started else None
 
+    def _is_server_failure(self, head: ResponseHead, record: CallRecord) -> bool:
+        """Return whether a response is a failure of its server.
+
+        A timeout at the time limit of the request is not.
+        """
+        if head.status != http.HTTPStatus.GATEWAY_TIMEOUT:
+            return head.status >= _MIN_SERVER_ERROR_STATUS
+        time_limit = self.deadline - record.started_at
+        return self._seconds_left > time_limit * TIME_LIMIT_SLACK
+
     def _describe_unusable(self, head: ResponseHead) -> str:
         if head.attempt_id != self.request.head.attempt_id:
             attempt_id = head.attempt_id.decode("latin-1")
--- a/standins/fake_exchange.py
+++ b/standins/fake_exchange.py
@@ -88,6 +88,8 @@
         self.calls: list[FakeCall] = []
         self.retry_allowed = True
         self.ended_exchanges = 0
+        # Whether each response that belongs to its call counts against its server.
+        self.responses_failed: list[bool] = []
         self._rows = [_server_row(number) for number in range(SERVER_COUNT)]
 
     def choose_server(
@@ -131,6 +133,10 @@
     def on_response_started(self, record: CallRecord, head: ResponseHead) -> None:
         """Do nothing."""
 
+    def on_own_response(self, record: CallRecord, failed: bool) -> None:
+        """Record a response."""
+        self.responses_failed.append(failed)
+
     def on_call_ended(self, record: CallRecord) -> None:
         """Do nothing."""
 
