Compare times to first byte relative to the expected ones

An answer was slow above three times the old version's median, and never below 0.1 s.

Times are now divided by the delay that was estimated when the call was sent, which knows prompt, kept parts and queue, and compared with the 90th percentile of the old version. Usual times are collected before the order as well, so that hosts can compare from the first answer on.

The code before fails the same inputs: 0.09 s against 0.02 to 0.03 s, and 0.5 s against 0.07 to 1.1 s, were not slow; a cold long prompt was; times before the order did not count.

--- a/masticfork/relay/call_evidence.py
+++ b/masticfork/relay/call_evidence.py
@@ -7,10 +7,11 @@
 from masticfork.relay.loop import Loop
 from masticfork.relay.metrics import RelayMetrics
 from masticfork.relay.own_loads import OwnLoads
-from masticfork.relay.rollout_controller import ResponseTime, RolloutController
+from masticfork.relay.rollout_controller import RolloutController
 from masticfork.relay.tables import Tables
 from masticfork.systems.failed_calls import CallOutcome
 from masticfork.systems.server_choice import UNREACHABLE_SECONDS
+from masticfork.systems.version_shift import ResponseTime
 
 
 class CallEvidence:
@@ -53,9 +54,9 @@
         """
         if record.counted_as_slow:
             return
-        now = self._loop.now
-        response_time = ResponseTime(record.work.size, now - record.started_at)
-        self._rollouts.record_answer(record.row.server, failed, response_time, now)
+        self._rollouts.record_answer(
+            record.row.server, failed, self._time_so_far(record), self._loop.now
+        )
 
     def on_call_ended(self, record: CallRecord) -> None:
         """Record the outcome of a call in loads, metrics and rollout evidence."""
@@ -86,10 +87,12 @@
             record = exchange.unanswered_call
             if record is None or record.counted_as_slow:
                 continue
-            wait_time = ResponseTime(
-                record.work.size, self._loop.now - record.started_at
-            )
+            wait_time = self._time_so_far(record)
             if self._rollouts.is_slow(record.row.server, wait_time):
                 record.counted_as_slow = True
                 server, now = record.row.server, self._loop.now
                 self._rollouts.record_answer(server, False, wait_time, now)
+
+    def _time_so_far(self, record: CallRecord) -> ResponseTime:
+        seconds = self._loop.now - record.started_at
+        return ResponseTime(record.work.size, seconds, record.expected_delay)
--- a/masticfork/relay/restored_store_model_test.py
+++ b/masticfork/relay/restored_store_model_test.py
@@ -29,12 +29,12 @@
 from masticfork.relay.mirror import from_json, to_json
 from masticfork.relay.rollout_controller import (
     MAX_WRITE_DELAY_SECONDS,
-    ResponseTime,
     RolloutController,
 )
 from masticfork.relay.store_view import MIRRORED_KINDS, StoreView
 from masticfork.relay.tables import RESTORED_ENTRY_PAUSE_SECONDS, Tables
 from masticfork.store.client import ErrorKind, PlatformError
+from masticfork.systems.version_shift import ResponseTime
 from standins.entry_environment import configuration
 from standins.fake_loop import FakeLoop, SynchronousExecutor
 
--- a/masticfork/relay/rollout_controller.py
+++ b/masticfork/relay/rollout_controller.py
@@ -27,6 +27,7 @@
 from masticfork.systems.version_shift import (
     AnswerCounts,
     LatencyBaseline,
+    ResponseTime,
     is_bad,
     is_final,
     next_progress,
@@ -48,18 +49,6 @@
         """Schedule a call."""
 
 
-@attrs.frozen
-class ResponseTime:
-    """Seconds until the first byte of a response, or until the call was abandoned.
-
-    `size` is the model's index in the route, smallest first; only times of equal size
-    are compared.
-    """
-
-    size: int
-    seconds: float
-
-
 @attrs.define(eq=False)
 class _RolloutRecord:
     """This host's evidence and state of one rollout."""
@@ -72,7 +61,6 @@
     ordered_unix_seconds: float
     new: AnswerCounts = attrs.field(factory=AnswerCounts)
     old: AnswerCounts = attrs.field(factory=AnswerCounts)
-    usual_times: LatencyBaseline = attrs.field(factory=LatencyBaseline)
     # Whether this host has judged the new version bad.
     bad: bool = False
     # Loop time since which new progress waits to be written.
@@ -101,6 +89,9 @@
         self._host = host
         self._log = log
         self._records: dict[str, _RolloutRecord] = {}
+        # By service, also while no rollout runs: a new version is compared with them
+        # from its first answer on.
+        self._usual_times: dict[str, LatencyBaseline] = {}
         self._executor = executor or ThreadPoolExecutor(1, "rollout-writer")
 
     def eligible(
@@ -134,24 +125,33 @@
     ) -> None:
         """Record one response as evidence."""
         rollout = self._tables.rollouts.get(server.service)
+        usual_times = self.usual_times(server.service)
+        slow = usual_times.is_slow(time)
+        is_new = (
+            rollout is not None
+            and rollout.progress.state is not RolloutState.DONE
+            and server.version == rollout.target
+        )
+        if not is_new:
+            usual_times.add(time)
         if rollout is None or is_final(rollout.progress):
             return
         record = self._record_of(rollout)
-        is_new = server.version == rollout.target
         evidence = record.new if is_new else record.old
-        slow = record.usual_times.is_slow(time.size, time.seconds)
-        if not is_new:
-            record.usual_times.add(time.size, time.seconds)
         evidence.add(failed, slow, now)
         if failed or slow:
             self._judge_version(rollout, record)
 
+    def usual_times(self, service: str) -> LatencyBaseline:
+        """Return the response times of a service without those of a new version."""
+        return self._usual_times.setdefault(service, LatencyBaseline())
+
     def is_slow(self, server: BackendServer, time: ResponseTime) -> bool:
         """Return whether a call that still waits for its response is already slow."""
         rollout = self._tables.rollouts.get(server.service)
         if rollout is None or is_final(rollout.progress):
             return False
-        return self._record_of(rollout).usual_times.is_slow(time.size, time.seconds)
+        return self.usual_times(server.service).is_slow(time)
 
     def evidence(self) -> tuple[RolloutEvidence, ...]:
         """Return this host's evidence on all unfinished rollouts."""
--- /dev/null
+++ b/masticfork/relay/rollout_evidence_test.py
@@ -0,0 +1,63 @@
+"""Evidence that a host collects on a rollout."""
+
+from masticfork.core.backend_servers import (
+    Address,
+    BackendServer,
+    RolloutProgress,
+    RolloutState,
+    VersionRollout,
+)
+from masticfork.core.store_position import StorePosition
+from masticfork.relay.rollout_controller import RolloutController
+from masticfork.relay.tables import Tables
+from masticfork.systems.version_shift import ResponseTime
+from standins.fake_loop import FakeLoop, SynchronousExecutor
+
+
+def ignore(*args, **fields):
+    pass
+
+
+def server(version):
+    address = Address("127.0.0.1", 1000)
+    return BackendServer(f"i-{version}", "s", address, "zone-a", version, 6, False)
+
+
+def rollout(state):
+    progress = RolloutProgress(state, 0, 100.0)
+    return VersionRollout("s", "v2", 20.0, StorePosition(0, 7), 5, 5, progress)
+
+
+class TestRolloutEvidence:
+    def controller(self):
+        tables = Tables(FakeLoop(), ignore)
+        controller = RolloutController(
+            FakeLoop(),
+            None,
+            tables,
+            "host-1",
+            ignore,
+            lambda service, created: [],
+            executor=SynchronousExecutor(),
+        )
+        return tables, controller
+
+    def test_times_before_the_order_are_the_baseline(self):
+        """Guards against hosts that know no usual times in the first seconds."""
+        tables, controller = self.controller()
+        for _ in range(20):
+            controller.record_answer(server("v1"), False, ResponseTime(0, 0.1), 0.0)
+        tables.put_rollout(rollout(RolloutState.RUNNING))
+        controller.record_answer(server("v2"), False, ResponseTime(0, 0.8), 0.0)
+        (evidence,) = controller.evidence()
+        assert evidence.new_slow == 1.0
+
+    def test_withdrawn_version_does_not_change_the_usual_times(self):
+        tables, controller = self.controller()
+        tables.put_rollout(rollout(RolloutState.RUNNING))
+        for _ in range(20):
+            controller.record_answer(server("v1"), False, ResponseTime(0, 0.1), 0.0)
+        tables.put_rollout(rollout(RolloutState.ROLLED_BACK))
+        for _ in range(60):
+            controller.record_answer(server("v2"), False, ResponseTime(0, 0.8), 0.0)
+        assert controller.usual_times("s").is_slow(ResponseTime(0, 0.8))
--- a/masticfork/relay/rollout_progress_model_test.py
+++ b/masticfork/relay/rollout_progress_model_test.py
@@ -16,11 +16,11 @@
 from masticfork.platform.server_format import decode_rollout
 from masticfork.relay.rollout_controller import (
     MAX_WRITE_DELAY_SECONDS,
-    ResponseTime,
     RolloutController,
 )
 from masticfork.relay.tables import Tables
 from masticfork.store.client import ErrorKind, PlatformError
+from masticfork.systems.version_shift import ResponseTime
 from standins.fake_loop import FakeLoop, SynchronousExecutor
 
 HOSTS = 3
--- a/masticfork/systems/version_shift.py
+++ b/masticfork/systems/version_shift.py
@@ -5,7 +5,6 @@
 step, with a conditional write that fails if another host has written since.
 """
 
-import statistics
 from collections import deque
 
 import attrs
@@ -43,12 +42,17 @@
 # A version whose share of slow or failed answers exceeds the old version's by this
 # margin stays in the canary step.
 SUSPICION_MARGIN = 0.1
-# An answer is slow above this multiple of the old version's recent median latency.
-SLOW_MEDIAN_MULTIPLE = 3.0
-# Faster answers never count as slow: callers wait a second or more for the first event.
-MIN_SLOW_SECONDS = 0.1
+# An answer is slow if it took longer than this quantile of the old version's recent
+# answers by this factor. Times are compared relative to the expected ones, since these
+# differ with the length of the prompt, what the server keeps of it, and its queue.
+USUAL_QUANTILE = 0.9
+SLOW_MULTIPLE = 1.3
+# Added to expected times, which contain neither transport nor an engine's first step.
+FIXED_RESPONSE_SECONDS = 0.05
+# Faster answers never count as slow.
+MIN_SLOW_SECONDS = 0.03
 MAX_BASELINE_TIMES = 60
-MIN_BASELINE_TIMES = 5
+MIN_BASELINE_TIMES = 10
 # Earlier answers lose weight by this factor each second, so that good answers in the
 # past do not hide a version that turns bad later.
 DECAY_PER_SECOND = 0.93
@@ -91,23 +95,45 @@
         self.decayed_at = now
 
 
+@attrs.frozen
+class ResponseTime:
+    """Seconds until the first byte of a response, or until the call was abandoned.
+
+    `size` is the model's index in the route, smallest first; only times of equal size
+    are compared. `expected` are the seconds estimated when the call was sent.
+    """
+
+    size: int
+    seconds: float
+    expected: float = 0.0
+
+    @property
+    def relative(self) -> float:
+        """Return the time as a multiple of the expected one."""
+        return self.seconds / (self.expected + FIXED_RESPONSE_SECONDS)
+
+
 @attrs.define
 class LatencyBaseline:
-    """The old version's recent times to first byte in seconds, by model size."""
+    """The usual version's recent times to first byte by model size.
+
+    Times are relative to the expected ones.
+    """
 
     _times: dict[int, deque[float]] = attrs.field(factory=dict)
 
-    def add(self, size: int, seconds: float) -> None:
-        """Record a time to first byte of the old version."""
-        times = self._times.setdefault(size, deque(maxlen=MAX_BASELINE_TIMES))
-        times.append(seconds)
+    def add(self, time: ResponseTime) -> None:
+        """Record a time to first byte of the usual version."""
+        times = self._times.setdefault(time.size, deque(maxlen=MAX_BASELINE_TIMES))
+        times.append(time.relative)
 
-    def is_slow(self, size: int, seconds: float) -> bool:
+    def is_slow(self, time: ResponseTime) -> bool:
         """Return whether an answer of either version is slow against the baseline."""
-        times = self._times.get(size, ())
-        if len(times) < MIN_BASELINE_TIMES or seconds < MIN_SLOW_SECONDS:
+        times = self._times.get(time.size, ())
+        if len(times) < MIN_BASELINE_TIMES or time.seconds < MIN_SLOW_SECONDS:
             return False
-        return seconds > statistics.median(times) * SLOW_MEDIAN_MULTIPLE
+        usual = sorted(times)[int(len(times) * USUAL_QUANTILE)]
+        return time.relative > usual * SLOW_MULTIPLE
 
 
 def is_bad(new: AnswerCounts, old: AnswerCounts, step: int) -> bool:
--- a/masticfork/systems/version_shift_test.py
+++ b/masticfork/systems/version_shift_test.py
@@ -19,6 +19,7 @@
     STEP_SHARES,
     AnswerCounts,
     LatencyBaseline,
+    ResponseTime,
     is_bad,
     is_final,
     is_suspicious,
@@ -143,11 +144,11 @@
             now += 0.1
             if rng.random() < 0.15:
                 seconds = rng.choice(seconds_of_new)
-                new.add(False, baseline.is_slow(0, seconds), now)
+                new.add(False, baseline.is_slow(ResponseTime(0, seconds)), now)
             else:
                 seconds = rng.choice((0.06, 0.08, 0.17, 0.17, 0.38, 1.1))
-                old.add(False, baseline.is_slow(0, seconds), now)
-                baseline.add(0, seconds)
+                old.add(False, baseline.is_slow(ResponseTime(0, seconds)), now)
+                baseline.add(ResponseTime(0, seconds))
         return now, new, old
 
     def test_slow_version_is_detected(self):
@@ -161,6 +162,36 @@
         assert not is_suspicious(new, old)
 
 
+class TestLatencyBaseline:
+    def baseline(self, times):
+        baseline = LatencyBaseline()
+        for seconds, expected in times * 5:
+            baseline.add(ResponseTime(0, seconds, expected))
+        return baseline
+
+    def test_answers_below_a_tenth_of_a_second_can_be_slow(self):
+        """Guards against slow versions of services that answer in milliseconds."""
+        baseline = self.baseline([(0.02, 0.0), (0.025, 0.0), (0.03, 0.0)])
+        assert baseline.is_slow(ResponseTime(0, 0.09))
+        assert not baseline.is_slow(ResponseTime(0, 0.035))
+
+    def test_times_of_long_prompts_do_not_hide_a_slow_version(self):
+        """Guards against slow answers within the spread of times of all prompts."""
+        baseline = self.baseline([(0.07, 0.05), (0.24, 0.2), (1.1, 1.0)])
+        assert baseline.is_slow(ResponseTime(0, 0.5, 0.05))
+        assert baseline.is_slow(ResponseTime(0, 3.3, 1.0))
+
+    def test_long_prompts_without_kept_parts_are_not_slow(self):
+        """Guards against good versions accused because their engines are cold."""
+        baseline = self.baseline([(0.05, 0.02), (0.07, 0.05)])
+        assert not baseline.is_slow(ResponseTime(0, 0.65, 0.95))
+
+    def test_without_enough_times_nothing_is_slow(self):
+        baseline = LatencyBaseline()
+        baseline.add(ResponseTime(0, 0.1))
+        assert not baseline.is_slow(ResponseTime(0, 9.0))
+
+
 class TestTakesNewVersion:
     def test_share_of_new_sessions_matches_the_step(self):
         for step, share in enumerate(STEP_SHARES):
