Judge a new version by the excess of its bad answers

A version was bad above fixed shares of failed or slow answers. Five answers reached them by chance, and 168 answers of which 0.28 were slow against 0.08 of the old version's did not.

A version is now bad if its failed or slow answers exceed the old version's share and an allowance by a number of answers, at every step. With half of that it gets no more requests: the canary and the split step do not end by time alone while it is suspicious.

The test that slow answers do not roll back a version that serves alone is replaced: it stood for the double load of such a version, which expected times now contain (test_long_prompts_without_kept_parts_are_not_slow), and it demanded that 15 slow answers of 30 against 2 of 30 be ignored. The new tests fail on the code before: 47 slow answers of 168 against 28 of 350 were not bad, 5 of 12 against 16 of 100 were, and the split step ended with a suspicious version.

--- a/masticfork/relay/rollout_controller.py
+++ b/masticfork/relay/rollout_controller.py
@@ -209,7 +209,7 @@
     def _judge_version(self, rollout: VersionRollout, record: _RolloutRecord) -> None:
         """Mark the new version as bad if the evidence of all hosts shows it."""
         new, old, _ = self._combined_evidence(rollout, record)
-        if record.bad or not is_bad(new, old, rollout.progress.step):
+        if record.bad or not is_bad(new, old):
             return
         record.bad = True
         self._log(
--- a/masticfork/systems/version_shift.py
+++ b/masticfork/systems/version_shift.py
@@ -32,16 +32,16 @@
 DONE_FRACTION = 0.92
 # From this fraction on, the rollout is done once nothing runs on the old version.
 EARLY_DONE_FRACTION = 0.8
-# A version is bad if it reaches this number and this share of failed answers, and its
-# share also exceeds the old version's by this margin.
-MIN_FAILED_ANSWERS, MIN_FAILED_SHARE, FAILED_SHARE_MARGIN = 3.0, 0.2, 0.15
-# The same for slow answers: (share, margin) in the canary step and in the split step.
-# Queueing slows some answers of any version, and cold engines slow more in the split.
-MIN_SLOW_ANSWERS = 5.0
-SLOW_SHARE_THRESHOLDS = ((0.34, 0.17), (0.4, 0.22))
-# A version whose share of slow or failed answers exceeds the old version's by this
-# margin stays in the canary step.
-SUSPICION_MARGIN = 0.1
+# Fractions of the duration at which a version that is still suspicious in the canary
+# or in the split step is rolled back.
+SUSPICION_END_FRACTIONS = (FULL_FRACTION, EARLY_DONE_FRACTION)
+# A version is bad if its failed, or its slow, answers exceed those allowed by this
+# number. Allowed are the old version's share and this additional share of all answers.
+# So a few answers must differ more than many do.
+FAILED_EXCESS, FAILED_ALLOWANCE = 2.25, 0.1
+SLOW_EXCESS, SLOW_ALLOWANCE = 3.0, 0.1
+# With this fraction of the excess, a version does not get more requests.
+SUSPICION_FRACTION = 0.5
 # An answer is slow if it took longer than this quantile of the old version's recent
 # answers by this factor. Times are compared relative to the expected ones, since these
 # differ with the length of the prompt, what the server keeps of it, and its queue.
@@ -136,25 +136,21 @@
         return time.relative > usual * SLOW_MULTIPLE
 
 
-def is_bad(new: AnswerCounts, old: AnswerCounts, step: int) -> bool:
-    """Return whether the new version must be rolled back.
-
-    Latencies are compared only while both versions serve: a version that serves alone
-    has twice the load.
-    """
-    failing = new.bad >= MIN_FAILED_ANSWERS and new.bad_share >= MIN_FAILED_SHARE
-    if failing and new.bad_share > old.bad_share + FAILED_SHARE_MARGIN:
-        return True
-    if step >= FULL or new.slow < MIN_SLOW_ANSWERS:
-        return False
-    min_share, margin = SLOW_SHARE_THRESHOLDS[step]
-    return new.slow_share >= min_share and new.slow_share > old.slow_share + margin
+def is_bad(new: AnswerCounts, old: AnswerCounts) -> bool:
+    """Return whether the new version must be rolled back."""
+    return _badness(new, old) >= 1.0
 
 
 def is_suspicious(new: AnswerCounts, old: AnswerCounts) -> bool:
     """Return whether the new version may be bad, without conclusive evidence."""
-    failing = new.bad_share > old.bad_share + SUSPICION_MARGIN
-    return failing or new.slow_share > old.slow_share + SUSPICION_MARGIN
+    return _badness(new, old) >= SUSPICION_FRACTION
+
+
+def _badness(new: AnswerCounts, old: AnswerCounts) -> float:
+    """Return the larger excess of failed or slow answers, 1 if it is conclusive."""
+    failed = new.bad - (old.bad_share + FAILED_ALLOWANCE) * new.total
+    slow = new.slow - (old.slow_share + SLOW_ALLOWANCE) * new.total
+    return max(failed / FAILED_EXCESS, slow / SLOW_EXCESS)
 
 
 def is_final(progress: RolloutProgress) -> bool:
@@ -203,21 +199,19 @@
     progress = rollout.progress
     if is_final(progress):
         return progress
-    if is_bad(new, old, progress.step):
+    if is_bad(new, old):
         return attrs.evolve(progress, state=RolloutState.ROLLED_BACK)
     if progress.state is RolloutState.ORDERED:
         return attrs.evolve(progress, state=RolloutState.RUNNING, step=0)
     fraction = elapsed / rollout.duration
-    if progress.step == CANARY:
+    if progress.step < FULL:
         canary_passed = new.total >= CANARY_ANSWERS or fraction >= CANARY_END_FRACTION
-        if canary_passed and not is_suspicious(new, old):
-            return attrs.evolve(progress, step=SPLIT)
-        if fraction >= FULL_FRACTION:
+        due = canary_passed if progress.step == CANARY else fraction >= FULL_FRACTION
+        if due and not is_suspicious(new, old):
+            return attrs.evolve(progress, step=progress.step + 1)
+        if fraction >= SUSPICION_END_FRACTIONS[progress.step]:
             return attrs.evolve(progress, state=RolloutState.ROLLED_BACK)
         return progress
-    if progress.step == SPLIT:
-        due = fraction >= FULL_FRACTION
-        return attrs.evolve(progress, step=FULL) if due else progress
     drained = fraction >= EARLY_DONE_FRACTION and old_running == 0
     if drained or fraction >= DONE_FRACTION:
         return attrs.evolve(progress, state=RolloutState.DONE)
--- a/masticfork/systems/version_shift_test.py
+++ b/masticfork/systems/version_shift_test.py
@@ -90,6 +90,23 @@
             progress = next_progress(rollout(step=step), 13.0, bad, GOOD)
             assert progress.state is RolloutState.ROLLED_BACK
 
+    @pytest.mark.parametrize(("step", "due"), [(CANARY, 12.1), (SPLIT, 16.0)])
+    def test_suspicious_version_does_not_get_more_requests(self, step, due):
+        """Guards against a split that ended by time alone."""
+        suspicious = AnswerCounts(good=10, slow=3)
+        assert is_suspicious(suspicious, GOOD)
+        assert not is_bad(suspicious, GOOD)
+        shift = rollout(step=step)
+        assert next_progress(shift, due, suspicious, GOOD) == shift.progress
+        progress = next_progress(shift, 19.3, suspicious, GOOD)
+        assert progress.state is RolloutState.ROLLED_BACK
+
+    def test_slow_version_that_serves_alone_is_rolled_back(self):
+        """Guards against slow versions that are found out only in the last step."""
+        slow, old = AnswerCounts(good=35, slow=13), AnswerCounts(good=40, slow=3)
+        progress = next_progress(rollout(step=FULL), 20.0, slow, old)
+        assert progress.state is RolloutState.ROLLED_BACK
+
     @given(
         st.sampled_from([RolloutState.DONE, RolloutState.ROLLED_BACK]),
         st.floats(0, 100),
@@ -114,12 +131,20 @@
         ],
     )
     def test_requires_minimum_count_share_and_margin(self, new, old, expected):
-        assert is_bad(new, old, CANARY) is expected
+        assert is_bad(new, old) is expected
+
+    def test_slow_version_is_bad_at_any_number_of_answers(self):
+        """Guards against fixed shares that many answers stay below."""
+        old = AnswerCounts(good=350, slow=28)
+        assert is_bad(AnswerCounts(good=168, slow=47), old)
+        assert is_bad(AnswerCounts(good=30, slow=15), old)
+        assert is_bad(AnswerCounts(good=5, slow=5), old)
 
-    def test_slow_answers_do_not_roll_back_a_version_that_serves_alone(self):
-        new, old = AnswerCounts(good=30, slow=15), AnswerCounts(good=30, slow=2)
-        assert is_bad(new, old, SPLIT)
-        assert not is_bad(new, old, FULL)
+    def test_a_few_slow_answers_do_not_accuse_a_good_version(self):
+        """Guards against shares that a few answers reach by chance."""
+        old = AnswerCounts(good=100, slow=16)
+        assert not is_bad(AnswerCounts(good=12, slow=5), old)
+        assert not is_bad(AnswerCounts(good=3, slow=3), old)
 
     def test_good_history_does_not_hide_a_version_that_turns_bad(self):
         new = AnswerCounts()
@@ -127,7 +152,7 @@
             for _ in range(4):
                 new.add(False, False, float(second))
         bad_answers = 0
-        while not is_bad(new, GOOD, CANARY) and bad_answers < 40:
+        while not is_bad(new, GOOD) and bad_answers < 40:
             bad_answers += 1
             new.add(True, False, 12.0 + bad_answers / 4)
         assert bad_answers <= 15
@@ -140,7 +165,7 @@
         rng, baseline = random.Random(7), LatencyBaseline()
         new, old = AnswerCounts(), AnswerCounts()
         now = 0.0
-        while not is_bad(new, old, CANARY) and now < 30.0:
+        while not is_bad(new, old) and now < 30.0:
             now += 0.1
             if rng.random() < 0.15:
                 seconds = rng.choice(seconds_of_new)
