Count repeated failures of one request once

A request that fails on every server failed up to four times: this host repeats it, and so does its caller. Failures of one session within a second now count once for or against a version, as do those of one request without a session.

Not changed: failures of different sessions, so a version that fails for one class of requests is still found.

The new test fails without the check: three failures were counted instead of one.

--- a/masticfork/relay/call_evidence.py
+++ b/masticfork/relay/call_evidence.py
@@ -13,6 +13,9 @@
 from masticfork.systems.server_choice import UNREACHABLE_SECONDS
 from masticfork.systems.version_shift import ResponseTime
 
+# Failures of one session at shorter intervals count as one.
+REPEATED_FAILURE_SECONDS = 1.0
+
 
 class CallEvidence:
     """Records calls in loads, metrics, server notices and the evidence on rollouts."""
@@ -30,6 +33,8 @@
         self._metrics = metrics
         self._own_loads = own_loads
         self._rollouts = rollouts
+        # Loop time of the latest failure by service and session.
+        self._failed_at: dict[tuple[str, str], float] = {}
 
     def on_call_sent(self, record: CallRecord) -> None:
         """Add a call that is being sent to the load of its server."""
@@ -46,7 +51,7 @@
         if head.pause is not None:
             self._tables.record_pause(record.row, head.pause)
 
-    def on_own_response(self, record: CallRecord, failed: bool) -> None:
+    def on_own_response(self, record: CallRecord, session: str, failed: bool) -> None:
         """Report a response as evidence for or against the version of its server.
 
         What happens to a response that has begun well, such as the crash of its server
@@ -54,6 +59,8 @@
         """
         if record.counted_as_slow:
             return
+        if failed and self._repeats_failure(record.row.server.service, session):
+            return
         self._rollouts.record_answer(
             record.row.server, failed, self._time_so_far(record), self._loop.now
         )
@@ -93,6 +100,20 @@
                 server, now = record.row.server, self._loop.now
                 self._rollouts.record_answer(server, False, wait_time, now)
 
+    def _repeats_failure(self, service: str, session: str) -> bool:
+        """Record a failure; return whether it follows one of the same session.
+
+        A request that fails everywhere fails again when it is repeated, by this host
+        or by its caller, which says no more about a version than once.
+        """
+        now, key = self._loop.now, (service, session)
+        for known, failed_at in list(self._failed_at.items()):
+            if now - failed_at >= REPEATED_FAILURE_SECONDS:
+                del self._failed_at[known]
+        repeated = key in self._failed_at
+        self._failed_at[key] = now
+        return repeated
+
     def _time_so_far(self, record: CallRecord) -> ResponseTime:
         seconds = self._loop.now - record.started_at
         return ResponseTime(record.work.size, seconds, record.expected_delay)
--- a/masticfork/relay/entry.py
+++ b/masticfork/relay/entry.py
@@ -510,9 +510,9 @@
         """Record that the response to a call has begun."""
         self._call_evidence.on_response_started(record, head)
 
-    def on_own_response(self, record: CallRecord, failed: bool) -> None:
+    def on_own_response(self, record: CallRecord, session: str, failed: bool) -> None:
         """Record that a response has begun that belongs to its call."""
-        self._call_evidence.on_own_response(record, failed)
+        self._call_evidence.on_own_response(record, session, failed)
 
     def on_call_ended(self, record: CallRecord) -> None:
         """Record the outcome of a call."""
--- a/masticfork/relay/exchange.py
+++ b/masticfork/relay/exchange.py
@@ -110,7 +110,7 @@
     def on_response_started(self, record: "CallRecord", head: ResponseHead) -> None:
         """Record that the response to a call has begun."""
 
-    def on_own_response(self, record: "CallRecord", failed: bool) -> None:
+    def on_own_response(self, record: "CallRecord", session: str, failed: bool) -> None:
         """Record that a response has begun that belongs to its call."""
 
     def on_call_ended(self, record: "CallRecord") -> None:
@@ -242,7 +242,8 @@
         self.host.on_response_started(record, head)
         outcome = self._classify_response(head)
         if outcome in (None, CallOutcome.SERVER_ERROR):
-            self.host.on_own_response(record, self._is_server_failure(head, record))
+            failed = self._is_server_failure(head, record)
+            self.host.on_own_response(record, self._session_key, failed)
         if outcome is not None:
             self._fail_call(outcome, self._describe_unusable(head))
             return
--- a/masticfork/relay/version_evidence_test.py
+++ b/masticfork/relay/version_evidence_test.py
@@ -2,9 +2,24 @@
 
 import pytest
 
+from masticfork.core.backend_servers import (
+    Address,
+    BackendServer,
+    RolloutProgress,
+    RolloutState,
+    VersionRollout,
+)
 from masticfork.core.routes import RouteKind
-from masticfork.relay.exchange import Exchange
+from masticfork.core.store_position import StorePosition
+from masticfork.relay.call_evidence import REPEATED_FAILURE_SECONDS, CallEvidence
+from masticfork.relay.exchange import CallRecord, Exchange
+from masticfork.relay.metrics import RelayMetrics
+from masticfork.relay.own_loads import OwnLoads
+from masticfork.relay.rollout_controller import RolloutController
+from masticfork.relay.tables import Tables
+from masticfork.systems.server_choice import Work
 from standins.fake_exchange import FakeCaller, FakeHost, caller_request, response_head
+from standins.fake_loop import FakeLoop, SynchronousExecutor
 from standins.typed_routes import typed_route
 
 DEADLINE_SECONDS = 2.0
@@ -53,3 +68,45 @@
         start_exchange(host).on_head(response_head(attempt_id=b"a-2"))
         start_exchange(host).on_head(response_head(status=503, not_run=True))
         assert host.responses_failed == []
+
+
+class TestRepeatedFailures:
+    def evidence_after(self, failures):
+        """Return the evidence after failures at (time, session) of a new version."""
+        loop = FakeLoop()
+        tables = Tables(loop, ignore)
+        address = Address("127.0.0.1", 1000)
+        server = BackendServer("i-1", "s", address, "zone-a", "v2", 6, False)
+        tables.put_server(server)
+        progress = RolloutProgress(RolloutState.RUNNING, 0, 100.0)
+        tables.put_rollout(
+            VersionRollout("s", "v2", 20.0, StorePosition(0, 7), 5, 5, progress)
+        )
+        executor = SynchronousExecutor()
+        rollouts = RolloutController(
+            loop, None, tables, "host-1", ignore, lambda *_: [], executor
+        )
+        evidence = CallEvidence(
+            loop, tables, RelayMetrics(), OwnLoads(tables, ignore), rollouts
+        )
+        for at, session in failures:
+            loop.now = at
+            record = CallRecord(tables.row("i-1"), Work("s"), 0.0, at, 0.02)
+            evidence.on_own_response(record, session, True)
+        (reported,) = rollouts.evidence()
+        return reported.new_bad
+
+    def test_repeated_failures_of_a_request_count_once(self):
+        """Guards against good versions accused of requests that fail everywhere."""
+        assert self.evidence_after([(0.1, "a"), (0.2, "a"), (0.3, "a")]) == 1.0
+
+    def test_failures_of_several_sessions_count(self):
+        assert self.evidence_after([(0.1, "a"), (0.1, "b")]) == 2.0
+
+    def test_later_failure_of_the_same_session_counts(self):
+        later = 0.1 + REPEATED_FAILURE_SECONDS
+        assert self.evidence_after([(0.1, "a"), (later, "a")]) > 1.5
+
+
+def ignore(*args, **fields):
+    pass
--- a/standins/fake_exchange.py
+++ b/standins/fake_exchange.py
@@ -133,7 +133,7 @@
     def on_response_started(self, record: CallRecord, head: ResponseHead) -> None:
         """Do nothing."""
 
-    def on_own_response(self, record: CallRecord, failed: bool) -> None:
+    def on_own_response(self, record: CallRecord, session: str, failed: bool) -> None:
         """Record a response."""
         self.responses_failed.append(failed)
 
