Share the judgement that a version is bad among hosts

A host that judged a new version bad kept that to itself until its write reached the store, up to 0.4 s and a time-out later.

Digests now carry the judgement, and a host adopts it. A version that is suspicious is not done early either, only at the last moment for it.

--- a/masticfork/core/digests.py
+++ b/masticfork/core/digests.py
@@ -30,6 +30,8 @@
     old_running: int
     new_slow: float = 0.0
     old_slow: float = 0.0
+    # Whether the host has judged the new version bad.
+    judged_bad: bool = False
 
 
 @attrs.frozen
--- a/masticfork/relay/digest.capnp
+++ b/masticfork/relay/digest.capnp
@@ -78,6 +78,8 @@
   oldRunning @6 :UInt16;
   newSlow @7 :Float32;
   oldSlow @8 :Float32;
+  # Whether the host has judged the new version bad.
+  judgedBad @9 :Bool;
 }
 
 struct Session {
--- a/masticfork/relay/digest_codec.py
+++ b/masticfork/relay/digest_codec.py
@@ -75,6 +75,7 @@
                 "oldBad": evidence.old_bad,
                 "newSlow": evidence.new_slow,
                 "oldSlow": evidence.old_slow,
+                "judgedBad": evidence.judged_bad,
                 "oldRunning": min(_MAX_UINT16, max(0, evidence.old_running)),
             }
             for evidence in digest.rollouts
@@ -155,6 +156,7 @@
                         old_running=item.oldRunning,
                         new_slow=item.newSlow,
                         old_slow=item.oldSlow,
+                        judged_bad=item.judgedBad,
                     )
                     for item in reader.rollouts
                 ),
--- a/masticfork/relay/digest_codec_test.py
+++ b/masticfork/relay/digest_codec_test.py
@@ -7,7 +7,7 @@
 from masticfork.core.store_position import StorePosition
 from masticfork.relay.digest_codec import decode_digest, encode_digest
 
-EVIDENCE = RolloutEvidence("llm", 9, 1.5, 0.5, 8.0, 0.25, 3, 0.5, 1.0)
+EVIDENCE = RolloutEvidence("llm", 9, 1.5, 0.5, 8.0, 0.25, 3, 0.5, 1.0, True)
 DIGEST = Digest(
     host="host-1",
     incarnation=1_700_000_000_000,
--- a/masticfork/relay/rollout_controller.py
+++ b/masticfork/relay/rollout_controller.py
@@ -171,6 +171,7 @@
                     old_running=self._old_running(rollout),
                     new_slow=record.new.slow,
                     old_slow=record.old.slow,
+                    judged_bad=record.bad,
                 )
             )
         return tuple(evidence)
@@ -207,9 +208,13 @@
         return new, old, running
 
     def _judge_version(self, rollout: VersionRollout, record: _RolloutRecord) -> None:
-        """Mark the new version as bad if the evidence of all hosts shows it."""
+        """Mark the new version as bad if the evidence shows it or a host judged so."""
+        if record.bad:
+            return
+        reported = self._peer_evidence(rollout.service, rollout.created)
+        judged = any(item.judged_bad for item in reported)
         new, old, _ = self._combined_evidence(rollout, record)
-        if record.bad or not is_bad(new, old):
+        if not judged and not is_bad(new, old):
             return
         record.bad = True
         self._log(
@@ -221,6 +226,7 @@
             slow=round(new.slow, 2),
             old_bad_share=round(old.bad_share, 3),
             old_slow_share=round(old.slow_share, 3),
+            judged_elsewhere=judged,
         )
 
     def run(self, now: float) -> None:
--- a/masticfork/relay/rollout_evidence_test.py
+++ b/masticfork/relay/rollout_evidence_test.py
@@ -7,6 +7,7 @@
     RolloutState,
     VersionRollout,
 )
+from masticfork.core.digests import RolloutEvidence
 from masticfork.core.store_position import StorePosition
 from masticfork.relay.rollout_controller import RolloutController
 from masticfork.relay.tables import Tables
@@ -23,13 +24,13 @@
     return BackendServer(f"i-{version}", "s", address, "zone-a", version, 6, False)
 
 
-def rollout(state):
-    progress = RolloutProgress(state, 0, 100.0)
+def rollout(state, step=0):
+    progress = RolloutProgress(state, step, 100.0)
     return VersionRollout("s", "v2", 20.0, StorePosition(0, 7), 5, 5, progress)
 
 
 class TestRolloutEvidence:
-    def controller(self):
+    def controller(self, peer_evidence=()):
         tables = Tables(FakeLoop(), ignore)
         controller = RolloutController(
             FakeLoop(),
@@ -37,7 +38,7 @@
             tables,
             "host-1",
             ignore,
-            lambda service, created: [],
+            lambda service, created: list(peer_evidence),
             executor=SynchronousExecutor(),
         )
         return tables, controller
@@ -61,3 +62,16 @@
         for _ in range(60):
             controller.record_answer(server("v2"), False, ResponseTime(0, 0.8), 0.0)
         assert controller.usual_times("s").is_slow(ResponseTime(0, 0.8))
+
+    def test_version_that_a_peer_judged_bad_gets_no_requests(self):
+        """Guards against hosts that complete what another one is rolling back."""
+        judged = RolloutEvidence("s", 5, 9.0, 0.0, 9.0, 0.0, 0, judged_bad=True)
+        tables, controller = self.controller([judged])
+        for version in ("v1", "v2"):
+            tables.put_server(server(version))
+        tables.put_rollout(rollout(RolloutState.RUNNING, step=2))
+        controller.run(0.0)
+        eligible = controller.eligible("s", "session", None, list(tables.rows))
+        assert [row.server.version for row in eligible] == ["v1"]
+        (evidence,) = controller.evidence()
+        assert evidence.judged_bad
--- a/masticfork/systems/version_shift.py
+++ b/masticfork/systems/version_shift.py
@@ -213,7 +213,7 @@
             return attrs.evolve(progress, state=RolloutState.ROLLED_BACK)
         return progress
     drained = fraction >= EARLY_DONE_FRACTION and old_running == 0
-    if drained or fraction >= DONE_FRACTION:
+    if (drained and not is_suspicious(new, old)) or fraction >= DONE_FRACTION:
         return attrs.evolve(progress, state=RolloutState.DONE)
     return progress
 
--- a/masticfork/systems/version_shift_test.py
+++ b/masticfork/systems/version_shift_test.py
@@ -101,6 +101,12 @@
         progress = next_progress(shift, 19.3, suspicious, GOOD)
         assert progress.state is RolloutState.ROLLED_BACK
 
+    def test_suspicious_version_is_not_done_early(self):
+        suspicious, shift = AnswerCounts(good=10, slow=3), rollout(step=FULL)
+        assert next_progress(shift, 20.0, suspicious, GOOD, 0) == shift.progress
+        late = next_progress(shift, DONE_FRACTION * 24.0 + 0.1, suspicious, GOOD, 0)
+        assert late.state is RolloutState.DONE
+
     def test_slow_version_that_serves_alone_is_rolled_back(self):
         """Guards against slow versions that are found out only in the last step."""
         slow, old = AnswerCounts(good=35, slow=13), AnswerCounts(good=40, slow=3)
