Hold a rollout while no server of the new version is known

A rollout advanced by time alone while no host knew any server of the new version, and was recorded as done: the old servers are stopped then.

Such a rollout now stays in its step, and is rolled back at the time at which others are done. A version whose servers get no requests is still done in time, as before.

The new tests fail on the code before: progress was written at half of the duration.

--- a/masticfork/relay/rollout_controller.py
+++ b/masticfork/relay/rollout_controller.py
@@ -184,6 +184,10 @@
             and row.server.version != rollout.target
         )
 
+    def _has_new_servers(self, rollout: VersionRollout) -> bool:
+        rows = self._tables.servers_of(rollout.service)
+        return any(row.server.version == rollout.target for row in rows)
+
     def _combined_evidence(
         self, rollout: VersionRollout, record: _RolloutRecord
     ) -> tuple[AnswerCounts, AnswerCounts, int]:
@@ -244,7 +248,8 @@
         if not is_final(rollout.progress):
             self._judge_version(rollout, record)
         new, old, old_running = self._combined_evidence(rollout, record)
-        progress = next_progress(rollout, elapsed, new, old, old_running)
+        has_servers = new.total > 0 or self._has_new_servers(rollout)
+        progress = next_progress(rollout, elapsed, new, old, old_running, has_servers)
         if record.bad and not is_final(progress):
             progress = attrs.evolve(progress, state=RolloutState.ROLLED_BACK)
         if progress == rollout.stored_progress:
--- a/masticfork/relay/rollout_evidence_test.py
+++ b/masticfork/relay/rollout_evidence_test.py
@@ -1,5 +1,7 @@
 """Evidence that a host collects on a rollout."""
 
+from result import Err
+
 from masticfork.core.backend_servers import (
     Address,
     BackendServer,
@@ -11,6 +13,7 @@
 from masticfork.core.store_position import StorePosition
 from masticfork.relay.rollout_controller import RolloutController
 from masticfork.relay.tables import Tables
+from masticfork.store.client import ErrorKind, PlatformError
 from masticfork.systems.version_shift import ResponseTime
 from standins.fake_loop import FakeLoop, SynchronousExecutor
 
@@ -25,16 +28,28 @@
 
 
 def rollout(state, step=0):
-    progress = RolloutProgress(state, step, 100.0)
+    progress = RolloutProgress(state, step)
     return VersionRollout("s", "v2", 20.0, StorePosition(0, 7), 5, 5, progress)
 
 
+class RecordingObjects:
+    """A store that records each write and loses it."""
+
+    def __init__(self):
+        self.written = []
+
+    def replace_status(self, kind, name, status, position, deadline):
+        self.written.append(status)
+        return Err(PlatformError(ErrorKind.UNAVAILABLE, "lost"))
+
+
 class TestRolloutEvidence:
     def controller(self, peer_evidence=()):
+        self.objects = RecordingObjects()
         tables = Tables(FakeLoop(), ignore)
         controller = RolloutController(
             FakeLoop(),
-            None,
+            self.objects,
             tables,
             "host-1",
             ignore,
@@ -63,6 +78,20 @@
             controller.record_answer(server("v2"), False, ResponseTime(0, 0.8), 0.0)
         assert controller.usual_times("s").is_slow(ResponseTime(0, 0.8))
 
+    def test_rollout_does_not_advance_while_no_new_server_is_known(self):
+        """Guards against old servers that are stopped while no new one is known."""
+        tables, controller = self.controller()
+        tables.put_server(server("v1"))
+        tables.put_rollout(rollout(RolloutState.RUNNING))
+        controller.run(0.0)
+        for tenth in range(110, 130):
+            controller.run(tenth / 10)
+        assert self.objects.written == []
+        tables.put_server(server("v2"))
+        for tenth in range(130, 140):
+            controller.run(tenth / 10)
+        assert self.objects.written[0]["step"] == 1
+
     def test_version_that_a_peer_judged_bad_gets_no_requests(self):
         """Guards against hosts that complete what another one is rolling back."""
         judged = RolloutEvidence("s", 5, 9.0, 0.0, 9.0, 0.0, 0, judged_bad=True)
--- a/masticfork/systems/version_shift.py
+++ b/masticfork/systems/version_shift.py
@@ -190,11 +190,13 @@
     new: AnswerCounts,
     old: AnswerCounts,
     old_running: int = 0,
+    has_servers: bool = True,
 ) -> RolloutProgress:
     """Return the rollout's next progress, or the current one if no change is due.
 
-    `elapsed` is the time in seconds since the rollout was ordered, and `old_running`
-    the number of requests still running on the old version.
+    `elapsed` is the time in seconds since the rollout was ordered, `old_running` the
+    number of requests still running on the old version, and `has_servers` states
+    whether the new version has any server: without one it never replaces the old one.
     """
     progress = rollout.progress
     if is_final(progress):
@@ -204,6 +206,10 @@
     if progress.state is RolloutState.ORDERED:
         return attrs.evolve(progress, state=RolloutState.RUNNING, step=0)
     fraction = elapsed / rollout.duration
+    if not has_servers:
+        if fraction >= DONE_FRACTION:
+            return attrs.evolve(progress, state=RolloutState.ROLLED_BACK)
+        return progress
     if progress.step < FULL:
         canary_passed = new.total >= CANARY_ANSWERS or fraction >= CANARY_END_FRACTION
         due = canary_passed if progress.step == CANARY else fraction >= FULL_FRACTION
--- a/masticfork/systems/version_shift_test.py
+++ b/masticfork/systems/version_shift_test.py
@@ -78,6 +78,18 @@
             progress = next_progress(shift, elapsed, EMPTY, EMPTY)
         assert progress.state is RolloutState.DONE
 
+    def test_version_without_servers_never_replaces_the_old_one(self):
+        """Guards against old servers that are stopped while no new one is known."""
+        shift, times = rollout(), [tenth / 10 for tenth in range(240)]
+        states = {
+            (progress.state, progress.step)
+            for progress in (
+                next_progress(shift, elapsed, EMPTY, GOOD, has_servers=False)
+                for elapsed in times
+            )
+        }
+        assert states == {(RolloutState.RUNNING, 0), (RolloutState.ROLLED_BACK, 0)}
+
     def test_done_only_after_the_last_step(self):
         late = DONE_FRACTION * 24.0 + 0.1
         split, full = rollout(step=SPLIT), rollout(step=FULL)
