Count slow answers out of one queue once

Requests that wait at a server behind one long prompt are slow together.

Slow answers of one server within half a second now count as one on each host. Ruled out: a higher limit, which would find every bad version later.

The new test fails without it: three slow answers were counted instead of one.

--- a/masticfork/relay/rollout_controller.py
+++ b/masticfork/relay/rollout_controller.py
@@ -1,6 +1,7 @@
 """Control of rollouts: collects evidence and writes progress to the store."""
 
 import hashlib
+import math
 import time as clock
 from collections.abc import Callable, Sequence
 from concurrent.futures import ThreadPoolExecutor
@@ -40,6 +41,9 @@
 # Longest delay before a write that other hosts may make as well. Each host waits for a
 # different fraction of it, so that usually only one host writes.
 MAX_WRITE_DELAY_SECONDS = 0.4
+# Slow answers of one server at shorter intervals count as one: they may have waited in
+# one queue, behind a single long prompt.
+SAME_QUEUE_SECONDS = 0.5
 
 
 class WriteExecutor(Protocol):
@@ -61,8 +65,18 @@
     ordered_unix_seconds: float
     new: AnswerCounts = attrs.field(factory=AnswerCounts)
     old: AnswerCounts = attrs.field(factory=AnswerCounts)
+    # Loop time of the latest slow answer that was counted, by server.
+    slow_at: dict[str, float] = attrs.field(factory=dict)
     # Whether this host has judged the new version bad.
     bad: bool = False
+
+    def repeats_slow_answer(self, server: str, now: float) -> bool:
+        """Record a slow answer; return whether it closely follows another one."""
+        if now - self.slow_at.get(server, -math.inf) < SAME_QUEUE_SECONDS:
+            return True
+        self.slow_at[server] = now
+        return False
+
     # Loop time since which new progress waits to be written.
     due_since: float | None = None
     writing: bool = False
@@ -137,6 +151,8 @@
         if rollout is None or is_final(rollout.progress):
             return
         record = self._record_of(rollout)
+        if slow and not failed and record.repeats_slow_answer(server.id, now):
+            return
         evidence = record.new if is_new else record.old
         evidence.add(failed, slow, now)
         if failed or slow:
--- a/masticfork/relay/rollout_evidence_test.py
+++ b/masticfork/relay/rollout_evidence_test.py
@@ -1,5 +1,6 @@
 """Evidence that a host collects on a rollout."""
 
+import attrs
 from result import Err
 
 from masticfork.core.backend_servers import (
@@ -11,7 +12,7 @@
 )
 from masticfork.core.digests import RolloutEvidence
 from masticfork.core.store_position import StorePosition
-from masticfork.relay.rollout_controller import RolloutController
+from masticfork.relay.rollout_controller import SAME_QUEUE_SECONDS, RolloutController
 from masticfork.relay.tables import Tables
 from masticfork.store.client import ErrorKind, PlatformError
 from masticfork.systems.version_shift import ResponseTime
@@ -68,6 +69,24 @@
         (evidence,) = controller.evidence()
         assert evidence.new_slow == 1.0
 
+    def test_slow_answers_out_of_one_queue_count_once(self):
+        """Guards against good versions accused of one queue behind a long prompt."""
+        assert self.slow_answers([("a", 0.0), ("a", 0.1), ("a", 0.2)]) == 1.0
+        assert self.slow_answers([("a", 0.0), ("b", 0.0), ("c", 0.0)]) == 3.0
+        assert self.slow_answers([("a", 0.0), ("a", SAME_QUEUE_SECONDS)]) > 1.9
+
+    def slow_answers(self, answers):
+        """Return the evidence after slow answers of servers at times."""
+        tables, controller = self.controller()
+        for _ in range(20):
+            controller.record_answer(server("v1"), False, ResponseTime(0, 0.1), 0.0)
+        tables.put_rollout(rollout(RolloutState.RUNNING))
+        for name, at in answers:
+            slow = attrs.evolve(server("v2"), id=name)
+            controller.record_answer(slow, False, ResponseTime(0, 0.8), at)
+        (evidence,) = controller.evidence()
+        return evidence.new_slow
+
     def test_withdrawn_version_does_not_change_the_usual_times(self):
         tables, controller = self.controller()
         tables.put_rollout(rollout(RolloutState.RUNNING))
