--- a/masticfork/relay/call_evidence.py
+++ b/masticfork/relay/call_evidence.py
@@ -8,19 +8,14 @@
 from masticfork.relay.metrics import RelayMetrics
 from masticfork.relay.own_loads import OwnLoads
 from masticfork.relay.prompt_quarantine import PromptQuarantine
-from masticfork.relay.rollout_controller import ResponseTime, RolloutController
+from masticfork.relay.rollout_controller import RolloutController
 from masticfork.relay.tables import Tables
 from masticfork.systems.failed_calls import CallOutcome
 from masticfork.systems.server_choice import UNREACHABLE_SECONDS
+from masticfork.systems.version_shift import ResponseTime
 
-# Call outcomes that count as evidence about the server's version; None is a complete
-# response.
-VERSION_EVIDENCE_OUTCOMES = (
-    None,
-    CallOutcome.SERVER_ERROR,
-    CallOutcome.DROPPED,
-    CallOutcome.SILENT,
-)
+# Failures of one session at shorter intervals count as one.
+REPEATED_FAILURE_SECONDS = 1.0
 
 
 class CallEvidence:
@@ -41,6 +36,8 @@
         self._own_loads = own_loads
         self._rollouts = rollouts
         self._quarantine = quarantine
+        # Loop time of the latest failure by service and session.
+        self._failed_at: dict[tuple[str, str], float] = {}
 
     def on_call_sent(self, record: CallRecord) -> None:
         """Add a call that is being sent to the load of its server."""
@@ -61,6 +58,20 @@
         """Record that an event of the answer has arrived."""
         self._quarantine.record_answer(record)
 
+    def on_own_response(self, record: CallRecord, session: str, failed: bool) -> None:
+        """Report a response as evidence for or against the version of its server.
+
+        What happens to a response that has begun well, such as the crash of its server
+        or the loss of its connection, says nothing about the version.
+        """
+        if record.counted_as_slow:
+            return
+        if failed and self._repeats_failure(record.row.server.service, session):
+            return
+        self._rollouts.record_answer(
+            record.row.server, failed, self._time_so_far(record), self._loop.now
+        )
+
     def on_call_ended(self, record: CallRecord) -> None:
         """Record the outcome of a call in loads, metrics and rollout evidence."""
         load, now = record.row.load, self._loop.now
@@ -80,7 +91,6 @@
         if record.failed is not None:
             load.record(record.failed, now)
         self._quarantine.record_end(record)
-        self._report_version_evidence(record)
 
     def report_slow_calls(self, exchanges: Iterable[Exchange]) -> None:
         """Report calls that have already waited too long as evidence of a slow version.
@@ -92,28 +102,26 @@
             record = exchange.unanswered_call
             if record is None or record.counted_as_slow:
                 continue
-            wait_time = ResponseTime(
-                record.work.size, self._loop.now - record.started_at
-            )
+            wait_time = self._time_so_far(record)
             if self._rollouts.is_slow(record.row.server, wait_time):
                 record.counted_as_slow = True
                 server, now = record.row.server, self._loop.now
                 self._rollouts.record_answer(server, False, wait_time, now)
 
-    def _report_version_evidence(self, record: CallRecord) -> None:
-        """Report a call as evidence for or against the version of its server.
+    def _repeats_failure(self, service: str, session: str) -> bool:
+        """Record a failure; return whether it follows one of the same session.
 
-        A crashed server or a lost connection says nothing about the version.
+        A request that fails everywhere fails again when it is repeated, by this host
+        or by its caller, which says no more about a version than once.
         """
-        if (
-            record.counted_as_slow
-            or record.failed is None
-            or record.outcome not in VERSION_EVIDENCE_OUTCOMES
-        ):
-            return
-        answered_at = record.head_received_at or record.ended_at or self._loop.now
-        answer_time = ResponseTime(record.work.size, answered_at - record.started_at)
-        failed = record.outcome in (None, CallOutcome.SERVER_ERROR) and record.failed
-        self._rollouts.record_answer(
-            record.row.server, failed, answer_time, self._loop.now
-        )
+        now, key = self._loop.now, (service, session)
+        for known, failed_at in list(self._failed_at.items()):
+            if now - failed_at >= REPEATED_FAILURE_SECONDS:
+                del self._failed_at[known]
+        repeated = key in self._failed_at
+        self._failed_at[key] = now
+        return repeated
+
+    def _time_so_far(self, record: CallRecord) -> ResponseTime:
+        seconds = self._loop.now - record.started_at
+        return ResponseTime(record.work.size, seconds, record.expected_delay)
--- a/masticfork/relay/entry.py
+++ b/masticfork/relay/entry.py
@@ -531,6 +531,10 @@
         """Record that a call has produced its first event."""
         self._call_evidence.on_answered(record)
 
+    def on_own_response(self, record: CallRecord, session: str, failed: bool) -> None:
+        """Record that a response has begun that belongs to its call."""
+        self._call_evidence.on_own_response(record, session, failed)
+
     def on_call_ended(self, record: CallRecord) -> None:
         """Record the outcome of a call."""
         self._call_evidence.on_call_ended(record)
--- a/masticfork/relay/rollout_controller.py
+++ b/masticfork/relay/rollout_controller.py
@@ -1,6 +1,7 @@
 """Control of rollouts: collects evidence and writes progress to the store."""
 
 import hashlib
+import math
 import time as clock
 from collections.abc import Callable, Sequence
 from concurrent.futures import ThreadPoolExecutor
@@ -27,6 +28,7 @@
 from masticfork.systems.version_shift import (
     AnswerCounts,
     LatencyBaseline,
+    ResponseTime,
     is_bad,
     is_final,
     next_progress,
@@ -39,6 +41,9 @@
 # Longest delay before a write that other hosts may make as well. Each host waits for a
 # different fraction of it, so that usually only one host writes.
 MAX_WRITE_DELAY_SECONDS = 0.4
+# Slow answers of one server at shorter intervals count as one: they may have waited in
+# one queue, behind a single long prompt.
+SAME_QUEUE_SECONDS = 0.5
 
 
 class WriteExecutor(Protocol):
@@ -48,18 +53,6 @@
         """Schedule a call."""
 
 
-@attrs.frozen
-class ResponseTime:
-    """Seconds until the first byte of a response, or until the call was abandoned.
-
-    `size` is the model's index in the route, smallest first; only times of equal size
-    are compared.
-    """
-
-    size: int
-    seconds: float
-
-
 @attrs.define(eq=False)
 class _RolloutRecord:
     """This host's evidence and state of one rollout."""
@@ -72,9 +65,18 @@
     ordered_unix_seconds: float
     new: AnswerCounts = attrs.field(factory=AnswerCounts)
     old: AnswerCounts = attrs.field(factory=AnswerCounts)
-    usual_times: LatencyBaseline = attrs.field(factory=LatencyBaseline)
+    # Loop time of the latest slow answer that was counted, by server.
+    slow_at: dict[str, float] = attrs.field(factory=dict)
     # Whether this host has judged the new version bad.
     bad: bool = False
+
+    def repeats_slow_answer(self, server: str, now: float) -> bool:
+        """Record a slow answer; return whether it closely follows another one."""
+        if now - self.slow_at.get(server, -math.inf) < SAME_QUEUE_SECONDS:
+            return True
+        self.slow_at[server] = now
+        return False
+
     # Loop time since which new progress waits to be written.
     due_since: float | None = None
     writing: bool = False
@@ -101,6 +103,9 @@
         self._host = host
         self._log = log
         self._records: dict[str, _RolloutRecord] = {}
+        # By service, also while no rollout runs: a new version is compared with them
+        # from its first answer on.
+        self._usual_times: dict[str, LatencyBaseline] = {}
         self._executor = executor or ThreadPoolExecutor(1, "rollout-writer")
 
     def eligible(
@@ -134,24 +139,35 @@
     ) -> None:
         """Record one response as evidence."""
         rollout = self._tables.rollouts.get(server.service)
+        usual_times = self.usual_times(server.service)
+        slow = usual_times.is_slow(time)
+        is_new = (
+            rollout is not None
+            and rollout.progress.state is not RolloutState.DONE
+            and server.version == rollout.target
+        )
+        if not is_new:
+            usual_times.add(time)
         if rollout is None or is_final(rollout.progress):
             return
         record = self._record_of(rollout)
-        is_new = server.version == rollout.target
+        if slow and not failed and record.repeats_slow_answer(server.id, now):
+            return
         evidence = record.new if is_new else record.old
-        slow = record.usual_times.is_slow(time.size, time.seconds)
-        if not is_new:
-            record.usual_times.add(time.size, time.seconds)
         evidence.add(failed, slow, now)
         if failed or slow:
             self._judge_version(rollout, record)
 
+    def usual_times(self, service: str) -> LatencyBaseline:
+        """Return the response times of a service without those of a new version."""
+        return self._usual_times.setdefault(service, LatencyBaseline())
+
     def is_slow(self, server: BackendServer, time: ResponseTime) -> bool:
         """Return whether a call that still waits for its response is already slow."""
         rollout = self._tables.rollouts.get(server.service)
         if rollout is None or is_final(rollout.progress):
             return False
-        return self._record_of(rollout).usual_times.is_slow(time.size, time.seconds)
+        return self.usual_times(server.service).is_slow(time)
 
     def evidence(self) -> tuple[RolloutEvidence, ...]:
         """Return this host's evidence on all unfinished rollouts."""
@@ -171,6 +187,7 @@
                     old_running=self._old_running(rollout),
                     new_slow=record.new.slow,
                     old_slow=record.old.slow,
+                    judged_bad=record.bad,
                 )
             )
         return tuple(evidence)
@@ -183,6 +200,10 @@
             and row.server.version != rollout.target
         )
 
+    def _has_new_servers(self, rollout: VersionRollout) -> bool:
+        rows = self._tables.servers_of(rollout.service)
+        return any(row.server.version == rollout.target for row in rows)
+
     def _combined_evidence(
         self, rollout: VersionRollout, record: _RolloutRecord
     ) -> tuple[AnswerCounts, AnswerCounts, int]:
@@ -207,9 +228,13 @@
         return new, old, running
 
     def _judge_version(self, rollout: VersionRollout, record: _RolloutRecord) -> None:
-        """Mark the new version as bad if the evidence of all hosts shows it."""
+        """Mark the new version as bad if the evidence shows it or a host judged so."""
+        if record.bad:
+            return
+        reported = self._peer_evidence(rollout.service, rollout.created)
+        judged = any(item.judged_bad for item in reported)
         new, old, _ = self._combined_evidence(rollout, record)
-        if record.bad or not is_bad(new, old, rollout.progress.step):
+        if not judged and not is_bad(new, old):
             return
         record.bad = True
         self._log(
@@ -221,6 +246,7 @@
             slow=round(new.slow, 2),
             old_bad_share=round(old.bad_share, 3),
             old_slow_share=round(old.slow_share, 3),
+            judged_elsewhere=judged,
         )
 
     def run(self, now: float) -> None:
@@ -238,7 +264,8 @@
         if not is_final(rollout.progress):
             self._judge_version(rollout, record)
         new, old, old_running = self._combined_evidence(rollout, record)
-        progress = next_progress(rollout, elapsed, new, old, old_running)
+        has_servers = new.total > 0 or self._has_new_servers(rollout)
+        progress = next_progress(rollout, elapsed, new, old, old_running, has_servers)
         if record.bad and not is_final(progress):
             progress = attrs.evolve(progress, state=RolloutState.ROLLED_BACK)
         if progress == rollout.stored_progress:
--- a/masticfork/systems/version_shift.py
+++ b/masticfork/systems/version_shift.py
@@ -5,7 +5,6 @@
 step, with a conditional write that fails if another host has written since.
 """
 
-import statistics
 from collections import deque
 
 import attrs
@@ -33,22 +32,27 @@
 DONE_FRACTION = 0.92
 # From this fraction on, the rollout is done once nothing runs on the old version.
 EARLY_DONE_FRACTION = 0.8
-# A version is bad if it reaches this number and this share of failed answers, and its
-# share also exceeds the old version's by this margin.
-MIN_FAILED_ANSWERS, MIN_FAILED_SHARE, FAILED_SHARE_MARGIN = 3.0, 0.2, 0.15
-# The same for slow answers: (share, margin) in the canary step and in the split step.
-# Queueing slows some answers of any version, and cold engines slow more in the split.
-MIN_SLOW_ANSWERS = 5.0
-SLOW_SHARE_THRESHOLDS = ((0.34, 0.17), (0.4, 0.22))
-# A version whose share of slow or failed answers exceeds the old version's by this
-# margin stays in the canary step.
-SUSPICION_MARGIN = 0.1
-# An answer is slow above this multiple of the old version's recent median latency.
-SLOW_MEDIAN_MULTIPLE = 3.0
-# Faster answers never count as slow: callers wait a second or more for the first event.
-MIN_SLOW_SECONDS = 0.1
+# Fractions of the duration at which a version that is still suspicious in the canary
+# or in the split step is rolled back.
+SUSPICION_END_FRACTIONS = (FULL_FRACTION, EARLY_DONE_FRACTION)
+# A version is bad if its failed, or its slow, answers exceed those allowed by this
+# number. Allowed are the old version's share and this additional share of all answers.
+# So a few answers must differ more than many do.
+FAILED_EXCESS, FAILED_ALLOWANCE = 2.25, 0.1
+SLOW_EXCESS, SLOW_ALLOWANCE = 3.0, 0.1
+# With this fraction of the excess, a version does not get more requests.
+SUSPICION_FRACTION = 0.5
+# An answer is slow if it took longer than this quantile of the old version's recent
+# answers by this factor. Times are compared relative to the expected ones, since these
+# differ with the length of the prompt, what the server keeps of it, and its queue.
+USUAL_QUANTILE = 0.9
+SLOW_MULTIPLE = 1.3
+# Added to expected times, which contain neither transport nor an engine's first step.
+FIXED_RESPONSE_SECONDS = 0.05
+# Faster answers never count as slow.
+MIN_SLOW_SECONDS = 0.03
 MAX_BASELINE_TIMES = 60
-MIN_BASELINE_TIMES = 5
+MIN_BASELINE_TIMES = 10
 # Earlier answers lose weight by this factor each second, so that good answers in the
 # past do not hide a version that turns bad later.
 DECAY_PER_SECOND = 0.93
@@ -91,44 +95,62 @@
         self.decayed_at = now
 
 
+@attrs.frozen
+class ResponseTime:
+    """Seconds until the first byte of a response, or until the call was abandoned.
+
+    `size` is the model's index in the route, smallest first; only times of equal size
+    are compared. `expected` are the seconds estimated when the call was sent.
+    """
+
+    size: int
+    seconds: float
+    expected: float = 0.0
+
+    @property
+    def relative(self) -> float:
+        """Return the time as a multiple of the expected one."""
+        return self.seconds / (self.expected + FIXED_RESPONSE_SECONDS)
+
+
 @attrs.define
 class LatencyBaseline:
-    """The old version's recent times to first byte in seconds, by model size."""
+    """The usual version's recent times to first byte by model size.
+
+    Times are relative to the expected ones.
+    """
 
     _times: dict[int, deque[float]] = attrs.field(factory=dict)
 
-    def add(self, size: int, seconds: float) -> None:
-        """Record a time to first byte of the old version."""
-        times = self._times.setdefault(size, deque(maxlen=MAX_BASELINE_TIMES))
-        times.append(seconds)
+    def add(self, time: ResponseTime) -> None:
+        """Record a time to first byte of the usual version."""
+        times = self._times.setdefault(time.size, deque(maxlen=MAX_BASELINE_TIMES))
+        times.append(time.relative)
 
-    def is_slow(self, size: int, seconds: float) -> bool:
+    def is_slow(self, time: ResponseTime) -> bool:
         """Return whether an answer of either version is slow against the baseline."""
-        times = self._times.get(size, ())
-        if len(times) < MIN_BASELINE_TIMES or seconds < MIN_SLOW_SECONDS:
+        times = self._times.get(time.size, ())
+        if len(times) < MIN_BASELINE_TIMES or time.seconds < MIN_SLOW_SECONDS:
             return False
-        return seconds > statistics.median(times) * SLOW_MEDIAN_MULTIPLE
+        usual = sorted(times)[int(len(times) * USUAL_QUANTILE)]
+        return time.relative > usual * SLOW_MULTIPLE
 
 
-def is_bad(new: AnswerCounts, old: AnswerCounts, step: int) -> bool:
-    """Return whether the new version must be rolled back.
-
-    Latencies are compared only while both versions serve: a version that serves alone
-    has twice the load.
-    """
-    failing = new.bad >= MIN_FAILED_ANSWERS and new.bad_share >= MIN_FAILED_SHARE
-    if failing and new.bad_share > old.bad_share + FAILED_SHARE_MARGIN:
-        return True
-    if step >= FULL or new.slow < MIN_SLOW_ANSWERS:
-        return False
-    min_share, margin = SLOW_SHARE_THRESHOLDS[step]
-    return new.slow_share >= min_share and new.slow_share > old.slow_share + margin
+def is_bad(new: AnswerCounts, old: AnswerCounts) -> bool:
+    """Return whether the new version must be rolled back."""
+    return _badness(new, old) >= 1.0
 
 
 def is_suspicious(new: AnswerCounts, old: AnswerCounts) -> bool:
     """Return whether the new version may be bad, without conclusive evidence."""
-    failing = new.bad_share > old.bad_share + SUSPICION_MARGIN
-    return failing or new.slow_share > old.slow_share + SUSPICION_MARGIN
+    return _badness(new, old) >= SUSPICION_FRACTION
+
+
+def _badness(new: AnswerCounts, old: AnswerCounts) -> float:
+    """Return the larger excess of failed or slow answers, 1 if it is conclusive."""
+    failed = new.bad - (old.bad_share + FAILED_ALLOWANCE) * new.total
+    slow = new.slow - (old.slow_share + SLOW_ALLOWANCE) * new.total
+    return max(failed / FAILED_EXCESS, slow / SLOW_EXCESS)
 
 
 def is_final(progress: RolloutProgress) -> bool:
@@ -168,32 +190,36 @@
     new: AnswerCounts,
     old: AnswerCounts,
     old_running: int = 0,
+    has_servers: bool = True,
 ) -> RolloutProgress:
     """Return the rollout's next progress, or the current one if no change is due.
 
-    `elapsed` is the time in seconds since the rollout was ordered, and `old_running`
-    the number of requests still running on the old version.
+    `elapsed` is the time in seconds since the rollout was ordered, `old_running` the
+    number of requests still running on the old version, and `has_servers` states
+    whether the new version has any server: without one it never replaces the old one.
     """
     progress = rollout.progress
     if is_final(progress):
         return progress
-    if is_bad(new, old, progress.step):
+    if is_bad(new, old):
         return attrs.evolve(progress, state=RolloutState.ROLLED_BACK)
     if progress.state is RolloutState.ORDERED:
         return attrs.evolve(progress, state=RolloutState.RUNNING, step=0)
     fraction = elapsed / rollout.duration
-    if progress.step == CANARY:
+    if not has_servers:
+        if fraction >= DONE_FRACTION:
+            return attrs.evolve(progress, state=RolloutState.ROLLED_BACK)
+        return progress
+    if progress.step < FULL:
         canary_passed = new.total >= CANARY_ANSWERS or fraction >= CANARY_END_FRACTION
-        if canary_passed and not is_suspicious(new, old):
-            return attrs.evolve(progress, step=SPLIT)
-        if fraction >= FULL_FRACTION:
+        due = canary_passed if progress.step == CANARY else fraction >= FULL_FRACTION
+        if due and not is_suspicious(new, old):
+            return attrs.evolve(progress, step=progress.step + 1)
+        if fraction >= SUSPICION_END_FRACTIONS[progress.step]:
             return attrs.evolve(progress, state=RolloutState.ROLLED_BACK)
         return progress
-    if progress.step == SPLIT:
-        due = fraction >= FULL_FRACTION
-        return attrs.evolve(progress, step=FULL) if due else progress
     drained = fraction >= EARLY_DONE_FRACTION and old_running == 0
-    if drained or fraction >= DONE_FRACTION:
+    if (drained and not is_suspicious(new, old)) or fraction >= DONE_FRACTION:
         return attrs.evolve(progress, state=RolloutState.DONE)
     return progress
 
--- a/standins/fake_exchange.py
+++ b/standins/fake_exchange.py
@@ -93,6 +93,8 @@
         self.ended_exchanges = 0
         self.quarantine: QuarantinedPart | None = None
         self.started_responses = 0
+        # Whether each response that belongs to its call counts against its server.
+        self.responses_failed: list[bool] = []
         self._rows = [server_row(number) for number in range(SERVER_COUNT)]
 
     def choose_server(
@@ -140,6 +142,10 @@
     def on_answered(self, record: CallRecord) -> None:
         """Do nothing."""
 
+    def on_own_response(self, record: CallRecord, session: str, failed: bool) -> None:
+        """Record a response."""
+        self.responses_failed.append(failed)
+
     def on_call_ended(self, record: CallRecord) -> None:
         """Do nothing."""
 
