Hold back pipelined requests of a caller that does not read

A caller could send requests without reading the responses: each response was appended to what was unsent, and each one resumed reading, which queued another 64 KiB of requests. Neither had a limit but the 8 s of the user timeout.

Now the next request is begun only while at most 256 KiB are unsent, and reading goes on only once at most two requests are queued.

--- a/masticfork/relay/caller.py
+++ b/masticfork/relay/caller.py
@@ -155,9 +155,10 @@
         self._begin_next_exchange()
 
     def on_drained(self) -> None:
-        """Let the exchange resume writing."""
+        """Let the exchange resume writing, or continue with the next request."""
         if self._exchange is not None:
             self._exchange.on_caller_writable()
+        self._begin_next_exchange()
 
     def on_closed(self, error: OSError | None) -> None:
         """Cancel the exchange of a caller that has disconnected."""
@@ -282,7 +283,6 @@
         self._idle_since = self._loop.now
         self._idle_timeout = self._host.limits.idle_timeout
         self._restart_timer()
-        self._channel.resume()
         self._loop.call_after(0.0, self._begin_next_exchange)
 
     def abort_response(self) -> None:
@@ -326,13 +326,17 @@
         )
 
     def _begin_next_exchange(self) -> None:
+        # Responses that the caller does not read must not gather in the send buffer.
         if (
             self._exchange is not None
             or not self._queued_requests
             or self._channel.closed
+            or self.congested
         ):
             return
         queued = self._queued_requests.popleft()
+        if len(self._queued_requests) <= MAX_QUEUED_REQUESTS:
+            self._channel.resume()
         request = queued.request
         self._cancel_timer()
         self._is_head_request = request.method == b"HEAD"
--- a/masticfork/relay/caller_test.py
+++ b/masticfork/relay/caller_test.py
@@ -5,12 +5,22 @@
 
 import pytest
 
+from masticfork.core.routes import CallerLimits
+from masticfork.platform.wire import decode_caller_head
+from masticfork.relay.caller import (
+    MAX_QUEUED_REQUESTS,
+    MAX_UNSENT_RESPONSE_BYTES,
+    CallerConnection,
+    NoExchange,
+)
 from standins.entry_environment import (
     SERVICE,
     configuration,
     request_headers,
     running_entry_host,
 )
+from standins.fake_exchange import response_head
+from standins.fake_loop import FakeLoop
 from standins.scripted_server import response
 
 LIMITS = {"max_header_bytes": 4000, "max_body_bytes": 20_000}
@@ -102,3 +112,79 @@
                 assert b" 200 " in sock.recv(READ_BYTES)
         assert [request.attempt_id for request in server.requests] == ["a-1"]
         assert "b" not in server.requests[0].headers
+
+
+class FakeChannel:
+    """A connection that records whether it is read."""
+
+    def __init__(self):
+        self.reading, self.closed, self.unsent_bytes = True, False, 0
+
+    def write(self, data):
+        pass
+
+    def pause(self):
+        self.reading = False
+
+    def resume(self):
+        self.reading = True
+
+
+class FakeCallerHost:
+    """A host whose exchanges the test ends."""
+
+    limits, stopping = CallerLimits(), False
+
+    def __init__(self):
+        self.requests = []
+
+    def decode_head(self, headers):
+        return decode_caller_head(headers, forward_authorization=False)
+
+    def begin_exchange(self, caller, request):
+        self.requests.append(request)
+        return NoExchange()
+
+
+class TestPipelining:
+    def test_reading_goes_on_once_few_requests_are_queued(self):
+        """Guards against a queue that grows with each response (650 of a read)."""
+        loop, channel, host = FakeLoop(), FakeChannel(), FakeCallerHost()
+        caller = CallerConnection(loop, channel, host)
+        count = 100
+        caller.on_data((request_start("a") + b"Content-Length: 0\r\n\r\n") * count)
+        for number in range(1, count + 1):
+            assert len(host.requests) == number
+            waiting = count - number
+            assert channel.reading == (waiting <= MAX_QUEUED_REQUESTS)
+            caller.start_response(response_head(), 0)
+            caller.end_response()
+            loop.advance(0.0)
+        assert channel.reading
+
+
+class TestCallersThatDoNotRead:
+    def test_pipelined_requests_wait_until_responses_are_read(self):
+        """Guards against responses that gather in the host's memory."""
+        body, count = b"x" * 200_000, 200
+        with running_entry_host() as env:
+            server = env.add_server(lambda a: iter([response(a, body)]), SERVICE)
+            env.wait_for_servers(1)
+            with socket.create_connection((env.front.host, env.front.port), 5) as sock:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 16)
+                for number in range(count):
+                    head = request_start(f"a-{number}") + b"Content-Length: 1\r\n\r\n"
+                    sock.sendall(head + b"x")
+                time.sleep(1.5)
+                before_reading = len(server.requests)
+                assert sock.recv(READ_BYTES).startswith(b"HTTP/1.1 200")
+                # Reading lets further requests through.
+                env.wait_until(
+                    lambda: (
+                        bool(sock.recv(READ_BYTES))
+                        and len(server.requests) > before_reading
+                    )
+                )
+        socket_bytes = 8 << 20
+        unread = (socket_bytes + 2 * MAX_UNSENT_RESPONSE_BYTES) // len(body)
+        assert before_reading <= unread + MAX_QUEUED_REQUESTS
