End responses to our own calls at their deadline and at 64 MiB

Calls to the store, to another host's copy of it and to plain services ended only if the server sent nothing for the time that was left at their start: http.client applies its timeout to each read of the socket, so each byte renewed it, and it reads interim responses and trailers without bound. A host whose peer sent its store copy without end would have copied from none again, since one copy is fetched at a time.

Each read of a response now gets the time left until the deadline, and a response is given up after 64 MiB, in one place for both pools.

--- a/masticfork/backends/connections.py
+++ b/masticfork/backends/connections.py
@@ -10,6 +10,7 @@
 from result import Err, Ok, Result
 
 from masticfork.backends.failures import CallFailure, FailureKind, Stage
+from masticfork.core.bounded_reads import bound_response
 from masticfork.core.deadlines import Deadline
 from masticfork.core.manifest import BackendServer
 
@@ -85,6 +86,7 @@
         if isinstance(sent, Err):
             return sent
         connection = sent.ok_value
+        bound_response(connection.http, deadline, self._now)
         try:
             response = connection.http.getresponse()
         except TimeoutError:
--- a/masticfork/store/connections.py
+++ b/masticfork/store/connections.py
@@ -10,6 +10,7 @@
 import attrs
 from result import Err, Ok, Result
 
+from masticfork.core.bounded_reads import bound_response
 from masticfork.core.deadlines import Deadline
 
 # Maximum number of idle connections in a pool.
@@ -99,7 +100,7 @@
             stage = Stage.SENDING
             connection.request(call.method, call.target, call.body, call.headers)
             stage = Stage.SENT
-            self._set_timeout(connection, call.deadline)
+            bound_response(connection, call.deadline, self._now)
             received = connection.getresponse()
             stage, status = Stage.ANSWERED, received.status
             headers = {name.lower(): value for name, value in received.getheaders()}
