End a run at an event with a line that is no field

An event was accepted if any of its lines was the id expected next. A late second response of an earlier request, on a connection in use again, whose bytes fall into a body without framing begins with a status line; that line and its first event together are one block of data.

The test fails on the code before: the other request's event 3 is passed on after the caller's event 2. A block with a line that has no colon and is not a bare field of server-sent events now ends the run, which another server continues.

--- a/masticfork/relay/events.py
+++ b/masticfork/relay/events.py
@@ -5,6 +5,8 @@
 # A stream with a larger event is treated as invalid.
 MAX_EVENT_BYTES = 1 << 20
 _LOGGED_ID_BYTES = 32
+# Fields that may stand without a colon and a value.
+_BARE_FIELDS = (b"", b"data", b"event", b"id", b"retry")
 
 
 @attrs.frozen
@@ -52,6 +54,8 @@
 
     def _accept_event(self, event: bytes) -> str | None:
         """Advance the last event id; return why the event is invalid, if it is."""
+        if not all(map(_is_field, event.split(b"\n"))):
+            return "event with a line that is no field"
         id_value = _id_value(event)
         if not id_value.isdigit():
             return f"event id {id_value[:_LOGGED_ID_BYTES]!r} is not a number"
@@ -62,6 +66,14 @@
         return None
 
 
+def _is_field(line: bytes) -> bool:
+    """Return whether a line is a field, a comment or empty.
+
+    The head of a response that a server sends within another one is not.
+    """
+    return b":" in line or line in _BARE_FIELDS
+
+
 def _id_value(event: bytes) -> bytes:
     """Return the id of an event, b"" if it has none."""
     for line in event.split(b"\n"):
--- a/masticfork/relay/stream_runs_test.py
+++ b/masticfork/relay/stream_runs_test.py
@@ -115,3 +115,14 @@
         stream.exchange.on_body(event_stream(1, 1) + stray)
         assert stream.call.request.resume_after == 1
         assert stream.caller.body == event_stream(1, 1)
+
+    @pytest.mark.parametrize("framing", [b"", b"17\r\n"])
+    def test_response_to_another_request_within_a_stream_breaks_the_run(self, framing):
+        """Guards against its events, passed on where their ids fit (MIXED)."""
+        stream = StreamExchange()
+        stream.begin_response()
+        late_head = b"HTTP/1.1 200 OK\r\nX-Masticfork-Attempt-Id: a-2\r\n\r\n"
+        other = late_head + framing + event_stream(3, 3, text="other")
+        stream.exchange.on_body(event_stream(1, 2) + other)
+        assert stream.caller.body == event_stream(1, 2)
+        assert stream.call.request.resume_after == 2
