Reject an unframed response on a reused connection

A late second response of an earlier request can arrive while a response with neither length nor chunks is being sent on the connection.

The test fails on the code before: 200 with the body 'secondHTTP/1.1 200 OK ... first'.

Only idempotent requests reuse connections, so such a call can be repeated elsewhere. Streams need no such rule: their events are checked one by one. What stays: a second response to the same request, on a new connection, can't be told from its first one.

--- a/masticfork/relay/exchange.py
+++ b/masticfork/relay/exchange.py
@@ -371,7 +371,7 @@
         is_own = head.attempt_id == self.request.head.attempt_id
         if head.not_run and (is_own or not head.attempt_id):
             return CallOutcome.REFUSED
-        if not is_own or head.encoded:
+        if not is_own or head.encoded or self._may_be_mixed(head):
             return CallOutcome.BROKEN
         if head.status < 300:
             return None if head.signed else CallOutcome.BROKEN
@@ -392,10 +392,23 @@
             )
         return CallOutcome.SERVER_ERROR if self._response_started else None
 
+    def _may_be_mixed(self, head: ResponseHead) -> bool:
+        """Return whether parts of another response could be passed on with this one.
+
+        Streams are checked event by event.
+        """
+        if self._is_stream and head.status < 300:
+            return False
+        record = self._call_record
+        call = None if record is None else record.call
+        return call is not None and call.may_hold_other_response
+
     def _describe_unusable(self, head: ResponseHead) -> str:
         if head.attempt_id != self.request.head.attempt_id:
             attempt_id = head.attempt_id.decode("latin-1")
             return f"status {head.status} of attempt {attempt_id!r}"
+        if self._may_be_mixed(head):
+            return f"status {head.status} without framing on a reused connection"
         return f"status {head.status}"
 
     def _larger_model_index(self, head: ResponseHead) -> int | None:
--- a/masticfork/relay/response_reader.py
+++ b/masticfork/relay/response_reader.py
@@ -65,6 +65,11 @@
         """Return whether the complete response has been received."""
         return self._done
 
+    @property
+    def ends_at_close(self) -> bool:
+        """Return whether the body has no framing and ends with the connection."""
+        return self._ends_at_close
+
     @property
     def has_extra_bytes(self) -> bool:
         """Return whether data followed the complete response."""
--- a/masticfork/relay/server_call.py
+++ b/masticfork/relay/server_call.py
@@ -184,6 +184,14 @@
         """Return whether the request was sent on a connection with earlier ones."""
         return self._reused_connection
 
+    @property
+    def may_hold_other_response(self) -> bool:
+        """Return whether the body may hold a late response to an earlier request.
+
+        Nothing tells where a body without framing ends and such a response begins.
+        """
+        return self._reused_connection and self._reader.ends_at_close
+
     @property
     def stage(self) -> Stage:
         """Return the progress of the call."""
--- a/masticfork/relay/whole_path_test.py
+++ b/masticfork/relay/whole_path_test.py
@@ -24,6 +24,7 @@
     overloaded_response,
     response,
     stream_head,
+    unframed_head,
 )
 
 
@@ -173,10 +174,7 @@
 
 
 def unframed_then_reset(request):
-    yield (
-        f"HTTP/1.1 200 OK\r\nX-Masticfork-Attempt-Id: {request.attempt_id}\r\n"
-        "X-Masticfork-Server-Stamp: s1\r\n\r\nhalf"
-    ).encode()
+    yield unframed_head(request) + b"half"
     time.sleep(0.05)
     raise ResetConnectionError
 
@@ -237,10 +235,7 @@
 
     def test_response_without_length_is_complete_at_a_clean_close(self):
         def unframed(request):
-            yield (
-                f"HTTP/1.1 200 OK\r\nX-Masticfork-Attempt-Id: {request.attempt_id}\r\n"
-                "X-Masticfork-Server-Stamp: s1\r\n\r\nall of it"
-            ).encode()
+            yield unframed_head(request) + b"all of it"
             raise CloseConnectionError
 
         with running_entry_host() as env:
@@ -258,6 +253,27 @@
             env.wait_for_servers(1)
             assert [env.send("/safe/x").body for _ in range(3)] == [b"first"] * 3
 
+    def test_late_response_after_an_unframed_one_reaches_no_caller(self):
+        """Guards against a late second response in a body without framing (MIXED)."""
+
+        def stutter(request):
+            if len(requests) == 0:
+                requests.append(request)
+                yield response(request, b"first")
+                return
+            yield unframed_head(request) + b"second"
+            time.sleep(0.05)
+            yield response(requests[0], b"first")
+            raise CloseConnectionError
+
+        requests = []
+        with running_entry_host() as env:
+            env.add_server(stutter, SERVICE)
+            env.wait_for_servers(1)
+            assert env.send("/safe/1").body == b"first"
+            got = env.send("/safe/2")
+        assert got.status == 502
+
     def test_unreachable_server_gives_503_with_retry_after(self):
         spec = configuration(1, route("unsafe", max_attempts=1))
         with running_entry_host(spec) as env:
--- a/standins/fake_exchange.py
+++ b/standins/fake_exchange.py
@@ -35,6 +35,7 @@
     # Whether the server ran the request; the exchange cannot see this.
     ran_request: bool = False
     reused_connection: bool = False
+    may_hold_other_response: bool = False
 
     def cancel(self) -> None:
         """Close the call."""
--- a/standins/scripted_server.py
+++ b/standins/scripted_server.py
@@ -151,6 +151,14 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode()
 
 
+def unframed_head(request: ReceivedRequest, status: str = "200 OK") -> bytes:
+    """Return the head of a response that ends with its connection."""
+    return (
+        f"HTTP/1.1 {status}\r\nX-Masticfork-Attempt-Id: {request.attempt_id}\r\n"
+        "X-Masticfork-Server-Stamp: s1\r\n\r\n"
+    ).encode()
+
+
 def chunk(data: bytes) -> bytes:
     """Return data encoded as one chunk of a chunked body."""
     return b"%x\r\n%b\r\n" % (len(data), data)
