--- a/masticfork/relay/events.py
+++ b/masticfork/relay/events.py
@@ -5,6 +5,8 @@
 # A stream with a larger event is treated as invalid.
 MAX_EVENT_BYTES = 1 << 20
 _LOGGED_ID_BYTES = 32
+# Ids count events from 0 or 1; a stream that begins with a larger one lacks events.
+_MAX_FIRST_ID = 1
 # Fields that may stand without a colon and a value.
 _BARE_FIELDS = (b"", b"data", b"event", b"id", b"retry")
 
@@ -21,7 +23,8 @@
 class EventSplitter:
     """Buffers stream data and returns complete events with consecutive ids.
 
-    `last_event_id` is the id that the first event must follow, None to accept any.
+    `last_event_id` is the id that the first event must follow, None at the beginning of
+    a stream.
     """
 
     def __init__(self, last_event_id: int | None) -> None:
@@ -60,7 +63,10 @@
         if not id_value.isdigit():
             return f"event id {id_value[:_LOGGED_ID_BYTES]!r} is not a number"
         event_id = int(id_value)
-        if self._last_event_id is not None and event_id != self._last_event_id + 1:
+        if self._last_event_id is None:
+            if event_id > _MAX_FIRST_ID:
+                return f"stream begins with event id {event_id}"
+        elif event_id != self._last_event_id + 1:
             return f"event id {event_id} follows {self._last_event_id}"
         self._last_event_id = event_id
         return None
