--- a/masticfork/relay/events.py
+++ b/masticfork/relay/events.py
@@ -8,6 +8,10 @@
 # A larger id does not fit into 64 bits.
 _MAX_ID_DIGITS = 18
 _LOGGED_ID_BYTES = 32
+# Ids count events from 0 or 1; a stream that begins with a larger one lacks events.
+_MAX_FIRST_ID = 1
+# Fields that may stand without a colon and a value.
+_BARE_FIELDS = (b"", b"data", b"event", b"id", b"retry")
 
 
 @attrs.frozen
@@ -22,7 +26,8 @@
 class EventSplitter:
     """Buffers stream data and returns complete events with consecutive ids.
 
-    `last_event_id` is the id that the first event must follow, None to accept any.
+    `last_event_id` is the id that the first event must follow, None at the beginning of
+    a stream.
     """
 
     def __init__(self, last_event_id: int | None) -> None:
@@ -60,16 +65,29 @@
 
     def _accept_event(self, event: bytes) -> str | None:
         """Advance the last event id; return why the event is invalid, if it is."""
+        if not all(map(_is_field, event.split(b"\n"))):
+            return "event with a line that is no field"
         id_value = _id_value(event)
         if not id_value.isdigit() or len(id_value) > _MAX_ID_DIGITS:
             return f"event id {id_value[:_LOGGED_ID_BYTES]!r} is no valid number"
         event_id = int(id_value)
-        if self._last_event_id is not None and event_id != self._last_event_id + 1:
+        if self._last_event_id is None:
+            if event_id > _MAX_FIRST_ID:
+                return f"stream begins with event id {event_id}"
+        elif event_id != self._last_event_id + 1:
             return f"event id {event_id} follows {self._last_event_id}"
         self._last_event_id = event_id
         return None
 
 
+def _is_field(line: bytes) -> bool:
+    """Return whether a line is a field, a comment or empty.
+
+    The head of a response that a server sends within another one is not.
+    """
+    return b":" in line or line in _BARE_FIELDS
+
+
 def _id_value(event: bytes) -> bytes:
     """Return the id of an event, b"" if it has none."""
     for line in event.split(b"\n"):
--- a/masticfork/relay/exchange.py
+++ b/masticfork/relay/exchange.py
@@ -331,7 +331,7 @@
             failed = self._is_server_failure(head, record)
             self.host.on_own_response(record, self._session_key, failed)
         if outcome is not None:
-            self._fail_call(outcome, f"status {head.status}")
+            self._fail_call(outcome, self._describe_unusable(head))
             return
         larger_index = self._larger_model_index(head)
         if larger_index is not None:
@@ -491,7 +491,7 @@
         """Return why an own response is unusable, None if it may be passed on."""
         if head.not_run:
             return CallOutcome.REFUSED
-        if head.encoded:
+        if head.encoded or self._may_be_mixed(head):
             return CallOutcome.BROKEN
         if head.status < 300:
             return None if head.signed else CallOutcome.BROKEN
@@ -522,6 +522,22 @@
         time_limit = self.deadline - record.started_at
         return self._seconds_left > time_limit * TIME_LIMIT_SLACK
 
+    def _may_be_mixed(self, head: ResponseHead) -> bool:
+        """Return whether parts of another response could be passed on with this one.
+
+        Streams are checked event by event.
+        """
+        if self._is_stream and head.status < 300:
+            return False
+        record = self._call_record
+        call = None if record is None else record.call
+        return call is not None and call.may_hold_other_response
+
+    def _describe_unusable(self, head: ResponseHead) -> str:
+        if self._may_be_mixed(head):
+            return f"status {head.status} without framing on a reused connection"
+        return f"status {head.status}"
+
     def _larger_model_index(self, head: ResponseHead) -> int | None:
         """Return the index of the model to escalate to, None to keep the response."""
         if (
--- a/masticfork/relay/version_evidence_test.py
+++ b/masticfork/relay/version_evidence_test.py
@@ -15,6 +15,7 @@
 from masticfork.relay.exchange import CallRecord, Exchange
 from masticfork.relay.metrics import RelayMetrics
 from masticfork.relay.own_loads import OwnLoads
+from masticfork.relay.prompt_quarantine import PromptQuarantine
 from masticfork.relay.rollout_controller import RolloutController
 from masticfork.relay.tables import Tables
 from masticfork.systems.server_choice import Work
@@ -87,7 +88,12 @@
             loop, None, tables, "host-1", ignore, lambda *_: [], executor
         )
         evidence = CallEvidence(
-            loop, tables, RelayMetrics(), OwnLoads(tables, ignore), rollouts
+            loop,
+            tables,
+            RelayMetrics(),
+            OwnLoads(tables, ignore),
+            rollouts,
+            PromptQuarantine(loop, RelayMetrics(), ignore, lambda key: False),
         )
         for at, session in failures:
             loop.now = at
