Limit the parts of an engine's response

The reader of engine streams, which has one thread for all streams, limited the time of a response but no part of it: heads, framing and events without end were kept until the deadline, and each piece of an event copied and searched all of it.

The head is now limited to 64 KiB and framing as in the relay (the limits moved to core/framing.py), an event to 1 MiB, and each byte is searched once. The stream then fails as a malformed answer.

--- a/masticfork/backends/engine_stream.py
+++ b/masticfork/backends/engine_stream.py
@@ -12,6 +12,7 @@
 from masticfork.backends.connections import Connection
 from masticfork.backends.failures import CallFailure, FailureKind, Stage
 from masticfork.core.deadlines import Deadline
+from masticfork.core.framing import MAX_RESPONSE_HEAD_BYTES, FramingMeter
 
 # Longest time without data before a stream counts as stalled.
 STALL_SECONDS = 10.0
@@ -19,6 +20,8 @@
 # report it.
 READER_MARGIN_SECONDS = 2.0
 MAX_ERROR_BYTES = 1 << 16
+# A stream with a larger event fails.
+MAX_EVENT_BYTES = 1 << 20
 _OK = 200
 _FRAME_END = b"\n\n"
 _DONE_EVENT = b"data: [DONE]"
@@ -62,7 +65,9 @@
         self._parser = httptools.HttpResponseParser(self)
         # A plain number, since it is updated with every token.
         self._stalls_at = now() + STALL_SECONDS
-        self._buffer = b""
+        self._buffer = bytearray()
+        self._head_bytes = 0
+        self._framing = FramingMeter()
         self._status_future: Future[int] = Future()
         self._end_future: Future[CallFailure | None] = Future()
         self._failure: CallFailure | None = None
@@ -99,7 +104,7 @@
         At most MAX_ERROR_BYTES are returned.
         """
         self._wait_for_end()
-        body = self._buffer
+        body = bytes(self._buffer)
         self.close()
         return body
 
@@ -142,10 +147,16 @@
             self._on_connection_closed()
             return False
         self._stalls_at = self._now() + STALL_SECONDS
+        if self._status_future.done():
+            self._framing.received_bytes += len(data)
+        else:
+            self._head_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
             self._failure = _failure(FailureKind.MALFORMED_ANSWER, repr(error))
+        if self._failure is None and not self._response_complete:
+            self._failure = self._check_sizes()
         return self._failure is None and not self._response_complete
 
     def check_timeouts(self, now: float) -> bool:
@@ -192,15 +203,24 @@
 
     def on_body(self, data: bytes) -> None:
         """Split a piece of the body into frames; called by the parser."""
+        self._framing.content_bytes += len(data)
+        buffer = self._buffer
         if not self._streaming:
-            self._buffer = (self._buffer + data)[:MAX_ERROR_BYTES]
+            buffer += data
+            del buffer[MAX_ERROR_BYTES:]
             return
-        *frames, self._buffer = (self._buffer + data).split(_FRAME_END)
-        for raw in frames:
+        # The data before it holds no end of a frame, except for a first line end.
+        search_start = max(0, len(buffer) - 1)
+        buffer += data
+        frame_start = 0
+        while (frame_end := buffer.find(_FRAME_END, search_start)) >= 0:
+            raw = bytes(buffer[frame_start:frame_end])
+            frame_start = search_start = frame_end + len(_FRAME_END)
             if raw == _DONE_EVENT:
                 self._done_seen = True
             elif self._failure is None:
                 self._failure = self._deliver(ServerSentEvent(raw, _parse_offset(raw)))
+        del buffer[:frame_start]
 
     def on_message_complete(self) -> None:
         """Record the end of the response; called by the parser."""
@@ -208,6 +228,18 @@
         # Asked for here, since the parser afterwards expects another response.
         self._keep_alive = self._parser.should_keep_alive()
 
+    def _check_sizes(self) -> CallFailure | None:
+        """Return the failure of a response with a part that is too large, or None."""
+        message = ""
+        if not self._status_future.done():
+            if self._head_bytes > MAX_RESPONSE_HEAD_BYTES:
+                message = "head is larger than 64 KiB"
+        elif self._framing.exceeded:
+            message = "framing is larger than its limit"
+        elif len(self._buffer) > MAX_EVENT_BYTES:
+            message = "event is larger than 1 MiB"
+        return _failure(FailureKind.MALFORMED_ANSWER, message) if message else None
+
     def _deliver(self, frame: ServerSentEvent) -> CallFailure | None:
         if self._sink is not None:
             return self._sink(frame)
--- a/masticfork/relay/caller.py
+++ b/masticfork/relay/caller.py
@@ -14,9 +14,9 @@
     ResponseHead,
     may_have_body,
 )
+from masticfork.core.framing import FramingMeter
 from masticfork.core.routes import CallerLimits
 from masticfork.relay.channel import Channel
-from masticfork.relay.framing import FramingMeter
 from masticfork.relay.loop import Loop, Timer
 
 # Reading pauses while more pipelined requests than this wait on one connection.
--- a/masticfork/relay/endless_responses_test.py
+++ b/masticfork/relay/endless_responses_test.py
@@ -8,9 +8,9 @@
 
 import pytest
 
+from masticfork.core.framing import MAX_RESPONSE_HEAD_BYTES
 from masticfork.relay.events import MAX_EVENT_BYTES
 from masticfork.relay.exchange import MAX_RESPONSE_BODY_BYTES
-from masticfork.relay.response_reader import MAX_RESPONSE_HEAD_BYTES
 from standins.entry_environment import (
     ENGINES,
     SERVICE,
--- a/masticfork/relay/response_reader.py
+++ b/masticfork/relay/response_reader.py
@@ -6,11 +6,7 @@
 import httptools
 
 from masticfork.core.forwarding import Header, ResponseHead, may_have_body
-from masticfork.relay.framing import FramingMeter
-
-# A response with a larger head, including interim (1xx) responses and empty lines ahead
-# of it, is treated as malformed.
-MAX_RESPONSE_HEAD_BYTES = 64 << 10
+from masticfork.core.framing import MAX_RESPONSE_HEAD_BYTES, FramingMeter
 
 
 class ResponseSink(Protocol):
--- a/masticfork/relay/response_reader_test.py
+++ b/masticfork/relay/response_reader_test.py
@@ -1,8 +1,8 @@
 import pytest
 
+from masticfork.core.framing import MAX_RESPONSE_HEAD_BYTES
 from masticfork.platform.wire import decode_response_head
 from masticfork.relay.response_reader import (
-    MAX_RESPONSE_HEAD_BYTES,
     MalformedResponseError,
     ResponseReader,
 )
