Keep the host of a test of late streams from stopping early

The test failed once on a busy machine (load 13) with a time-out of its last request. Trace by reading: a stopping host ends as soon as it has no connections, which is so after the response to the kept connection; in a thread its listener stays open, so a request that comes later waits for ever. In 0.25 s the request usually came before that. A request that is being read now keeps the host running; waits and checks are the same.

--- a/masticfork/relay/whole_path_test.py
+++ b/masticfork/relay/whole_path_test.py
@@ -614,8 +614,12 @@
             time.sleep(2.55)
             connection.request("POST", "/streaming/x", b"x", env.headers())
             time.sleep(0.1)
-            got = read_response(connection)
-            late = env.send("/streaming/x")
+            with socket.create_connection((env.front.host, env.front.port), 5) as sock:
+                # A host stops once it has no connections; a request that is being read
+                # keeps it from that until the last one is answered.
+                sock.sendall(b"POST /")
+                got = read_response(connection)
+                late = env.send("/streaming/x")
         assert got.status in (200, 503)
         assert late.status == 503
         assert late.headers["connection"] == "close"
