--- a/masticfork/relay/endless_responses_test.py
+++ b/masticfork/relay/endless_responses_test.py
@@ -31,8 +31,8 @@
 )
 
 PIECE_BYTES = 16 << 10
-# Receive and send buffers of the two connections on the way, as large as the kernel lets
-# them grow.
+# Receive and send buffers of the two connections on the way, as large as the kernel
+# lets them grow.
 KERNEL_BUFFER_BYTES = 2 * sum(
     int(Path(f"/proc/sys/net/ipv4/{name}").read_text().split()[2])
     for name in ("tcp_rmem", "tcp_wmem")
