Poll descriptors above 1023

select() takes none of them.

The same cause in the product: an idle connection to an engine was checked with select(), so on a host with more than 1,023 open descriptors each call on a pooled connection raised ValueError. The administrators' and callers' listeners and the store's client polled already.

The stand-ins' server, the test's own and the reader of ready lines poll now as well.

--- a/masticfork/backends/connections.py
+++ b/masticfork/backends/connections.py
@@ -188,8 +188,10 @@
         if connection.idle_deadline.expired(self._now()):
             return False
         # A readable idle connection was closed by the server or holds unexpected bytes.
-        readable, _, _ = select.select([connection.http.sock], [], [], 0)
-        return not readable
+        # `select` takes no descriptors above 1023.
+        poller = select.poll()
+        poller.register(connection.http.sock, select.POLLIN)
+        return not poller.poll(0)
 
     def _connect(
         self, server: BackendServer, deadline: Deadline
--- a/masticfork/scripts/masticfork_test.py
+++ b/masticfork/scripts/masticfork_test.py
@@ -20,7 +20,14 @@
     def __init__(self) -> None:
         self.client = ApiClient()
         self.lose_answers = 0
-        self._server = create_server(self._answer, host="127.0.0.1", port=0, threads=2)
+        self._server = create_server(
+            self._answer,
+            host="127.0.0.1",
+            port=0,
+            threads=2,
+            # Descriptors of a long test run exceed what `select` takes.
+            asyncore_use_poll=True,
+        )
         self.url = f"http://127.0.0.1:{self._server.effective_port}"
         self._thread = threading.Thread(target=self._server.run, daemon=True)
         self._thread.start()
--- a/standins/common.py
+++ b/standins/common.py
@@ -221,6 +221,8 @@
             connection_limit=CONNECTION_LIMIT,
             max_request_body_size=MAX_BODY_BYTES,
             ident=None,
+            # Descriptors of a long test run exceed what `select` takes.
+            asyncore_use_poll=True,
             # Do not send an error page on a connection that is to be dropped.
             log_socket_errors=False,
         )
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -82,7 +82,9 @@
         stdout = self._started_process().stdout
         if stdout is None:
             raise self.start_error("was not started with reports_ready")
-        readable, _, _ = select.select([stdout], [], [], seconds)
+        poller = select.poll()
+        poller.register(stdout, select.POLLIN)
+        readable = poller.poll(seconds * 1000.0)
         line = stdout.readline() if readable else ""
         if not line:
             raise self.start_error(f"printed no ready line within {seconds} s")
