--- a/masticfork/backends/connections.py
+++ b/masticfork/backends/connections.py
@@ -1,7 +1,6 @@
 """Kept-alive connections to backend servers."""
 
 import http.client
-import select
 import threading
 from collections import defaultdict
 from collections.abc import Callable
@@ -14,6 +13,7 @@
 from masticfork.core.deadlines import Deadline
 from masticfork.core.http_status import is_interim
 from masticfork.core.manifest import BackendServer
+from masticfork.core.sockets import is_readable
 
 MAX_IDLE_CONNECTIONS_PER_SERVER = 256
 MAX_IDLE_SECONDS = 20.0
@@ -188,10 +188,7 @@
         if connection.idle_deadline.expired(self._now()):
             return False
         # A readable idle connection was closed by the server or holds unexpected bytes.
-        # `select` takes no descriptors above 1023.
-        poller = select.poll()
-        poller.register(connection.http.sock, select.POLLIN)
-        return not poller.poll(0)
+        return not is_readable(connection.http.sock)
 
     def _connect(
         self, server: BackendServer, deadline: Deadline
--- a/masticfork/store/connections.py
+++ b/masticfork/store/connections.py
@@ -2,7 +2,6 @@
 
 import enum
 import http.client
-import select
 import socket
 import threading
 from collections.abc import Callable
@@ -13,6 +12,7 @@
 from masticfork.core.bounded_reads import bound_response
 from masticfork.core.deadlines import Deadline
 from masticfork.core.http_status import is_interim
+from masticfork.core.sockets import is_readable
 
 # Maximum number of idle connections in a pool.
 MAX_IDLE_CONNECTIONS = 8
@@ -132,7 +132,7 @@
                     return None
                 entry = self._idle.pop()
             unexpired = not entry.idle_deadline.expired(self._now())
-            if unexpired and not _is_readable(entry.connection):
+            if unexpired and not is_readable(entry.connection.sock):
                 return entry.connection
             entry.connection.close()
 
@@ -175,10 +175,3 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_PROBE_SECONDS)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_PROBE_SECONDS)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, MAX_KEEPALIVE_PROBES)
-
-
-def _is_readable(connection: http.client.HTTPConnection) -> bool:
-    """Return whether an idle connection was closed or holds unexpected bytes."""
-    poller = select.poll()
-    poller.register(connection.sock, select.POLLIN)
-    return bool(poller.poll(0))
