Give an unproven version no more than its share, and judge it by route

Cause: the rollout followed the clock. A version without a failure so far got half of the new sessions from half of its time on and all from 0.66 on, which is over the allowed share whatever the evidence says. Evidence was shares over all answers with an allowance of 0.1: failures of a quarter of one route's requests are 0.04 to 0.12 of all. Slow engines were judged by the first byte, which an idle engine sends in time, and by each host's own usual times, which hosts with little traffic do not have.

Now each host gives the version a part of the requests that it sends itself (`exposure`): the sum over hosts keeps the bound, whatever they know of each other. The canary lasts until 1.7 s before the end of the rollout's time, tries rare routes as often as the main ones, and is followed by all traffic as far as the bound allows. Answers of all hosts are judged in their order in time, for all routes and for each (`version_evidence`), by failures, first bytes and the pace of streams (`stream_pace`); one server's faults are not the version's. Without enough answers a version is not completed.

--- a/masticfork/core/backend_servers.py
+++ b/masticfork/core/backend_servers.py
@@ -49,7 +49,7 @@
     """Progress of a rollout, as the hosts have written it to the store."""
 
     state: RolloutState = RolloutState.ORDERED
-    # Index of the current step in `systems.version_shift.STEP_SHARES`.
+    # Current step, `CANARY` or `FULL` of `systems.version_shift`.
     step: int = 0
     # Unix time in seconds at which the first host read the order.
     ordered_at: float = 0.0
--- a/masticfork/core/digests.py
+++ b/masticfork/core/digests.py
@@ -17,6 +17,38 @@
     pending_work: float
 
 
+@attrs.frozen
+class NewAnswers:
+    """Answers of one server of a new version, on one route, within one second."""
+
+    # CRC-32 of the server's ID and of the route's name.
+    server: int
+    route: int
+    # Whole seconds since the order.
+    second: int
+    good: int
+    bad: int
+    # Slow answers, which count as good or bad as well.
+    slow: int
+
+
+@attrs.frozen
+class OldAnswers:
+    """Exponentially decayed counts of an old version's answers on one route."""
+
+    # CRC-32 of the route's name.
+    route: int
+    good: float
+    bad: float
+    # Slow answers, which count as good or bad as well.
+    slow: float
+
+    @property
+    def total(self) -> float:
+        """Return the decayed number of answers."""
+        return self.good + self.bad
+
+
 @attrs.frozen
 class RolloutEvidence:
     """One host's counts of responses of both versions during a rollout."""
@@ -24,13 +56,14 @@
     service: str
     # Store revision at which the rollout was ordered; identifies it.
     created: int
-    new_good: float
-    new_bad: float
-    old_good: float
-    old_bad: float
-    old_running: int
-    new_slow: float = 0.0
-    old_slow: float = 0.0
+    new: tuple[NewAnswers, ...]
+    old: tuple[OldAnswers, ...]
+    # The host's usual times to first byte of the old version by model size, relative to
+    # the expected ones.
+    usual_times: dict[int, float] = attrs.field(factory=dict)
+    # Its usual times between the events of streams, in seconds, by a key of the model
+    # size and the load.
+    usual_paces: dict[int, float] = attrs.field(factory=dict)
     # Whether the host has judged the new version bad.
     judged_bad: bool = False
 
--- a/masticfork/platform/settings_file.py
+++ b/masticfork/platform/settings_file.py
@@ -38,6 +38,8 @@
     session: float = 5.0
     # Largest share of a service's requests that may go to a version not yet proven.
     expose_share: float = 0.15
+    # Number of requests that may go to it beyond that share, over all hosts.
+    expose_slack: float = 30.0
     # Longest time from a version's 50th bad response to the last request to it.
     rollback: float = 5.0
 
@@ -102,5 +104,6 @@
         retry_window=get_number(table, "budget_window_s", default.retry_window),
         session=get_number(table, "session_s", default.session),
         expose_share=get_number(table, "expose_share", default.expose_share),
+        expose_slack=get_number(table, "expose_slack", default.expose_slack),
         rollback=get_number(table, "rollback_ms", default.rollback * 1000) / 1000,
     )
--- a/masticfork/relay/call_evidence.py
+++ b/masticfork/relay/call_evidence.py
@@ -12,6 +12,7 @@
 from masticfork.relay.tables import Tables
 from masticfork.systems.failed_calls import CallOutcome
 from masticfork.systems.server_choice import UNREACHABLE_SECONDS
+from masticfork.systems.stream_pace import MIN_EVENTS, StreamPace
 from masticfork.systems.version_shift import ResponseTime
 
 # Failures of one session at shorter intervals count as one.
@@ -42,6 +43,7 @@
     def on_call_sent(self, record: CallRecord) -> None:
         """Add a call that is being sent to the load of its server."""
         self._own_loads.begin(record)
+        self._rollouts.record_call(record.row.server, record.work.route)
 
     def on_response_started(self, record: CallRecord, head: ResponseHead) -> None:
         """Remove the prompt of a call from the pending work: its response has begun.
@@ -68,9 +70,16 @@
             return
         if failed and self._repeats_failure(record.row.server.service, session):
             return
-        self._rollouts.record_answer(
-            record.row.server, failed, self._time_so_far(record), self._loop.now
-        )
+        self._record_answer(record, failed)
+
+    def on_stream_complete(self, record: CallRecord, last_event_id: int) -> None:
+        """Report the pace of a complete stream as evidence on its server's version."""
+        events = last_event_id - record.first_event_id
+        if not record.answered or events < MIN_EVENTS:
+            return
+        seconds = (self._loop.now - record.first_event_at) / events
+        pace = StreamPace(record.work.size, record.running_at_first_event, seconds)
+        self._rollouts.record_stream(record.row.server, pace, self._loop.now)
 
     def on_call_ended(self, record: CallRecord) -> None:
         """Record the outcome of a call in loads, metrics and rollout evidence."""
@@ -105,8 +114,16 @@
             wait_time = self._time_so_far(record)
             if self._rollouts.is_slow(record.row.server, wait_time):
                 record.counted_as_slow = True
-                server, now = record.row.server, self._loop.now
-                self._rollouts.record_answer(server, False, wait_time, now)
+                self._record_answer(record, failed=False)
+
+    def _record_answer(self, record: CallRecord, failed: bool) -> None:
+        self._rollouts.record_answer(
+            record.row.server,
+            record.work.route,
+            failed,
+            self._time_so_far(record),
+            self._loop.now,
+        )
 
     def _repeats_failure(self, service: str, session: str) -> bool:
         """Record a failure; return whether it follows one of the same session.
--- a/masticfork/relay/digest.capnp
+++ b/masticfork/relay/digest.capnp
@@ -80,6 +80,7 @@
   service @0 :Text;
   # Store revision at which the rollout was created.
   created @1 :Int64;
+  # Only builds before `packedNew` read the counts below.
   newGood @2 :Float32;
   newBad @3 :Float32;
   oldGood @4 :Float32;
@@ -90,6 +91,19 @@
   oldSlow @8 :Float32;
   # Whether the host has judged the new version bad.
   judgedBad @9 :Bool;
+  # Answers of the new version in little-endian records of 16 bytes: hashes of the server
+  # and of the route (UInt32), seconds since the order, good, bad and slow answers
+  # (UInt16 each).
+  packedNew @10 :Data;
+  # Answers of the old version in records of 16 bytes: hash of the route (UInt32), good,
+  # bad and slow answers (Float32).
+  packedOld @11 :Data;
+  # Usual times of the old version in records of 5 bytes: index of the model's size
+  # (UInt8) and the time relative to the expected one (Float32).
+  packedTimes @12 :Data;
+  # Usual times between the events of its streams in the same form: a key of the model
+  # size and the load, and seconds.
+  packedPaces @13 :Data;
 }
 
 struct Session {
--- a/masticfork/relay/digest_codec.py
+++ b/masticfork/relay/digest_codec.py
@@ -14,6 +14,8 @@
     HostLoad,
     KindState,
     KindUpdate,
+    NewAnswers,
+    OldAnswers,
     RolloutEvidence,
 )
 from masticfork.core.store_position import StorePosition
@@ -31,6 +33,10 @@
 # The records of the packed fields on crashes.
 _CRASH_RECORD = struct.Struct("<IIBH")
 _KEY_TIME_RECORD = struct.Struct("<II")
+# The records of the packed fields on rollouts.
+_NEW_ANSWERS_RECORD = struct.Struct("<IIHHHH")
+_OLD_ANSWERS_RECORD = struct.Struct("<Ifff")
+_TIME_RECORD = struct.Struct("<Bf")
 
 _schema = capnp.load(str(Path(__file__).with_name("digest.capnp")))
 
@@ -75,14 +81,30 @@
             {
                 "service": evidence.service,
                 "created": evidence.created,
-                "newGood": evidence.new_good,
-                "newBad": evidence.new_bad,
-                "oldGood": evidence.old_good,
-                "oldBad": evidence.old_bad,
-                "newSlow": evidence.new_slow,
-                "oldSlow": evidence.old_slow,
+                "newGood": sum(item.good for item in evidence.new),
+                "newBad": sum(item.bad for item in evidence.new),
+                "newSlow": sum(item.slow for item in evidence.new),
+                "oldGood": sum(item.good for item in evidence.old),
+                "oldBad": sum(item.bad for item in evidence.old),
+                "oldSlow": sum(item.slow for item in evidence.old),
                 "judgedBad": evidence.judged_bad,
-                "oldRunning": min(_MAX_UINT16, max(0, evidence.old_running)),
+                "packedNew": b"".join(
+                    _NEW_ANSWERS_RECORD.pack(
+                        item.server,
+                        item.route,
+                        item.second,
+                        min(_MAX_UINT16, item.good),
+                        min(_MAX_UINT16, item.bad),
+                        min(_MAX_UINT16, item.slow),
+                    )
+                    for item in evidence.new
+                ),
+                "packedOld": b"".join(
+                    _OLD_ANSWERS_RECORD.pack(item.route, item.good, item.bad, item.slow)
+                    for item in evidence.old
+                ),
+                "packedTimes": _pack_times(evidence.usual_times),
+                "packedPaces": _pack_times(evidence.usual_paces),
             }
             for evidence in digest.rollouts
         ],
@@ -120,6 +142,12 @@
     )
 
 
+def _pack_times(times: dict[int, float]) -> bytes:
+    return b"".join(
+        _TIME_RECORD.pack(key, time) for key, time in times.items() if key <= _MAX_UINT8
+    )
+
+
 def _milliseconds(seconds: float, maximum: int) -> int:
     return min(maximum, max(0, round(seconds * _MILLISECONDS_PER_SECOND)))
 
@@ -200,13 +228,24 @@
                     RolloutEvidence(
                         service=item.service,
                         created=item.created,
-                        new_good=item.newGood,
-                        new_bad=item.newBad,
-                        old_good=item.oldGood,
-                        old_bad=item.oldBad,
-                        old_running=item.oldRunning,
-                        new_slow=item.newSlow,
-                        old_slow=item.oldSlow,
+                        new=tuple(
+                            NewAnswers(*record)
+                            for record in _unpack_records(
+                                item.packedNew, _NEW_ANSWERS_RECORD
+                            )
+                        ),
+                        old=tuple(
+                            OldAnswers(*record)
+                            for record in _unpack_records(
+                                item.packedOld, _OLD_ANSWERS_RECORD
+                            )
+                        ),
+                        usual_times=dict(
+                            _unpack_records(item.packedTimes, _TIME_RECORD)
+                        ),
+                        usual_paces=dict(
+                            _unpack_records(item.packedPaces, _TIME_RECORD)
+                        ),
                         judged_bad=item.judgedBad,
                     )
                     for item in reader.rollouts
--- a/masticfork/relay/entry.py
+++ b/masticfork/relay/entry.py
@@ -45,6 +45,7 @@
 from masticfork.relay.session_versions import SessionVersions
 from masticfork.relay.store_view import MIRRORED_KINDS, StoreView
 from masticfork.relay.tables import ServerRow, Tables
+from masticfork.systems.exposure import ExposureLimit
 from masticfork.systems.graceful_stop import GracefulStop
 from masticfork.systems.model_choice import ConfidenceCascade, ModelPolicy
 from masticfork.systems.retry_budget import WindowedRetryBudget
@@ -66,8 +67,8 @@
 # the time that the host has waited for one: an outage that has lasted for some time is
 # likely to last as long again.
 MIN_UNREADY_RETRY_AFTER_SECONDS, MAX_UNREADY_RETRY_AFTER_SECONDS = 0.5, 4.0
-# Minimum number of hosts among which the slack of the retry budget is divided, also
-# used until the peers are known.
+# Minimum number of hosts among which limits of the deployment are divided, also used
+# until the peers are known.
 MIN_HOST_COUNT = 4
 # Range of priorities that engines accept; 0 is the most urgent.
 HIGHEST_PRIORITY, LOWEST_PRIORITY = 0, 9
@@ -143,6 +144,8 @@
             settings.host,
             self.log,
             self._peers.evidence,
+            ExposureLimit(bounds.expose_share, bounds.expose_slack),
+            self._sharing_host_count,
         )
         self._registration = Registration(
             self._objects, settings.host, self._peer_address
@@ -232,9 +235,7 @@
             for exchange in list(self._open_exchanges):
                 exchange.on_quarantine()
         self._rollout_controller.run(self._loop.now)
-        self._retry_budget.hosts = max(
-            MIN_HOST_COUNT, self._peers.budget_sharing_host_count
-        )
+        self._retry_budget.hosts = self._sharing_host_count()
         self._digests.run()
         self._reader_duty.run()
         self._store_view.run(self._loop.now, self._reader_duty.reading)
@@ -259,6 +260,10 @@
 
     # Peers.
 
+    def _sharing_host_count(self) -> int:
+        """Return how many hosts share the limits of the deployment."""
+        return max(MIN_HOST_COUNT, self._peers.budget_sharing_host_count)
+
     @property
     def live_peer_count(self) -> int:
         """Return the number of peers heard from recently."""
@@ -449,7 +454,7 @@
         self, service: str, work: Work, session: str, tried_servers: set[str]
     ) -> ServerRow | None:
         """Return the server for a call, None if no untried one is eligible."""
-        untried = self._untried_rows(service, session, tried_servers)
+        untried = self._untried_rows(service, work.route, session, tried_servers)
         row_by_load = {id(row.load): row for row in untried}
         load = self._server_policy.choose(
             work, [row.load for row in untried], self._settings.zone, self._loop.now
@@ -461,22 +466,22 @@
         return row_by_load[id(load)]
 
     def has_other_server(
-        self, service: str, session: str, tried_servers: set[str]
+        self, service: str, route: str, session: str, tried_servers: set[str]
     ) -> bool:
         """Return whether an untried server is eligible and can be reached."""
         now = self._loop.now
-        rows = self._untried_rows(service, session, tried_servers)
+        rows = self._untried_rows(service, route, session, tried_servers)
         return any(row.load.avoid_until <= now for row in rows)
 
     def _untried_rows(
-        self, service: str, session: str, tried_servers: set[str]
+        self, service: str, route: str, session: str, tried_servers: set[str]
     ) -> list[ServerRow]:
-        rows = self._eligible_rows(service, session)
+        rows = self._eligible_rows(service, route, session)
         return [row for row in rows if row.server.id not in tried_servers]
 
     def min_expected_delay(self, work: Work, session: str) -> float:
         """Return the shortest expected delay of any eligible server, in seconds."""
-        rows = self._eligible_rows(work.service, session)
+        rows = self._eligible_rows(work.service, work.route, session)
         delays = (self.expected_delay(row, work) for row in rows)
         return min(delays, default=float("inf"))
 
@@ -485,10 +490,12 @@
         zone, now = self._settings.zone, self._loop.now
         return expected_first_token_seconds(row.load, work, zone, now)
 
-    def _eligible_rows(self, service: str, session: str) -> Sequence[ServerRow]:
+    def _eligible_rows(
+        self, service: str, route: str, session: str
+    ) -> Sequence[ServerRow]:
         version = self._session_versions.version(service, session, self._loop.now)
         rows = self._tables.servers_of(service)
-        return self._rollout_controller.eligible(service, session, version, rows)
+        return self._rollout_controller.eligible(service, route, session, version, rows)
 
     def open_call(
         self, row: ServerRow, sink: CallSink, request: CallerRequest, call: Dispatch
@@ -535,6 +542,10 @@
         """Record that a response has begun that belongs to its call."""
         self._call_evidence.on_own_response(record, session, failed)
 
+    def on_stream_complete(self, record: CallRecord, last_event_id: int) -> None:
+        """Record that all events of a stream have arrived."""
+        self._call_evidence.on_stream_complete(record, last_event_id)
+
     def on_call_ended(self, record: CallRecord) -> None:
         """Record the outcome of a call."""
         self._call_evidence.on_call_ended(record)
--- a/masticfork/relay/exchange.py
+++ b/masticfork/relay/exchange.py
@@ -102,7 +102,7 @@
         """Return the server for a call, None if no untried one is eligible."""
 
     def has_other_server(
-        self, service: str, session: str, tried_servers: set[str]
+        self, service: str, route: str, session: str, tried_servers: set[str]
     ) -> bool:
         """Return whether an untried server is eligible."""
 
@@ -138,6 +138,9 @@
     def on_own_response(self, record: "CallRecord", session: str, failed: bool) -> None:
         """Record that a response has begun that belongs to its call."""
 
+    def on_stream_complete(self, record: "CallRecord", last_event_id: int) -> None:
+        """Record that all events of a stream have arrived."""
+
     def on_call_ended(self, record: "CallRecord") -> None:
         """Record the outcome of a call."""
 
@@ -195,6 +198,11 @@
     head_received_at: float | None = None
     # Whether an event of the answer has arrived.
     answered: bool = False
+    # Loop time at which the first event arrived, its ID, and the calls that then ran on
+    # the server.
+    first_event_at: float = 0.0
+    first_event_id: int = 0
+    running_at_first_event: int = 0
     # Whether the call ended with the loss of its connection.
     connection_lost: bool = False
     # Whether the call was counted as slow against its version while still waiting.
@@ -361,6 +369,10 @@
         if events.data:
             if not record.answered:
                 record.answered = True
+                record.first_event_at = self.host.loop.now
+                record.first_event_id = self._event_splitter.last_event_id or 0
+                load = record.row.load
+                record.running_at_first_event = load.running + load.running_elsewhere
                 self.host.on_answered(record)
             self._restart_silence_timer()
             self._start_stream_response()
@@ -379,6 +391,9 @@
                 )
                 return
             self._start_stream_response()
+            self.host.on_stream_complete(
+                self._call_record, self._event_splitter.last_event_id or 0
+            )
         elif not self._response_started:
             self.caller.start_response(self._response_head, self._body_bytes)
             for data in self._buffered_body:
@@ -469,9 +484,10 @@
     def _work_for_call(self, model: str | None) -> Work:
         head = self.request.head
         if not self._is_stream or model is None:
-            return Work(self.service)
+            return Work(self.service, route=self.route.name)
         return Work(
             service=self.service,
+            route=self.route.name,
             model=model,
             size=self._model_index,
             prompt=head.prompt,
@@ -502,7 +518,10 @@
             can_repeat = (
                 self.history.sent < self.route.max_attempts
                 and self.host.has_other_server(
-                    self.service, self._session_key, self._tried_servers
+                    self.service,
+                    self.route.name,
+                    self._session_key,
+                    self._tried_servers,
                 )
             )
             return (
--- a/masticfork/relay/rollout_controller.py
+++ b/masticfork/relay/rollout_controller.py
@@ -3,6 +3,7 @@
 import hashlib
 import math
 import time as clock
+from collections import OrderedDict
 from collections.abc import Callable, Sequence
 from concurrent.futures import ThreadPoolExecutor
 from typing import Protocol
@@ -17,7 +18,7 @@
     VersionRollout,
 )
 from masticfork.core.deadlines import Deadline
-from masticfork.core.digests import RolloutEvidence
+from masticfork.core.digests import NewAnswers, OldAnswers, RolloutEvidence
 from masticfork.core.ids import short_key
 from masticfork.platform import names
 from masticfork.platform.objects import PlatformObject, PlatformObjects
@@ -25,14 +26,18 @@
 from masticfork.relay.loop import Loop
 from masticfork.relay.tables import ServerRow, Tables
 from masticfork.store.client import PlatformError
+from masticfork.systems.exposure import ExposureBudget, ExposureLimit, RolloutMoment
+from masticfork.systems.stream_pace import PaceBaseline, StreamPace
+from masticfork.systems.version_evidence import Assessment, assess
 from masticfork.systems.version_shift import (
+    FULL,
     AnswerCounts,
     LatencyBaseline,
     ResponseTime,
-    is_bad,
+    hash_fraction,
+    is_canary_candidate,
     is_final,
     next_progress,
-    runs_on_new_version,
 )
 
 # Timeout of a write, and the interval before the next one.
@@ -44,6 +49,15 @@
 # Slow answers of one server at shorter intervals count as one: they may have waited in
 # one queue, behind a single long prompt.
 SAME_QUEUE_SECONDS = 0.5
+# Records of a new version's answers that a host keeps and reports, and the last second
+# that they name; routes of the old version's answers that it keeps apart.
+MAX_ANSWER_RECORDS = 60
+MAX_SECOND = 0xFFFF
+MAX_ROUTES = 16
+# In place of a route, for the pace of complete streams of all routes.
+STREAM_PACE = "stream pace"
+# Key of the answers on all other routes.
+OTHER_ROUTES = 0
 
 
 class WriteExecutor(Protocol):
@@ -63,12 +77,22 @@
     ordered_at: float
     # The same time in Unix seconds.
     ordered_unix_seconds: float
-    new: AnswerCounts = attrs.field(factory=AnswerCounts)
-    old: AnswerCounts = attrs.field(factory=AnswerCounts)
+    budget: ExposureBudget
+    # Answers of the new version by hashes of server and route, and second since the
+    # order; the oldest are dropped.
+    new: OrderedDict[tuple[int, int, int], NewAnswers] = attrs.field(
+        factory=OrderedDict
+    )
+    # Answers of the old version by hash of the route.
+    old: dict[int, AnswerCounts] = attrs.field(factory=dict)
     # Loop time of the latest slow answer that was counted, by server.
     slow_at: dict[str, float] = attrs.field(factory=dict)
     # Whether this host has judged the new version bad.
     bad: bool = False
+    # Loop time since which new progress waits to be written.
+    due_since: float | None = None
+    writing: bool = False
+    write_after: float = 0.0
 
     def repeats_slow_answer(self, server: str, now: float) -> bool:
         """Record a slow answer; return whether it closely follows another one."""
@@ -77,10 +101,48 @@
         self.slow_at[server] = now
         return False
 
-    # Loop time since which new progress waits to be written.
-    due_since: float | None = None
-    writing: bool = False
-    write_after: float = 0.0
+    def add_new(
+        self, server: str, route: str, failed: bool, slow: bool, now: float
+    ) -> None:
+        """Record an answer of the new version."""
+        second = max(0, int(now - self.ordered_at))
+        key = (short_key(server), short_key(route), min(second, MAX_SECOND))
+        known = self.new.get(key, NewAnswers(*key, 0, 0, 0))
+        self.new[key] = attrs.evolve(
+            known,
+            good=known.good + (not failed),
+            bad=known.bad + failed,
+            slow=known.slow + slow,
+        )
+        while len(self.new) > MAX_ANSWER_RECORDS:
+            self.new.popitem(last=False)
+
+    def add_old(self, route: str, failed: bool, slow: bool, now: float) -> None:
+        """Record an answer of the old version."""
+        key = short_key(route)
+        if key not in self.old and len(self.old) >= MAX_ROUTES:
+            key = OTHER_ROUTES
+        self.old.setdefault(key, AnswerCounts()).add(failed, slow, now)
+
+    def evidence(
+        self,
+        service: str,
+        usual_times: dict[int, float],
+        usual_paces: dict[int, float],
+    ) -> RolloutEvidence:
+        """Return the evidence in the form in which other hosts get it."""
+        return RolloutEvidence(
+            service=service,
+            created=self.created,
+            new=tuple(self.new.values()),
+            old=tuple(
+                OldAnswers(route, counts.good, counts.bad, counts.slow)
+                for route, counts in self.old.items()
+            ),
+            usual_times=usual_times,
+            usual_paces=usual_paces,
+            judged_bad=self.bad,
+        )
 
 
 class RolloutController:
@@ -94,10 +156,14 @@
         host: str,
         log: Callable[..., None],
         peer_evidence: Callable[[str, int], list[RolloutEvidence]],
+        limit: ExposureLimit,
+        host_count: Callable[[], int],
         executor: WriteExecutor | None = None,
     ) -> None:
         self._loop = loop
         self._peer_evidence = peer_evidence
+        self._limit = limit
+        self._host_count = host_count
         self._objects = objects
         self._tables = tables
         self._host = host
@@ -106,16 +172,18 @@
         # By service, also while no rollout runs: a new version is compared with them
         # from its first answer on.
         self._usual_times: dict[str, LatencyBaseline] = {}
+        self._usual_paces: dict[str, PaceBaseline] = {}
         self._executor = executor or ThreadPoolExecutor(1, "rollout-writer")
 
     def eligible(
         self,
         service: str,
+        route: str,
         session: str,
         earlier: int | None,
         rows: Sequence[ServerRow],
     ) -> Sequence[ServerRow]:
-        """Return the servers whose version the session may use.
+        """Return the servers whose version a request of the session may use.
 
         `earlier` is the short key of the version that it used last, if any.
         """
@@ -126,38 +194,99 @@
         old = [row for row in rows if row.server.version != rollout.target]
         if rollout.progress.state is RolloutState.DONE:
             return new or old
-        if rollout.progress.state is RolloutState.ROLLED_BACK:
+        if rollout.progress.state is not RolloutState.RUNNING:
             return old
         record = self._record_of(rollout)
-        was_on_new = None if earlier is None else earlier == short_key(rollout.target)
-        if record.bad or not runs_on_new_version(rollout, session, was_on_new):
+        if record.bad:
             return old
-        return new or old
+        was_on_new = None if earlier is None else earlier == short_key(rollout.target)
+        if was_on_new:
+            return new or old
+        moment = self._moment(rollout, record, rows)
+        if rollout.progress.step >= FULL:
+            return (new or old) if record.budget.allows_all(moment) else (old or new)
+        takes_canary = (
+            was_on_new is None
+            and is_canary_candidate(rollout, session)
+            and record.budget.allows_canary(route, moment)
+        )
+        return (new or old) if takes_canary else old
+
+    def _moment(
+        self,
+        rollout: VersionRollout,
+        record: _RolloutRecord,
+        rows: Sequence[ServerRow],
+    ) -> RolloutMoment:
+        old_running = sum(
+            row.load.running for row in rows if row.server.version != rollout.target
+        )
+        elapsed = self._loop.now - record.ordered_at
+        return RolloutMoment(elapsed, rollout.duration, old_running, self._host_count())
+
+    def record_call(self, server: BackendServer, route: str) -> None:
+        """Count a call that is being sent."""
+        rollout = self._tables.rollouts.get(server.service)
+        if rollout is not None and not is_final(rollout.progress):
+            record = self._record_of(rollout)
+            elapsed = self._loop.now - record.ordered_at
+            record.budget.count(route, server.version == rollout.target, elapsed)
 
     def record_answer(
-        self, server: BackendServer, failed: bool, time: ResponseTime, now: float
+        self,
+        server: BackendServer,
+        route: str,
+        failed: bool,
+        time: ResponseTime,
+        now: float,
     ) -> None:
         """Record one response as evidence."""
         rollout = self._tables.rollouts.get(server.service)
-        usual_times = self.usual_times(server.service)
-        slow = usual_times.is_slow(time)
+        slow = self._is_slow(rollout, server, time)
         is_new = (
             rollout is not None
             and rollout.progress.state is not RolloutState.DONE
             and server.version == rollout.target
         )
         if not is_new:
-            usual_times.add(time)
+            self.usual_times(server.service).add(time)
         if rollout is None or is_final(rollout.progress):
             return
         record = self._record_of(rollout)
         if slow and not failed and record.repeats_slow_answer(server.id, now):
             return
-        evidence = record.new if is_new else record.old
-        evidence.add(failed, slow, now)
+        if is_new:
+            record.add_new(server.id, route, failed, slow, now)
+        else:
+            record.add_old(route, failed, slow, now)
         if failed or slow:
             self._judge_version(rollout, record)
 
+    def record_stream(
+        self, server: BackendServer, pace: StreamPace, now: float
+    ) -> None:
+        """Record the pace of a complete stream as evidence."""
+        rollout = self._tables.rollouts.get(server.service)
+        baseline = self._usual_paces_of(server.service)
+        is_new = (
+            rollout is not None
+            and rollout.progress.state is not RolloutState.DONE
+            and server.version == rollout.target
+        )
+        elsewhere = [item.usual_paces for item in self._reported(rollout)]
+        slow = baseline.is_slow(pace, elsewhere)
+        if not is_new:
+            baseline.add(pace)
+        if rollout is None or is_final(rollout.progress) or slow is None:
+            return
+        record = self._record_of(rollout)
+        if is_new:
+            record.add_new(server.id, STREAM_PACE, False, slow, now)
+        else:
+            record.add_old(STREAM_PACE, False, slow, now)
+        if slow:
+            self._judge_version(rollout, record)
+
     def usual_times(self, service: str) -> LatencyBaseline:
         """Return the response times of a service without those of a new version."""
         return self._usual_times.setdefault(service, LatencyBaseline())
@@ -167,86 +296,64 @@
         rollout = self._tables.rollouts.get(server.service)
         if rollout is None or is_final(rollout.progress):
             return False
-        return self.usual_times(server.service).is_slow(time)
+        return self._is_slow(rollout, server, time)
 
     def evidence(self) -> tuple[RolloutEvidence, ...]:
         """Return this host's evidence on all unfinished rollouts."""
-        evidence = []
-        for rollout in self._tables.rollouts.values():
-            if is_final(rollout.progress):
-                continue
-            record = self._record_of(rollout)
-            evidence.append(
-                RolloutEvidence(
-                    service=rollout.service,
-                    created=rollout.created,
-                    new_good=record.new.good,
-                    new_bad=record.new.bad,
-                    old_good=record.old.good,
-                    old_bad=record.old.bad,
-                    old_running=self._old_running(rollout),
-                    new_slow=record.new.slow,
-                    old_slow=record.old.slow,
-                    judged_bad=record.bad,
-                )
-            )
-        return tuple(evidence)
-
-    def _old_running(self, rollout: VersionRollout) -> int:
-        return sum(
-            row.load.running
-            for row in self._tables.rows
-            if row.server.service == rollout.service
-            and row.server.version != rollout.target
+        return tuple(
+            self._own_evidence(rollout)
+            for rollout in self._tables.rollouts.values()
+            if not is_final(rollout.progress)
         )
 
+    def _own_evidence(self, rollout: VersionRollout) -> RolloutEvidence:
+        service = rollout.service
+        times = self.usual_times(service).usual_times
+        paces = self._usual_paces_of(service).usual
+        return self._record_of(rollout).evidence(service, times, paces)
+
+    def _usual_paces_of(self, service: str) -> PaceBaseline:
+        return self._usual_paces.setdefault(service, PaceBaseline())
+
+    def _reported(self, rollout: VersionRollout | None) -> list[RolloutEvidence]:
+        """Return the evidence on a rollout that other hosts have reported."""
+        if rollout is None:
+            return []
+        return self._peer_evidence(rollout.service, rollout.created)
+
+    def _is_slow(
+        self, rollout: VersionRollout | None, server: BackendServer, time: ResponseTime
+    ) -> bool:
+        elsewhere = [item.usual_times for item in self._reported(rollout)]
+        return self.usual_times(server.service).is_slow(time, elsewhere)
+
     def _has_new_servers(self, rollout: VersionRollout) -> bool:
         rows = self._tables.servers_of(rollout.service)
         return any(row.server.version == rollout.target for row in rows)
 
-    def _combined_evidence(
-        self, rollout: VersionRollout, record: _RolloutRecord
-    ) -> tuple[AnswerCounts, AnswerCounts, int]:
-        """Return the evidence of all hosts on the new and the old version.
-
-        The third value is the number of requests that run on the old version.
-        """
-        reported = self._peer_evidence(rollout.service, rollout.created)
-        new = AnswerCounts(
-            record.new.good + sum(item.new_good for item in reported),
-            record.new.bad + sum(item.new_bad for item in reported),
-            record.new.slow + sum(item.new_slow for item in reported),
-        )
-        old = AnswerCounts(
-            record.old.good + sum(item.old_good for item in reported),
-            record.old.bad + sum(item.old_bad for item in reported),
-            record.old.slow + sum(item.old_slow for item in reported),
-        )
-        running = self._old_running(rollout) + sum(
-            item.old_running for item in reported
+    def _assess(self, rollout: VersionRollout) -> Assessment:
+        """Return what the evidence of all hosts says of the new version."""
+        known = [*self._reported(rollout), self._own_evidence(rollout)]
+        return assess(
+            (answers for item in known for answers in item.new),
+            (answers for item in known for answers in item.old),
         )
-        return new, old, running
 
     def _judge_version(self, rollout: VersionRollout, record: _RolloutRecord) -> None:
         """Mark the new version as bad if the evidence shows it or a host judged so."""
         if record.bad:
             return
-        reported = self._peer_evidence(rollout.service, rollout.created)
-        judged = any(item.judged_bad for item in reported)
-        new, old, _ = self._combined_evidence(rollout, record)
-        if not judged and not is_bad(new, old):
+        judged = any(item.judged_bad for item in self._reported(rollout))
+        assessment = self._assess(rollout)
+        if not judged and not assessment.is_bad:
             return
         record.bad = True
         self._log(
             "new version judged bad",
             service=rollout.service,
             target=rollout.target,
-            bad=round(new.bad, 2),
-            good=round(new.good, 2),
-            slow=round(new.slow, 2),
-            old_bad_share=round(old.bad_share, 3),
-            old_slow_share=round(old.slow_share, 3),
             judged_elsewhere=judged,
+            **_assessment_fields(assessment),
         )
 
     def run(self, now: float) -> None:
@@ -263,9 +370,9 @@
         elapsed = now - record.ordered_at
         if not is_final(rollout.progress):
             self._judge_version(rollout, record)
-        new, old, old_running = self._combined_evidence(rollout, record)
-        has_servers = new.total > 0 or self._has_new_servers(rollout)
-        progress = next_progress(rollout, elapsed, new, old, old_running, has_servers)
+        assessment = self._assess(rollout)
+        has_servers = assessment.answers > 0 or self._has_new_servers(rollout)
+        progress = next_progress(rollout, elapsed, assessment, has_servers)
         if record.bad and not is_final(progress):
             progress = attrs.evolve(progress, state=RolloutState.ROLLED_BACK)
         if progress == rollout.stored_progress:
@@ -282,18 +389,15 @@
         self, rollout: VersionRollout, record: _RolloutRecord, progress: RolloutProgress
     ) -> None:
         record.writing = True
-        new, old, _ = self._combined_evidence(rollout, record)
         self._log(
             "writing rollout progress",
             service=rollout.service,
             target=rollout.target,
             state=progress.state.value,
             step=progress.step,
-            answers=round(new.total, 2),
-            bad_share=round(new.bad_share, 3),
-            slow_share=round(new.slow_share, 3),
-            old_bad_share=round(old.bad_share, 3),
-            old_slow_share=round(old.slow_share, 3),
+            sent=record.budget.sent,
+            sent_to_new=record.budget.sent_to_new,
+            **_assessment_fields(self._assess(rollout)),
             elapsed=round(self._loop.now - record.ordered_at, 2),
             revision=rollout.position.revision,
             era=rollout.position.era,
@@ -345,12 +449,28 @@
         """
         wall, now = clock.time(), self._loop.now
         ordered = rollout.progress.ordered_at
+        rounding = hash_fraction(f"{self._host}/{rollout.created}")
+        budget = ExposureBudget(self._limit, rounding)
         if rollout.progress.state is RolloutState.ORDERED or ordered <= 0.0:
-            return _RolloutRecord(rollout.created, rollout.target, now, wall)
+            return _RolloutRecord(rollout.created, rollout.target, now, wall, budget)
         age = min(max(0.0, wall - ordered), rollout.duration)
-        return _RolloutRecord(rollout.created, rollout.target, now - age, ordered)
+        return _RolloutRecord(
+            rollout.created, rollout.target, now - age, ordered, budget
+        )
 
     def _write_delay(self, rollout: VersionRollout) -> float:
         text = f"{self._host}/{rollout.position.revision}".encode()
         digest = hashlib.blake2b(text, digest_size=2).digest()
         return MAX_WRITE_DELAY_SECONDS * int.from_bytes(digest) / 65536.0
+
+
+def _assessment_fields(assessment: Assessment) -> dict[str, object]:
+    """Return the fields of a log line that tell an assessment."""
+    return {
+        "answers": assessment.answers,
+        "failed": assessment.failed,
+        "slow": assessment.slow,
+        "harm": round(assessment.harm, 2),
+        "suspicion": round(assessment.suspicion, 2),
+        "proven": assessment.proven,
+    }
--- a/masticfork/systems/server_choice.py
+++ b/masticfork/systems/server_choice.py
@@ -119,6 +119,8 @@
     size: int = 0
     prompt: tuple[PromptPart, ...] = ()
     prompt_tokens: int = 0
+    # Name of the route, by which the answers of two versions are compared.
+    route: str = ""
 
     @property
     def token_cost(self) -> float:
--- a/standins/fake_exchange.py
+++ b/standins/fake_exchange.py
@@ -106,7 +106,7 @@
         return untried[0] if untried else None
 
     def has_other_server(
-        self, service: str, session: str, tried_servers: set[str]
+        self, service: str, route: str, session: str, tried_servers: set[str]
     ) -> bool:
         """Return whether a server is untried."""
         return any(row.server.id not in tried_servers for row in self._rows)
@@ -147,6 +147,9 @@
         """Record a response."""
         self.responses_failed.append(failed)
 
+    def on_stream_complete(self, record: CallRecord, last_event_id: int) -> None:
+        """Do nothing."""
+
     def on_call_ended(self, record: CallRecord) -> None:
         """Do nothing."""
 
