Keep the request rates that servers name, over all hosts together

Cause: nothing read `Server-Limit`; the rate of dispatches was the same before and after.

Each response's head is read now, of streams, errors, refusals and 421 as well; digests tell the limit and its end to all hosts, at once and in each full digest. Of the hosts that know each other, 2 + rate take an equal part and space their requests; nothing is saved up. So in 4 s a server gets at most 4 times its rate and one request for each of these hosts, which is below 6 times the rate and 5 more by the rate and 3: room for hosts that join, are forgotten or do not know each other. A limited server that may not be called now is like one that does not exist, for first calls, escalations, retries and resumed streams alike; a request without another server is refused at once and told when to return. The limit ends with a response without it, to a call sent after the last one that named it.

--- a/masticfork/core/digests.py
+++ b/masticfork/core/digests.py
@@ -68,6 +68,18 @@
     judged_bad: bool = False
 
 
+@attrs.frozen
+class LimitReport:
+    """What a host knows of the limit of one incarnation of a server."""
+
+    # Identifies the incarnation on all hosts.
+    key: int
+    # Requests a second, 0 if the limit was lifted.
+    rate: float
+    # Seconds since the response that told it.
+    age: float
+
+
 @attrs.frozen
 class KindState:
     """What a host knows of one kind of store objects."""
@@ -109,6 +121,8 @@
     sessions: dict[int, int] = attrs.field(factory=dict)
     # Hashes of the incarnations of servers that announced that they leave.
     leaving: frozenset[int] = frozenset()
+    # Request rates that servers have named, or that were lifted recently.
+    limits: tuple[LimitReport, ...] = ()
     crashes: CrashReport = attrs.field(factory=CrashReport)
     # Availability zone of the host; empty in partial digests.
     zone: str = ""
--- a/masticfork/core/forwarding.py
+++ b/masticfork/core/forwarding.py
@@ -98,6 +98,10 @@
     # Seconds for which a server that rejected the request wants no further calls from
     # this host, if it states any.
     pause: float | None
+    # Requests a second that the server takes from all hosts together, None if it states
+    # none; and whether it states any, also a malformed one.
+    limit: float | None
+    names_limit: bool
     # The model's confidence in its answer, from 0 to 100.
     confidence: int | None
     # Whether the body has a content encoding, although none was requested.
--- a/masticfork/platform/names.py
+++ b/masticfork/platform/names.py
@@ -15,6 +15,8 @@
 RETRY_AFTER = b"retry-after"
 # A server that is about to exit sets it to 1 in all its responses.
 SERVER_LEAVING = b"server-leaving"
+# Requests a second that the server takes from all hosts together.
+SERVER_LIMIT = b"server-limit"
 MODEL = b"x-masticfork-model"
 # `PROMPT,OUTPUT`: the number of prompt tokens and the maximum number of output tokens,
 # not the number of tokens used.
--- a/masticfork/platform/wire.py
+++ b/masticfork/platform/wire.py
@@ -106,6 +106,8 @@
         not_run=names.NOT_EXECUTED in fields or status == _MISDIRECTED_STATUS,
         leaving=fields.get(names.SERVER_LEAVING, b"").strip() == b"1",
         pause=_pause_seconds(status, fields.get(names.RETRY_AFTER)),
+        limit=_request_rate(fields.get(names.SERVER_LIMIT)),
+        names_limit=names.SERVER_LIMIT in fields,
         confidence=None if confidence is None else int(confidence),
         encoded=fields.get(b"content-encoding", b"identity") != b"identity",
         closes=b"close" in fields.get(b"connection", b"").lower(),
@@ -191,6 +193,12 @@
     return seconds if seconds is not None and seconds > 0.0 else None
 
 
+def _request_rate(value: bytes | None) -> float | None:
+    """Return the requests a second that a server takes, None if malformed."""
+    rate = _parse_number(value)
+    return rate if rate is not None and rate >= 0.0 else None
+
+
 def _parse_number(value: bytes | None) -> float | None:
     """Return a finite number, None where the value is missing or is not one."""
     if value is not None:
--- a/masticfork/relay/call_evidence.py
+++ b/masticfork/relay/call_evidence.py
@@ -43,6 +43,7 @@
     def on_call_sent(self, record: CallRecord) -> None:
         """Add a call that is being sent to the load of its server."""
         self._own_loads.begin(record)
+        record.row.notice.limit.take(self._loop.now)
         self._rollouts.record_call(record.row.server, record.work.route)
 
     def on_response_started(self, record: CallRecord, head: ResponseHead) -> None:
@@ -55,6 +56,10 @@
             self._tables.record_leaving(record.row, "response")
         if head.pause is not None:
             self._tables.record_pause(record.row, head.pause)
+        if head.limit is not None:
+            self._tables.record_limit(record.row, head.limit)
+        elif not head.names_limit:
+            self._tables.record_no_limit(record.row, record.started_at)
 
     def on_answered(self, record: CallRecord) -> None:
         """Record that an event of the answer has arrived."""
--- a/masticfork/relay/digest.capnp
+++ b/masticfork/relay/digest.capnp
@@ -46,6 +46,10 @@
   # Prompt parts in quarantine: records of 8 bytes with the hash and the milliseconds
   # left.
   packedQuarantined @20 :Data;
+  # Request rates that servers have named: records of 12 bytes with the hash of the
+  # server's incarnation (UInt32), requests a second, 0 for a limit that was lifted
+  # (Float32), and the milliseconds since the response that told it (UInt32).
+  packedLimits @21 :Data;
 }
 
 struct Kind {
--- a/masticfork/relay/digest_codec.py
+++ b/masticfork/relay/digest_codec.py
@@ -1,5 +1,6 @@
 """Encoding of digests as Cap'n Proto datagrams."""
 
+import math
 import struct
 from collections.abc import Iterator
 from pathlib import Path
@@ -14,6 +15,7 @@
     HostLoad,
     KindState,
     KindUpdate,
+    LimitReport,
     NewAnswers,
     OldAnswers,
     RolloutEvidence,
@@ -35,6 +37,7 @@
 _KEY_TIME_RECORD = struct.Struct("<II")
 # The records of the packed fields on rollouts.
 _NEW_ANSWERS_RECORD = struct.Struct("<IIHHHH")
+_LIMIT_RECORD = struct.Struct("<IfI")
 _OLD_ANSWERS_RECORD = struct.Struct("<Ifff")
 _TIME_RECORD = struct.Struct("<Bf")
 
@@ -120,6 +123,12 @@
             )
             for seen in digest.crashes.observations
         ),
+        packedLimits=b"".join(
+            _LIMIT_RECORD.pack(
+                limit.key, limit.rate, _milliseconds(limit.age, _MAX_UINT32)
+            )
+            for limit in digest.limits
+        ),
         packedAnswered=_pack_key_times(digest.crashes.answered),
         packedQuarantined=_pack_key_times(digest.crashes.quarantined),
     )
@@ -268,6 +277,13 @@
                     for item in reader.updates
                 ),
                 leaving=frozenset(reader.leaving),
+                limits=tuple(
+                    LimitReport(key, rate, age / _MILLISECONDS_PER_SECOND)
+                    for key, rate, age in _unpack_records(
+                        reader.packedLimits, _LIMIT_RECORD
+                    )
+                    if math.isfinite(rate)
+                ),
                 crashes=_unpack_crashes(reader),
                 partial=reader.partial,
             )
--- a/masticfork/relay/entry.py
+++ b/masticfork/relay/entry.py
@@ -229,6 +229,7 @@
     def _tick(self) -> None:
         self._loop.call_after(TICK_SECONDS, self._tick)
         self._tables.sweep()
+        self._tables.share_limits(self._settings.host, self._peers.known_hosts)
         self._session_versions.sweep(self._loop.now)
         self._call_evidence.report_slow_calls(self._open_exchanges)
         if self._prompt_quarantine.run():
--- a/masticfork/relay/host_digests.py
+++ b/masticfork/relay/host_digests.py
@@ -14,6 +14,9 @@
 from masticfork.relay.store_view import StoreView
 from masticfork.relay.tables import Tables
 
+# Age up to which a server's limit is also told in partial digests.
+LIMIT_NEWS_SECONDS = 0.5
+
 
 class HostDigests:
     """Sends this host's state to its peers, and applies theirs.
@@ -90,6 +93,7 @@
         self._store_view.apply_updates(digest)
         self._sessions.apply_report(digest.sessions, self._loop.now)
         self._quarantine.apply_report(digest.crashes)
+        self._tables.apply_limits(digest.limits, digest.host)
         if digest.leaving:
             self._tables.apply_leaving_incarnations(digest.leaving, digest.host)
 
@@ -105,6 +109,11 @@
             loads={},
             rollouts=(),
             leaving=self._tables.leaving_incarnations,
+            limits=tuple(
+                report
+                for report in self._tables.limits
+                if report.age < LIMIT_NEWS_SECONDS
+            ),
             crashes=self._quarantine.report(),
             reading=self._reader_duty.reading,
             store_failing=self._store_view.store_failing,
@@ -118,6 +127,7 @@
             loads=self._own_loads.take_all(),
             rollouts=self._rollouts.evidence(),
             sessions=self._sessions.next_batch(),
+            limits=self._tables.limits,
         )
 
     def _schedule_load_update(self) -> None:
--- a/masticfork/relay/peers.py
+++ b/masticfork/relay/peers.py
@@ -99,6 +99,17 @@
         heard_times = (peer.heard_at for peer in self._peers.values())
         return 1 + sum(now - at < BUDGET_SHARE_SECONDS for at in heard_times)
 
+    @property
+    def known_hosts(self) -> frozenset[str]:
+        """Return this host and those heard recently, or else those that are listed."""
+        now = self._loop.now
+        heard = {
+            name
+            for name, peer in self._peers.items()
+            if now - peer.heard_at < BUDGET_SHARE_SECONDS
+        }
+        return frozenset({self._host, *(heard or self._addresses)})
+
     @property
     def live_digests(self) -> list[Digest]:
         """Return the digests of hosts that are not silent."""
--- a/masticfork/relay/server_limits_test.py
+++ b/masticfork/relay/server_limits_test.py
@@ -86,18 +86,21 @@
     def test_sum_over_hosts_keeps_the_limit(self):
         """Guards against hosts that each keep the limit for themselves."""
         store = ObjectStore()
+        store.put("config", "main", configuration(1))
         with ExitStack() as stack:
-            first = stack.enter_context(running_entry_host(store=None))
-            store = first.store
-            others = [
+            environments = [
                 stack.enter_context(running_entry_host(host=name, store=store))
-                for name in ("host-2", "host-3")
+                for name in ("host-1", "host-2", "host-3")
             ]
-            environments = [first, *others]
+            first = environments[0]
             limited = first.add_server(complete_response, SERVICE)
             first.add_server(unlimited, SERVICE)
-            for environment in environments:
-                environment.wait_for_servers(2)
+            for env in environments:
+                for server in ("i-1", "i-2"):
+                    env.wait_until(
+                        lambda env=env, server=server: env.host.knows_server(server)
+                    )
+                env.wait_until(lambda env=env: env.host.live_peer_count == 2)
             send_for(environments, "/safe/x", WINDOW_SECONDS, per_second=60)
         assert len(limited.requests) <= ALLOWED
 
--- a/masticfork/relay/tables.py
+++ b/masticfork/relay/tables.py
@@ -6,6 +6,7 @@
 import attrs
 
 from masticfork.core.backend_servers import BackendServer, VersionRollout
+from masticfork.core.digests import LimitReport
 from masticfork.core.ids import short_key
 from masticfork.core.routes import RouteTable
 from masticfork.relay.loop import Loop
@@ -69,6 +70,9 @@
         self._rows: dict[str, ServerRow] = {}
         self._latest_start_ms: dict[str, int] = {}
         self._notices = ServerNotices()
+        # This host and all known ones, among which limits of servers are divided.
+        self._own_host = ""
+        self._hosts = frozenset({""})
         # Incarnations of removed servers, the oldest first.
         self._removed: dict[int, None] = {}
         self._services: dict[str, list[ServerRow]] = {}
@@ -119,13 +123,14 @@
         return [row for row in rows if row.accepts_calls(now)]
 
     def seconds_until_resumption(self, service: str) -> float:
-        """Return how long all servers of a service that stay have asked to pause.
+        """Return how long no server of a service that stays accepts calls.
 
-        0 if one of them accepts calls now, or if there is none.
+        Servers may have asked for a pause or have named a request rate. 0 if one of
+        them accepts calls now, or if there is none.
         """
-        rows = self._services.get(service, [])
-        pauses = (row.notice.paused_until for row in rows if not row.leaving)
-        return max(0.0, min(pauses, default=0.0) - self._loop.now)
+        rows, now = self._services.get(service, []), self._loop.now
+        times = (row.notice.accepts_calls_at(now) for row in rows if not row.leaving)
+        return max(0.0, min(times, default=0.0) - now)
 
     def record_leaving(self, row: ServerRow, source: str) -> None:
         """Send no more new calls to a server that has announced that it leaves."""
@@ -138,6 +143,55 @@
         row.notice.pause(seconds, self._loop.now)
         self._log("server paused", server=row.server.id, seconds=seconds)
 
+    def share_limits(self, own_host: str, hosts: frozenset[str]) -> None:
+        """Divide the request rates that servers have named among the known hosts."""
+        self._own_host, self._hosts = own_host, hosts
+        for row in self._rows.values():
+            self._divide_limit(row)
+
+    def _divide_limit(self, row: ServerRow) -> None:
+        limit = row.notice.limit
+        limit.divide(row.notice.key, self._own_host, self._hosts, self._loop.now)
+
+    def record_limit(self, row: ServerRow, rate: float) -> None:
+        """Apply the requests a second that a server has named in a response."""
+        if row.notice.limit.name(rate, self._loop.now):
+            self._on_limit_changed(row, "response")
+
+    def record_no_limit(self, row: ServerRow, sent_at: float) -> None:
+        """Lift the limit of a server whose response to a call names none."""
+        if row.notice.limit.lift(sent_at, self._loop.now):
+            self._on_limit_changed(row, "response")
+
+    def apply_limits(self, reports: Iterable[LimitReport], source: str) -> None:
+        """Apply the limits that another host knows of."""
+        by_key = {report.key: report for report in reports}
+        for row in self._rows.values() if by_key else ():
+            report = by_key.get(row.notice.key)
+            if report and row.notice.limit.apply(report, self._loop.now):
+                self._on_limit_changed(row, source)
+
+    def _on_limit_changed(self, row: ServerRow, source: str) -> None:
+        self._divide_limit(row)
+        limit = row.notice.limit
+        self._log(
+            "server limit lifted" if limit.rate is None else "server limit",
+            server=row.server.id,
+            rate=limit.rate,
+            age=round(self._loop.now - limit.told_at, 3),
+            hosts=len(self._hosts),
+            own_interval=limit.own_interval,
+            source=source,
+        )
+
+    @property
+    def limits(self) -> tuple[LimitReport, ...]:
+        """Return what is known of the limits of the listed servers."""
+        now = self._loop.now
+        notices = (row.notice for row in self._rows.values())
+        reports = (notice.limit.report(notice.key, now) for notice in notices)
+        return tuple(report for report in reports if report is not None)
+
     @property
     def leaving_incarnations(self) -> frozenset[int]:
         """Return the keys of the listed servers that announced that they leave."""
--- a/masticfork/systems/server_notices.py
+++ b/masticfork/systems/server_notices.py
@@ -2,7 +2,7 @@
 
 A server that leaves gets no new calls in that incarnation, whatever the store or other
 hosts say later: their information is older. A server that asks for a pause gets none
-until it is over.
+until it is over. One that names a request rate gets no more than that from all hosts.
 """
 
 from collections import OrderedDict
@@ -11,6 +11,7 @@
 
 from masticfork.core.backend_servers import BackendServer
 from masticfork.core.ids import short_key
+from masticfork.systems.server_limits import ServerLimit
 
 # Incarnations whose notices are remembered, the latest ones. Those of removed servers
 # are kept as well, since an outdated copy of the store may list them again.
@@ -29,10 +30,16 @@
     leaving: bool = False
     # Loop time until which the server wants no calls from this host.
     paused_until: float = 0.0
+    limit: ServerLimit = attrs.field(factory=ServerLimit)
 
     def accepts_calls(self, now: float) -> bool:
         """Return whether the server has announced nothing that excludes new calls."""
-        return not self.leaving and self.paused_until <= now
+        paused = self.paused_until > now
+        return not self.leaving and not paused and self.limit.accepts_calls(now)
+
+    def accepts_calls_at(self, now: float) -> float:
+        """Return when the server is expected to accept calls unless it leaves."""
+        return max(self.paused_until, self.limit.accepts_at(now))
 
     def pause(self, seconds: float, now: float) -> None:
         """Exclude the server for `seconds`; a pause is never shortened."""
--- a/standins/fake_exchange.py
+++ b/standins/fake_exchange.py
@@ -222,6 +222,8 @@
         not_run=False,
         leaving=False,
         pause=None,
+        limit=None,
+        names_limit=False,
         confidence=None,
         encoded=False,
         closes=False,
