--- a/masticfork/systems/exposure.py
+++ b/masticfork/systems/exposure.py
@@ -12,10 +12,10 @@
 import attrs
 
 # Fraction of the bound that is used; requests may reach a server late or not at all.
-USED_FRACTION = 0.95
+USED_FRACTION = 0.92
 # Time after the last step in which requests reach the new version before the rollout's
 # time ends, at most.
-SECONDS_AFTER_COMPLETION = 0.75
+SECONDS_AFTER_COMPLETION = 0.85
 # Fraction of the calls running on the old version that are expected to still run, and
 # to be repeated on the new one, when the old servers stop.
 REPEATED_FRACTION = 0.5
