--- a/masticfork/relay/digest.capnp
+++ b/masticfork/relay/digest.capnp
@@ -89,7 +89,7 @@
   newBad @3 :Float32;
   oldGood @4 :Float32;
   oldBad @5 :Float32;
-  # Requests still running on the old version.
+  # Requests still running on the old version; filled in by builds before `packedNew`.
   oldRunning @6 :UInt16;
   newSlow @7 :Float32;
   oldSlow @8 :Float32;
