Assess a rollout once per step, and sort only the times that are asked for

Found in reading the change once more; behaviour stays as it is. - Each step of a rollout assessed the evidence of all hosts up to three times, to judge, to advance and to log; it is assessed once and passed on. - An answer, and each waiting call on each tick, sorted the usual times of every model size to look up one. - Responses and streams each had their own copy of the check for a version that is not completed.

--- a/masticfork/relay/rollout_controller.py
+++ b/masticfork/relay/rollout_controller.py
@@ -243,11 +243,7 @@
         """Record one response as evidence."""
         rollout = self._tables.rollouts.get(server.service)
         slow = self._is_slow(rollout, server, time)
-        is_new = (
-            rollout is not None
-            and rollout.progress.state is not RolloutState.DONE
-            and server.version == rollout.target
-        )
+        is_new = _is_on_trial(rollout, server)
         if not is_new:
             self.usual_times(server.service).add(time)
         if rollout is None or is_final(rollout.progress):
@@ -260,7 +256,7 @@
         else:
             record.add_old(route, failed, slow, now)
         if failed or slow:
-            self._judge_version(rollout, record)
+            self._judge_version(rollout, record, self._assess(rollout))
 
     def record_stream(
         self, server: BackendServer, pace: StreamPace, now: float
@@ -268,11 +264,7 @@
         """Record the pace of a complete stream as evidence."""
         rollout = self._tables.rollouts.get(server.service)
         baseline = self._usual_paces_of(server.service)
-        is_new = (
-            rollout is not None
-            and rollout.progress.state is not RolloutState.DONE
-            and server.version == rollout.target
-        )
+        is_new = _is_on_trial(rollout, server)
         elsewhere = [item.usual_paces for item in self._reported(rollout)]
         slow = baseline.is_slow(pace, elsewhere)
         if not is_new:
@@ -285,7 +277,7 @@
         else:
             record.add_old(STREAM_PACE, False, slow, now)
         if slow:
-            self._judge_version(rollout, record)
+            self._judge_version(rollout, record, self._assess(rollout))
 
     def usual_times(self, service: str) -> LatencyBaseline:
         """Return the response times of a service without those of a new version."""
@@ -339,12 +331,13 @@
             (answers for item in known for answers in item.old),
         )
 
-    def _judge_version(self, rollout: VersionRollout, record: _RolloutRecord) -> None:
+    def _judge_version(
+        self, rollout: VersionRollout, record: _RolloutRecord, assessment: Assessment
+    ) -> None:
         """Mark the new version as bad if the evidence shows it or a host judged so."""
         if record.bad:
             return
         judged = any(item.judged_bad for item in self._reported(rollout))
-        assessment = self._assess(rollout)
         if not judged and not assessment.is_bad:
             return
         record.bad = True
@@ -368,9 +361,9 @@
         if record.writing or now < record.write_after:
             return
         elapsed = now - record.ordered_at
-        if not is_final(rollout.progress):
-            self._judge_version(rollout, record)
         assessment = self._assess(rollout)
+        if not is_final(rollout.progress):
+            self._judge_version(rollout, record, assessment)
         has_servers = assessment.answers > 0 or self._has_new_servers(rollout)
         progress = next_progress(rollout, elapsed, assessment, has_servers)
         if record.bad and not is_final(progress):
@@ -383,10 +376,14 @@
         if now - record.due_since < self._write_delay(rollout):
             return
         progress = attrs.evolve(progress, ordered_at=record.ordered_unix_seconds)
-        self._write(rollout, record, progress)
+        self._write(rollout, record, progress, assessment)
 
     def _write(
-        self, rollout: VersionRollout, record: _RolloutRecord, progress: RolloutProgress
+        self,
+        rollout: VersionRollout,
+        record: _RolloutRecord,
+        progress: RolloutProgress,
+        assessment: Assessment,
     ) -> None:
         record.writing = True
         self._log(
@@ -397,7 +394,7 @@
             step=progress.step,
             sent=record.budget.sent,
             sent_to_new=record.budget.sent_to_new,
-            **_assessment_fields(self._assess(rollout)),
+            **_assessment_fields(assessment),
             elapsed=round(self._loop.now - record.ordered_at, 2),
             revision=rollout.position.revision,
             era=rollout.position.era,
@@ -464,6 +461,15 @@
         return MAX_WRITE_DELAY_SECONDS * int.from_bytes(digest) / 65536.0
 
 
+def _is_on_trial(rollout: VersionRollout | None, server: BackendServer) -> bool:
+    """Return whether a server runs a new version that is not completed."""
+    return (
+        rollout is not None
+        and rollout.progress.state is not RolloutState.DONE
+        and server.version == rollout.target
+    )
+
+
 def _assessment_fields(assessment: Assessment) -> dict[str, object]:
     """Return the fields of a log line that tell an assessment."""
     return {
--- a/masticfork/systems/version_shift.py
+++ b/masticfork/systems/version_shift.py
@@ -99,11 +99,14 @@
     @property
     def usual_times(self) -> dict[int, float]:
         """Return the usual time of each size of which enough times are known."""
-        return {
-            size: sorted(times)[int(len(times) * USUAL_QUANTILE)]
-            for size, times in self._times.items()
-            if len(times) >= MIN_BASELINE_TIMES
-        }
+        usual = ((size, self._usual_time(size)) for size in self._times)
+        return {size: time for size, time in usual if time is not None}
+
+    def _usual_time(self, size: int) -> float | None:
+        times = self._times.get(size, ())
+        if len(times) < MIN_BASELINE_TIMES:
+            return None
+        return sorted(times)[int(len(times) * USUAL_QUANTILE)]
 
     def add(self, time: ResponseTime) -> None:
         """Record a time to first byte of the usual version."""
@@ -119,7 +122,7 @@
         """
         if time.seconds < MIN_SLOW_SECONDS:
             return False
-        usual = self.usual_times.get(time.size)
+        usual = self._usual_time(time.size)
         if usual is None:
             others = [times[time.size] for times in elsewhere if time.size in times]
             if not others:
