--- a/standins/scripted_server.py
+++ b/standins/scripted_server.py
@@ -69,6 +69,8 @@
             self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
         for sock in list(self._open_sockets):
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
             sock.close()
 
     def _accept(self) -> None:
