--- a/masticfork/core/ids.py
+++ b/masticfork/core/ids.py
@@ -57,5 +57,14 @@
     return zlib.crc32(text.encode())
 
 
+def request_key(service: str, *parts: bytes) -> int:
+    """Return a 32-bit key of what identifies a request, the same on all hosts."""
+    key = hashlib.blake2b(service.encode(), digest_size=4)
+    for part in parts:
+        key.update(len(part).to_bytes(8, "little"))
+        key.update(part)
+    return int.from_bytes(key.digest(), "little")
+
+
 def _hash(size: int, parts: tuple[str, ...]) -> bytes:
     return hashlib.blake2b("\x1f".join(parts).encode(), digest_size=size).digest()
--- a/masticfork/relay/call_evidence.py
+++ b/masticfork/relay/call_evidence.py
@@ -7,7 +7,7 @@
 from masticfork.relay.loop import Loop
 from masticfork.relay.metrics import RelayMetrics
 from masticfork.relay.own_loads import OwnLoads
-from masticfork.relay.prompt_quarantine import PromptQuarantine
+from masticfork.relay.request_quarantine import RequestQuarantine
 from masticfork.relay.rollout_controller import RolloutController
 from masticfork.relay.tables import Tables
 from masticfork.systems.failed_calls import CallOutcome
@@ -29,7 +29,7 @@
         metrics: RelayMetrics,
         own_loads: OwnLoads,
         rollouts: RolloutController,
-        quarantine: PromptQuarantine,
+        quarantine: RequestQuarantine,
     ) -> None:
         self._loop = loop
         self._tables = tables
@@ -45,6 +45,9 @@
         self._own_loads.begin(record)
         record.row.notice.limit.take(self._loop.now)
         self._rollouts.record_call(record.row.server, record.work.route)
+        if record.alone:
+            record.row.load.suspects += 1
+            self._quarantine.begin_run(record)
 
     def on_response_started(self, record: CallRecord, head: ResponseHead) -> None:
         """Remove the prompt of a call from the pending work: its response has begun.
@@ -52,6 +55,7 @@
         Apply what the server announces about itself in the response.
         """
         self._own_loads.read(record)
+        self._quarantine.record_alive(record)
         if head.leaving:
             self._tables.record_leaving(record.row, "response")
         if head.pause is not None:
@@ -62,8 +66,9 @@
             self._tables.record_no_limit(record.row, record.started_at)
 
     def on_answered(self, record: CallRecord) -> None:
-        """Record that an event of the answer has arrived."""
+        """Record that the answer has begun: an event, or a head of a plain one."""
         self._quarantine.record_answer(record)
+        self._end_lone_run(record)
 
     def on_own_response(self, record: CallRecord, session: str, failed: bool) -> None:
         """Report a response as evidence for or against the version of its server.
@@ -71,6 +76,8 @@
         What happens to a response that has begun well, such as the crash of its server
         or the loss of its connection, says nothing about the version.
         """
+        if record.work.model is None:
+            self.on_answered(record)
         if record.counted_as_slow:
             return
         if failed and self._repeats_failure(record.row.server.service, session):
@@ -90,6 +97,7 @@
         """Record the outcome of a call in loads, metrics and rollout evidence."""
         load, now = record.row.load, self._loop.now
         self._own_loads.end(record)
+        self._end_lone_run(record)
         outcome = record.outcome
         service = record.row.server.service
         label = "gone" if record.failed is None else "answered"
@@ -121,6 +129,13 @@
                 record.counted_as_slow = True
                 self._record_answer(record, failed=False)
 
+    def _end_lone_run(self, record: CallRecord) -> None:
+        """Let other calls share the server of a call that was suspected."""
+        if record.alone:
+            record.alone = False
+            record.row.load.suspects -= 1
+            self._quarantine.end_run(record)
+
     def _record_answer(self, record: CallRecord, failed: bool) -> None:
         self._rollouts.record_answer(
             record.row.server,
--- a/masticfork/relay/digest.capnp
+++ b/masticfork/relay/digest.capnp
@@ -36,20 +36,22 @@
   packedLoads @16 :Data;
   # The sessions likewise, in records of 8 bytes with the fields of `Session`.
   packedSessions @17 :Data;
-  # Prompt parts that were unanswered at servers when these crashed, as records of 11
-  # bytes: hashes of the part and of the server's incarnation, the part's index in its
-  # prompt (UInt8) and the milliseconds since the crash (UInt16).
+  # Prompt parts and whole requests that were unanswered at servers when these crashed,
+  # as records of 11 bytes: hashes of the suspect and of the server's incarnation, the
+  # part's index in its prompt (UInt8, 255 for a request) and the milliseconds since the
+  # crash (UInt16).
   packedCrashes @18 :Data;
-  # Answers that show parts, or servers, to be sound: records of 8 bytes with the hash
+  # Answers that show suspects, or servers, to be sound: records of 8 bytes with the hash
   # and the milliseconds since the answer.
   packedAnswered @19 :Data;
-  # Prompt parts in quarantine: records of 8 bytes with the hash and the milliseconds
-  # left.
+  # Suspects in quarantine: records of 8 bytes with the hash and the milliseconds left.
   packedQuarantined @20 :Data;
   # Request rates that servers have named: records of 12 bytes with the hash of the
   # server's incarnation (UInt32), requests a second, 0 for a limit that was lifted
   # (Float32), and the milliseconds since the response that told it (UInt32).
   packedLimits @21 :Data;
+  # Hashes of the suspected requests that the sender runs at a server.
+  running @22 :List(UInt32);
 }
 
 struct Kind {
--- a/masticfork/relay/digest_codec.py
+++ b/masticfork/relay/digest_codec.py
@@ -9,7 +9,7 @@
 import capnp
 from result import Err, Ok, Result
 
-from masticfork.core.crash_reports import CrashReport, PartObservation
+from masticfork.core.crash_reports import CrashObservation, CrashReport
 from masticfork.core.digests import (
     Digest,
     HostLoad,
@@ -116,7 +116,7 @@
         ),
         packedCrashes=b"".join(
             _CRASH_RECORD.pack(
-                seen.part,
+                seen.suspect,
                 seen.server,
                 min(_MAX_UINT8, seen.position),
                 _milliseconds(seen.age, _MAX_UINT16),
@@ -131,6 +131,7 @@
         ),
         packedAnswered=_pack_key_times(digest.crashes.answered),
         packedQuarantined=_pack_key_times(digest.crashes.quarantined),
+        running=sorted(digest.crashes.running),
     )
     return bytes(message.to_bytes_packed())
 
@@ -187,11 +188,12 @@
     observations = _unpack_records(reader.packedCrashes, _CRASH_RECORD)
     return CrashReport(
         tuple(
-            PartObservation(part, server, position, age / _MILLISECONDS_PER_SECOND)
-            for part, server, position, age in observations
+            CrashObservation(suspect, server, position, age / _MILLISECONDS_PER_SECOND)
+            for suspect, server, position, age in observations
         ),
         _unpack_key_times(reader.packedAnswered),
         _unpack_key_times(reader.packedQuarantined),
+        frozenset(reader.running),
     )
 
 
--- a/masticfork/relay/digest_codec_test.py
+++ b/masticfork/relay/digest_codec_test.py
@@ -3,7 +3,7 @@
 from hypothesis import strategies as st
 from result import Err, Ok
 
-from masticfork.core.crash_reports import CrashReport, PartObservation
+from masticfork.core.crash_reports import CrashObservation, CrashReport
 from masticfork.core.digests import (
     Digest,
     HostLoad,
@@ -50,8 +50,8 @@
 
     def test_round_trip_of_crash_reports(self):
         seen = (
-            PartObservation(3_000_000_001, 7, 2, 1.25),
-            PartObservation(1, 9, 0, 0.0),
+            CrashObservation(3_000_000_001, 7, 2, 1.25),
+            CrashObservation(1, 9, 0, 0.0),
         )
         report = CrashReport(seen, {4_000_000_000: 0.5}, {5: 299.875})
         digest = attrs.evolve(DIGEST, crashes=report)
--- a/masticfork/relay/entry.py
+++ b/masticfork/relay/entry.py
@@ -18,10 +18,10 @@
     CallerRequest,
     Dispatch,
     Header,
-    PromptPart,
     ResponseHead,
 )
 from masticfork.core.ids import stable_hash
+from masticfork.core.request_identity import RequestIdentity
 from masticfork.core.routes import CallerLimits, Route
 from masticfork.platform import names, wire
 from masticfork.platform.objects import PlatformObjects
@@ -29,7 +29,7 @@
 from masticfork.relay.call_evidence import CallEvidence
 from masticfork.relay.caller import CallerConnection, CallerExchange, NoExchange
 from masticfork.relay.channel import CALLER_USER_TIMEOUT_MS, Channel, listen
-from masticfork.relay.exchange import CallRecord, Exchange, QuarantinedPart
+from masticfork.relay.exchange import CallRecord, Exchange, HeldRequest
 from masticfork.relay.followers import Follower, Lister
 from masticfork.relay.host_digests import HostDigests
 from masticfork.relay.logs import LogSink, relay_logger
@@ -37,9 +37,9 @@
 from masticfork.relay.metrics import RelayMetrics
 from masticfork.relay.page_listener import PageListener
 from masticfork.relay.peers import Peers
-from masticfork.relay.prompt_quarantine import PromptQuarantine
 from masticfork.relay.reader_duty import ReaderDuty
 from masticfork.relay.registration import Registration
+from masticfork.relay.request_quarantine import RequestQuarantine
 from masticfork.relay.rollout_controller import RolloutController
 from masticfork.relay.server_call import CallSink, ServerCall
 from masticfork.relay.session_versions import SessionVersions
@@ -51,9 +51,12 @@
 from masticfork.systems.retry_budget import WindowedRetryBudget
 from masticfork.systems.server_choice import (
     LowestExpectedDelay,
+    ServerLoad,
     ServerPolicy,
     Work,
     expected_first_token_seconds,
+    loads_beside_suspects,
+    loads_for_suspect,
 )
 
 LISTEN_BACKLOG = 1024
@@ -92,8 +95,12 @@
         )
         self._retry_budget.hosts = MIN_HOST_COUNT
         self._session_versions = SessionVersions(bounds.session)
-        self._prompt_quarantine = PromptQuarantine(
-            self._loop, self._metrics, self.log, self._is_first_host_for
+        self._quarantine = RequestQuarantine(
+            self._loop,
+            self._metrics,
+            self.log,
+            self._is_first_host_for,
+            lambda: self._digests.schedule_news(),
         )
         self._digests = HostDigests(
             self._loop,
@@ -101,7 +108,7 @@
             settings.zone,
             self._tables,
             self._session_versions,
-            self._prompt_quarantine,
+            self._quarantine,
         )
         self._objects = PlatformObjects(settings.store, time.monotonic)
         self._peers = Peers(
@@ -161,7 +168,7 @@
             self._metrics,
             self._digests.own_loads,
             self._rollout_controller,
-            self._prompt_quarantine,
+            self._quarantine,
         )
         self._started_at = self._loop.now
         self._stop: GracefulStop | None = None
@@ -232,7 +239,7 @@
         self._tables.share_limits(self._settings.host, self._peers.known_hosts)
         self._session_versions.sweep(self._loop.now)
         self._call_evidence.report_slow_calls(self._open_exchanges)
-        if self._prompt_quarantine.run():
+        if self._quarantine.run():
             for exchange in list(self._open_exchanges):
                 exchange.on_quarantine()
         self._rollout_controller.run(self._loop.now)
@@ -452,14 +459,25 @@
     # Servers.
 
     def choose_server(
-        self, service: str, work: Work, session: str, tried_servers: set[str]
+        self,
+        service: str,
+        work: Work,
+        session: str,
+        tried_servers: set[str],
+        alone: bool,
     ) -> ServerRow | None:
-        """Return the server for a call, None if no untried one is eligible."""
+        """Return the server for a call, None if no untried one is eligible.
+
+        `alone` asks for one where a crash tells of the call alone, if there is any.
+        """
         untried = self._untried_rows(service, work.route, session, tried_servers)
         row_by_load = {id(row.load): row for row in untried}
-        load = self._server_policy.choose(
-            work, [row.load for row in untried], self._settings.zone, self._loop.now
-        )
+        now, loads = self._loop.now, [row.load for row in untried]
+        if alone:
+            choices: Sequence[ServerLoad] = loads_for_suspect(loads, now)
+        else:
+            choices = loads_beside_suspects(work, loads)
+        load = self._server_policy.choose(work, choices, self._settings.zone, now)
         if load is None:
             return None
         version = load.server.version
@@ -555,15 +573,17 @@
         """Return how long all servers of a service have asked to pause, or 0."""
         return self._tables.seconds_until_resumption(service)
 
-    def quarantined_part(
-        self, service: str, prompt: tuple[PromptPart, ...]
-    ) -> QuarantinedPart | None:
-        """Return the part for which a prompt must not reach a service's servers."""
-        return self._prompt_quarantine.part_of(service, prompt)
+    def held_request(self, identity: RequestIdentity) -> HeldRequest | None:
+        """Return why a request must not reach servers now, None if it may."""
+        return self._quarantine.held(identity)
+
+    def admits_held_request(self, identity: RequestIdentity) -> bool:
+        """Return whether a held request may be sent as a trial."""
+        return self._quarantine.admits(identity)
 
-    def admits_prompt(self, service: str, prompt: tuple[PromptPart, ...]) -> bool:
-        """Return whether a prompt with such a part may be sent as a trial."""
-        return self._prompt_quarantine.admits(service, prompt)
+    def is_suspected(self, identity: RequestIdentity) -> bool:
+        """Return whether a request is suspected of crashing servers."""
+        return self._quarantine.is_suspected(identity)
 
     def on_exchange_ended(self, exchange: Exchange, status: int, why: str) -> None:
         """Record the end of an exchange in metrics and log."""
--- a/masticfork/relay/exchange.py
+++ b/masticfork/relay/exchange.py
@@ -5,14 +5,8 @@
 
 import attrs
 
-from masticfork.core.forwarding import (
-    CallerRequest,
-    Dispatch,
-    Header,
-    PromptPart,
-    ResponseHead,
-    shared_parts,
-)
+from masticfork.core.forwarding import CallerRequest, Dispatch, Header, ResponseHead
+from masticfork.core.request_identity import RequestIdentity
 from masticfork.core.routes import Route, RouteKind
 from masticfork.relay.events import EventSplitter
 from masticfork.relay.loop import Loop, Timer
@@ -97,9 +91,17 @@
         """Return the policy that selects the model size of a request."""
 
     def choose_server(
-        self, service: str, work: Work, session: str, tried_servers: set[str]
+        self,
+        service: str,
+        work: Work,
+        session: str,
+        tried_servers: set[str],
+        alone: bool,
     ) -> ServerRow | None:
-        """Return the server for a call, None if no untried one is eligible."""
+        """Return the server for a call, None if no untried one is eligible.
+
+        `alone` asks for one where a crash tells of the call alone, if there is any.
+        """
 
     def has_other_server(
         self, service: str, route: str, session: str, tried_servers: set[str]
@@ -150,13 +152,14 @@
     def seconds_until_resumption(self, service: str) -> float:
         """Return how long all servers of a service have asked to pause, or 0."""
 
-    def quarantined_part(
-        self, service: str, prompt: tuple[PromptPart, ...]
-    ) -> "QuarantinedPart | None":
-        """Return the part for which a prompt must not reach a service's servers."""
+    def held_request(self, identity: RequestIdentity) -> "HeldRequest | None":
+        """Return why a request must not reach servers now, None if it may."""
 
-    def admits_prompt(self, service: str, prompt: tuple[PromptPart, ...]) -> bool:
-        """Return whether a prompt with such a part may be sent as a trial."""
+    def admits_held_request(self, identity: RequestIdentity) -> bool:
+        """Return whether a held request may be sent as a trial."""
+
+    def is_suspected(self, identity: RequestIdentity) -> bool:
+        """Return whether a request is suspected of crashing servers."""
 
     def error_headers(
         self,
@@ -174,12 +177,14 @@
 
 
 @attrs.frozen
-class QuarantinedPart:
-    """A prompt part that crashes the servers of a service."""
+class HeldRequest:
+    """A request that is kept from servers since it may crash them."""
 
-    id: str
-    # Seconds until a request with the part is tried again.
-    trial_in: float
+    # The quarantined part or request, or that the request is suspected.
+    why: str
+    # Seconds until a request like it may be sent.
+    seconds: float
+    quarantined: bool
 
 
 @attrs.define(eq=False)
@@ -195,6 +200,9 @@
     # Seconds to the first byte, as estimated from the reported loads at the time of
     # sending.
     expected_delay: float
+    identity: RequestIdentity
+    # Whether the request is suspected of crashing servers.
+    alone: bool = False
     head_received_at: float | None = None
     # Whether an event of the answer has arrived.
     answered: bool = False
@@ -218,11 +226,6 @@
         """Return whether this host or the caller ended the call, not the server."""
         return self.failed is None or self.outcome in _OUTCOMES_OF_ABANDONED_CALLS
 
-    @property
-    def shared_part_ids(self) -> list[str]:
-        """Return the prompt parts that other requests may share."""
-        return [part.id for part in shared_parts(self.work.prompt)]
-
 
 @attrs.define(eq=False)
 class Exchange:
@@ -239,6 +242,7 @@
     # Loop time by which the caller gets its final response.
     deadline: float
     history: CallHistory = attrs.field(factory=CallHistory)
+    _identity: RequestIdentity = attrs.field(init=False)
     _model_index: int = 0
     _call_record: CallRecord | None = None
     _response_head: ResponseHead | None = None
@@ -290,10 +294,9 @@
         """Return the caller's session id, or the attempt id if there is no session."""
         return self.request.head.session or self.attempt_id
 
-    @property
-    def _quarantined_part(self) -> QuarantinedPart | None:
-        prompt = self.request.head.prompt
-        return self.host.quarantined_part(self.service, prompt)
+    @_identity.default
+    def _make_identity(self) -> RequestIdentity:
+        return RequestIdentity(self.service, self.request)
 
     @property
     def _seconds_left(self) -> float:
@@ -411,26 +414,29 @@
         self._fail_call(outcome, failure.message)
 
     def on_quarantine(self) -> None:
-        """End an unanswered exchange whose prompt must not reach servers any more."""
+        """End an unanswered exchange that must not reach servers any more.
+
+        A trial goes on: its outcome is what the quarantine waits for.
+        """
         record = self._call_record
-        if self._ended or record is None or record.answered:
+        if self._ended or record is None or record.answered or record.alone:
             return
-        if (part := self._quarantined_part) is not None:
-            self._fail_call(CallOutcome.QUARANTINED, f"prompt part {part.id}")
+        held = self.host.held_request(self._identity)
+        if held is not None and held.quarantined:
+            self._fail_call(CallOutcome.QUARANTINED, held.why)
 
     # Calls to servers.
 
     def _send_call(self) -> None:
-        part = self._quarantined_part
-        if part is not None and not self.host.admits_prompt(
-            self.service, self.request.head.prompt
-        ):
-            self._fail_request(CallOutcome.QUARANTINED, f"prompt part {part.id}")
+        held = self.host.held_request(self._identity)
+        if held is not None and not self.host.admits_held_request(self._identity):
+            self._fail_request(CallOutcome.QUARANTINED, held.why)
             return
+        alone = self.host.is_suspected(self._identity)
         model = self._model_for_call()
         work = self._work_for_call(model)
         row = self.host.choose_server(
-            self.service, work, self._session_key, self._tried_servers
+            self.service, work, self._session_key, self._tried_servers, alone
         )
         if row is None:
             self._fail_request(CallOutcome.UNSENT, "no eligible server")
@@ -454,7 +460,9 @@
         loop = self.host.loop
         unread = pending_prompt_work(row.load, work, loop.now)
         expected = self.host.expected_delay(row, work)
-        record = CallRecord(row, work, unread, loop.now, expected)
+        record = CallRecord(
+            row, work, unread, loop.now, expected, self._identity, alone
+        )
         self._call_record = record
         self._tried_servers.add(row.server.id)
         self.history.sent += 1
@@ -470,6 +478,7 @@
             expected=round(expected, 3),
             left=round(self._seconds_left, 3),
             resume_after=dispatch.resume_after,
+            alone=alone,
         )
         self.host.on_call_sent(record)
         record.call = self.host.open_call(row, self, self.request, dispatch)
@@ -610,7 +619,12 @@
             reused_connection=call is not None and call.reused_connection,
             last_event=splitter.last_event_id,
             partial_event_bytes=splitter.partial_event_bytes,
-            unanswered_prompt=None if record.answered else record.shared_part_ids,
+            unanswered_prompt=None if record.answered else record.identity.part_names,
+            unanswered_request=(
+                record.identity.key
+                if record.connection_lost and not record.answered
+                else None
+            ),
         )
         next_step = next_action(self.route, self.history, outcome, self._seconds_left)
         can_retry = next_step is NextAction.RETRY and self._can_replace_call
@@ -637,8 +651,8 @@
         self._record_end(status.value, reason)
         attempt_id = self.request.head.attempt_id
         pause = self.host.seconds_until_resumption(self.service)
-        if (part := self._quarantined_part) is not None:
-            pause = max(pause, part.trial_in)
+        if (held := self.host.held_request(self._identity)) is not None:
+            pause = max(pause, held.seconds)
         headers = self.host.error_headers(attempt_id, retry_after, pause)
         self.caller.send_error(status, headers)
 
--- a/masticfork/relay/host_digests.py
+++ b/masticfork/relay/host_digests.py
@@ -7,8 +7,8 @@
 from masticfork.relay.own_loads import OwnLoads
 from masticfork.relay.peer_loads import PeerLoads
 from masticfork.relay.peers import Peers
-from masticfork.relay.prompt_quarantine import PromptQuarantine
 from masticfork.relay.reader_duty import ReaderDuty
+from masticfork.relay.request_quarantine import RequestQuarantine
 from masticfork.relay.rollout_controller import RolloutController
 from masticfork.relay.session_versions import SessionVersions
 from masticfork.relay.store_view import StoreView
@@ -16,6 +16,8 @@
 
 # Age up to which a server's limit is also told in partial digests.
 LIMIT_NEWS_SECONDS = 0.5
+# Time for which news that other hosts should know at once are collected.
+NEWS_BATCH_SECONDS = 0.01
 
 
 class HostDigests:
@@ -32,7 +34,7 @@
         zone: str,
         tables: Tables,
         sessions: SessionVersions,
-        quarantine: PromptQuarantine,
+        quarantine: RequestQuarantine,
     ) -> None:
         self._loop = loop
         self._host = host
@@ -43,6 +45,7 @@
         self._own_loads = OwnLoads(tables, self._schedule_load_update)
         self._peer_loads = PeerLoads(tables)
         self._load_update_scheduled = False
+        self._news_scheduled = False
         self._peers: Peers
         self._store_view: StoreView
         self._reader_duty: ReaderDuty
@@ -114,7 +117,7 @@
                 for report in self._tables.limits
                 if report.age < LIMIT_NEWS_SECONDS
             ),
-            crashes=self._quarantine.report(),
+            crashes=self._quarantine.news(),
             reading=self._reader_duty.reading,
             store_failing=self._store_view.store_failing,
         )
@@ -128,6 +131,7 @@
             rollouts=self._rollouts.evidence(),
             sessions=self._sessions.next_batch(),
             limits=self._tables.limits,
+            crashes=self._quarantine.report(),
         )
 
     def _schedule_load_update(self) -> None:
@@ -138,6 +142,16 @@
                 self._peers.change_batch_seconds, self._send_load_update
             )
 
+    def schedule_news(self) -> None:
+        """Schedule a digest of what other hosts should know at once."""
+        if not self._news_scheduled:
+            self._news_scheduled = True
+            self._loop.call_after(NEWS_BATCH_SECONDS, self._send_news)
+
+    def _send_news(self) -> None:
+        self._news_scheduled = False
+        self._peers.send_digest(attrs.evolve(self._header(), partial=True))
+
     def _send_load_update(self) -> None:
         self._load_update_scheduled = False
         changed = self._own_loads.take_changed()
--- a/masticfork/relay/metrics.py
+++ b/masticfork/relay/metrics.py
@@ -70,9 +70,9 @@
             registry=registry,
         )
 
-        self.quarantined_parts = Gauge(
-            "masticfork_relay_quarantined_prompt_parts",
-            "Prompt parts that crash servers and are kept from them",
+        self.quarantined_suspects = Gauge(
+            "masticfork_relay_quarantined_suspects",
+            "Requests and prompt parts that crash servers and are kept from them",
             registry=registry,
         )
 
--- a/masticfork/relay/peers.py
+++ b/masticfork/relay/peers.py
@@ -251,6 +251,9 @@
         elif digest.sequence <= known.sequence:
             return
         self._on_digest(digest)
+        if known is None or not _is_same_process(known, digest):
+            # A host that joins must know what the others keep from servers.
+            self._next_digest = self._loop.now
         if known is None:
             self._log("peer discovered", peer=digest.host, hosts=len(self._peers) + 2)
             known = self._peers[digest.host] = _Peer(digest, 0, self._loop.now)
--- a/masticfork/relay/prompt_quarantine_test.py
+++ b/masticfork/relay/request_quarantine_test.py
@@ -1,14 +1,16 @@
-"""Servers that crash when they begin to answer a prompt with a certain part."""
+"""Servers that crash when they begin to answer certain requests."""
 
 import time
 
+import attrs
 import pytest
 
 from masticfork.core.forwarding import PromptPart
+from masticfork.core.request_identity import RequestIdentity
 from masticfork.core.routes import RouteKind
-from masticfork.relay.exchange import CallRecord, Exchange, QuarantinedPart
+from masticfork.relay.exchange import CallRecord, Exchange, HeldRequest
 from masticfork.relay.metrics import RelayMetrics
-from masticfork.relay.prompt_quarantine import MAX_LINK_SECONDS, PromptQuarantine
+from masticfork.relay.request_quarantine import MAX_LINK_SECONDS, RequestQuarantine
 from masticfork.relay.server_call import CallFailure, Stage
 from masticfork.systems import crash_quarantine
 from masticfork.systems.crash_quarantine import MIN_CRASHES
@@ -45,22 +47,45 @@
     yield from events(request, 2, confidence=90)
 
 
-def prompt_quarantine(loop):
-    """Return a quarantine whose host tries out no part."""
-    return PromptQuarantine(
-        loop, RelayMetrics(), lambda *args, **fields: None, lambda key: False
+def request_quarantine(loop):
+    """Return a quarantine whose host tries out nothing."""
+    return RequestQuarantine(
+        loop,
+        RelayMetrics(),
+        lambda *args, **fields: None,
+        lambda key: False,
+        lambda: None,
     )
 
 
+def identity(prompt=(), **changes):
+    """Return the identity of a request; `changes` apply to the request."""
+    request = attrs.evolve(caller_request(prompt=prompt), **changes)
+    return RequestIdentity("s", request)
+
+
+def call(row, prompt, started_at=99.0, **changes):
+    """Return a call to a server."""
+    work = Work("s", prompt=prompt)
+    return CallRecord(row, work, 0.0, started_at, 0.0, identity(prompt, **changes))
+
+
 class TestDeadlyPart:
+    def crash_with_two_requests(self, env):
+        """Send two requests that have only the part in common; return the statuses."""
+        return [
+            env.send("/streaming/x", headers=DEADLY_PROMPT, body=body).status
+            for body in (b"first", b"second")
+        ]
+
     def test_requests_with_it_are_refused_and_others_served(self):
         """Guards against requests of one kind that crash server after server."""
         with running_entry_host(SLOW_ROUTE) as env:
             servers = [env.add_server(crash_on_deadly_part, ENGINES) for _ in range(4)]
             env.wait_for_servers(4)
             assert env.send("/streaming/x", headers=SOUND_PROMPT).status == 200
-            assert env.send("/streaming/x", headers=DEADLY_PROMPT).status == 502
-            env.wait_until(lambda: env.logged("prompt part quarantined", part="dead"))
+            assert self.crash_with_two_requests(env) == [502, 502]
+            env.wait_until(lambda: env.logged("suspect quarantined", suspect="dead"))
             sent_before = sum(len(server.requests) for server in servers)
             refused = env.send("/streaming/x", headers=DEADLY_PROMPT)
             assert refused.status == 503
@@ -70,7 +95,7 @@
             assert pause > crash_quarantine.FIRST_TRIAL_SECONDS - elapsed
             assert sum(len(server.requests) for server in servers) == sent_before
             assert env.send("/streaming/x", headers=SOUND_PROMPT).status == 200
-            assert env.logged("end", status=503, why="quarantined: prompt part dead")
+            assert env.logged("end", status=503, why="quarantined: dead")
 
     def test_trial_of_one_request_shows_that_the_servers_were_mended(self, monkeypatch):
         """Guards against prompts that are refused long after their fault is gone."""
@@ -78,15 +103,15 @@
         with running_entry_host(SLOW_ROUTE) as env:
             servers = [env.add_server(crash_on_deadly_part, ENGINES) for _ in range(4)]
             env.wait_for_servers(4)
-            assert env.send("/streaming/x", headers=DEADLY_PROMPT).status == 502
-            env.wait_until(lambda: env.logged("prompt part quarantined"))
+            assert self.crash_with_two_requests(env) == [502, 502]
+            env.wait_until(lambda: env.logged("suspect quarantined", suspect="dead"))
             assert env.send("/streaming/x", headers=DEADLY_PROMPT).status == 503
             for server in servers:
                 server.script = lambda request: events(request, 2, confidence=90)
             time.sleep(2.0)
             assert env.send("/streaming/x", headers=DEADLY_PROMPT).status == 200
-            env.wait_until(lambda: env.logged("prompt part released"))
-            assert env.logged("prompt part tried", part="dead")
+            env.wait_until(lambda: env.logged("suspect released"))
+            assert env.logged("suspect tried", suspect="dead")
 
 
 class TestSignsOfLife:
@@ -98,13 +123,13 @@
 
     @pytest.fixture()
     def quarantine(self, loop):
-        return prompt_quarantine(loop)
+        return request_quarantine(loop)
 
     def lose_call(self, quarantine, loop):
         """Lose a call to a server of its own, and return another call there."""
         row = server_row(round(loop.now * 10))
         lost, other = (
-            CallRecord(row, Work("s", prompt=prompt), 0.0, loop.now - 1.0, 0.0)
+            call(row, prompt, loop.now - 1.0, body=b"%f" % loop.now)
             for prompt in (
                 (PromptPart("dead", 20), PromptPart("b2", 20)),
                 (PromptPart("a1", 60), PromptPart("b3", 40)),
@@ -117,7 +142,7 @@
     def is_quarantined(self, quarantine, loop):
         loop.advance(1.0)
         quarantine.run()
-        return quarantine.part_of("s", (PromptPart("dead", 1), PromptPart("x", 1)))
+        return quarantine.held(identity((PromptPart("dead", 1), PromptPart("x", 1))))
 
     def test_answer_read_together_with_the_crash_clears_nothing(self, quarantine, loop):
         """Guards against answers sent before a crash that are read at its time."""
@@ -155,27 +180,27 @@
     ):
         """Guards against a low confidence that arrives just before the crash."""
         loop = FakeLoop(100.0)
-        quarantine = prompt_quarantine(loop)
+        quarantine = request_quarantine(loop)
         dead, sound = PromptPart("dead", 20), PromptPart("a1", 60)
         last = PromptPart("b2", 20)
         for number in range(MIN_CRASHES):
             loop.advance(1.0)
             row = server_row(number)
-            dropped = CallRecord(row, Work("s", prompt=(dead, last)), 0.0, 99.0, 0.0)
+            dropped = call(row, (dead, last), body=b"d%d" % number)
             dropped.outcome, dropped.failed = outcome, False
             quarantine.record_end(dropped)
             loop.advance(0.1)
             prompt = (PromptPart(f"t{number}", 5), sound, last)
-            lost = CallRecord(row, Work("s", prompt=prompt), 0.0, 99.0, 0.0)
+            lost = call(row, prompt, body=b"s%d" % number)
             lost.outcome, lost.failed = CallOutcome.BROKEN, True
             lost.connection_lost, lost.answered = True, answered
             quarantine.record_end(lost)
-        other = CallRecord(row, Work("s", prompt=(sound, last)), 0.0, 99.0, 0.0)
+        other = call(row, (sound, last))
         quarantine.record_answer(other)
         loop.advance(1.0)
         quarantine.run()
-        assert quarantine.part_of("s", (dead, last))
-        assert not quarantine.part_of("s", (sound, last))
+        assert quarantine.held(identity((dead, last)))
+        assert not quarantine.held(identity((sound, last)))
 
 
 class TestExchangesUnderWay:
@@ -196,7 +221,7 @@
         return exchange
 
     def test_unanswered_exchange_ends_without_a_promise(self, exchange):
-        exchange.host.quarantine = QuarantinedPart("dead", 60.0)
+        exchange.host.held = HeldRequest("dead", 60.0, quarantined=True)
         exchange.on_quarantine()
         assert exchange.caller.status == 502
         assert exchange.host.ended_exchanges == 1
@@ -209,12 +234,12 @@
     def test_answered_exchange_goes_on(self, exchange):
         exchange.on_head(response_head(chunked=True, content_length=None))
         exchange.on_body(b"id: 1\ndata: x\n\n")
-        exchange.host.quarantine = QuarantinedPart("dead", 60.0)
+        exchange.host.held = HeldRequest("dead", 60.0, quarantined=True)
         exchange.on_quarantine()
         assert exchange.host.calls[-1].open
 
     def test_failed_call_is_not_repeated(self, exchange):
-        exchange.host.quarantine = QuarantinedPart("dead", 60.0)
+        exchange.host.held = HeldRequest("dead", 60.0, quarantined=True)
         exchange.on_failed(CallFailure(Stage.SENT, "closed", connection_lost=True))
         assert exchange.caller.status == 502
         assert len(exchange.host.calls) == 1
--- a/masticfork/relay/version_evidence_test.py
+++ b/masticfork/relay/version_evidence_test.py
@@ -9,13 +9,14 @@
     RolloutState,
     VersionRollout,
 )
+from masticfork.core.request_identity import RequestIdentity
 from masticfork.core.routes import RouteKind
 from masticfork.core.store_position import StorePosition
 from masticfork.relay.call_evidence import REPEATED_FAILURE_SECONDS, CallEvidence
 from masticfork.relay.exchange import CallRecord, Exchange
 from masticfork.relay.metrics import RelayMetrics
 from masticfork.relay.own_loads import OwnLoads
-from masticfork.relay.prompt_quarantine import PromptQuarantine
+from masticfork.relay.request_quarantine import RequestQuarantine
 from masticfork.relay.rollout_controller import RolloutController
 from masticfork.relay.tables import Tables
 from masticfork.systems.exposure import ExposureLimit
@@ -25,6 +26,7 @@
 from standins.typed_routes import typed_route
 
 DEADLINE_SECONDS = 2.0
+IDENTITY = RequestIdentity("s", caller_request())
 
 
 def start_exchange(host, kind=RouteKind.IDEMPOTENT):
@@ -102,11 +104,13 @@
             RelayMetrics(),
             OwnLoads(tables, ignore),
             rollouts,
-            PromptQuarantine(loop, RelayMetrics(), ignore, lambda key: False),
+            RequestQuarantine(
+                loop, RelayMetrics(), ignore, lambda key: False, lambda: None
+            ),
         )
         for at, session in failures:
             loop.now = at
-            record = CallRecord(tables.row("i-1"), Work("s"), 0.0, at, 0.02)
+            record = CallRecord(tables.row("i-1"), Work("s"), 0.0, at, 0.02, IDENTITY)
             evidence.on_own_response(record, session, True)
         (reported,) = rollouts.evidence()
         return sum(item.bad for item in reported.new)
--- a/masticfork/systems/crash_quarantine.py
+++ b/masticfork/systems/crash_quarantine.py
@@ -1,29 +1,35 @@
-"""Finds prompt parts that crash servers, and keeps requests with them from servers.
+"""Finds requests and prompt parts that crash servers, and keeps them from servers.
 
-A part is suspected of a crash if a request that holds it had been sent to the server
-and no event of its answer had arrived. A part that many requests share is soon cleared
-of it: the next answer that begins with it proves it harmless. A part that remains
-under suspicion for several crashes is put into quarantine.
+The suspects of a crash are the requests that had been sent to the server and had no
+answer, and the parts of their prompts. A suspect is cleared by the next answer to a
+request that holds it, so a part that many requests share is soon cleared. A suspected
+request that comes again runs by itself, so that a second crash tells of it alone. A
+suspect that remains after several crashes is put into quarantine.
 
-Each host reports its observations to the others, since no two requests with such a
-part need to reach the same host.
+Each host reports its observations to the others, since such requests come to any host.
 """
 
-from collections import OrderedDict, defaultdict, deque
+import enum
+from collections import Counter, OrderedDict, defaultdict, deque
 from collections.abc import Iterable, Mapping
 
 import attrs
 
-from masticfork.core.crash_reports import CrashReport, PartObservation
+from masticfork.core.crash_reports import (
+    REQUEST_POSITION,
+    CrashObservation,
+    CrashReport,
+)
 
-# Crashes within this time count as one: servers of a rack or zone fail together.
-INCIDENT_SECONDS = 0.25
+# Crashes within this time count as one: servers of a rack or zone fail together. The
+# shorter time holds for a request, which a host sends to the next server at once.
+INCIDENT_SECONDS, REQUEST_INCIDENT_SECONDS = 0.25, 0.04
 # Time for which observations wait for those of other hosts, which may explain the same
 # crash better.
 SETTLING_SECONDS = 0.6
-# Crashes after which a part is put into quarantine if it was never answered, and if it
-# was answered before the first of them.
-MIN_CRASHES, MIN_CRASHES_OF_ANSWERED_PARTS = 3, 5
+# Crashes after which a suspect is put into quarantine; for a part that was answered
+# before the first of them; and for a request that was once the only one of the crash.
+MIN_CRASHES, MIN_CRASHES_OF_ANSWERED_PARTS, MIN_CRASHES_OF_LONE_REQUESTS = 3, 5, 2
 # Crashes after which a part that was never answered is put into quarantine if they took
 # many servers, and the number of these: where many requests hold a deadly part, all
 # servers crash within a second, and the next ones only when they are back.
@@ -33,8 +39,13 @@
 ABANDONED_SECONDS = 0.5
 MAX_ABANDONED_CALLS = 512
 OBSERVATION_LIFETIME_SECONDS = 60.0
-# Time for which this host repeats an observation to the others.
-REPORT_SECONDS = 4.0
+# Time for which this host repeats an observation to the others, and for which it is
+# told with each message.
+REPORT_SECONDS, NEWS_SECONDS = 4.0, 0.5
+# Time for which a suspected request is taken to run at another host that has said so.
+RUNNING_SECONDS = 1.0
+# Time until a suspected request may come again that runs elsewhere.
+RERUN_SECONDS = 0.25
 QUARANTINE_SECONDS = 300.0
 # Time until one request with the part is tried again, and the factor by which it grows
 # with each trial that crashes a server.
@@ -42,19 +53,22 @@
 # Remaining time below which a quarantine is not told any more: the others hold it too,
 # and its end differs by the time of a digest on the way.
 MIN_TOLD_SECONDS = 5.0
-MAX_OBSERVATIONS = 2048
+MAX_OBSERVATIONS = 4096
+MAX_QUARANTINES = 256
+# Suspected requests of other hosts that are remembered to be running.
+MAX_RUNNING_ELSEWHERE = 1024
 # Bounds the size of a digest.
 MAX_REPORTED = 96
 MAX_ANSWERED_KEYS = 8192
 
 
 @attrs.frozen
-class PartQuarantine:
-    """A prompt part that has been put into quarantine."""
+class Quarantine:
+    """A prompt part or a request that has been put into quarantine."""
 
-    part: int
+    suspect: int
     until: float
-    # Crashes that the part explains; None if another host has found it.
+    # Crashes that the suspect explains; None if another host has found it.
     crashes: int | None = None
     # Time of the next trial, and the time between it and the one before.
     trial_at: float = attrs.field()
@@ -79,27 +93,32 @@
 class QuarantineChanges:
     """The quarantines that have begun and ended."""
 
-    added: tuple[PartQuarantine, ...] = ()
-    released: tuple[PartQuarantine, ...] = ()
+    added: tuple[Quarantine, ...] = ()
+    released: tuple[Quarantine, ...] = ()
 
 
 @attrs.frozen
 class _Observation:
-    """A request with a part was unanswered at a server when the server crashed."""
+    """A request with the suspect was unanswered when its server crashed."""
 
-    part: int
+    suspect: int
     server: int
-    # Index of the part in the prompt.
+    # Index of the part in the prompt, or `REQUEST_POSITION`.
     position: int
     at: float
     own: bool
 
+    @property
+    def is_request(self) -> bool:
+        """Return whether the suspect is a whole request."""
+        return self.position == REQUEST_POSITION
+
 
 @attrs.frozen
 class _AbandonedCall:
     """An unanswered call that this host has ended while its server was at work."""
 
-    parts: tuple[int, ...]
+    suspects: tuple[tuple[int, int], ...]
     server: int
     at: float
 
@@ -112,17 +131,28 @@
     told_until: float
 
 
+class Suspicion(enum.Enum):
+    """How a request may be sent to a server."""
+
+    # Like any other.
+    NONE = "none"
+    # By itself: a crash of its server must tell of it alone.
+    ALONE = "alone"
+    # Not now: it runs elsewhere, or what its last run has shown is not settled.
+    HELD = "held"
+
+
 @attrs.define(eq=False)
 class CrashQuarantine:
-    """The prompt parts under suspicion, and those in quarantine.
+    """The requests and prompt parts under suspicion, and those in quarantine.
 
-    Parts and incarnations of servers are identified by short keys; times are those of
-    the event loop, in seconds.
+    Suspects and incarnations of servers are identified by short keys; times are those
+    of the event loop, in seconds.
     """
 
-    # By part and server.
+    # By suspect and server.
     _observations: dict[tuple[int, int], _Observation] = attrs.field(factory=dict)
-    # Keys of the observations of each part, and of each server.
+    # Keys of the observations of each suspect, and of each server.
     _observations_of: defaultdict[int, set[tuple[int, int]]] = attrs.field(
         factory=lambda: defaultdict(set)
     )
@@ -130,50 +160,98 @@
     _abandoned: deque[_AbandonedCall] = attrs.field(
         factory=lambda: deque(maxlen=MAX_ABANDONED_CALLS)
     )
-    # Latest time at which a part, or a server, was seen to produce an answer.
+    # Latest time at which a suspect, or a server, was seen to produce an answer.
     _answered_at: OrderedDict[int, float] = attrs.field(factory=OrderedDict)
     # Answers that clear an observation, to be told to other hosts.
     _clearances: dict[int, _Clearance] = attrs.field(factory=dict)
-    _quarantines: dict[int, PartQuarantine] = attrs.field(factory=dict)
+    _quarantines: dict[int, Quarantine] = attrs.field(factory=dict)
+    # Suspected requests that run at servers: from this host, and those of other hosts
+    # with the time until which this is assumed.
+    _running: set[int] = attrs.field(factory=set)
+    _running_elsewhere: OrderedDict[int, float] = attrs.field(factory=OrderedDict)
     # Quarantines that have begun or ended and that `run` has not returned yet.
-    _added: list[PartQuarantine] = attrs.field(factory=list)
-    _released: list[PartQuarantine] = attrs.field(factory=list)
+    _added: list[Quarantine] = attrs.field(factory=list)
+    _released: list[Quarantine] = attrs.field(factory=list)
 
     @property
-    def quarantines(self) -> Mapping[int, PartQuarantine]:
-        """Return the quarantines by part."""
+    def quarantines(self) -> Mapping[int, Quarantine]:
+        """Return the quarantines by suspect."""
         return self._quarantines
 
-    def record_crash(self, parts: Iterable[int], server: int, now: float) -> None:
-        """Record that a request was lost, and its parts that got no answer."""
+    @property
+    def active(self) -> bool:
+        """Return whether anything is suspected or in quarantine."""
+        return bool(self._observations or self._quarantines)
+
+    def record_crash(
+        self, parts: Iterable[int], server: int, now: float, request: int | None = None
+    ) -> None:
+        """Record that a call was lost, and its suspects if it got no answer."""
         self._observe_abandoned_calls(server, now)
-        for position, part in enumerate(parts):
-            self._observe(_Observation(part, server, position, now, own=True))
-            self._extend_quarantine(part, now + QUARANTINE_SECONDS)
-
-    def record_abandoned(self, parts: Iterable[int], server: int, now: float) -> None:
-        """Record that this host has ended an unanswered request with these parts."""
-        self._abandoned.append(_AbandonedCall(tuple(parts), server, now))
-
-    def record_answer(self, parts: Iterable[int], now: float) -> None:
+        for suspect, position in _positions(parts, request):
+            self._observe(_Observation(suspect, server, position, now, own=True))
+            self._extend_quarantine(suspect, now + QUARANTINE_SECONDS)
+
+    def record_abandoned(
+        self, parts: Iterable[int], server: int, now: float, request: int | None = None
+    ) -> None:
+        """Record that this host has ended an unanswered call with these suspects."""
+        suspects = _positions(parts, request)
+        self._abandoned.append(_AbandonedCall(suspects, server, now))
+
+    def record_answer(
+        self, parts: Iterable[int], now: float, request: int | None = None
+    ) -> None:
         """Record that the answer to a request with these parts has begun."""
         for part in parts:
             self._clear(part, now)
+        # Only suspects are remembered: requests are too many.
+        if request is not None and (
+            request in self._observations_of or request in self._quarantines
+        ):
+            self._clear(request, now)
 
     def record_alive(self, server: int, at: float) -> None:
         """Record that a server was running at a time."""
         self._clear(server, at)
 
-    def begin_trial(self, part: int, now: float) -> bool:
-        """Return whether one request with a quarantined part may be sent; count it.
+    def suspicion_of(self, request: int, now: float) -> Suspicion:
+        """Return how a request that is not in quarantine may be sent."""
+        keys = self._observations_of.get(request)
+        if not keys:
+            return Suspicion.NONE
+        if self.seconds_until_run(request, now) > 0.0:
+            return Suspicion.HELD
+        return Suspicion.ALONE
+
+    def seconds_until_run(self, request: int, now: float) -> float:
+        """Return how long a suspected request is held, or 0."""
+        if request in self._running or self._running_elsewhere.get(request, 0.0) > now:
+            return RERUN_SECONDS
+        seen = [self._observations[k] for k in self._observations_of.get(request, ())]
+        if _count_incidents(seen) < MIN_CRASHES_OF_LONE_REQUESTS:
+            return 0.0
+        settled_at = max(item.at for item in seen) + SETTLING_SECONDS + RERUN_SECONDS
+        return max(0.0, settled_at - now)
+
+    def begin_run(self, request: int) -> None:
+        """Record that a suspected request is sent to a server."""
+        self._running.add(request)
+
+    def end_run(self, request: int) -> None:
+        """Record that a suspected request was answered or has ended."""
+        self._running.discard(request)
+
+    def begin_trial(self, suspect: int, now: float) -> bool:
+        """Return whether one request with a quarantined suspect may be sent; count it.
 
         An answer to it ends the quarantine. Until then the next trial is put off.
         """
-        quarantine = self._quarantines[part]
+        quarantine = self._quarantines[suspect]
         if now < quarantine.trial_at:
             return False
         interval = quarantine.trial_interval * TRIAL_GROWTH_FACTOR
-        self._quarantines[part] = attrs.evolve(
+        self._quarantines[suspect] = attrs.evolve(
             quarantine, trial_at=now + interval, trial_interval=interval
         )
         return True
@@ -187,39 +265,55 @@
             if item.server not in self._observations_of:
                 self._observe_abandoned_calls(item.server, at)
             self._observe(
-                _Observation(item.part, item.server, item.position, at, own=False)
+                _Observation(item.suspect, item.server, item.position, at, own=False)
             )
-        for part, seconds_left in report.quarantined.items():
+        for request in report.running:
+            self._running_elsewhere[request] = now + RUNNING_SECONDS
+            self._running_elsewhere.move_to_end(request)
+        while len(self._running_elsewhere) > MAX_RUNNING_ELSEWHERE:
+            self._running_elsewhere.popitem(last=False)
+        for suspect, seconds_left in report.quarantined.items():
             until = now + min(seconds_left, QUARANTINE_SECONDS)
-            quarantine = PartQuarantine(part, until)
-            answered_at = self._answered_at.get(part, float("-inf"))
+            quarantine = Quarantine(suspect, until)
+            answered_at = self._answered_at.get(suspect, float("-inf"))
             if answered_at > quarantine.evidence_until:
-                self._tell(part, _Clearance(answered_at, now + REPORT_SECONDS))
-            elif part not in self._quarantines:
-                self._quarantines[part] = quarantine
-                self._added.append(quarantine)
+                self._tell(suspect, _Clearance(answered_at, now + REPORT_SECONDS))
+            elif suspect not in self._quarantines:
+                self._begin(quarantine)
             else:
-                self._extend_quarantine(part, quarantine.until)
+                self._extend_quarantine(suspect, quarantine.until)
 
     def report(self, now: float) -> CrashReport:
         """Return what other hosts should know."""
+        return self._report(now, REPORT_SECONDS, self._quarantines.values())
+
+    def news(self, now: float) -> CrashReport:
+        """Return what other hosts should know of the last moments."""
+        recent = (q for q in self._quarantines.values() if now - q.since < NEWS_SECONDS)
+        return self._report(now, NEWS_SECONDS, recent)
+
+    def _report(
+        self, now: float, max_age: float, quarantines: Iterable[Quarantine]
+    ) -> CrashReport:
         recent = [
             item
             for item in self._observations.values()
-            if item.own and now - item.at < REPORT_SECONDS
+            if item.own and now - item.at < max_age
         ]
-        # Parts that were never answered first, then those seen in several crashes, then
-        # the latest.
+        # Suspects that were never answered first, then those seen in several crashes,
+        # then the latest.
         recent.sort(
             key=lambda item: (
-                item.part in self._answered_at,
-                -len(self._observations_of[item.part]),
+                item.suspect in self._answered_at,
+                -len(self._observations_of[item.suspect]),
                 -item.at,
             )
         )
         return CrashReport(
             tuple(
-                PartObservation(item.part, item.server, item.position, now - item.at)
+                CrashObservation(
+                    item.suspect, item.server, item.position, now - item.at
+                )
                 for item in recent[:MAX_REPORTED]
             ),
             {
@@ -227,15 +321,16 @@
                 for key, item in list(self._clearances.items())[-MAX_REPORTED:]
             },
             {
-                part: item.until - now
-                for part, item in self._quarantines.items()
+                item.suspect: item.until - now
+                for item in quarantines
                 if item.until - now > MIN_TOLD_SECONDS
             },
+            frozenset(self._running),
         )
 
     def run(self, now: float) -> QuarantineChanges:
-        """Expire what is out of date, put parts into quarantine; return the changes."""
-        if not (self._observations or self._quarantines or self._clearances):
+        """Expire what is out of date, begin quarantines; return the changes."""
+        if not (self.active or self._clearances):
             return QuarantineChanges()
         oldest = now - OBSERVATION_LIFETIME_SECONDS
         for item in [i for i in self._observations.values() if i.at <= oldest]:
@@ -246,95 +341,141 @@
         for quarantine in list(self._quarantines.values()):
             if quarantine.until <= now:
                 self._release(quarantine)
-        while (part := self._main_suspect(now)) is not None:
-            self._quarantine(part, now)
+        while (suspect := self._main_suspect(now)) is not None:
+            self._quarantine(suspect, now)
         changes = QuarantineChanges(tuple(self._added), tuple(self._released))
         self._added, self._released = [], []
         return changes
 
-    def _quarantine(self, part: int, now: float) -> None:
-        """Put a part into quarantine, and release those whose crashes it explains."""
-        crashes = _count_incidents(self._unexplained_suspects(now)[part])
+    def _quarantine(self, suspect: int, now: float) -> None:
+        """Put a suspect into quarantine; release those whose crashes it explains."""
+        crashes = _count_incidents(self._unexplained_suspects(now)[suspect])
         for other in list(self._quarantines):
             servers = self._crashed_servers(other)
-            if servers and servers <= self._crashed_servers(part):
+            if servers and servers <= self._crashed_servers(suspect):
                 self._clear(other, now)
-        quarantine = PartQuarantine(part, now + QUARANTINE_SECONDS, crashes)
-        self._quarantines[part] = quarantine
+        self._begin(Quarantine(suspect, now + QUARANTINE_SECONDS, crashes))
+
+    def _begin(self, quarantine: Quarantine) -> None:
+        """Add a quarantine; the one that ends first gives way if there are too many."""
+        if len(self._quarantines) >= MAX_QUARANTINES:
+            first = min(self._quarantines.values(), key=lambda q: q.until)
+            self._release(first)
+            # They would put it into quarantine again.
+            for key in list(self._observations_of.get(first.suspect, ())):
+                self._forget(self._observations[key])
+        self._quarantines[quarantine.suspect] = quarantine
         self._added.append(quarantine)
 
-    def _extend_quarantine(self, part: int, until: float) -> None:
-        quarantine = self._quarantines.get(part)
+    def _extend_quarantine(self, suspect: int, until: float) -> None:
+        quarantine = self._quarantines.get(suspect)
         if quarantine is not None and until > quarantine.until:
-            self._quarantines[part] = attrs.evolve(quarantine, until=until)
+            # Another host may be the next one to try the suspect.
+            first_trial_at = until - QUARANTINE_SECONDS + FIRST_TRIAL_SECONDS
+            self._quarantines[suspect] = attrs.evolve(
+                quarantine,
+                until=until,
+                trial_at=max(quarantine.trial_at, first_trial_at),
+            )
 
-    def _crashed_servers(self, part: int) -> set[int]:
-        return {server for _, server in self._observations_of.get(part, ())}
+    def _crashed_servers(self, suspect: int) -> set[int]:
+        return {server for _, server in self._observations_of.get(suspect, ())}
 
-    def _release(self, quarantine: PartQuarantine) -> None:
-        del self._quarantines[quarantine.part]
+    def _release(self, quarantine: Quarantine) -> None:
+        del self._quarantines[quarantine.suspect]
         self._released.append(quarantine)
 
     def _main_suspect(self, now: float) -> int | None:
-        """Return the part that explains most crashes, None if there are too few.
+        """Return the suspect that explains most crashes, None if there are too few.
 
-        Parts that were never answered come first: an answer shows that a part was
-        sound, and parts that many requests share are in most crashes by chance.
+        Suspects that were never answered come first: an answer shows that a part was
+        sound, and parts that many requests share are in most crashes by chance. A
+        request may crash servers that have answered it before.
         """
         suspects = self._unexplained_suspects(now)
-        unanswered = suspects.keys() - self._answered_at.keys()
+        unanswered = {
+            suspect
+            for suspect, seen in suspects.items()
+            if seen[0].is_request or suspect not in self._answered_at
+        }
         # A host that was just started has no answers by which to tell parts apart.
-        has_answers = len(unanswered) < len(suspects)
+        has_answers = any(suspect in self._answered_at for suspect in suspects)
         counts: dict[int, int] = {}
-        for part, seen in suspects.items():
+        for suspect, seen in suspects.items():
             count = _count_incidents(seen)
-            if part not in unanswered:
+            if seen[0].is_request:
+                suffices = count >= self._crashes_to_convict_request(seen)
+            elif suspect not in unanswered:
                 suffices = count >= MIN_CRASHES_OF_ANSWERED_PARTS
             elif has_answers and len(seen) >= MANY_SERVERS:
                 suffices = count >= MIN_INCIDENTS_OF_MANY_SERVERS
             else:
                 suffices = count >= MIN_CRASHES
             if suffices:
-                counts[part] = count
+                counts[suspect] = count
         candidates = (counts.keys() & unanswered) or counts.keys()
-        highest = max((counts[part] for part in candidates), default=0)
+        highest = max((counts[suspect] for suspect in candidates), default=0)
         return min(
-            (part for part in candidates if counts[part] == highest),
-            key=lambda part: self._guilt_order(part, suspects[part]),
+            (suspect for suspect in candidates if counts[suspect] == highest),
+            key=lambda suspect: self._guilt_order(suspect, suspects[suspect]),
             default=None,
         )
 
+    def _crashes_to_convict_request(self, observations: list[_Observation]) -> int:
+        """Return the crashes after which a request is put into quarantine."""
+        was_lone = any(
+            sum(
+                self._observations[key].is_request
+                for key in self._observations_of[item.server]
+            )
+            == 1
+            for item in observations
+        )
+        return MIN_CRASHES_OF_LONE_REQUESTS if was_lone else MIN_CRASHES
+
     def _guilt_order(
-        self, part: int, observations: list[_Observation]
+        self, suspect: int, observations: list[_Observation]
     ) -> tuple[float, int]:
-        """Return a sort key by which the most suspicious of tied parts comes first.
+        """Return a sort key by which the most suspicious of tied ones comes first.
 
-        A part that was answered long ago comes before one that was answered recently,
-        and a later part of the prompts before an earlier one, which is held by more
-        requests.
+        A suspect that was answered long ago comes before one that was answered
+        recently, and a later part of the prompts before an earlier one, which is held
+        by more requests; a whole request comes before its parts.
         """
-        answered_at = self._answered_at.get(part, float("-inf"))
+        answered_at = self._answered_at.get(suspect, float("-inf"))
         return answered_at, -max(item.position for item in observations)
 
     def _unexplained_suspects(self, now: float) -> dict[int, list[_Observation]]:
-        """Return the settled observations of crashes that no quarantine explains."""
-        explained = {
-            item.server
+        """Return the settled observations of crashes that no quarantine explains.
+
+        Requests with a deadly part crash servers too; until they have done so more
+        often than its other requests, their quarantines do not explain it.
+        """
+        guilty = [
+            item
             for item in self._observations.values()
-            if item.part in self._quarantines
+            if item.suspect in self._quarantines
+        ]
+        crashes = Counter(item.suspect for item in guilty)
+        explained = {item.server for item in guilty}
+        explained_for_parts = {
+            item.server
+            for item in guilty
+            if not item.is_request or crashes[item.suspect] >= MIN_CRASHES
         }
         suspects: dict[int, list[_Observation]] = {}
         for item in self._observations.values():
-            if item.server not in explained and now - item.at >= SETTLING_SECONDS:
-                suspects.setdefault(item.part, []).append(item)
+            servers = explained if item.is_request else explained_for_parts
+            if item.server not in servers and now - item.at >= SETTLING_SECONDS:
+                suspects.setdefault(item.suspect, []).append(item)
         return suspects
 
     def _observe(self, seen: _Observation) -> None:
         latest_answer = max(
-            self._answered_at.get(seen.part, float("-inf")),
+            self._answered_at.get(seen.suspect, float("-inf")),
             self._answered_at.get(seen.server, float("-inf")),
         )
-        key = (seen.part, seen.server)
+        key = (seen.suspect, seen.server)
         if latest_answer >= seen.at or key in self._observations:
             return
         self._observations[key] = seen
@@ -344,14 +485,14 @@
             self._forget(next(iter(self._observations.values())))
 
     def _observe_abandoned_calls(self, server: int, at: float) -> None:
-        """Record the parts of calls that this host had ended just before a crash."""
+        """Record the suspects of calls that this host had ended just before a crash."""
         for call in self._abandoned:
             if call.server == server and 0.0 <= at - call.at <= ABANDONED_SECONDS:
-                for position, part in enumerate(call.parts):
-                    self._observe(_Observation(part, server, position, at, own=True))
+                for suspect, position in call.suspects:
+                    self._observe(_Observation(suspect, server, position, at, own=True))
 
     def _forget(self, seen: _Observation) -> None:
-        key = (seen.part, seen.server)
+        key = (seen.suspect, seen.server)
         del self._observations[key]
         for index in key:
             self._observations_of[index].discard(key)
@@ -359,7 +500,7 @@
                 del self._observations_of[index]
 
     def _clear(self, key: int, at: float) -> None:
-        """Drop the observations of a part or a server from before an answer."""
+        """Drop the observations of a suspect or a server from before an answer."""
         self._answered_at[key] = max(at, self._answered_at.get(key, at))
         self._answered_at.move_to_end(key)
         if len(self._answered_at) > MAX_ANSWERED_KEYS:
@@ -381,10 +522,20 @@
         self._clearances[key] = clearance
 
 
+def _positions(
+    parts: Iterable[int], request: int | None
+) -> tuple[tuple[int, int], ...]:
+    """Return the suspects of a call, each with its position."""
+    # A later part would be taken for a request.
+    indexed = tuple(zip(parts, range(REQUEST_POSITION), strict=False))
+    return indexed if request is None else (*indexed, (request, REQUEST_POSITION))
+
+
 def _count_incidents(observations: list[_Observation]) -> int:
     """Return the number of crashes, counting those at the same time as one."""
     count, latest = 0, float("-inf")
-    for at in sorted(item.at for item in observations):
-        if at - latest >= INCIDENT_SECONDS:
-            count, latest = count + 1, at
+    for item in sorted(observations, key=lambda item: item.at):
+        gap = REQUEST_INCIDENT_SECONDS if item.is_request else INCIDENT_SECONDS
+        if item.at - latest >= gap:
+            count, latest = count + 1, item.at
     return count
--- a/masticfork/systems/crash_quarantine_test.py
+++ b/masticfork/systems/crash_quarantine_test.py
@@ -12,15 +12,19 @@
     INCIDENT_SECONDS,
     MANY_SERVERS,
     MAX_OBSERVATIONS,
+    MAX_QUARANTINES,
     MAX_REPORTED,
     MIN_CRASHES,
     MIN_CRASHES_OF_ANSWERED_PARTS,
     OBSERVATION_LIFETIME_SECONDS,
     QUARANTINE_SECONDS,
     REPORT_SECONDS,
+    RERUN_SECONDS,
+    RUNNING_SECONDS,
     SETTLING_SECONDS,
     TRIAL_GROWTH_FACTOR,
     CrashQuarantine,
+    Suspicion,
 )
 
 COMMON, DEADLY, OTHER = 1, 2, 3
@@ -207,7 +211,7 @@
         for number in range(MIN_CRASHES):
             crash(quarantine, [DEADLY], float(number))
         (added,) = quarantine.run(5.0).added
-        assert (added.part, added.crashes) == (DEADLY, MIN_CRASHES)
+        assert (added.suspect, added.crashes) == (DEADLY, MIN_CRASHES)
         assert added.until == 5.0 + QUARANTINE_SECONDS
         assert quarantine.run(5.1).added == ()
         assert not quarantine.run(added.until - 0.1).released
@@ -219,7 +223,7 @@
         for now in (1.0, 1.3, 1.6):
             quarantine.apply_report(CrashReport(quarantined={DEADLY: 60.0 - now}), now)
         (added,) = quarantine.run(2.0).added
-        assert (added.part, added.until, added.crashes) == (DEADLY, 60.0, None)
+        assert (added.suspect, added.until, added.crashes) == (DEADLY, 60.0, None)
 
     def test_quarantine_that_has_ended_is_not_adopted_again(self):
         """Guards against hosts that tell each other for ever of one that has ended.
@@ -306,7 +310,7 @@
             crash(quarantine, [DEADLY], 5.0 + number)
         changes = quarantine.run(9.0)
         assert set(quarantine.quarantines) == {DEADLY}
-        assert [item.part for item in changes.released] == [OTHER]
+        assert [item.suspect for item in changes.released] == [OTHER]
 
 
 class TestTrials:
@@ -401,7 +405,7 @@
         for topic in topics:
             quarantine.record_crash([topic], server, 1.0)
         quarantine.record_crash([topics[0], DEADLY], server, 1.0)
-        reported = {item.part for item in quarantine.report(1.1).observations}
+        reported = {item.suspect for item in quarantine.report(1.1).observations}
         assert DEADLY in reported
 
     def test_cleared_observation_does_not_come_back(self):
@@ -515,6 +519,229 @@
     assert fleet.sound_refused == 0
 
 
+def lose(quarantine, request, at, parts=(), server=None):
+    """Record the crash of a server with one unanswered request."""
+    quarantine.record_crash(parts, server or next(SERVERS), at, request)
+
+
+class TestRequests:
+    REQUEST = 7
+
+    def test_request_that_crashes_two_servers_by_itself_is_quarantined(self):
+        quarantine = CrashQuarantine()
+        lose(quarantine, self.REQUEST, 1.0)
+        assert not quarantined(quarantine, 2.0)
+        lose(quarantine, self.REQUEST, 2.1)
+        assert quarantined(quarantine, 3.0) == {self.REQUEST}
+
+    def test_second_crash_at_once_counts_by_itself(self):
+        """Guards against a request that one attempt sends to server after server."""
+        quarantine = CrashQuarantine()
+        lose(quarantine, self.REQUEST, 1.0)
+        lose(quarantine, self.REQUEST, 1.06)
+        assert quarantined(quarantine, 2.0) == {self.REQUEST}
+
+    def test_requests_in_flight_as_a_rack_fails_stay_free(self):
+        """Guards against sound requests that are refused after a loss of power."""
+        quarantine = CrashQuarantine()
+        for number in range(40):
+            server = next(SERVERS)
+            lose(quarantine, self.REQUEST, 1.0 + number * 0.0005, server=server)
+            lose(quarantine, 100 + number, 1.0, server=server)
+        assert not quarantined(quarantine, 2.0)
+
+    def test_request_beside_a_deadly_one_twice_is_not_quarantined(self):
+        quarantine = CrashQuarantine()
+        for at in (1.0, 3.0):
+            server = next(SERVERS)
+            lose(quarantine, self.REQUEST, at, server=server)
+            lose(quarantine, OTHER, at, server=server)
+        assert not quarantined(quarantine, 5.0)
+        lose(quarantine, self.REQUEST, 6.0)
+        assert quarantined(quarantine, 7.0) == {self.REQUEST}
+
+    def test_answer_clears_a_request(self):
+        quarantine = CrashQuarantine()
+        lose(quarantine, self.REQUEST, 1.0)
+        quarantine.record_answer([], 1.5, self.REQUEST)
+        assert quarantine.suspicion_of(self.REQUEST, 1.6) is Suspicion.NONE
+        lose(quarantine, self.REQUEST, 2.0)
+        assert not quarantined(quarantine, 3.0)
+
+    def test_request_that_was_answered_before_is_found_as_soon(self):
+        """Guards against a request that only began to crash servers."""
+        quarantine = CrashQuarantine()
+        lose(quarantine, self.REQUEST, 1.0)
+        quarantine.record_answer([], 1.5, self.REQUEST)
+        for at in (2.0, 3.0):
+            lose(quarantine, self.REQUEST, at)
+        assert quarantined(quarantine, 4.0) == {self.REQUEST}
+
+    def test_answers_clear_the_parts_but_not_the_request(self):
+        """Guards against a deadly request all of whose parts are answered."""
+        quarantine = CrashQuarantine()
+        for at in (1.0, 2.0):
+            lose(quarantine, self.REQUEST, at, parts=[COMMON])
+            quarantine.record_answer([COMMON], at + 0.1, OTHER)
+        assert quarantined(quarantine, 3.0) == {self.REQUEST}
+
+    def test_part_of_several_deadly_requests_is_found(self):
+        """Guards against each request with a deadly part costing its own crashes."""
+        quarantine = CrashQuarantine()
+        for number in range(3):
+            for at in (number + 1.0, number + 1.3):
+                lose(quarantine, 100 + number, at, parts=[COMMON, DEADLY])
+            quarantine.record_answer([COMMON], number + 1.5)
+        assert quarantined(quarantine, 5.0) == {DEADLY}
+
+    def test_suspected_request_runs_once_at_a_time(self):
+        quarantine = CrashQuarantine()
+        lose(quarantine, self.REQUEST, 1.0)
+        assert quarantine.suspicion_of(self.REQUEST, 1.1) is Suspicion.ALONE
+        quarantine.begin_run(self.REQUEST)
+        assert quarantine.suspicion_of(self.REQUEST, 1.2) is Suspicion.HELD
+        assert quarantine.seconds_until_run(self.REQUEST, 1.2) == RERUN_SECONDS
+        quarantine.end_run(self.REQUEST)
+        assert quarantine.suspicion_of(self.REQUEST, 1.3) is Suspicion.ALONE
+
+    def test_suspected_request_that_runs_at_another_host_is_held(self):
+        first, second = CrashQuarantine(), CrashQuarantine()
+        lose(first, self.REQUEST, 1.0)
+        first.begin_run(self.REQUEST)
+        second.apply_report(first.news(1.1), 1.1)
+        assert second.suspicion_of(self.REQUEST, 1.2) is Suspicion.HELD
+        later = 1.2 + RUNNING_SECONDS
+        assert second.suspicion_of(self.REQUEST, later) is Suspicion.ALONE
+
+    def test_request_is_held_until_its_second_crash_is_settled(self):
+        quarantine = CrashQuarantine()
+        lose(quarantine, self.REQUEST, 1.0)
+        lose(quarantine, self.REQUEST, 2.0)
+        assert quarantine.suspicion_of(self.REQUEST, 2.1) is Suspicion.HELD
+
+    def test_memory_is_bounded_under_floods_of_requests(self):
+        """Guards against the requests of many crashes that displace a deadly one."""
+        quarantine = CrashQuarantine()
+        for number in range(3 * MAX_OBSERVATIONS):
+            at = number * 0.001
+            lose(quarantine, 10_000 + number, at, server=number // 64 + 1)
+        lose(quarantine, self.REQUEST, 13.0)
+        lose(quarantine, self.REQUEST, 14.0)
+        assert quarantined(quarantine, 15.0) == {self.REQUEST}
+        assert len(quarantine._observations) <= MAX_OBSERVATIONS
+        assert len(quarantine.report(15.0).observations) <= MAX_REPORTED
+
+    def test_number_of_quarantines_is_bounded(self):
+        quarantine = CrashQuarantine()
+        for number in range(MAX_QUARANTINES + 40):
+            for at in (number * 0.1, number * 0.1 + 0.05):
+                lose(quarantine, 10_000 + number, at)
+        quarantine.run(31.0)
+        assert len(quarantine.quarantines) <= MAX_QUARANTINES
+
+    def test_host_that_joins_learns_of_quarantines(self):
+        first, joined = CrashQuarantine(), CrashQuarantine()
+        for at in (1.0, 2.0):
+            lose(first, self.REQUEST, at)
+        assert quarantined(first, 3.0) == {self.REQUEST}
+        joined.apply_report(first.report(60.0), 60.0)
+        assert quarantined(joined, 60.1) == {self.REQUEST}
+
+
+@attrs.define
+class RepeatedRequest:
+    """Hosts to which one deadly request comes again and again, and its crashes."""
+
+    hosts: list
+    rng: random.Random
+    # Delay of reports between hosts.
+    report_seconds: float = 0.03
+    run_seconds: float = 0.06
+    crashes: list = attrs.field(factory=list)
+    sends: list = attrs.field(factory=list)
+
+    def play(self, interval, seconds, attempts, restarts=()):
+        """Send the request at intervals; hosts start anew at the times in `restarts`.
+
+        Each call crashes a server of its own after `run_seconds`.
+        """
+        request, running, restarts, joined = 7, [], list(restarts), False
+        for tick in range(round(seconds / 0.01)):
+            now = tick * 0.01
+            if restarts and now >= restarts[0]:
+                restarts.pop(0)
+                self.hosts[self.rng.randrange(len(self.hosts))] = CrashQuarantine()
+                joined = True
+            for call in [call for call in running if call[0] <= now]:
+                running.remove(call)
+                self.crash(call, request, now, running, attempts)
+            if tick % round(interval / 0.01) == 0:
+                self.send(self.rng.choice(self.hosts), request, now, running, 1)
+            if tick % round(self.report_seconds / 0.01) == 0:
+                self.exchange_reports(now, full=joined or now % 1.0 < 0.1)
+                joined = False
+            for host in self.hosts if tick % 25 == 0 else ():
+                host.run(now)
+
+    def send(self, host, request, now, running, attempt):
+        if request in host.quarantines:
+            if host is not self.hosts[0] or not host.begin_trial(request, now):
+                return
+        elif host.suspicion_of(request, now) is Suspicion.HELD:
+            return
+        host.begin_run(request)
+        self.sends.append(now)
+        running.append((now + self.run_seconds, host, attempt))
+
+    def crash(self, call, request, now, running, attempts):
+        _, host, attempt = call
+        host.end_run(request)
+        self.crashes.append(now)
+        lose(host, request, now)
+        if attempt < attempts:
+            self.send(host, request, now, running, attempt + 1)
+
+    def exchange_reports(self, now, full):
+        """Send reports; hosts send full ones now and then, and as another one joins."""
+        for sender in self.hosts:
+            report = sender.report(now) if full else sender.news(now)
+            for host in self.hosts if report != CrashReport() else ():
+                if host is not sender:
+                    host.apply_report(report, now)
+
+
+class TestFleetUnderADeadlyRequest:
+    """One request crashes each server that runs it and comes again at any host."""
+
+    @pytest.mark.parametrize("seed", range(3))
+    @pytest.mark.parametrize(
+        ("host_count", "report_seconds"), [(1, 0.03), (4, 0.03), (30, 0.1)]
+    )
+    @pytest.mark.parametrize("attempts", [1, 3])
+    @pytest.mark.parametrize("interval", [0.02, 0.5])
+    def test_request_reaches_few_servers(
+        self, seed, host_count, report_seconds, attempts, interval
+    ):
+        """Guards against a request that crashes server after server at all hosts."""
+        hosts = [CrashQuarantine() for _ in range(host_count)]
+        fleet = RepeatedRequest(hosts, random.Random(seed), report_seconds)
+        fleet.play(interval, 25.0, attempts)
+        # Sent before any host can know of the first crash.
+        unknowing = (fleet.run_seconds + report_seconds) / interval
+        assert len(fleet.crashes) <= 4 + unknowing
+        if len(fleet.crashes) > 2:
+            late = [at for at in fleet.sends if at > fleet.crashes[2] + 3.0]
+            assert len(late) <= 3
+
+    @pytest.mark.parametrize("seed", range(3))
+    def test_hosts_that_restart_do_not_forget_it(self, seed):
+        """Guards against a host that joins and sends what the others refuse."""
+        rng = random.Random(seed)
+        fleet = RepeatedRequest([CrashQuarantine() for _ in range(4)], rng)
+        fleet.play(0.1, 30.0, 2, restarts=[at + 0.055 for at in range(5, 30, 2)])
+        assert len([at for at in fleet.sends if at > fleet.crashes[1] + 3.0]) <= 3
+
+
 class TestFleetUnderADeadlyPart:
     """A share of one class of requests holds a part that crashes servers."""
 
--- a/masticfork/systems/server_choice.py
+++ b/masticfork/systems/server_choice.py
@@ -60,6 +60,8 @@
     running_elsewhere: int = 0
     weighted_running_elsewhere: float = 0.0
     pending_elsewhere: float = 0.0
+    # Running calls of this host that are suspected of crashing servers.
+    suspects: int = 0
     failures: float = 0.0
     failures_at: float = 0.0
     avoid_until: float = 0.0
@@ -128,6 +130,34 @@
         return RELATIVE_TOKEN_COSTS[min(self.size, len(RELATIVE_TOKEN_COSTS) - 1)]
 
 
+def loads_for_suspect(loads: Sequence[ServerLoad], now: float) -> list[ServerLoad]:
+    """Return the servers on which the crash of a call would cost others least.
+
+    Those that can be reached and run no other suspect come first; if they are idle, a
+    crash tells of the call alone.
+    """
+    groups = (
+        [load for load in loads if not load.suspects and load.avoid_until <= now],
+        [load for load in loads if load.avoid_until <= now],
+        loads,
+    )
+    eligible = next((group for group in groups if group), [])
+    fewest = min(map(_calls, eligible), default=0)
+    return [load for load in eligible if _calls(load) == fewest]
+
+
+def loads_beside_suspects(
+    work: Work, loads: Sequence[ServerLoad]
+) -> Sequence[ServerLoad]:
+    """Return the servers on which a call is not lost by the crash of a suspect.
+
+    Engines have too many calls to spare one for a suspect.
+    """
+    if work.model is not None:
+        return loads
+    return [load for load in loads if not load.suspects] or loads
+
+
 class ServerPolicy(Protocol):
     """Policy that selects one of the eligible servers."""
 
@@ -205,13 +235,18 @@
 
 def _expected_plain_delay(load: ServerLoad, zone: str, now: float) -> float:
     """Return the expected seconds to the answer of a server without a model."""
-    running = load.running + load.running_elsewhere
+    running = _calls(load)
     mean = max(load.mean_time, 0.005)
     queued = max(0, running + 1 - load.server.slots)
     expected = mean * (1.0 + queued / load.server.slots + 0.2 * running)
     return expected + _penalty(load, zone, now)
 
 
+def _calls(load: ServerLoad) -> int:
+    """Return the running calls of all hosts."""
+    return load.running + load.running_elsewhere
+
+
 def _penalty(load: ServerLoad, zone: str, now: float) -> float:
     zone_penalty = CROSS_ZONE_PENALTY_SECONDS if load.server.zone != zone else 0.0
     return zone_penalty + FAILURE_PENALTY_SECONDS * load.failure_share(now)
--- a/standins/fake_exchange.py
+++ b/standins/fake_exchange.py
@@ -11,10 +11,10 @@
     CallerRequest,
     Dispatch,
     Header,
-    PromptPart,
     ResponseHead,
 )
-from masticfork.relay.exchange import CallRecord, Exchange, QuarantinedPart
+from masticfork.core.request_identity import RequestIdentity
+from masticfork.relay.exchange import CallRecord, Exchange, HeldRequest
 from masticfork.relay.server_call import CallSink, ServerConnectionPool, Stage
 from masticfork.relay.tables import ServerRow
 from masticfork.systems.model_choice import ConfidenceCascade
@@ -92,14 +92,20 @@
         self.calls: list[FakeCall] = []
         self.retry_allowed = True
         self.ended_exchanges = 0
-        self.quarantine: QuarantinedPart | None = None
+        self.held: HeldRequest | None = None
+        self.suspected = False
         self.started_responses = 0
         # Whether each response that belongs to its call counts against its server.
         self.responses_failed: list[bool] = []
         self._rows = [server_row(number) for number in range(SERVER_COUNT)]
 
     def choose_server(
-        self, service: str, work: Work, session: str, tried_servers: set[str]
+        self,
+        service: str,
+        work: Work,
+        session: str,
+        tried_servers: set[str],
+        alone: bool,
     ) -> ServerRow | None:
         """Return the first untried server."""
         untried = [row for row in self._rows if row.server.id not in tried_servers]
@@ -161,16 +167,18 @@
         """Return 0: no server has asked to pause."""
         return 0.0
 
-    def quarantined_part(
-        self, service: str, prompt: tuple[PromptPart, ...]
-    ) -> QuarantinedPart | None:
+    def held_request(self, identity: RequestIdentity) -> HeldRequest | None:
         """Return what the test has set."""
-        return self.quarantine
+        return self.held
 
-    def admits_prompt(self, service: str, prompt: tuple[PromptPart, ...]) -> bool:
-        """Return False: no part is tried out."""
+    def admits_held_request(self, identity: RequestIdentity) -> bool:
+        """Return False: nothing is tried out."""
         return False
 
+    def is_suspected(self, identity: RequestIdentity) -> bool:
+        """Return what the test has set."""
+        return self.suspected
+
     def error_headers(
         self,
         attempt_id: bytes,
