--- a/soak/environment.py
+++ b/soak/environment.py
@@ -14,7 +14,6 @@
 from masticfork.core.backend_servers import Address
 from masticfork.core.findings import Finding, SourceLocation
 from soak.callers import Caller, SharedState, Target
-from soak.fault_proxy import FaultProxy
 from soak.records import (
     HOST_PROCESS_KINDS,
     SERVER_KINDS,
@@ -35,6 +34,7 @@
     route,
     server_entry,
 )
+from standins.fault_proxy import FaultProxy
 from standins.object_store import ObjectStore
 from standins.scripted_server import ScriptedServer
 from tools.processes import Program, stop_all
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -12,6 +12,8 @@
 KNOWN_RED_FILE = ROOT / "KNOWN-RED.txt"
 FEATURES = ROOT / "features"
 NO_TESTS_COLLECTED = 5
+# Processes among which pytest divides the test files: tests mostly wait.
+TEST_PROCESSES = 4
 
 
 @attrs.frozen
@@ -47,6 +49,7 @@
     """Run pytest; return its exit code and its report."""
     report = folder / "pytest.xml"
     command = [sys.executable, "-m", "pytest", f"--junitxml={report}"]
+    command += [f"--numprocesses={TEST_PROCESSES}", "--dist=loadfile"]
     code = subprocess.run(command, cwd=ROOT, check=False).returncode
     return code, [report]
 
