Call servers through other hosts while this host reaches none

Each request tried server after server, 0.35 s each, and ended with 503 or the caller's own time limit.

Cause: a host knew one way to a server, its own, and no state told its own failed link from failed servers.

Now a lost, silent or unsent call makes a host try some servers of several services with connections that carry no request. If it reaches none, it is cut off: it tells the others, drops what its failures said of servers, and opens the connection of each call through another host that reaches servers. Only the connection is moved: choice of server, counting, limits, retries, framing and resumption stay where the caller is. The other host answers once the server is connected, before a byte of the request has left, so "not run" stays true, and marks a reset, so that it cannot pass for the end of an answer. One hop: it connects itself or declines. Without such a host a request is refused at once.

--- a/masticfork/core/digests.py
+++ b/masticfork/core/digests.py
@@ -124,6 +124,10 @@
     # Request rates that servers have named, or that were lifted recently.
     limits: tuple[LimitReport, ...] = ()
     crashes: CrashReport = attrs.field(factory=CrashReport)
+    # Port at which the host connects others to servers, 0 for none; and whether it
+    # reaches no server itself.
+    transit_port: int = 0
+    cut_off: bool = False
     # Availability zone of the host; empty in partial digests.
     zone: str = ""
     # By index of the kind among those that hosts mirror.
@@ -139,13 +143,9 @@
         """Return what a later digest and this one tell, without loads and updates."""
         if not later.partial:
             return attrs.evolve(later, loads={}, updates=())
-        if not later.kinds:
-            later_state = (later.configuration, later.leaving, later.reading)
-            if later_state == (self.configuration, self.leaving, self.reading) and (
-                later.store_failing == self.store_failing
-            ):
-                # The usual case, many times a second.
-                return self
+        if not later.kinds and later._host_state == self._host_state:
+            # The usual case, many times a second.
+            return self
         return attrs.evolve(
             self,
             configuration=later.configuration,
@@ -154,4 +154,18 @@
             kinds=later.kinds or self.kinds,
             reading=later.reading,
             store_failing=later.store_failing,
+            transit_port=later.transit_port,
+            cut_off=later.cut_off,
+        )
+
+    @property
+    def _host_state(self) -> tuple[object, ...]:
+        """Return the state of the host that rarely changes."""
+        return (
+            self.configuration,
+            self.leaving,
+            self.reading,
+            self.store_failing,
+            self.transit_port,
+            self.cut_off,
         )
--- a/masticfork/platform/settings_file.py
+++ b/masticfork/platform/settings_file.py
@@ -78,8 +78,8 @@
 def _decode_settings(table: Any) -> EntrySettings:
     listen, limits = table.get("listen"), table.get("limits")
     ports = get_list(table, "internal_ports")
-    if len(ports) != 2:
-        raise MalformedError("internal_ports does not hold two ports")
+    if len(ports) != 2 or int(ports[0]) >= int(ports[1]):
+        raise MalformedError("internal_ports is not a range of two ports or more")
     return EntrySettings(
         host=get_str(table, "node"),
         zone=get_str(table, "zone"),
--- a/masticfork/relay/call_evidence.py
+++ b/masticfork/relay/call_evidence.py
@@ -9,6 +9,7 @@
 from masticfork.relay.own_loads import OwnLoads
 from masticfork.relay.request_quarantine import RequestQuarantine
 from masticfork.relay.rollout_controller import RolloutController
+from masticfork.relay.server_trials import ServerTrials
 from masticfork.relay.tables import Tables
 from masticfork.systems.failed_calls import CallOutcome
 from masticfork.systems.server_choice import UNREACHABLE_SECONDS
@@ -17,6 +18,11 @@
 
 # Failures of one session at shorter intervals count as one.
 REPEATED_FAILURE_SECONDS = 1.0
+# Time before a host knows that it is cut off, for which its failed calls tell nothing
+# of servers.
+CUT_OFF_EVIDENCE_SECONDS = 3.0
+
+_OUTCOMES_OF_SILENT_SERVERS = (CallOutcome.UNSENT, CallOutcome.SILENT)
 
 
 class CallEvidence:
@@ -30,6 +36,7 @@
         own_loads: OwnLoads,
         rollouts: RolloutController,
         quarantine: RequestQuarantine,
+        trials: ServerTrials,
     ) -> None:
         self._loop = loop
         self._tables = tables
@@ -37,6 +44,7 @@
         self._own_loads = own_loads
         self._rollouts = rollouts
         self._quarantine = quarantine
+        self._trials = trials
         # Loop time of the latest failure by service and session.
         self._failed_at: dict[tuple[str, str], float] = {}
 
@@ -108,18 +116,32 @@
             if record.work.model is not None:
                 load.remember(record.work.model, record.work.prompt, now)
             load.record_time(seconds)
+        if record.via is None and (
+            record.connection_lost or outcome in _OUTCOMES_OF_SILENT_SERVERS
+        ):
+            self._trials.begin()
+        if record.transit_failed or (record.via is None and self._trials.cut_off):
+            return
         if outcome is CallOutcome.UNSENT:
             load.avoid_until = now + UNREACHABLE_SECONDS
         if record.failed is not None:
             load.record(record.failed, now)
         self._quarantine.record_end(record)
 
+    def on_cut_off(self) -> None:
+        """Drop what failed calls have told of servers: the link of this host failed."""
+        for row in self._tables.rows:
+            row.load.failures = row.load.avoid_until = 0.0
+        self._quarantine.retract(self._loop.now - CUT_OFF_EVIDENCE_SECONDS)
+
     def report_slow_calls(self, exchanges: Iterable[Exchange]) -> None:
         """Report calls that have already waited too long as evidence of a slow version.
 
         Slow responses end late, so without this a slow version would look good until
-        they do.
+        they do. A host that may be cut off from all servers reports none.
         """
+        if self._trials.in_doubt:
+            return
         for exchange in exchanges:
             record = exchange.unanswered_call
             if record is None or record.counted_as_slow:
--- a/masticfork/relay/digest.capnp
+++ b/masticfork/relay/digest.capnp
@@ -52,6 +52,10 @@
   packedLimits @21 :Data;
   # Hashes of the suspected requests that the sender runs at a server.
   running @22 :List(UInt32);
+  # Port at which the sender connects other hosts to servers, 0 for none, and whether it
+  # reaches no server itself.
+  transitPort @23 :UInt16;
+  cutOff @24 :Bool;
 }
 
 struct Kind {
--- a/masticfork/relay/digest_codec.py
+++ b/masticfork/relay/digest_codec.py
@@ -60,6 +60,8 @@
         zone=digest.zone,
         reading=digest.reading,
         storeFailing=digest.store_failing,
+        transitPort=digest.transit_port,
+        cutOff=digest.cut_off,
         kinds=[
             {
                 "era": kind.position.era,
@@ -265,6 +267,8 @@
                 zone=reader.zone,
                 reading=reader.reading,
                 store_failing=reader.storeFailing,
+                transit_port=reader.transitPort,
+                cut_off=reader.cutOff,
                 kinds=tuple(
                     KindState(StorePosition(item.era, item.revision), item.fingerprint)
                     for item in reader.kinds
--- a/masticfork/relay/entry.py
+++ b/masticfork/relay/entry.py
@@ -41,10 +41,14 @@
 from masticfork.relay.registration import Registration
 from masticfork.relay.request_quarantine import RequestQuarantine
 from masticfork.relay.rollout_controller import RolloutController
-from masticfork.relay.server_call import CallSink, ServerCall
+from masticfork.relay.server_call import CallSink, ServerCall, ServerConnectionPool
+from masticfork.relay.server_trials import ServerTrials
 from masticfork.relay.session_versions import SessionVersions
 from masticfork.relay.store_view import MIRRORED_KINDS, StoreView
 from masticfork.relay.tables import ServerRow, Tables
+from masticfork.relay.transit_calls import TransitConnections
+from masticfork.relay.transit_hosts import TransitHosts
+from masticfork.relay.transit_listener import TransitListener
 from masticfork.systems.exposure import ExposureLimit
 from masticfork.systems.graceful_stop import GracefulStop
 from masticfork.systems.model_choice import ConfidenceCascade, ModelPolicy
@@ -102,6 +106,9 @@
             self._is_first_host_for,
             lambda: self._digests.schedule_news(),
         )
+        self._trials = ServerTrials(
+            self._loop, self._tables, self._metrics, self._on_contact_changed, self.log
+        )
         self._digests = HostDigests(
             self._loop,
             settings.host,
@@ -109,6 +116,8 @@
             self._tables,
             self._session_versions,
             self._quarantine,
+            self._trials,
+            settings.peer_ports[1],
         )
         self._objects = PlatformObjects(settings.store, time.monotonic)
         self._peers = Peers(
@@ -121,6 +130,7 @@
             self._digests.apply,
             self.log,
         )
+        self._transit_hosts = TransitHosts(self._loop, self._peers)
         self._store_view = StoreView(
             self._loop,
             self._tables,
@@ -169,6 +179,16 @@
             self._digests.own_loads,
             self._rollout_controller,
             self._quarantine,
+            self._trials,
+        )
+        self._transit_listener = TransitListener(
+            self._loop,
+            Address(settings.front.host, settings.peer_ports[1]),
+            self._tables,
+            self._trials,
+            self._metrics,
+            self.log,
+            settings.file_descriptors // 8,
         )
         self._started_at = self._loop.now
         self._stop: GracefulStop | None = None
@@ -231,6 +251,7 @@
         if self._stop is not None:
             return
         self._stop = GracefulStop.begun_at(self._loop.now, self._settings.bounds.grace)
+        self._transit_listener.stop()
         self.log("stopping", open_requests=len(self._open_exchanges))
 
     def _tick(self) -> None:
@@ -259,7 +280,7 @@
         if stop.closes_idle_connections(now):
             for caller in list(self._connections):
                 caller.close_idle()
-        if stop.is_over(now, bool(self._connections)):
+        if stop.is_over(now, bool(self._connections) or self._transit_listener.busy):
             self._loop.stop()
 
     def _readiness_response(self, path: bytes) -> tuple[int, bytes]:
@@ -282,6 +303,11 @@
         """Return whether this host follows the store itself."""
         return self._reader_duty.reading
 
+    @property
+    def cut_off(self) -> bool:
+        """Return whether this host reaches no server."""
+        return self._trials.cut_off
+
     def knows_server(self, server_id: str) -> bool:
         """Return whether a server is listed."""
         return self._tables.row(server_id) is not None
@@ -305,6 +331,14 @@
         """Write this host's entry again; the restored store may lack it."""
         self._registration.start()
 
+    def _on_contact_changed(self) -> None:
+        """Adapt calls under way to the loss of all servers, and tell other hosts."""
+        if self._trials.cut_off:
+            self._call_evidence.on_cut_off()
+            for exchange in list(self._open_exchanges):
+                exchange.on_cut_off()
+        self._digests.schedule_news()
+
     # Callers.
 
     @property
@@ -470,6 +504,8 @@
 
         `alone` asks for one where a crash tells of the call alone, if there is any.
         """
+        if self._trials.cut_off and not self._transit_hosts.available:
+            return None
         untried = self._untried_rows(service, work.route, session, tried_servers)
         row_by_load = {id(row.load): row for row in untried}
         now, loads = self._loop.now, [row.load for row in untried]
@@ -521,15 +557,25 @@
     ) -> ServerCall:
         """Send a request to a server and return the call.
 
-        A request that may not be repeated gets a new connection, since the server may
-        close an idle one just as the request is sent.
+        It leads through another host if this one reaches no server. A request that may
+        not be repeated gets a new connection, since the server may close an idle one
+        just as the request is sent.
         """
+        host = self._transit_hosts.choose() if self._trials.cut_off else None
+        connections: ServerConnectionPool | TransitConnections = row.connections
+        if host is not None:
+            connections = TransitConnections(
+                self._loop, host.address, row.server.id, self.log
+            )
+            self._transit_hosts.begin_call(host.name)
         server_call = ServerCall(
             self._loop,
-            row.connections,
+            connections,
             wire.decode_response_head,
             sink,
             request.is_head_request,
+            self._trials.record_reached,
+            None if host is None else host.name,
         )
         require_new = not (isinstance(sink, Exchange) and sink.route.retryable)
         server_call.start(
@@ -567,8 +613,14 @@
 
     def on_call_ended(self, record: CallRecord) -> None:
         """Record the outcome of a call."""
+        if record.via is not None:
+            self._transit_hosts.end_call(record.via)
         self._call_evidence.on_call_ended(record)
 
+    def on_transit_failed(self, host: str) -> None:
+        """Record that no server can be called through another host."""
+        self._transit_hosts.record_failure(host)
+
     def seconds_until_resumption(self, service: str) -> float:
         """Return how long all servers of a service have asked to pause, or 0."""
         return self._tables.seconds_until_resumption(service)
--- a/masticfork/relay/exchange.py
+++ b/masticfork/relay/exchange.py
@@ -33,6 +33,8 @@
 CASCADE_RETRY_RESERVE = 0.3
 # A server may report a timeout when this fraction of the time limit is left.
 TIME_LIMIT_SLACK = 0.1
+# Silence limit of a call that is under way as this host is cut off from servers.
+CUT_OFF_SILENCE_SECONDS = 0.5
 # Logged as the status of a response that was aborted after its head was sent.
 ABORTED_STATUS = 0
 
@@ -158,6 +160,9 @@
     def admits_held_request(self, identity: RequestIdentity) -> bool:
         """Return whether a held request may be sent as a trial."""
 
+    def on_transit_failed(self, host: str) -> None:
+        """Record that no server can be called through another host."""
+
     def is_suspected(self, identity: RequestIdentity) -> bool:
         """Return whether a request is suspected of crashing servers."""
 
@@ -211,6 +216,8 @@
     first_event_at: float = 0.0
     first_event_id: int = 0
     running_at_first_event: int = 0
+    # Whether the other host through which the server was called has failed.
+    transit_failed: bool = False
     # Whether the call ended with the loss of its connection.
     connection_lost: bool = False
     # Whether the call was counted as slow against its version while still waiting.
@@ -221,6 +228,11 @@
     outcome: CallOutcome | None = None
     call: ServerCall | None = None
 
+    @property
+    def via(self) -> str | None:
+        """Return the host through which the server is called, None for this one."""
+        return None if self.call is None else self.call.via
+
     @property
     def abandoned(self) -> bool:
         """Return whether this host or the caller ended the call, not the server."""
@@ -409,10 +421,26 @@
         """Fail the call, as unsent if its connection was never established."""
         unsent = failure.stage is Stage.CONNECTING
         outcome = CallOutcome.UNSENT if unsent else CallOutcome.BROKEN
-        if self._call_record is not None and not unsent:
-            self._call_record.connection_lost = failure.connection_lost
+        record = self._call_record
+        if record is not None and not unsent:
+            record.connection_lost = failure.connection_lost
+        if record is not None and failure.transit_failed and record.via is not None:
+            record.transit_failed = True
+            self.host.on_transit_failed(record.via)
+            if unsent:
+                self._tried_servers.discard(record.row.server.id)
         self._fail_call(outcome, failure.message)
 
+    def on_cut_off(self) -> None:
+        """Wait no longer than for a sound server for what this host gets no more."""
+        record = self._call_record
+        if record is None or record.via is not None or not self.route.retryable:
+            return
+        self._cancel_silence_timer()
+        self._silence_timer = self.host.loop.call_after(
+            CUT_OFF_SILENCE_SECONDS, self._on_silence
+        )
+
     def on_quarantine(self) -> None:
         """End an unanswered exchange that must not reach servers any more.
 
@@ -617,6 +645,7 @@
             why=why,
             attempt=self.history.sent,
             reused_connection=call is not None and call.reused_connection,
+            via=record.via,
             last_event=splitter.last_event_id,
             partial_event_bytes=splitter.partial_event_bytes,
             unanswered_prompt=None if record.answered else record.identity.part_names,
--- a/masticfork/relay/host_digests.py
+++ b/masticfork/relay/host_digests.py
@@ -10,6 +10,7 @@
 from masticfork.relay.reader_duty import ReaderDuty
 from masticfork.relay.request_quarantine import RequestQuarantine
 from masticfork.relay.rollout_controller import RolloutController
+from masticfork.relay.server_trials import ServerTrials
 from masticfork.relay.session_versions import SessionVersions
 from masticfork.relay.store_view import StoreView
 from masticfork.relay.tables import Tables
@@ -35,6 +36,8 @@
         tables: Tables,
         sessions: SessionVersions,
         quarantine: RequestQuarantine,
+        trials: ServerTrials,
+        transit_port: int,
     ) -> None:
         self._loop = loop
         self._host = host
@@ -42,6 +45,8 @@
         self._tables = tables
         self._sessions = sessions
         self._quarantine = quarantine
+        self._trials = trials
+        self._transit_port = transit_port
         self._own_loads = OwnLoads(tables, self._schedule_load_update)
         self._peer_loads = PeerLoads(tables)
         self._load_update_scheduled = False
@@ -120,6 +125,8 @@
             crashes=self._quarantine.news(),
             reading=self._reader_duty.reading,
             store_failing=self._store_view.store_failing,
+            transit_port=self._transit_port,
+            cut_off=self._trials.cut_off,
         )
 
     def _full_digest(self) -> Digest:
--- a/masticfork/relay/metrics.py
+++ b/masticfork/relay/metrics.py
@@ -70,6 +70,16 @@
             registry=registry,
         )
 
+        self.cut_off = Gauge(
+            "masticfork_relay_cut_off",
+            "Whether this host reaches no backend server",
+            registry=registry,
+        )
+        self.transits = Counter(
+            "masticfork_relay_transits",
+            "Connections to servers that were opened for other hosts",
+            registry=registry,
+        )
         self.quarantined_suspects = Gauge(
             "masticfork_relay_quarantined_suspects",
             "Requests and prompt parts that crash servers and are kept from them",
--- a/masticfork/relay/peers.py
+++ b/masticfork/relay/peers.py
@@ -125,6 +125,10 @@
         self._addresses |= addresses
         self._addresses.pop(self._host, None)
 
+    def address_of(self, host: str) -> Address | None:
+        """Return the address of another host, None if it is unknown."""
+        return self._addresses.get(host)
+
     def evidence(self, service: str, created: int) -> list[RolloutEvidence]:
         """Return the evidence on a rollout that live hosts have reported."""
         return [
--- a/masticfork/relay/request_quarantine.py
+++ b/masticfork/relay/request_quarantine.py
@@ -73,6 +73,10 @@
         alive_at = max(record.started_at, sent_after)
         self._quarantine.record_alive(record.row.notice.key, alive_at)
 
+    def retract(self, since: float) -> None:
+        """Drop the crashes that this host has seen since a time."""
+        self._quarantine.retract(since)
+
     def _remember_names(self, identity: RequestIdentity) -> None:
         """Remember the names of a call's suspects for the log."""
         request = identity.request
--- a/masticfork/relay/server_call.py
+++ b/masticfork/relay/server_call.py
@@ -15,6 +15,11 @@
     MalformedResponseError,
     ResponseReader,
 )
+from masticfork.relay.transit_calls import (
+    TransitChannel,
+    TransitConnections,
+    TransitError,
+)
 
 # The hosts' links take 1 to 10 ms, and a lost SYN is retransmitted only after a second.
 CONNECT_TIMEOUT_SECONDS = 0.35
@@ -42,6 +47,8 @@
     message: str
     # Whether the connection was closed or reset, as it is if the server crashes.
     connection_lost: bool = False
+    # Whether the host through which the server was called, or the way to it, failed.
+    transit_failed: bool = False
 
 
 class CallSink(Protocol):
@@ -164,26 +171,39 @@
 
 
 class ServerCall:
-    """Sends one request to a server and passes the response to a sink."""
+    """Sends one request to a server and passes the response to a sink.
+
+    `on_reached` is called when a new connection to the server is established, unless it
+    leads through another host, whose name is `via`.
+    """
 
     def __init__(
         self,
         loop: Loop,
-        connections: ServerConnectionPool,
+        connections: ServerConnectionPool | TransitConnections,
         decode: HeadDecoder,
         sink: CallSink,
         is_head_request: bool,
+        on_reached: Callable[[], None] = lambda: None,
+        via: str | None = None,
     ) -> None:
         self._loop = loop
         self._connections = connections
         self._sink = sink
+        self._on_reached = on_reached
+        self._via = via
         self._reader = ResponseReader(decode, self, is_head_request)
-        self._channel: Channel | None = None
+        self._channel: Channel | TransitChannel | None = None
         self._connect_timer: Timer | None = None
         self._stage = Stage.CONNECTING
         self._ended = False
         self._reused_connection = False
 
+    @property
+    def via(self) -> str | None:
+        """Return the host through which the server is called, None for this one."""
+        return self._via
+
     @property
     def reused_connection(self) -> bool:
         """Return whether the request was sent on a connection with earlier ones."""
@@ -212,8 +232,10 @@
         try:
             channel, is_new = self._connections.open(require_new)
         except OSError as error:
-            message = f"connect: {error}"
-            self._loop.call_after(0.0, lambda: self._fail(message))
+            message, transit_failed = f"connect: {error}", self._via is not None
+            self._loop.call_after(
+                0.0, lambda: self._fail(message, transit_failed=transit_failed)
+            )
             return
         self._channel = channel
         channel.owner = self
@@ -248,6 +270,8 @@
         self._stage = Stage.SENT
         if self._connect_timer is not None:
             self._connect_timer.cancel()
+        if self._via is None:
+            self._on_reached()
 
     def on_data(self, data: bytes) -> None:
         """Parse a part of the response."""
@@ -266,7 +290,8 @@
         complete = error is None and self._reader.feed_end()
         if not complete:
             message = "closed by the server" if error is None else str(error)
-            self._fail(message, connection_lost=True)
+            transit_failed = isinstance(error, TransitError)
+            self._fail(message, not transit_failed, transit_failed)
 
     # Callbacks of the response reader.
 
@@ -300,19 +325,36 @@
         # Unsent bytes of this request would be sent ahead of the next one.
         if self._reader.reusable and not channel.unsent_bytes:
             self._channel = None
-            self._connections.put_back(channel, head.keep_alive)
+            self._put_back(channel, head.keep_alive)
         else:
             self._close_channel()
 
+    def _put_back(
+        self, channel: Channel | TransitChannel, keep_alive: float | None
+    ) -> None:
+        if isinstance(channel, Channel) and isinstance(
+            self._connections, ServerConnectionPool
+        ):
+            self._connections.put_back(channel, keep_alive)
+        else:
+            channel.close()
+
     def _on_connect_timeout(self) -> None:
         if self._stage is Stage.CONNECTING:
-            self._fail("connect: timed out")
+            self._fail("connect: timed out", transit_failed=self._via is not None)
 
-    def _fail(self, message: str, connection_lost: bool = False) -> None:
+    def _fail(
+        self,
+        message: str,
+        connection_lost: bool = False,
+        transit_failed: bool = False,
+    ) -> None:
         if not self._ended:
             self._ended = True
             self._close_channel()
-            self._sink.on_failed(CallFailure(self._stage, message, connection_lost))
+            self._sink.on_failed(
+                CallFailure(self._stage, message, connection_lost, transit_failed)
+            )
 
     def _close_channel(self) -> None:
         if self._connect_timer is not None:
--- a/masticfork/relay/unreachable_servers_test.py
+++ b/masticfork/relay/unreachable_servers_test.py
@@ -1,5 +1,6 @@
 """Hosts that reach no server while callers and other hosts reach them."""
 
+import socket
 import time
 from collections import Counter
 from concurrent.futures import ThreadPoolExecutor
@@ -18,7 +19,16 @@
     running_entry_host,
 )
 from standins.object_store import ObjectStore
-from standins.scripted_server import events, response
+from standins.scripted_server import (
+    CloseConnectionError,
+    ResetConnectionError,
+    chunk,
+    event,
+    events,
+    response,
+    stream_head,
+    unframed_head,
+)
 from standins.server_paths import Cut, ServerPaths
 
 HOSTS = 3
@@ -145,3 +155,159 @@
             cut_off = pool.submit(fleet.send_for, 0, 4.0)
             assert not failures(fleet.send_for(1, 4.0), 0.0)
             cut_off.result()
+
+
+class TestPromises:
+    """What callers are promised holds for calls through another host."""
+
+    @pytest.fixture()
+    def cut_off(self, fleet):
+        """Cut the first host off, and wait until it calls servers through others."""
+        fleet.paths[0].cut(Cut.REFUSE)
+        env = fleet.hosts[0]
+        env.send("/safe/x")
+        env.wait_until(lambda: env.host.cut_off)
+        for server in env.servers:
+            server.requests.clear()
+        return env
+
+    def use(self, env, script):
+        for server in env.servers:
+            server.script = script
+
+    def requests(self, env):
+        return [request for server in env.servers for request in server.requests]
+
+    def test_answer_that_ends_with_its_connection_is_whole(self, cut_off):
+        def unframed(request):
+            yield unframed_head(request)
+            yield b"all of it"
+            raise CloseConnectionError
+
+        self.use(cut_off, unframed)
+        answer = cut_off.send("/safe/x")
+        assert (answer.status, answer.body) == (200, b"all of it")
+
+    def test_answer_that_its_server_resets_is_not_whole(self, cut_off):
+        """Guards against a reset that arrives as the end of an answer."""
+
+        def broken(request):
+            yield unframed_head(request)
+            yield b"half of"
+            time.sleep(0.05)
+            raise ResetConnectionError
+
+        self.use(cut_off, broken)
+        assert cut_off.send("/unsafe/x").status == 502
+        assert len(self.requests(cut_off)) == 1
+
+    def test_request_that_may_have_run_is_not_repeated(self, fleet, cut_off):
+        """Guards against a host that fails under a call and has it sent again."""
+
+        def slow(request):
+            time.sleep(0.5)
+            yield response(request, b"whole")
+
+        self.use(cut_off, slow)
+        with ThreadPoolExecutor(1) as pool:
+            answer = pool.submit(cut_off.send, "/unsafe/x")
+            cut_off.wait_until(lambda: len(self.requests(cut_off)) == 1)
+            self.lose_transits(fleet)
+            assert answer.result().status == 502
+        assert len(self.requests(cut_off)) == 1
+
+    def test_stream_goes_on_through_a_third_host(self, fleet, cut_off):
+        def slow_events(request):
+            yield from events(request, 6, pause=0.1, confidence=90)
+
+        self.use(cut_off, slow_events)
+        with ThreadPoolExecutor(1) as pool:
+            answer = pool.submit(cut_off.send, "/streaming/x")
+            cut_off.wait_until(lambda: len(self.requests(cut_off)) == 1)
+            time.sleep(0.25)
+            self.lose_transits(fleet)
+            answer = answer.result()
+        assert (answer.status, answer.complete) == (200, True)
+        assert answer.body == b"".join(event(number) for number in range(1, 7))
+
+    def lose_transits(self, fleet):
+        """Break the connections that the other hosts hold for the first one."""
+        for env in fleet.hosts[1:]:
+            listener = env.host._transit_listener
+            env.host.loop.post(
+                lambda listener=listener: [
+                    c.close() for c in set(listener._connections)
+                ]
+            )
+
+    def test_server_is_told_that_the_caller_has_left(self, cut_off):
+        def endless(request):
+            yield stream_head(request, 90)
+            for number in range(1, 500):
+                time.sleep(0.02)
+                yield chunk(event(number))
+
+        self.use(cut_off, endless)
+        with socket.create_connection((cut_off.front.host, cut_off.front.port)) as sock:
+            headers = cut_off.headers({"Content-Length": "0"})
+            lines = [f"{name}: {value}" for name, value in headers.items()]
+            head = "\r\n".join(["POST /streaming/x HTTP/1.1", *lines, "", ""])
+            sock.sendall(head.encode())
+            sock.recv(4096)
+        abandoned = [server.abandoned for server in cut_off.servers]
+        cut_off.wait_until(
+            lambda: any(server.abandoned for server in cut_off.servers), 1.0
+        )
+        assert sum(abandoned) <= 1
+
+    def test_caller_that_does_not_read_stops_the_server(self, cut_off):
+        """Guards against an answer that gathers in the memory of the hosts."""
+        sent = []
+
+        def large(request):
+            yield unframed_head(request)
+            for _ in range(1000):
+                sent.append(65536)
+                yield bytes(65536)
+            raise CloseConnectionError
+
+        self.use(cut_off, large)
+        with socket.create_connection((cut_off.front.host, cut_off.front.port)) as sock:
+            headers = cut_off.headers({"Content-Length": "0"})
+            lines = [f"{name}: {value}" for name, value in headers.items()]
+            head = "\r\n".join(["POST /safe/x HTTP/1.1", *lines, "", ""])
+            sock.sendall(head.encode())
+            time.sleep(1.5)
+            assert 0 < sum(sent) < 40 << 20
+
+    def test_host_that_stops_ends_the_calls_of_others_first(self, fleet, cut_off):
+        """Guards against a planned stop that cuts the calls of another host."""
+
+        def slow(request):
+            time.sleep(1.0)
+            yield response(request, b"whole")
+
+        self.use(cut_off, slow)
+        with ThreadPoolExecutor(1) as pool:
+            answer = pool.submit(cut_off.send, "/unsafe/x")
+            cut_off.wait_until(lambda: len(self.requests(cut_off)) == 1)
+            for env in fleet.hosts[1:]:
+                env.host.request_stop()
+            assert answer.result().status == 200
+        refused = cut_off.send("/unsafe/x")
+        assert (refused.status, len(self.requests(cut_off))) == (503, 1)
+
+    def test_deadly_request_is_found(self, fleet, cut_off):
+        """Guards against crashes that only the host between has seen."""
+
+        def deadly(request):
+            if request.body == b"deadly":
+                time.sleep(0.1)
+                raise CloseConnectionError
+            yield response(request, b"whole")
+
+        self.use(cut_off, deadly)
+        for _ in range(8):
+            assert cut_off.send("/safe/x", body=b"deadly").status in (502, 503)
+            time.sleep(0.2)
+        assert len(self.requests(cut_off)) <= 3
--- a/masticfork/relay/version_evidence_test.py
+++ b/masticfork/relay/version_evidence_test.py
@@ -18,6 +18,7 @@
 from masticfork.relay.own_loads import OwnLoads
 from masticfork.relay.request_quarantine import RequestQuarantine
 from masticfork.relay.rollout_controller import RolloutController
+from masticfork.relay.server_trials import ServerTrials
 from masticfork.relay.tables import Tables
 from masticfork.systems.exposure import ExposureLimit
 from masticfork.systems.server_choice import Work
@@ -107,6 +108,7 @@
             RequestQuarantine(
                 loop, RelayMetrics(), ignore, lambda key: False, lambda: None
             ),
+            ServerTrials(loop, tables, RelayMetrics(), lambda: None, ignore),
         )
         for at, session in failures:
             loop.now = at
--- a/masticfork/systems/crash_quarantine.py
+++ b/masticfork/systems/crash_quarantine.py
@@ -211,6 +211,13 @@
         ):
             self._clear(request, now)
 
+    def retract(self, since: float) -> None:
+        """Drop the crashes that this host has seen since a time: they were none."""
+        seen = list(self._observations.values())
+        for item in seen:
+            if item.own and item.at >= since:
+                self._forget(item)
+
     def record_alive(self, server: int, at: float) -> None:
         """Record that a server was running at a time."""
         self._clear(server, at)
--- a/standins/entry_environment.py
+++ b/standins/entry_environment.py
@@ -244,12 +244,13 @@
         log = stack.enter_context(logbook.TestHandler().applicationbound())
         store_server = stack.enter_context(serving(store))
         front, ready, peer = free_address(), free_address(), free_address()
+        transit = free_address()
         settings = EntrySettings(
             host=host,
             zone=zone,
             front=front,
             ready=ready,
-            peer_ports=(peer.port, peer.port),
+            peer_ports=(peer.port, transit.port),
             store=f"{LOOPBACK}:{store_server.port}",
             seeds=(),
             memory_mb=256,
--- a/standins/fake_exchange.py
+++ b/standins/fake_exchange.py
@@ -37,6 +37,7 @@
     ran_request: bool = False
     reused_connection: bool = False
     may_hold_other_response: bool = False
+    via: str | None = None
 
     def cancel(self) -> None:
         """Close the call."""
@@ -175,6 +176,9 @@
         """Return False: nothing is tried out."""
         return False
 
+    def on_transit_failed(self, host: str) -> None:
+        """Do nothing."""
+
     def is_suspected(self, identity: RequestIdentity) -> bool:
         """Return what the test has set."""
         return self.suspected
