Do not avoid a server for long that stood still for a moment

A sound server may fall silent for a second. A call that waited too long counted as a failure: a share of 0.25 that stays above its threshold for 9.2 s (0.25, 0.125, 0.062, 0.016 after 0, 2, 4, 8 s; printed from the code before), each hundredth of which counts as 0.04 s of delay. So one silence kept calls from a sound server for some nine seconds.

Now a silence counts as a failure only if the server has answered another call meanwhile, as servers do that let some calls hang. Else the server is avoided for a second, longer each time it follows itself (4 s at most), and until its next answer.

The comment on keep-alive probes said three seconds for all peers; with a TCP_USER_TIMEOUT of 8 s it is eight for callers. The values stay.

Tests also of the choice of servers for suspected calls.

--- a/masticfork/relay/call_evidence.py
+++ b/masticfork/relay/call_evidence.py
@@ -66,6 +66,7 @@
         Apply what the server announces about itself in the response.
         """
         self._own_loads.read(record)
+        record.row.load.record_heard(self._loop.now)
         self._quarantine.record_alive(record)
         if head.leaving:
             self._tables.record_leaving(record.row, "response")
@@ -84,6 +85,7 @@
 
     def on_answered(self, record: CallRecord) -> None:
         """Record that the answer has begun: an event, or a head of a plain one."""
+        record.row.load.record_heard(self._loop.now)
         self._quarantine.record_answer(record)
         self._end_lone_run(record)
 
@@ -133,7 +135,9 @@
             return
         if outcome is CallOutcome.UNSENT:
             load.avoid_until = now + UNREACHABLE_SECONDS
-        if record.failed is not None:
+        if outcome is CallOutcome.SILENT:
+            load.record_silence(record.started_at, now)
+        elif record.failed is not None:
             load.record(record.failed, now)
         self._quarantine.record_end(record)
 
--- a/masticfork/relay/channel.py
+++ b/masticfork/relay/channel.py
@@ -10,8 +10,9 @@
 from masticfork.relay.loop import Loop
 
 RECV_BUFFER_BYTES = 65536
-# TCP keep-alive: a peer that disappears without a reset is detected after about three
-# seconds.
+# TCP keep-alive. On Linux a TCP_USER_TIMEOUT takes the place of the probe count: a peer
+# that disappears without a reset is detected at the first probe after that time, a
+# server after three seconds and a caller after eight.
 KEEPALIVE_IDLE_SECONDS = 1
 KEEPALIVE_INTERVAL_SECONDS = 1
 KEEPALIVE_PROBE_COUNT = 2
--- a/masticfork/systems/server_choice.py
+++ b/masticfork/systems/server_choice.py
@@ -34,6 +34,9 @@
 MIN_FAILURE_SHARE = 0.01
 # Time for which a server is avoided after a failed connection.
 UNREACHABLE_SECONDS = 1.0
+# The same after it was silent to a call and sent nothing else either; doubled each time
+# that this follows itself, up to the maximum.
+SILENT_SECONDS, MAX_SILENT_SECONDS = 1.0, 4.0
 # Time after its last use for which a prompt part is assumed to be in a server's cache.
 CACHE_RETENTION_SECONDS = 30.0
 # Prompt parts tracked for each server; the least recently used are evicted.
@@ -65,6 +68,9 @@
     failures: float = 0.0
     failures_at: float = 0.0
     avoid_until: float = 0.0
+    # Time of the latest answer, and the calls without one that ended since.
+    heard_at: float = float("-inf")
+    silences: int = 0
     # Moving average of the time to first byte, in seconds; 0 before the first answer.
     mean_time: float = 0.0
     # Time of last use by model and prompt part, least recently used first.
@@ -82,6 +88,26 @@
         self.failures = share + FAILURE_WEIGHT * (float(failed) - share)
         self.failures_at = now
 
+    def record_silence(self, sent_at: float, now: float) -> None:
+        """Record that a call has waited too long.
+
+        If other calls were answered meanwhile, it counts as failed. Else the server may
+        have stood still for a moment, which does not make it a bad one.
+        """
+        if self.heard_at >= sent_at:
+            self.record(True, now)
+            return
+        pause = min(MAX_SILENT_SECONDS, SILENT_SECONDS * 2.0**self.silences)
+        self.silences += 1
+        self.avoid_until = now + pause
+
+    def record_heard(self, now: float) -> None:
+        """Record that an answer has begun, which ends the pause of a silent server."""
+        self.heard_at = now
+        if self.silences:
+            self.silences = 0
+            self.avoid_until = now
+
     def record_time(self, seconds: float) -> None:
         """Record the time to the first byte of an answer."""
         if self.mean_time == 0.0:
--- a/masticfork/systems/server_choice_test.py
+++ b/masticfork/systems/server_choice_test.py
@@ -8,6 +8,8 @@
     ServerLoad,
     Work,
     expected_first_token_seconds,
+    loads_beside_suspects,
+    loads_for_suspect,
 )
 
 
@@ -129,3 +131,58 @@
         row = load(1)
         row.record(True, 0.0)
         assert lower <= row.failure_share(age) <= upper
+
+
+class TestSilentServers:
+    """Servers that do not answer a call within its silence limit."""
+
+    @pytest.fixture()
+    def silent(self):
+        return load(1)
+
+    def test_server_that_stood_still_for_a_second_is_used_again(self, silent):
+        """Guards against sound servers that are avoided for long after a pause."""
+        silent.record_heard(1.0)
+        silent.record_silence(sent_at=1.1, now=1.6)
+        assert silent.avoid_until > 1.6
+        silent.record_heard(2.2)
+        assert silent.avoid_until <= 2.2
+        assert silent.failure_share(2.2) == 0.0
+
+    def test_server_that_is_silent_again_and_again_is_avoided_longer(self, silent):
+        pauses = []
+        for at in (2.0, 6.0, 12.0, 20.0):
+            silent.record_silence(sent_at=at - 0.5, now=at)
+            pauses.append(silent.avoid_until - at)
+        assert pauses == [1.0, 2.0, 4.0, 4.0]
+        assert silent.failure_share(20.0) == 0.0
+
+    def test_server_that_answers_other_calls_meanwhile_has_failed(self, silent):
+        """Guards against servers that let some of their calls hang."""
+        silent.record_heard(1.3)
+        silent.record_silence(sent_at=1.1, now=1.6)
+        assert silent.failure_share(1.6) > 0.0
+
+
+class TestSuspectedCalls:
+    """Calls that may crash their server."""
+
+    def test_run_on_the_server_with_the_fewest_calls(self):
+        """Guards against a deadly request that takes others with it."""
+        idle, busy, elsewhere = load(1), load(2), load(3)
+        busy.running, elsewhere.running_elsewhere = 1, 1
+        assert loads_for_suspect([busy, idle, elsewhere], 1.0) == [idle]
+
+    def test_share_no_server_with_another_one(self):
+        with_suspect, busy = load(1), load(2)
+        with_suspect.suspects, busy.running = 1, 5
+        assert loads_for_suspect([with_suspect, busy], 1.0) == [busy]
+        assert loads_for_suspect([with_suspect], 1.0) == [with_suspect]
+
+    def test_plain_calls_are_kept_from_their_server(self):
+        with_suspect, other = load(1), load(2)
+        with_suspect.suspects = 1
+        assert loads_beside_suspects(PLAIN, [with_suspect, other]) == [other]
+        assert loads_beside_suspects(PLAIN, [with_suspect]) == [with_suspect]
+        both = [with_suspect, other]
+        assert loads_beside_suspects(work("a"), both) == both
