Play limited servers and deadly requests in the soak

The soak named no Server-Limit, and no request crashed servers. Now servers name a limit for a while, and one body in fifty of the safe requests crashes each server that runs it; two guarantees count what reaches servers. Bodies differ otherwise, as those of callers do. Hosts that are cut off from all servers and brittle servers are played by real hosts in one process (relay/unreachable_servers_test, relay/brittle_servers_test): the soak's processes share their paths to servers.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -10,6 +10,7 @@
 
 from masticfork.core.backend_servers import Address
 from soak.records import Attempt, RequestKind
+from soak.servers import DEADLY_BODY
 from standins.entry_environment import request_headers
 
 # Timeout of each socket operation, including connecting.
@@ -20,6 +21,8 @@
 MAX_PAUSE_SECONDS = 0.08
 # Share of streams whose connection the caller closes before the end.
 EARLY_CLOSE_SHARE = 0.08
+# Share of safe requests with the body that crashes servers.
+DEADLY_SHARE = 0.02
 # Relative frequency of each kind of request.
 KIND_WEIGHTS = {
     RequestKind.SAFE: 4,
@@ -97,7 +100,10 @@
         attempt = initial
         try:
             path = f"/extra-{version}/x" if version else f"/{kind.value}/x"
-            connection.request("POST", path, b"body", self._headers(initial.id))
+            body = b"body %d" % self._count
+            if kind is RequestKind.SAFE and self._rng.random() < DEADLY_SHARE:
+                body = DEADLY_BODY
+            connection.request("POST", path, body, self._headers(initial.id))
             response = connection.getresponse()
             attempt = attrs.evolve(initial, status=response.status)
             attempt = self._read(attempt, response)
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -53,6 +53,8 @@
 STORE_DELAY_SECONDS = 0.5
 # Time from announcing a server as draining to its removal, as specified.
 DRAIN_SECONDS = 2.0
+# Time for which a crashed server is away.
+CRASH_SECONDS = 0.8
 # Required recovery time of the system: all hosts serve all routes again within this
 # time after the last fault.
 RECOVERY_SECONDS = 12.0
@@ -115,6 +117,8 @@
             list(self._fault_intervals),
             list(self._stalls),
             dict(self._config_written_at),
+            {n: list(item.script.arrivals) for n, item in enumerate(self._servers)},
+            sorted(at for item in self._servers for at in item.script.crashes),
         )
 
     @property
@@ -147,7 +151,13 @@
             host.store_proxy.close()
 
     def _add_server(self, index: int, service: str) -> None:
-        script = SoakServer(index, self._runs, random.Random(f"{self._seed}/{index}"))
+        script = SoakServer(
+            index,
+            self._runs,
+            random.Random(f"{self._seed}/{index}"),
+            # The main loop crashes it.
+            lambda: self._scheduled.append((0.0, lambda: self._crash(index))),
+        )
         answers = script.plain if service == SERVICE else script.stream
         scripted = ScriptedServer(answers)
         host, _, port = scripted.address.rpartition(":")
@@ -287,6 +297,8 @@
             return _inject_connection_fault(fault.kind, proxy)
         if fault.kind is FaultKind.SERVER_REPLACED:
             return self._replace_server(self._servers[fault.target], until)
+        if fault.kind is FaultKind.SERVER_LIMITED:
+            return self._limit_server(self._servers[fault.target])
         if fault.kind in SERVER_KINDS:
             return _inject_connection_fault(
                 fault.kind, self._servers[fault.target].proxy
@@ -337,6 +349,25 @@
 
         return end
 
+    def _crash(self, index: int) -> None:
+        """Reset all connections of a server; let it return as a new instance."""
+        server, now = self._servers[index], time.monotonic()
+        server.proxy.reset()
+        self._store.remove("servers", server.script.id)
+        returns_at = now + CRASH_SECONDS
+        self._scheduled.append((returns_at, lambda: self._write_entry(server)))
+        self._fault_intervals.append(
+            FaultInterval(FaultKind.SERVER_CONNECTIONS_RESET, index, now, returns_at)
+        )
+
+    def _limit_server(self, server: _Server) -> Callable[[], None]:
+        server.script.limited = True
+
+        def end() -> None:
+            server.script.limited = False
+
+        return end
+
     def _replace_server(self, server: _Server, until: float) -> Callable[[], None]:
         """Drain and remove a server; let it return later as a new instance."""
         old_id = server.script.id
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -6,13 +6,20 @@
 from masticfork.core.findings import Finding, SourceLocation
 from soak.records import (
     HOST_OUTAGES,
+    HOST_PROCESS_KINDS,
     SERVER_KINDS,
     Attempt,
+    FaultKind,
     History,
     RequestKind,
     Run,
 )
-from soak.servers import EVENT_COUNT, EVENT_PAUSE_SECONDS, plain_body
+from soak.servers import (
+    EVENT_COUNT,
+    EVENT_PAUSE_SECONDS,
+    LIMITED_RATE,
+    plain_body,
+)
 
 # Statuses that guarantee that the request has not run and never will.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -31,6 +38,11 @@
 # Runs allowed per request: the routes' maximum number of attempts.
 MAX_RUNS = {RequestKind.STREAM: 3}
 DEFAULT_MAX_RUNS = 2
+# Time after the first announcement of a limit by which all hosts know it.
+LIMIT_KNOWN_SECONDS = 0.6
+# Time after the third crash under a request by which all hosts know it, and the calls
+# of it that are allowed later.
+DEADLY_KNOWN_SECONDS, MAX_RETRIES_OF_DEADLY_REQUESTS = 3.0, 3
 
 
 def check_guarantees(history: History) -> list[Finding]:
@@ -269,6 +281,38 @@
             served[attempt.host, attempt.restarts].append(attempt)
 
 
+def limits_are_kept(history: History) -> Iterator[Finding]:
+    """Yield servers that got more requests than they said they take."""
+    for limit in history.fault_intervals:
+        since = limit.started_at + LIMIT_KNOWN_SECONDS
+        if limit.kind is not FaultKind.SERVER_LIMITED or limit.ended_at < since:
+            continue
+        # A host that starts knows no limit until it hears of it.
+        restarts = sum(
+            fault.kind in HOST_PROCESS_KINDS
+            and fault.overlaps(
+                limit.started_at - FAULT_LOOKBACK_SECONDS, limit.ended_at
+            )
+            for fault in history.fault_intervals
+        )
+        seconds = limit.ended_at - since
+        allowed = 1.5 * LIMITED_RATE * seconds + 5 + 3 * restarts
+        arrivals = history.arrivals.get(limit.target, [])
+        count = sum(since <= at <= limit.ended_at for at in arrivals)
+        if count > allowed:
+            message = f"got {count} requests in {seconds:.2f} s"
+            yield _finding("limit", f"server {limit.target}", message)
+
+
+def deadly_requests_are_kept_from_servers(history: History) -> Iterator[Finding]:
+    """Yield a request that goes on to crash servers after it has crashed three."""
+    if len(history.crashes) > MAX_RETRIES_OF_DEADLY_REQUESTS:
+        third = history.crashes[2]
+        late = [at for at in history.crashes if at > third + DEADLY_KNOWN_SECONDS]
+        if len(late) > MAX_RETRIES_OF_DEADLY_REQUESTS:
+            yield _finding("deadly", "body", f"{len(late)} crashes after the third")
+
+
 Guarantee = Callable[[History], Iterator[Finding]]
 
 GUARANTEES: tuple[Guarantee, ...] = (
@@ -283,4 +327,6 @@
     runs_are_bounded,
     runs_belong_to_requests,
     configuration_never_regresses,
+    limits_are_kept,
+    deadly_requests_are_kept_from_servers,
 )
--- a/soak/guarantees_test.py
+++ b/soak/guarantees_test.py
@@ -29,7 +29,12 @@
 
 
 def found_codes(
-    attempts, runs=(), fault_intervals=(), stalls=(), config_written_at=None
+    attempts=(),
+    runs=(),
+    fault_intervals=(),
+    stalls=(),
+    config_written_at=None,
+    **more,
 ):
     history = History(
         list(attempts),
@@ -37,6 +42,7 @@
         list(fault_intervals),
         list(stalls),
         config_written_at or {},
+        **more,
     )
     return [finding.code for finding in check_guarantees(history)]
 
@@ -118,6 +124,17 @@
         older = attrs.evolve(older, ended_at=STARTED_AT + 1.1)
         assert found_codes([newer, older]) == ["soak.regress"]
 
+    @pytest.mark.parametrize(("count", "codes"), [(20, ["soak.limit"]), (8, [])])
+    def test_more_requests_than_a_server_takes(self, count, codes):
+        limit = FaultInterval(FaultKind.SERVER_LIMITED, 0, STARTED_AT, STARTED_AT + 2.0)
+        arrivals = [STARTED_AT + 0.7 + number * 0.05 for number in range(count)]
+        assert found_codes(fault_intervals=[limit], arrivals={0: arrivals}) == codes
+
+    @pytest.mark.parametrize(("count", "codes"), [(7, ["soak.deadly"]), (6, [])])
+    def test_a_request_that_goes_on_to_crash_servers(self, count, codes):
+        crashes = [STARTED_AT + 4.0 * number for number in range(count)]
+        assert found_codes(crashes=crashes) == codes
+
 
 class TestExcusedFailures:
     def test_a_killed_host_excuses_a_lost_answer(self):
--- a/soak/records.py
+++ b/soak/records.py
@@ -21,6 +21,7 @@
     SERVER_REQUESTS_HELD = "bytes to a server held"
     SERVER_TRAFFIC_HELD = "bytes of a server held both ways"
     SERVER_REPLACED = "server leaves and returns"
+    SERVER_LIMITED = "server names a request rate"
     STORE_TRAFFIC_HELD = "bytes of one host and the store held"
     STORE_CONNECTIONS_RESET = "connections of one host to the store reset"
     STORE_DOWN = "store down"
@@ -53,6 +54,7 @@
         FaultKind.SERVER_REQUESTS_HELD,
         FaultKind.SERVER_TRAFFIC_HELD,
         FaultKind.SERVER_REPLACED,
+        FaultKind.SERVER_LIMITED,
     }
 )
 # Kinds during which a host may answer late or not at all.
@@ -141,3 +143,7 @@
     stalls: list[tuple[float, float]]
     # When each version of the configuration was written.
     config_written_at: dict[int, float]
+    # Times at which requests reached each server.
+    arrivals: dict[int, list[float]] = attrs.field(factory=dict)
+    # Times at which the request that crashes servers reached one.
+    crashes: list[float] = attrs.field(factory=list)
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -18,6 +18,10 @@
     stream_head,
 )
 
+# Body of the request that crashes each server that begins to run it.
+DEADLY_BODY = b"deadly"
+# Requests a second that a limited server names.
+LIMITED_RATE = 2
 # Events of a complete stream, and the pause before each.
 EVENT_COUNT = 10
 EVENT_PAUSE_SECONDS = 0.03
@@ -55,6 +59,12 @@
     index: int
     runs: list[Run]
     rng: random.Random
+    # Called as a deadly request crashes the server.
+    on_crash: Callable[[], None]
+    # Whether the server names a request rate.
+    limited: bool = False
+    arrivals: list[float] = attrs.field(factory=list)
+    crashes: list[float] = attrs.field(factory=list)
     # Instance identifier in the store; a replacement at the same address has another.
     id: str = ""
 
@@ -72,8 +82,27 @@
         faults: tuple[str, ...],
         answer_script: _AnswerScript,
     ) -> _Chunks:
-        """Refuse the request, or run it and record the run."""
+        """Refuse the request, or run it and record the run.
+
+        All answers of a limited server name its limit.
+        """
+        self.arrivals.append(time.monotonic())
+        limit = b"\r\nServer-Limit: %d\r\n\r\n" % LIMITED_RATE
+        for number, data in enumerate(self._answer(request, faults, answer_script)):
+            limited = self.limited and number == 0
+            yield data.replace(b"\r\n\r\n", limit, 1) if limited else data
+
+    def _answer(
+        self,
+        request: ReceivedRequest,
+        faults: tuple[str, ...],
+        answer_script: _AnswerScript,
+    ) -> _Chunks:
         fault = self._choose_fault(request, faults)
+        if not fault and request.body == DEADLY_BODY:
+            self.crashes.append(time.monotonic())
+            self.on_crash()
+            raise ResetConnectionError
         if fault in ("refused", "reset"):
             yield from _refuse(fault)
             return
