Do not take a misdirected refusal for a sign of life of the crashed server

A server that starts at the address of a crashed one refuses calls meant for that one with 421. The response came on a row of the crashed incarnation, counted as its sign of life, and cleared the crash, so the request was never convicted where such a call followed.

Now a misdirected refusal tells nothing of the expected server.

The soak's own model was wrong as well: a crashed server went on answering for 0.8 s and answered some deadly requests. It refuses connections now, as the port of a dead process does, and a wrong instance answers 421.

--- a/masticfork/core/forwarding.py
+++ b/masticfork/core/forwarding.py
@@ -93,6 +93,8 @@
     signed: bool
     # Whether the server states that it did not run the request.
     not_run: bool
+    # Whether another server than the expected one has refused the request.
+    misdirected: bool
     # Whether the server announces that it is leaving.
     leaving: bool
     # Seconds for which a server that rejected the request wants no further calls from
--- a/masticfork/platform/wire.py
+++ b/masticfork/platform/wire.py
@@ -104,6 +104,7 @@
         attempt_id=fields.get(names.ATTEMPT_ID, b""),
         signed=names.SERVER_STAMP in fields,
         not_run=names.NOT_EXECUTED in fields or status == _MISDIRECTED_STATUS,
+        misdirected=status == _MISDIRECTED_STATUS,
         leaving=fields.get(names.SERVER_LEAVING, b"").strip() == b"1",
         pause=_pause_seconds(status, fields.get(names.RETRY_AFTER)),
         limit=_request_rate(fields.get(names.SERVER_LIMIT)),
--- a/masticfork/relay/call_evidence.py
+++ b/masticfork/relay/call_evidence.py
@@ -66,8 +66,9 @@
         Apply what the server announces about itself in the response.
         """
         self._own_loads.read(record)
-        record.row.load.record_heard(self._loop.now)
-        self._quarantine.record_alive(record)
+        if not head.misdirected:
+            record.row.load.record_heard(self._loop.now)
+            self._quarantine.record_alive(record)
         if head.leaving:
             self._tables.record_leaving(record.row, "response")
         if head.pause is not None:
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -1,6 +1,7 @@
 """The environment of a soak: processes, servers and proxies, with fault injection."""
 
 import json
+import queue
 import random
 import signal
 import threading
@@ -87,6 +88,8 @@
     proxy: FaultProxy
     service: str
     starts: int = 0
+    # Whether it has crashed and refuses connections.
+    down: bool = False
 
 
 class SoakEnvironment:
@@ -105,6 +108,8 @@
         self._config_written_at: dict[int, float] = {}
         self._findings: list[Finding] = []
         self._scheduled: list[tuple[float, Callable[[], None]]] = []
+        # Servers that a deadly request has crashed, from the threads that serve it.
+        self._crashed: queue.SimpleQueue[int] = queue.SimpleQueue()
         self._checks = 0
         self.shared = SharedState([])
 
@@ -155,8 +160,7 @@
             index,
             self._runs,
             random.Random(f"{self._seed}/{index}"),
-            # The main loop crashes it.
-            lambda: self._scheduled.append((0.0, lambda: self._crash(index))),
+            lambda: self._on_crash(index),
         )
         answers = script.plain if service == SERVICE else script.stream
         scripted = ScriptedServer(answers)
@@ -191,10 +195,16 @@
         """
         started_at = time.monotonic()
         pending = list(faults)
-        while time.monotonic() - started_at < seconds or self._scheduled:
+        while (
+            time.monotonic() - started_at < seconds
+            or self._scheduled
+            or not self._crashed.empty()
+        ):
             now = time.monotonic()
             while pending and pending[0].at <= now - started_at:
                 self._inject(pending.pop(0), now)
+            while not self._crashed.empty():
+                self._restart_crashed(self._crashed.get())
             due = [entry for entry in self._scheduled if entry[0] <= now]
             self._scheduled = [entry for entry in self._scheduled if entry[0] > now]
             for _, revert in due:
@@ -349,13 +359,26 @@
 
         return end
 
-    def _crash(self, index: int) -> None:
-        """Reset all connections of a server; let it return as a new instance."""
+    def _on_crash(self, index: int) -> None:
+        """Make a server refuse all connections; the main loop does the rest."""
+        self._servers[index].proxy.refuse()
+        self._crashed.put(index)
+
+    def _restart_crashed(self, index: int) -> None:
+        """Let a crashed server return as a new instance."""
         server, now = self._servers[index], time.monotonic()
-        server.proxy.reset()
+        if server.down:
+            return
+        server.down = True
         self._store.remove("servers", server.script.id)
+
+        def return_to_service() -> None:
+            server.down = False
+            server.proxy.accept_again()
+            self._write_entry(server)
+
         returns_at = now + CRASH_SECONDS
-        self._scheduled.append((returns_at, lambda: self._write_entry(server)))
+        self._scheduled.append((returns_at, return_to_service))
         self._fault_intervals.append(
             FaultInterval(FaultKind.SERVER_CONNECTIONS_RESET, index, now, returns_at)
         )
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -13,6 +13,7 @@
     ResetConnectionError,
     chunk,
     event,
+    misdirected_response,
     overloaded_response,
     response,
     stream_head,
@@ -99,11 +100,11 @@
         answer_script: _AnswerScript,
     ) -> _Chunks:
         fault = self._choose_fault(request, faults)
-        if not fault and request.body == DEADLY_BODY:
+        if fault not in ("refused", "misdirected") and request.body == DEADLY_BODY:
             self.crashes.append(time.monotonic())
             self.on_crash()
             raise ResetConnectionError
-        if fault in ("refused", "reset"):
+        if fault in ("refused", "misdirected", "reset"):
             yield from _refuse(fault)
             return
         run = Run(
@@ -117,7 +118,7 @@
 
     def _choose_fault(self, request: ReceivedRequest, faults: tuple[str, ...]) -> str:
         if request.headers.get("x-masticfork-expect-instance") != self.id:
-            return "refused"
+            return "misdirected"
         return self.rng.choice(faults) if self.rng.random() < FAULT_SHARE else ""
 
     def _plain_answer(self, request: ReceivedRequest, fault: str) -> Iterator[bytes]:
@@ -157,4 +158,4 @@
 def _refuse(fault: str) -> Iterator[bytes]:
     if fault == "reset":
         raise ResetConnectionError
-    yield overloaded_response()
+    yield misdirected_response() if fault == "misdirected" else overloaded_response()
--- a/standins/fake_exchange.py
+++ b/standins/fake_exchange.py
@@ -232,6 +232,7 @@
         attempt_id=ATTEMPT_ID,
         signed=True,
         not_run=False,
+        misdirected=False,
         leaving=False,
         pause=None,
         limit=None,
--- a/standins/fault_proxy.py
+++ b/standins/fault_proxy.py
@@ -49,13 +49,14 @@
         self._reset_count = 0
         self._closed = False
         self._sock = socket.create_server((LOOPBACK, 0), backlog=BACKLOG)
+        host, port = self._sock.getsockname()
+        self._address = Address(host, port)
         threading.Thread(target=self._accept, daemon=True).start()
 
     @property
     def address(self) -> Address:
         """Return the address at which the proxy listens."""
-        host, port = self._sock.getsockname()
-        return Address(host, port)
+        return self._address
 
     def hold(self, *, to_server: bool, from_server: bool) -> None:
         """Hold the bytes of the given directions and release the others."""
@@ -78,18 +79,36 @@
             self._reset_count += 1
             self._state_changed.notify_all()
 
+    def refuse(self) -> None:
+        """Reset all connections and refuse new ones, as a crashed target does."""
+        self._stop_listening()
+        self.reset()
+
+    def accept_again(self) -> None:
+        """Accept connections again after `refuse`."""
+        if not self._closed:
+            address = self.address
+            self._sock = socket.create_server(
+                (address.host, address.port), backlog=BACKLOG
+            )
+            threading.Thread(target=self._accept, daemon=True).start()
+
     def close(self) -> None:
         """Stop listening and reset all open connections."""
         self._closed = True
+        self._stop_listening()
+        self.reset()
+
+    def _stop_listening(self) -> None:
         with contextlib.suppress(OSError):
             self._sock.shutdown(socket.SHUT_RDWR)
         self._sock.close()
-        self.reset()
 
     def _accept(self) -> None:
+        listener = self._sock
         while True:
             try:
-                caller, _ = self._sock.accept()
+                caller, _ = listener.accept()
             except OSError:
                 return
             threading.Thread(target=self._connect, args=(caller,), daemon=True).start()
--- a/standins/scripted_server.py
+++ b/standins/scripted_server.py
@@ -139,6 +139,11 @@
     )
 
 
+def misdirected_response() -> bytes:
+    """Return the response of a server that is not the expected one."""
+    return b"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n"
+
+
 def stream_head(request: ReceivedRequest, confidence: int | None = None) -> bytes:
     """Return the status line and headers of an event stream."""
     lines = [
