Keep the evidence on crashes apart from the quarantine

No change of behaviour; tests as before. Two tests of unreachable servers share the opening of a raw request.

--- a/masticfork/relay/request_quarantine_test.py
+++ b/masticfork/relay/request_quarantine_test.py
@@ -13,7 +13,7 @@
 from masticfork.relay.request_quarantine import MAX_LINK_SECONDS, RequestQuarantine
 from masticfork.relay.server_call import CallFailure, Stage
 from masticfork.systems import crash_quarantine
-from masticfork.systems.crash_quarantine import MIN_CRASHES
+from masticfork.systems.crash_evidence import MIN_CRASHES
 from masticfork.systems.failed_calls import CallOutcome
 from masticfork.systems.server_choice import Work
 from standins.entry_environment import (
--- a/masticfork/relay/unreachable_servers_test.py
+++ b/masticfork/relay/unreachable_servers_test.py
@@ -178,6 +178,14 @@
     def requests(self, env):
         return [request for server in env.servers for request in server.requests]
 
+    def open_request(self, env, path):
+        """Send a request; return its connection, from which nothing was read."""
+        sock = socket.create_connection((env.front.host, env.front.port))
+        headers = env.headers({"Content-Length": "0"})
+        lines = [f"{name}: {value}" for name, value in headers.items()]
+        sock.sendall("\r\n".join([f"POST {path} HTTP/1.1", *lines, "", ""]).encode())
+        return sock
+
     def test_answer_that_ends_with_its_connection_is_whole(self, cut_off):
         def unframed(request):
             yield unframed_head(request)
@@ -248,11 +256,7 @@
                 yield chunk(event(number))
 
         self.use(cut_off, endless)
-        with socket.create_connection((cut_off.front.host, cut_off.front.port)) as sock:
-            headers = cut_off.headers({"Content-Length": "0"})
-            lines = [f"{name}: {value}" for name, value in headers.items()]
-            head = "\r\n".join(["POST /streaming/x HTTP/1.1", *lines, "", ""])
-            sock.sendall(head.encode())
+        with self.open_request(cut_off, "/streaming/x") as sock:
             sock.recv(4096)
         abandoned = [server.abandoned for server in cut_off.servers]
         cut_off.wait_until(
@@ -272,11 +276,7 @@
             raise CloseConnectionError
 
         self.use(cut_off, large)
-        with socket.create_connection((cut_off.front.host, cut_off.front.port)) as sock:
-            headers = cut_off.headers({"Content-Length": "0"})
-            lines = [f"{name}: {value}" for name, value in headers.items()]
-            head = "\r\n".join(["POST /safe/x HTTP/1.1", *lines, "", ""])
-            sock.sendall(head.encode())
+        with self.open_request(cut_off, "/safe/x"):
             time.sleep(1.5)
             assert 0 < sum(sent) < 40 << 20
 
--- a/masticfork/systems/crash_quarantine.py
+++ b/masticfork/systems/crash_quarantine.py
@@ -10,26 +10,25 @@
 """
 
 import enum
-from collections import Counter, OrderedDict, defaultdict, deque
+from collections import OrderedDict, deque
 from collections.abc import Iterable, Mapping
 
 import attrs
 
-from masticfork.core.crash_reports import (
-    REQUEST_POSITION,
-    CrashObservation,
-    CrashReport,
+from masticfork.core.crash_reports import CrashObservation, CrashReport
+from masticfork.systems.crash_evidence import (
+    MIN_CRASHES,
+    SETTLING_SECONDS,
+    CrashEvidence,
+    Observation,
+    count_incidents,
+    positions,
 )
 
-# Crashes within this time count as one: servers of a rack or zone fail together. The
-# shorter time holds for a request, which a host sends to the next server at once.
-INCIDENT_SECONDS, REQUEST_INCIDENT_SECONDS = 0.25, 0.04
-# Time for which observations wait for those of other hosts, which may explain the same
-# crash better.
-SETTLING_SECONDS = 0.6
-# Crashes after which a suspect is put into quarantine; for a part that was answered
-# before the first of them; and for a request that was once the only one of the crash.
-MIN_CRASHES, MIN_CRASHES_OF_ANSWERED_PARTS, MIN_CRASHES_OF_LONE_REQUESTS = 3, 5, 2
+# Crashes after which a suspect is put into quarantine, `MIN_CRASHES` for others: for a
+# part that was answered before the first of them, and for a request that was once the
+# only one of the crash.
+MIN_CRASHES_OF_ANSWERED_PARTS, MIN_CRASHES_OF_LONE_REQUESTS = 5, 2
 # Crashes after which a part that was never answered is put into quarantine if they took
 # many servers, and the number of these: where many requests hold a deadly part, all
 # servers crash within a second, and the next ones only when they are back.
@@ -53,7 +52,6 @@
 # Remaining time below which a quarantine is not told any more: the others hold it too,
 # and its end differs by the time of a digest on the way.
 MIN_TOLD_SECONDS = 5.0
-MAX_OBSERVATIONS = 4096
 MAX_QUARANTINES = 256
 # Suspected requests of other hosts that are remembered to be running.
 MAX_RUNNING_ELSEWHERE = 1024
@@ -97,23 +95,6 @@
     released: tuple[Quarantine, ...] = ()
 
 
-@attrs.frozen
-class _Observation:
-    """A request with the suspect was unanswered when its server crashed."""
-
-    suspect: int
-    server: int
-    # Index of the part in the prompt, or `REQUEST_POSITION`.
-    position: int
-    at: float
-    own: bool
-
-    @property
-    def is_request(self) -> bool:
-        """Return whether the suspect is a whole request."""
-        return self.position == REQUEST_POSITION
-
-
 @attrs.frozen
 class _AbandonedCall:
     """An unanswered call that this host has ended while its server was at work."""
@@ -150,12 +131,7 @@
     of the event loop, in seconds.
     """
 
-    # By suspect and server.
-    _observations: dict[tuple[int, int], _Observation] = attrs.field(factory=dict)
-    # Keys of the observations of each suspect, and of each server.
-    _observations_of: defaultdict[int, set[tuple[int, int]]] = attrs.field(
-        factory=lambda: defaultdict(set)
-    )
+    _evidence: CrashEvidence = attrs.field(factory=CrashEvidence)
     # The latest ones.
     _abandoned: deque[_AbandonedCall] = attrs.field(
         factory=lambda: deque(maxlen=MAX_ABANDONED_CALLS)
@@ -181,22 +157,22 @@
     @property
     def active(self) -> bool:
         """Return whether anything is suspected or in quarantine."""
-        return bool(self._observations or self._quarantines)
+        return bool(self._evidence or self._quarantines)
 
     def record_crash(
         self, parts: Iterable[int], server: int, now: float, request: int | None = None
     ) -> None:
         """Record that a call was lost, and its suspects if it got no answer."""
         self._observe_abandoned_calls(server, now)
-        for suspect, position in _positions(parts, request):
-            self._observe(_Observation(suspect, server, position, now, own=True))
+        for suspect, position in positions(parts, request):
+            self._observe(Observation(suspect, server, position, now, own=True))
             self._extend_quarantine(suspect, now + QUARANTINE_SECONDS)
 
     def record_abandoned(
         self, parts: Iterable[int], server: int, now: float, request: int | None = None
     ) -> None:
         """Record that this host has ended an unanswered call with these suspects."""
-        suspects = _positions(parts, request)
+        suspects = positions(parts, request)
         self._abandoned.append(_AbandonedCall(suspects, server, now))
 
     def record_answer(
@@ -207,16 +183,15 @@
             self._clear(part, now)
         # Only suspects are remembered: requests are too many.
         if request is not None and (
-            request in self._observations_of or request in self._quarantines
+            request in self._evidence or request in self._quarantines
         ):
             self._clear(request, now)
 
     def retract(self, since: float) -> None:
         """Drop the crashes that this host has seen since a time: they were none."""
-        seen = list(self._observations.values())
-        for item in seen:
-            if item.own and item.at >= since:
-                self._forget(item)
+        self._evidence.forget(
+            item for item in self._evidence.all() if item.own and item.at >= since
+        )
 
     def record_alive(self, server: int, at: float) -> None:
         """Record that a server was running at a time."""
@@ -224,8 +199,7 @@
 
     def suspicion_of(self, request: int, now: float) -> Suspicion:
         """Return how a request that is not in quarantine may be sent."""
-        keys = self._observations_of.get(request)
-        if not keys:
+        if request not in self._evidence:
             return Suspicion.NONE
         if self.seconds_until_run(request, now) > 0.0:
             return Suspicion.HELD
@@ -235,8 +209,8 @@
         """Return how long a suspected request is held, or 0."""
         if request in self._running or self._running_elsewhere.get(request, 0.0) > now:
             return RERUN_SECONDS
-        seen = [self._observations[k] for k in self._observations_of.get(request, ())]
-        if _count_incidents(seen) < MIN_CRASHES_OF_LONE_REQUESTS:
+        seen = self._evidence.of(request)
+        if count_incidents(seen) < MIN_CRASHES_OF_LONE_REQUESTS:
             return 0.0
         settled_at = max(item.at for item in seen) + SETTLING_SECONDS + RERUN_SECONDS
         return max(0.0, settled_at - now)
@@ -269,10 +243,10 @@
             self._clear(key, now - age)
         for item in report.observations:
             at = now - item.age
-            if item.server not in self._observations_of:
+            if item.server not in self._evidence:
                 self._observe_abandoned_calls(item.server, at)
             self._observe(
-                _Observation(item.suspect, item.server, item.position, at, own=False)
+                Observation(item.suspect, item.server, item.position, at, own=False)
             )
         for request in report.running:
             self._running_elsewhere[request] = now + RUNNING_SECONDS
@@ -304,7 +278,7 @@
     ) -> CrashReport:
         recent = [
             item
-            for item in self._observations.values()
+            for item in self._evidence.all()
             if item.own and now - item.at < max_age
         ]
         # Suspects that were never answered first, then those seen in several crashes,
@@ -312,7 +286,7 @@
         recent.sort(
             key=lambda item: (
                 item.suspect in self._answered_at,
-                -len(self._observations_of[item.suspect]),
+                -len(self._evidence.crashed_servers(item.suspect)),
                 -item.at,
             )
         )
@@ -340,8 +314,9 @@
         if not (self.active or self._clearances):
             return QuarantineChanges()
         oldest = now - OBSERVATION_LIFETIME_SECONDS
-        for item in [i for i in self._observations.values() if i.at <= oldest]:
-            self._forget(item)
+        self._evidence.forget(
+            item for item in self._evidence.all() if item.at <= oldest
+        )
         self._clearances = {
             key: item for key, item in self._clearances.items() if now < item.told_until
         }
@@ -356,10 +331,11 @@
 
     def _quarantine(self, suspect: int, now: float) -> None:
         """Put a suspect into quarantine; release those whose crashes it explains."""
-        crashes = _count_incidents(self._unexplained_suspects(now)[suspect])
+        unexplained = self._evidence.unexplained(self._quarantines, now)
+        crashes = count_incidents(unexplained[suspect])
         for other in list(self._quarantines):
-            servers = self._crashed_servers(other)
-            if servers and servers <= self._crashed_servers(suspect):
+            servers = self._evidence.crashed_servers(other)
+            if servers and servers <= self._evidence.crashed_servers(suspect):
                 self._clear(other, now)
         self._begin(Quarantine(suspect, now + QUARANTINE_SECONDS, crashes))
 
@@ -369,8 +345,7 @@
             first = min(self._quarantines.values(), key=lambda q: q.until)
             self._release(first)
             # They would put it into quarantine again.
-            for key in list(self._observations_of.get(first.suspect, ())):
-                self._forget(self._observations[key])
+            self._evidence.forget(self._evidence.of(first.suspect))
         self._quarantines[quarantine.suspect] = quarantine
         self._added.append(quarantine)
 
@@ -385,9 +360,6 @@
                 trial_at=max(quarantine.trial_at, first_trial_at),
             )
 
-    def _crashed_servers(self, suspect: int) -> set[int]:
-        return {server for _, server in self._observations_of.get(suspect, ())}
-
     def _release(self, quarantine: Quarantine) -> None:
         del self._quarantines[quarantine.suspect]
         self._released.append(quarantine)
@@ -399,7 +371,7 @@
         sound, and parts that many requests share are in most crashes by chance. A
         request may crash servers that have answered it before.
         """
-        suspects = self._unexplained_suspects(now)
+        suspects = self._evidence.unexplained(self._quarantines, now)
         unanswered = {
             suspect
             for suspect, seen in suspects.items()
@@ -409,11 +381,13 @@
         has_answers = any(suspect in self._answered_at for suspect in suspects)
         counts: dict[int, int] = {}
         for suspect, seen in suspects.items():
-            count = _count_incidents(seen)
-            if seen[0].is_request:
-                suffices = count >= self._crashes_to_convict_request(seen)
+            count = count_incidents(seen)
+            if seen[0].is_request and self._evidence.was_lone(seen):
+                suffices = count >= MIN_CRASHES_OF_LONE_REQUESTS
             elif suspect not in unanswered:
                 suffices = count >= MIN_CRASHES_OF_ANSWERED_PARTS
+            elif seen[0].is_request:
+                suffices = count >= MIN_CRASHES
             elif has_answers and len(seen) >= MANY_SERVERS:
                 suffices = count >= MIN_INCIDENTS_OF_MANY_SERVERS
             else:
@@ -428,20 +402,8 @@
             default=None,
         )
 
-    def _crashes_to_convict_request(self, observations: list[_Observation]) -> int:
-        """Return the crashes after which a request is put into quarantine."""
-        was_lone = any(
-            sum(
-                self._observations[key].is_request
-                for key in self._observations_of[item.server]
-            )
-            == 1
-            for item in observations
-        )
-        return MIN_CRASHES_OF_LONE_REQUESTS if was_lone else MIN_CRASHES
-
     def _guilt_order(
-        self, suspect: int, observations: list[_Observation]
+        self, suspect: int, observations: list[Observation]
     ) -> tuple[float, int]:
         """Return a sort key by which the most suspicious of tied ones comes first.
 
@@ -452,59 +414,20 @@
         answered_at = self._answered_at.get(suspect, float("-inf"))
         return answered_at, -max(item.position for item in observations)
 
-    def _unexplained_suspects(self, now: float) -> dict[int, list[_Observation]]:
-        """Return the settled observations of crashes that no quarantine explains.
-
-        Requests with a deadly part crash servers too; until they have done so more
-        often than its other requests, their quarantines do not explain it.
-        """
-        guilty = [
-            item
-            for item in self._observations.values()
-            if item.suspect in self._quarantines
-        ]
-        crashes = Counter(item.suspect for item in guilty)
-        explained = {item.server for item in guilty}
-        explained_for_parts = {
-            item.server
-            for item in guilty
-            if not item.is_request or crashes[item.suspect] >= MIN_CRASHES
-        }
-        suspects: dict[int, list[_Observation]] = {}
-        for item in self._observations.values():
-            servers = explained if item.is_request else explained_for_parts
-            if item.server not in servers and now - item.at >= SETTLING_SECONDS:
-                suspects.setdefault(item.suspect, []).append(item)
-        return suspects
-
-    def _observe(self, seen: _Observation) -> None:
+    def _observe(self, seen: Observation) -> None:
         latest_answer = max(
             self._answered_at.get(seen.suspect, float("-inf")),
             self._answered_at.get(seen.server, float("-inf")),
         )
-        key = (seen.suspect, seen.server)
-        if latest_answer >= seen.at or key in self._observations:
-            return
-        self._observations[key] = seen
-        for index in key:
-            self._observations_of[index].add(key)
-        if len(self._observations) > MAX_OBSERVATIONS:
-            self._forget(next(iter(self._observations.values())))
+        if latest_answer < seen.at:
+            self._evidence.add(seen)
 
     def _observe_abandoned_calls(self, server: int, at: float) -> None:
         """Record the suspects of calls that this host had ended just before a crash."""
         for call in self._abandoned:
             if call.server == server and 0.0 <= at - call.at <= ABANDONED_SECONDS:
                 for suspect, position in call.suspects:
-                    self._observe(_Observation(suspect, server, position, at, own=True))
-
-    def _forget(self, seen: _Observation) -> None:
-        key = (seen.suspect, seen.server)
-        del self._observations[key]
-        for index in key:
-            self._observations_of[index].discard(key)
-            if not self._observations_of[index]:
-                del self._observations_of[index]
+                    self._observe(Observation(suspect, server, position, at, own=True))
 
     def _clear(self, key: int, at: float) -> None:
         """Drop the observations of a suspect or a server from before an answer."""
@@ -512,10 +435,8 @@
         self._answered_at.move_to_end(key)
         if len(self._answered_at) > MAX_ANSWERED_KEYS:
             self._answered_at.popitem(last=False)
-        seen_items = (self._observations[k] for k in self._observations_of.get(key, ()))
-        cleared = [item for item in seen_items if item.at <= at]
-        for item in cleared:
-            self._forget(item)
+        cleared = [item for item in self._evidence.of(key) if item.at <= at]
+        self._evidence.forget(cleared)
         quarantine = self._quarantines.get(key)
         if quarantine is not None and quarantine.evidence_until < at:
             self._release(quarantine)
@@ -527,22 +448,3 @@
         """Tell other hosts of a clearance, before those of earlier ones."""
         self._clearances.pop(key, None)
         self._clearances[key] = clearance
-
-
-def _positions(
-    parts: Iterable[int], request: int | None
-) -> tuple[tuple[int, int], ...]:
-    """Return the suspects of a call, each with its position."""
-    # A later part would be taken for a request.
-    indexed = tuple(zip(parts, range(REQUEST_POSITION), strict=False))
-    return indexed if request is None else (*indexed, (request, REQUEST_POSITION))
-
-
-def _count_incidents(observations: list[_Observation]) -> int:
-    """Return the number of crashes, counting those at the same time as one."""
-    count, latest = 0, float("-inf")
-    for item in sorted(observations, key=lambda item: item.at):
-        gap = REQUEST_INCIDENT_SECONDS if item.is_request else INCIDENT_SECONDS
-        if item.at - latest >= gap:
-            count, latest = count + 1, item.at
-    return count
--- a/masticfork/systems/crash_quarantine_test.py
+++ b/masticfork/systems/crash_quarantine_test.py
@@ -6,22 +6,24 @@
 import pytest
 
 from masticfork.core.crash_reports import CrashReport
+from masticfork.systems.crash_evidence import (
+    INCIDENT_SECONDS,
+    MAX_OBSERVATIONS,
+    MIN_CRASHES,
+    SETTLING_SECONDS,
+)
 from masticfork.systems.crash_quarantine import (
     ABANDONED_SECONDS,
     FIRST_TRIAL_SECONDS,
-    INCIDENT_SECONDS,
     MANY_SERVERS,
-    MAX_OBSERVATIONS,
     MAX_QUARANTINES,
     MAX_REPORTED,
-    MIN_CRASHES,
     MIN_CRASHES_OF_ANSWERED_PARTS,
     OBSERVATION_LIFETIME_SECONDS,
     QUARANTINE_SECONDS,
     REPORT_SECONDS,
     RERUN_SECONDS,
     RUNNING_SECONDS,
-    SETTLING_SECONDS,
     TRIAL_GROWTH_FACTOR,
     CrashQuarantine,
     Suspicion,
@@ -417,7 +419,7 @@
         second.record_answer([COMMON], 1.2)
         second.apply_report(attrs.evolve(report), 1.1)
         second.apply_report(first.report(1.3), 1.3)
-        assert not second._observations
+        assert not second._evidence
 
 
 @attrs.define
@@ -628,7 +630,7 @@
         lose(quarantine, self.REQUEST, 13.0)
         lose(quarantine, self.REQUEST, 14.0)
         assert quarantined(quarantine, 15.0) == {self.REQUEST}
-        assert len(quarantine._observations) <= MAX_OBSERVATIONS
+        assert len(quarantine._evidence) <= MAX_OBSERVATIONS
         assert len(quarantine.report(15.0).observations) <= MAX_REPORTED
 
     def test_number_of_quarantines_is_bounded(self):
