Remove servers that left at once while only this host is turned away

The store turned front-andina-b-1 away from 11 s on, and served the others. The entry of the server was deleted at 13.9 s; a-1, a-2 and c-1 removed it at 14.32 s, b-1 gave it 1.7 s of grace ("server missing" at 14.318, removed at 16.019 s), since its own listing of hosts still failed: entries that lapsed in an outage come back within two seconds. There was no outage for the servers.

Now a missing entry gets that grace only if the store has failed for half of the other hosts that read it, or there are none to tell.

--- a/masticfork/relay/store_view.py
+++ b/masticfork/relay/store_view.py
@@ -82,6 +82,9 @@
         self._on_update = on_update
         self._mirrors = {kind: KindMirror() for kind in MIRRORED_KINDS}
         self._failed_at = float("-inf")
+        # Loop time since which most of the other hosts that read the store have done so
+        # without failures, None if they have not or there are none.
+        self._sound_for_others_since: float | None = None
         self._failing: set[str] = set()
         self._failing_since: float | None = None
         self._failure_known_until = 0.0
@@ -137,8 +140,12 @@
         digests = self._peers.live_digests
         readers = [digest for digest in digests if digest.reading]
         failing = sum(digest.store_failing for digest in readers)
-        if readers and not reading and 2 * failing >= len(readers):
-            self._failed_at = now
+        if 2 * failing >= len(readers):
+            self._sound_for_others_since = None
+            if readers and not reading:
+                self._failed_at = now
+        elif self._sound_for_others_since is None:
+            self._sound_for_others_since = now
         if not reading:
             self._follow_positions(readers)
         if not any(self._is_ahead(digest, reading) for digest in digests):
@@ -221,7 +228,7 @@
                 self._apply_configuration(stored, source)
             elif kind == names.KIND_SERVERS and change.deleted:
                 self._tables.remove_server(
-                    stored.name, with_grace=self._failed_recently
+                    stored.name, with_grace=self._entries_may_return
                 )
             elif kind == names.KIND_SERVERS:
                 for server in self._valid([decode_server(stored)]):
@@ -245,8 +252,15 @@
             self._log("store lost", kind=kind, error=error.message)
 
     @property
-    def _failed_recently(self) -> bool:
-        return self._loop.now - self._failed_at < STORE_RECOVERY_SECONDS
+    def _entries_may_return(self) -> bool:
+        """Return whether entries may be missing since the store has failed.
+
+        A store that only turns this host away goes on for the servers.
+        """
+        now, sound_since = self._loop.now, self._sound_for_others_since
+        if now - self._failed_at >= STORE_RECOVERY_SECONDS:
+            return False
+        return sound_since is None or now - sound_since < STORE_RECOVERY_SECONDS
 
     def _record_recovery(self, kind: str) -> None:
         if kind in self._failing:
@@ -270,7 +284,7 @@
             self._mirror_configuration()
         elif kind == names.KIND_SERVERS:
             servers = self._valid([decode_server(stored) for stored in objects])
-            grace = self._failed_recently or restored
+            grace = self._entries_may_return or restored
             self._tables.list_servers(servers, grace, restored)
         elif kind == names.KIND_ROLLOUTS:
             rollouts = self._valid(
