Send no calls for a while to a server in whose place another one answers

Now a misdirected refusal pauses the server for two seconds, on this host only: by then its entry is removed, and if the refusal was a fault it is used again. Two tests failed before (12 and 4 calls at the wrong server, at most 1 now).

In the soak a crash and a planned replacement at the same time left an entry that nobody removed; a real one would have lapsed. It is removed now.

--- a/masticfork/relay/call_evidence.py
+++ b/masticfork/relay/call_evidence.py
@@ -66,7 +66,9 @@
         Apply what the server announces about itself in the response.
         """
         self._own_loads.read(record)
-        if not head.misdirected:
+        if head.misdirected:
+            self._tables.record_misdirected(record.row)
+        else:
             record.row.load.record_heard(self._loop.now)
             self._quarantine.record_alive(record)
         if head.leaving:
--- a/masticfork/relay/server_notices_test.py
+++ b/masticfork/relay/server_notices_test.py
@@ -11,7 +11,7 @@
     server_entry,
 )
 from standins.object_store import ObjectStore
-from standins.scripted_server import events, response
+from standins.scripted_server import events, misdirected_response, response
 
 LEAVING = {"Server-Leaving": "1"}
 
@@ -170,3 +170,31 @@
             other.wait_until(lambda: other.logged("server leaving", source="host-1"))
             assert other.send("/safe/x").status == 503
         assert len(leaving.requests) == 1
+
+
+class TestServerThatIsNoLongerThere:
+    def test_gets_no_calls_while_its_entry_is_outdated(self):
+        """Guards against an idle server that draws all calls and refuses them."""
+
+        def misdirected(request):
+            yield misdirected_response()
+
+        with running_entry_host() as env:
+            successor = env.add_server(misdirected, SERVICE)
+            env.add_server(complete_response, SERVICE)
+            env.wait_for_servers(2)
+            statuses = [env.send("/unsafe/x").status for _ in range(12)]
+        assert statuses == [200] * 12
+        assert len(successor.requests) <= 1
+
+    def test_request_is_refused_at_once_if_there_is_no_other(self):
+        def misdirected(request):
+            yield misdirected_response()
+
+        with running_entry_host() as env:
+            successor = env.add_server(misdirected, SERVICE)
+            env.wait_for_servers(1)
+            answers = [env.send("/unsafe/x") for _ in range(4)]
+        assert {answer.status for answer in answers} == {503}
+        assert float(answers[-1].headers["retry-after"]) > 0.0
+        assert len(successor.requests) <= 1
--- a/masticfork/relay/tables.py
+++ b/masticfork/relay/tables.py
@@ -26,6 +26,9 @@
 # Time for which a server that had left gets no calls when a restored store lists it
 # again: if it still lives, it writes its entry anew, otherwise its entry expires.
 RESTORED_ENTRY_PAUSE_SECONDS = 5.0
+# Time for which a server gets no calls after another one has answered at its address:
+# by then its entry is removed, unless the answer was a fault.
+MISDIRECTED_PAUSE_SECONDS = 2.0
 # Time within which the operator writes orders again that a restored store has lost.
 RESTORED_ORDER_GRACE_SECONDS = 8.0
 # Servers whose start times are remembered, so that an outdated entry does not restore
@@ -151,6 +154,10 @@
         row.notice.pause(seconds, self._loop.now)
         self._log("server paused", server=row.server.id, seconds=seconds)
 
+    def record_misdirected(self, row: ServerRow) -> None:
+        """Send no calls for a while to a server in whose place another one answers."""
+        self.record_pause(row, MISDIRECTED_PAUSE_SECONDS)
+
     def share_limits(self, own_host: str, hosts: frozenset[str]) -> None:
         """Divide the request rates that servers have named among the known hosts."""
         self._own_host, self._hosts = own_host, hosts
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -170,8 +170,12 @@
         self._write_entry(self._servers[-1])
 
     def _write_entry(self, server: _Server, state: str = "ready") -> None:
-        """Write a server's entry to the store; a ready one gets a new identifier."""
+        """Write a server's entry to the store; a ready one gets a new identifier.
+
+        The entry of the instance before, which a crash may have left, is removed.
+        """
         if state == "ready":
+            self._store.remove("servers", server.script.id)
             server.starts += 1
             server.script.id = f"i-{server.script.index}-{server.starts}"
         entry = server_entry(server.scripted, server.service, state=state)
