--- a/masticfork/systems/crash_quarantine_test.py
+++ b/masticfork/systems/crash_quarantine_test.py
@@ -633,6 +633,17 @@
         assert len(quarantine._evidence) <= MAX_OBSERVATIONS
         assert len(quarantine.report(15.0).observations) <= MAX_REPORTED
 
+    def test_request_is_released_if_its_servers_turn_out_to_live(self):
+        """Guards against a sound request that resets by live servers condemn."""
+        quarantine = CrashQuarantine()
+        servers = [next(SERVERS), next(SERVERS)]
+        for number, server in enumerate(servers):
+            lose(quarantine, self.REQUEST, number + 1.0, server=server)
+        assert quarantined(quarantine, 3.0) == {self.REQUEST}
+        for server in servers:
+            quarantine.record_alive(server, 3.5)
+        assert not quarantined(quarantine, 3.6)
+
     def test_number_of_quarantines_is_bounded(self):
         quarantine = CrashQuarantine()
         for number in range(MAX_QUARANTINES + 40):
