Release a request from quarantine if its servers turn out to live

Now an answer to a call that was sent after the crash refutes the crash, and a request in quarantine with fewer than two crashes left is released, at all hosts. An answer to an earlier call, which may be read late, releases nothing: a deadly request must not come free by it (test).

--- a/masticfork/relay/request_quarantine.py
+++ b/masticfork/relay/request_quarantine.py
@@ -71,7 +71,8 @@
         # What is read now may have been sent by a server that has crashed since.
         sent_after = self._loop.previous_now - MAX_LINK_SECONDS
         alive_at = max(record.started_at, sent_after)
-        self._quarantine.record_alive(record.row.notice.key, alive_at)
+        server = record.row.notice.key
+        self._quarantine.record_alive(server, alive_at, record.started_at)
 
     def retract(self, since: float) -> None:
         """Drop the crashes that this host has seen since a time."""
--- a/masticfork/systems/crash_quarantine.py
+++ b/masticfork/systems/crash_quarantine.py
@@ -193,9 +193,22 @@
             item for item in self._evidence.all() if item.own and item.at >= since
         )
 
-    def record_alive(self, server: int, at: float) -> None:
-        """Record that a server was running at a time."""
+    def record_alive(self, server: int, at: float, sent_at: float) -> None:
+        """Record that a server was running at a time, by its answer to a call.
+
+        If the call was sent after a crash that was seen, there was none, and a request
+        that is in quarantine for it is released.
+        """
+        refuted = [
+            seen.suspect
+            for seen in self._evidence.of(server)
+            if seen.is_request and seen.at < sent_at
+        ]
         self._clear(server, at)
+        for suspect in refuted:
+            crashes = count_incidents(self._evidence.of(suspect))
+            if suspect in self._quarantines and crashes < MIN_CRASHES_OF_LONE_REQUESTS:
+                self._clear(suspect, at)
 
     def suspicion_of(self, request: int, now: float) -> Suspicion:
         """Return how a request that is not in quarantine may be sent."""
--- a/masticfork/systems/crash_quarantine_test.py
+++ b/masticfork/systems/crash_quarantine_test.py
@@ -64,7 +64,7 @@
         quarantine = CrashQuarantine()
         for number in range(9):
             quarantine.record_crash([OTHER], 50 + number, float(number))
-            quarantine.record_alive(50 + number, number + 0.1)
+            quarantine.record_alive(50 + number, number + 0.1, number + 0.05)
         assert not quarantined(quarantine, 10.0)
 
     def test_crashes_at_the_same_time_count_as_one(self):
@@ -478,7 +478,7 @@
         _, incarnation, server, host, parts, _ = call
         if DEADLY not in parts:
             host.record_answer(parts, self.now)
-            host.record_alive(incarnation, self.now)
+            host.record_alive(incarnation, self.now, self.now)
             return
         self.crashes.append(self.now)
         lost = [f for f in self.in_flight if f[1] == incarnation]
@@ -641,9 +641,34 @@
             lose(quarantine, self.REQUEST, number + 1.0, server=server)
         assert quarantined(quarantine, 3.0) == {self.REQUEST}
         for server in servers:
-            quarantine.record_alive(server, 3.5)
+            quarantine.record_alive(server, 3.5, sent_at=3.4)
         assert not quarantined(quarantine, 3.6)
 
+    def test_answer_to_an_earlier_call_releases_no_request(self):
+        """Guards against a deadly request that a late answer sets free."""
+        quarantine = CrashQuarantine()
+        servers = [next(SERVERS), next(SERVERS)]
+        for number, server in enumerate(servers):
+            lose(quarantine, self.REQUEST, number + 1.0, server=server)
+        assert quarantined(quarantine, 3.0) == {self.REQUEST}
+        for server in servers:
+            quarantine.record_alive(server, 3.5, sent_at=0.9)
+        assert quarantined(quarantine, 3.6) == {self.REQUEST}
+
+    def test_other_hosts_release_it_as_well(self):
+        first, second = CrashQuarantine(), CrashQuarantine()
+        servers = [next(SERVERS), next(SERVERS)]
+        for number, server in enumerate(servers):
+            lose(first, self.REQUEST, number + 1.0, server=server)
+        assert quarantined(first, 3.0) == {self.REQUEST}
+        second.apply_report(first.report(3.1), 3.1)
+        for server in servers:
+            first.record_alive(server, 3.5, sent_at=3.4)
+        second.apply_report(first.report(3.6), 3.6)
+        assert not quarantined(second, 3.7)
+        first.apply_report(second.report(3.8), 3.8)
+        assert not quarantined(first, 3.9)
+
     def test_number_of_quarantines_is_bounded(self):
         quarantine = CrashQuarantine()
         for number in range(MAX_QUARANTINES + 40):
