Remove dead state, and repetition in the quarantine's record of ended calls

From a read of the whole change, without change of behaviour: a timer that nobody read, a method of transit channels that only pools of connections call, two branches with the same lines in RequestQuarantine.record_end, and three copies of one setup in the tests of requests.

--- a/masticfork/relay/request_quarantine.py
+++ b/masticfork/relay/request_quarantine.py
@@ -46,17 +46,19 @@
     def record_end(self, record: CallRecord) -> None:
         """Record the end of a call, which may tell of a crash."""
         server, now, identity = record.row.notice.key, self._loop.now, record.identity
-        if record.connection_lost:
-            if record.answered:
+        if record.answered:
+            if record.connection_lost:
                 self._quarantine.record_crash((), server, now)
-            else:
-                self._remember_names(identity)
-                parts, request = identity.part_keys, identity.key
-                self._quarantine.record_crash(parts, server, now, request)
+                self._on_news()
+            return
+        if not (record.connection_lost or record.abandoned):
+            return
+        self._remember_names(identity)
+        parts, request = identity.part_keys, identity.key
+        if record.connection_lost:
+            self._quarantine.record_crash(parts, server, now, request)
             self._on_news()
-        elif record.abandoned and not record.answered:
-            self._remember_names(identity)
-            parts, request = identity.part_keys, identity.key
+        else:
             self._quarantine.record_abandoned(parts, server, now, request)
 
     def record_answer(self, record: CallRecord) -> None:
--- a/masticfork/relay/server_trials.py
+++ b/masticfork/relay/server_trials.py
@@ -6,7 +6,7 @@
 import attrs
 
 from masticfork.relay.channel import Channel
-from masticfork.relay.loop import Loop, Timer
+from masticfork.relay.loop import Loop
 from masticfork.relay.metrics import RelayMetrics
 from masticfork.relay.tables import ServerRow, Tables
 from masticfork.systems.server_contact import (
@@ -87,7 +87,6 @@
         self._on_change = on_change
         self._log = log
         self._contact = ServerContact()
-        self._timer: Timer | None = None
 
     @property
     def cut_off(self) -> bool:
@@ -147,4 +146,4 @@
             self._metrics.cut_off.set(self.cut_off)
             self._on_change()
         if self.cut_off:
-            self._timer = self._loop.call_after(PROBE_INTERVAL_SECONDS, self.begin)
+            self._loop.call_after(PROBE_INTERVAL_SECONDS, self.begin)
--- a/masticfork/relay/transit_calls.py
+++ b/masticfork/relay/transit_calls.py
@@ -57,10 +57,6 @@
         """Resume reading."""
         self._channel.resume()
 
-    def has_no_pending_input(self) -> bool:
-        """Return False: such a connection is not used again."""
-        return False
-
     def close(self) -> None:
         """Close the connection; the other host closes that to the server."""
         self.owner = None
--- a/masticfork/systems/crash_quarantine_test.py
+++ b/masticfork/systems/crash_quarantine_test.py
@@ -529,6 +529,14 @@
 class TestRequests:
     REQUEST = 7
 
+    def convict(self, quarantine):
+        """Lose the request with two servers by itself; return the servers."""
+        servers = [next(SERVERS), next(SERVERS)]
+        for number, server in enumerate(servers):
+            lose(quarantine, self.REQUEST, number + 1.0, server=server)
+        assert quarantined(quarantine, 3.0) == {self.REQUEST}
+        return servers
+
     def test_request_that_crashes_two_servers_by_itself_is_quarantined(self):
         quarantine = CrashQuarantine()
         lose(quarantine, self.REQUEST, 1.0)
@@ -636,10 +644,7 @@
     def test_request_is_released_if_its_servers_turn_out_to_live(self):
         """Guards against a sound request that resets by live servers condemn."""
         quarantine = CrashQuarantine()
-        servers = [next(SERVERS), next(SERVERS)]
-        for number, server in enumerate(servers):
-            lose(quarantine, self.REQUEST, number + 1.0, server=server)
-        assert quarantined(quarantine, 3.0) == {self.REQUEST}
+        servers = self.convict(quarantine)
         for server in servers:
             quarantine.record_alive(server, 3.5, sent_at=3.4)
         assert not quarantined(quarantine, 3.6)
@@ -647,20 +652,14 @@
     def test_answer_to_an_earlier_call_releases_no_request(self):
         """Guards against a deadly request that a late answer sets free."""
         quarantine = CrashQuarantine()
-        servers = [next(SERVERS), next(SERVERS)]
-        for number, server in enumerate(servers):
-            lose(quarantine, self.REQUEST, number + 1.0, server=server)
-        assert quarantined(quarantine, 3.0) == {self.REQUEST}
+        servers = self.convict(quarantine)
         for server in servers:
             quarantine.record_alive(server, 3.5, sent_at=0.9)
         assert quarantined(quarantine, 3.6) == {self.REQUEST}
 
     def test_other_hosts_release_it_as_well(self):
         first, second = CrashQuarantine(), CrashQuarantine()
-        servers = [next(SERVERS), next(SERVERS)]
-        for number, server in enumerate(servers):
-            lose(first, self.REQUEST, number + 1.0, server=server)
-        assert quarantined(first, 3.0) == {self.REQUEST}
+        servers = self.convict(first)
         second.apply_report(first.report(3.1), 3.1)
         for server in servers:
             first.record_alive(server, 3.5, sent_at=3.4)
