Evacuate availability zones, and pace servers that have just started

Evacuations are one more kind of mirrored objects, read only where the settings have evacuate_ms. Cold and new servers get a rate for all hosts together, divided as the limits that servers name; the division is now one module for both and for brittle servers.

Failed first: the pace of hosts without answers of their own ended while a server was slow for the others, which then got 24 requests in a second; digests now tell the age of the latest late answer.

--- a/masticfork/core/backend_servers.py
+++ b/masticfork/core/backend_servers.py
@@ -33,6 +33,8 @@
     draining: bool
     # Start time in Unix milliseconds; a different time means a restarted process.
     started_at_ms: int | None = None
+    # Seconds for which the server stays cold, as of the writing of its entry.
+    cold_remaining: float = 0.0
 
 
 class RolloutState(enum.Enum):
--- a/masticfork/core/digests.py
+++ b/masticfork/core/digests.py
@@ -94,6 +94,19 @@
     refusals: int
 
 
+@attrs.frozen
+class PaceReport:
+    """What a host knows of a server that has just started or recovered."""
+
+    # Identifies the incarnation on all hosts.
+    key: int
+    # Requests a second that the answers to the reporting host have added to its pace.
+    gained: float
+    # Seconds since the latest of these answers that was late or failed, None if all
+    # were in time.
+    late_age: float | None
+
+
 @attrs.frozen
 class KindState:
     """What a host knows of one kind of store objects."""
@@ -139,6 +152,8 @@
     limits: tuple[LimitReport, ...] = ()
     # Servers that are brittle, or were until recently.
     brittle: tuple[BrittleReport, ...] = ()
+    # Servers that have just started or recovered.
+    paced: tuple[PaceReport, ...] = ()
     crashes: CrashReport = attrs.field(factory=CrashReport)
     # Port at which the host connects others to servers, 0 for none; and whether it
     # reaches no server itself.
--- a/masticfork/core/routes.py
+++ b/masticfork/core/routes.py
@@ -75,6 +75,11 @@
     max_connections: int
     # None for plain services.
     engine: EngineTraits | None = None
+    # Requests a second that a server bears while it is cold, from all hosts together; 0
+    # if it bears any number.
+    cold_rate: float = 0.0
+    # Seconds for which a server is cold after its start.
+    cold_seconds: float = 0.0
 
 
 @attrs.frozen
--- a/masticfork/platform/names.py
+++ b/masticfork/platform/names.py
@@ -63,6 +63,8 @@
 KIND_CONFIG = "config"
 KIND_SERVERS = "servers"
 KIND_ROLLOUTS = "rollouts"
+# Named after an availability zone, whose servers get no requests while it exists.
+KIND_EVACUATIONS = "evacuations"
 # Written by the router itself: one object per entry host.
 KIND_HOSTS = "masticfork-hosts"
 # Name of the object to which the operator writes the complete configuration.
--- a/masticfork/platform/route_format.py
+++ b/masticfork/platform/route_format.py
@@ -94,6 +94,8 @@
         name=get_str(record, "name"),
         max_connections=get_int(record, "max_connections", 64),
         engine=None if engine is None else _engine(engine),
+        cold_rate=max(0.0, get_number(record, "cold_per_s", 0.0)),
+        cold_seconds=max(0.0, get_number(record, "cold_start_s", 0.0)),
     )
 
 
--- a/masticfork/platform/server_format.py
+++ b/masticfork/platform/server_format.py
@@ -49,6 +49,7 @@
                 slots=max(1, get_int(spec, "slots")),
                 draining=draining,
                 started_at_ms=None if born is None else get_int(spec, "born"),
+                cold_remaining=get_number(spec, "cold_remaining_ms", 0.0) / 1000,
             )
         )
     except MalformedError as error:
--- a/masticfork/platform/settings_file.py
+++ b/masticfork/platform/settings_file.py
@@ -42,6 +42,9 @@
     expose_slack: float = 30.0
     # Longest time from a version's 50th bad response to the last request to it.
     rollback: float = 5.0
+    # Longest time from the order to evacuate an availability zone to the last request
+    # to its servers; None if the deployment has no evacuations.
+    evacuate: float | None = None
 
 
 @attrs.frozen
@@ -65,6 +68,9 @@
     memory_mb: int
     file_descriptors: int
     bounds: Bounds = Bounds()
+    # Region of the host, and the region of each availability zone.
+    region: str = ""
+    zone_regions: dict[str, str] = attrs.field(factory=dict)
 
 
 def load_settings(path: Path) -> Result[EntrySettings, Finding]:
@@ -91,6 +97,8 @@
         memory_mb=get_int(limits, "memory_mb", 256),
         file_descriptors=get_int(limits, "file_descriptors", 4096),
         bounds=_decode_bounds(table.get("bounds") or {}),
+        region=get_str(table, "region", ""),
+        zone_regions=_decode_zone_regions(table.get("zones") or {}),
     )
 
 
@@ -106,4 +114,13 @@
         expose_share=get_number(table, "expose_share", default.expose_share),
         expose_slack=get_number(table, "expose_slack", default.expose_slack),
         rollback=get_number(table, "rollback_ms", default.rollback * 1000) / 1000,
+        evacuate=(
+            get_number(table, "evacuate_ms") / 1000 if "evacuate_ms" in table else None
+        ),
     )
+
+
+def _decode_zone_regions(table: Any) -> dict[str, str]:
+    if not isinstance(table, dict):
+        raise MalformedError("zones is not a table")
+    return {zone: get_str(table, zone) for zone in table}
--- a/masticfork/relay/call_evidence.py
+++ b/masticfork/relay/call_evidence.py
@@ -1,5 +1,6 @@
 """What the calls of this host tell about servers and their versions."""
 
+import http
 from collections.abc import Callable, Iterable
 
 from masticfork.core.forwarding import ResponseHead
@@ -7,6 +8,7 @@
 from masticfork.relay.loop import Loop
 from masticfork.relay.metrics import RelayMetrics
 from masticfork.relay.own_loads import OwnLoads
+from masticfork.relay.paced_servers import TIMELY_TARGET_SHARE, PacedServers
 from masticfork.relay.request_quarantine import RequestQuarantine
 from masticfork.relay.rollout_controller import RolloutController
 from masticfork.relay.server_trials import ServerTrials
@@ -23,6 +25,7 @@
 CUT_OFF_EVIDENCE_SECONDS = 3.0
 
 _OUTCOMES_OF_SILENT_SERVERS = (CallOutcome.UNSENT, CallOutcome.SILENT)
+_OUTCOMES_OF_FAILED_SERVERS = (CallOutcome.BROKEN, CallOutcome.SILENT)
 
 
 class CallEvidence:
@@ -37,6 +40,7 @@
         rollouts: RolloutController,
         quarantine: RequestQuarantine,
         trials: ServerTrials,
+        paced_servers: PacedServers,
         on_news: Callable[[], None],
     ) -> None:
         self._loop = loop
@@ -46,6 +50,7 @@
         self._rollouts = rollouts
         self._quarantine = quarantine
         self._trials = trials
+        self._paced_servers = paced_servers
         # Called when the other hosts should be told at once.
         self._on_news = on_news
         # Loop time of the latest failure by service and session.
@@ -55,6 +60,7 @@
         """Add a call that is being sent to the load of its server."""
         self._own_loads.begin(record)
         record.row.notice.limit.take(self._loop.now)
+        record.row.notice.pace.take(self._loop.now)
         self._rollouts.record_call(record.row.server, record.work.route)
         if record.alone:
             record.row.load.suspects += 1
@@ -85,6 +91,8 @@
             )
         if head.full:
             self._record_full(record)
+        if not head.misdirected:
+            self._record_timeliness(record, head)
 
     def on_answered(self, record: CallRecord) -> None:
         """Record that the answer has begun: an event, or a head of a plain one."""
@@ -138,10 +146,14 @@
             return
         if outcome is CallOutcome.UNSENT:
             load.avoid_until = now + UNREACHABLE_SECONDS
+            if self._trials.is_sure:
+                self._paced_servers.on_unreachable(record.row)
         if outcome is CallOutcome.SILENT:
             load.record_silence(record.started_at, now)
         elif record.failed is not None:
             load.record(record.failed, now)
+        if outcome in _OUTCOMES_OF_FAILED_SERVERS:
+            self._paced_servers.record_answer(record.row, False, record.started_at)
         self._quarantine.record_end(record)
 
     def on_cut_off(self) -> None:
@@ -167,6 +179,14 @@
                 record.counted_as_slow = True
                 self._record_answer(record, failed=False)
 
+    def _record_timeliness(self, record: CallRecord, head: ResponseHead) -> None:
+        """Adapt the pace of the server to when and how its response has begun."""
+        seconds = self._loop.now - record.started_at
+        in_time = seconds <= TIMELY_TARGET_SHARE * record.target
+        failed = head.not_run or head.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR
+        timely = in_time and not failed
+        self._paced_servers.record_answer(record.row, timely, record.started_at)
+
     def _record_full(self, record: CallRecord) -> None:
         """Record that a server had no room for a call, which may make it fall over."""
         brittle = record.row.notice.brittle
--- a/masticfork/relay/call_evidence_test.py
+++ b/masticfork/relay/call_evidence_test.py
@@ -9,6 +9,7 @@
 from masticfork.relay.exchange import CallRecord
 from masticfork.relay.metrics import RelayMetrics
 from masticfork.relay.own_loads import OwnLoads
+from masticfork.relay.paced_servers import PacedServers
 from masticfork.relay.request_quarantine import RequestQuarantine
 from masticfork.relay.rollout_controller import RolloutController
 from masticfork.relay.server_trials import ServerTrials
@@ -56,6 +57,7 @@
             ),
             self.quarantine,
             self.trials,
+            PacedServers(self.loop, self.tables, metrics, ignore),
             ignore,
         )
 
--- a/masticfork/relay/entry.py
+++ b/masticfork/relay/entry.py
@@ -35,6 +35,7 @@
 from masticfork.relay.logs import LogSink, relay_logger
 from masticfork.relay.loop import Loop
 from masticfork.relay.metrics import RelayMetrics
+from masticfork.relay.paced_servers import PacedServers
 from masticfork.relay.page_listener import PageListener
 from masticfork.relay.peers import Peers
 from masticfork.relay.reader_duty import ReaderDuty
@@ -44,11 +45,13 @@
 from masticfork.relay.server_call import CallSink, ServerCall, ServerConnectionPool
 from masticfork.relay.server_trials import ServerTrials
 from masticfork.relay.session_versions import SessionVersions
-from masticfork.relay.store_view import MIRRORED_KINDS, StoreView
+from masticfork.relay.store_view import StoreView
 from masticfork.relay.tables import ServerRow, Tables
 from masticfork.relay.transit_calls import TransitConnections
 from masticfork.relay.transit_hosts import TransitHosts
 from masticfork.relay.transit_listener import TransitListener
+from masticfork.relay.zone_evacuations import ZoneEvacuations
+from masticfork.systems.evacuations import Evacuations, ZoneChange
 from masticfork.systems.exposure import ExposureLimit
 from masticfork.systems.graceful_stop import GracefulStop
 from masticfork.systems.model_choice import ConfidenceCascade, ModelPolicy
@@ -90,7 +93,13 @@
         self._logger = relay_logger()
         self._loop = Loop()
         self._metrics = RelayMetrics()
-        self._tables = Tables(self._loop, self.log)
+        with_evacuations = settings.bounds.evacuate is not None
+        evacuations = Evacuations(known=not with_evacuations)
+        self._tables = Tables(self._loop, self.log, evacuations)
+        self._paced_servers = PacedServers(
+            self._loop, self._tables, self._metrics, self.log
+        )
+        self._tables.on_server_read = self._paced_servers.on_server_read
         self._model_policy: ModelPolicy = ConfidenceCascade()
         self._server_policy: ServerPolicy = LowestExpectedDelay()
         bounds = settings.bounds
@@ -117,6 +126,7 @@
             self._session_versions,
             self._quarantine,
             self._trials,
+            self._paced_servers,
             settings.peer_ports[1],
         )
         self._objects = PlatformObjects(settings.store, time.monotonic)
@@ -139,10 +149,15 @@
             self.log,
             self._on_store_restored,
             self._digests.send_store_update,
+            ZoneEvacuations(
+                self._loop, evacuations, self._metrics, self._on_zone_change, self.log
+            )
+            if with_evacuations
+            else None,
         )
         self._followers = [
             Follower(kind, self._objects, self._loop, self._store_view)
-            for kind in MIRRORED_KINDS
+            for kind in self._store_view.kinds
         ]
         self._reader_duty = ReaderDuty(
             self._loop,
@@ -180,6 +195,7 @@
             self._rollout_controller,
             self._quarantine,
             self._trials,
+            self._paced_servers,
             self._digests.schedule_news,
         )
         self._transit_listener = TransitListener(
@@ -258,7 +274,9 @@
     def _tick(self) -> None:
         self._loop.call_after(TICK_SECONDS, self._tick)
         self._tables.sweep()
-        self._tables.share_limits(self._settings.host, self._peers.known_hosts)
+        own_host, known_hosts = self._settings.host, self._peers.known_hosts
+        self._tables.share_limits(own_host, known_hosts)
+        self._paced_servers.run(own_host, known_hosts)
         self._session_versions.sweep(self._loop.now)
         self._call_evidence.report_slow_calls(self._open_exchanges)
         if self._quarantine.run():
@@ -332,6 +350,14 @@
         """Write this host's entry again; the restored store may lack it."""
         self._registration.start()
 
+    def _on_zone_change(self, change: ZoneChange) -> None:
+        """Move calls away from an evacuated zone; pace one that is taken back."""
+        if not change.evacuated:
+            self._paced_servers.on_zone_taken_back(change.zone)
+            return
+        for exchange in list(self._open_exchanges):
+            exchange.on_evacuation(change.zone)
+
     def _on_contact_changed(self) -> None:
         """Adapt calls under way to the loss of all servers, and tell other hosts."""
         if self._trials.cut_off:
--- a/masticfork/relay/exchange.py
+++ b/masticfork/relay/exchange.py
@@ -206,6 +206,8 @@
     # sending.
     expected_delay: float
     identity: RequestIdentity
+    # Target latency of the route, in seconds.
+    target: float = float("inf")
     # Whether the request is suspected of crashing servers.
     alone: bool = False
     head_received_at: float | None = None
@@ -441,6 +443,20 @@
             CUT_OFF_SILENCE_SECONDS, self._on_silence
         )
 
+    def on_evacuation(self, zone: str) -> None:
+        """Send a call elsewhere that has not reached its server in an evacuated zone.
+
+        The connection may take longer than the servers may get requests. Calls that the
+        servers have received go on.
+        """
+        record = self._call_record
+        if self._ended or record is None or record.call is None:
+            return
+        if record.row.server.zone != zone:
+            return
+        if record.call.stage is Stage.CONNECTING:
+            self._fail_call(CallOutcome.UNSENT, "zone evacuated")
+
     def on_quarantine(self) -> None:
         """End an unanswered exchange that must not reach servers any more.
 
@@ -489,7 +505,14 @@
         unread = pending_prompt_work(row.load, work, loop.now)
         expected = self.host.expected_delay(row, work)
         record = CallRecord(
-            row, work, unread, loop.now, expected, self._identity, alone
+            row,
+            work,
+            unread,
+            loop.now,
+            expected,
+            self._identity,
+            self.route.target,
+            alone,
         )
         self._call_record = record
         self._tried_servers.add(row.server.id)
--- a/masticfork/relay/host_digests.py
+++ b/masticfork/relay/host_digests.py
@@ -5,6 +5,7 @@
 from masticfork.core.digests import Digest, HostLoad
 from masticfork.relay.loop import Loop
 from masticfork.relay.own_loads import OwnLoads
+from masticfork.relay.paced_servers import PacedServers
 from masticfork.relay.peer_loads import PeerLoads
 from masticfork.relay.peers import Peers
 from masticfork.relay.reader_duty import ReaderDuty
@@ -37,6 +38,7 @@
         sessions: SessionVersions,
         quarantine: RequestQuarantine,
         trials: ServerTrials,
+        paced_servers: PacedServers,
         transit_port: int,
     ) -> None:
         self._loop = loop
@@ -46,6 +48,7 @@
         self._sessions = sessions
         self._quarantine = quarantine
         self._trials = trials
+        self._paced_servers = paced_servers
         self._transit_port = transit_port
         self._own_loads = OwnLoads(tables, self._schedule_load_update)
         self._peer_loads = PeerLoads(tables)
@@ -103,6 +106,7 @@
         self._quarantine.apply_report(digest.crashes)
         self._tables.apply_limits(digest.limits, digest.host)
         self._tables.apply_brittle(digest.brittle, digest.host)
+        self._paced_servers.apply(digest.paced, digest.host)
         if digest.leaving:
             self._tables.apply_leaving_incarnations(digest.leaving, digest.host)
 
@@ -143,6 +147,7 @@
             sessions=self._sessions.next_batch(),
             limits=self._tables.limits,
             brittle=self._tables.brittle_servers,
+            paced=self._paced_servers.reports,
             crashes=self._quarantine.report(),
         )
 
--- a/masticfork/relay/metrics.py
+++ b/masticfork/relay/metrics.py
@@ -70,6 +70,22 @@
             registry=registry,
         )
 
+        self.evacuated_zones = Gauge(
+            "masticfork_relay_evacuated_zones",
+            "Availability zones whose servers get no requests",
+            registry=registry,
+        )
+        self.paced_servers = Gauge(
+            "masticfork_relay_paced_servers",
+            "Servers that have just started or recovered and get requests at a pace",
+            registry=registry,
+        )
+        self.paces = Counter(
+            "masticfork_relay_server_paces",
+            "Times that a server was paced, by reason",
+            ("why",),
+            registry=registry,
+        )
         self.cut_off = Gauge(
             "masticfork_relay_cut_off",
             "Whether this host reaches no backend server",
--- a/masticfork/relay/store_view.py
+++ b/masticfork/relay/store_view.py
@@ -34,9 +34,11 @@
 )
 from masticfork.relay.peers import Peers
 from masticfork.relay.tables import Tables
+from masticfork.relay.zone_evacuations import ZoneEvacuations
 from masticfork.store.client import PlatformError
 
-# Kinds that each host mirrors, so that peers can copy them.
+# Kinds that each host mirrors, so that peers can copy them. Digests name them by their
+# index, so further ones are added at the end.
 MIRRORED_KINDS = (names.KIND_CONFIG, names.KIND_SERVERS, names.KIND_ROLLOUTS)
 # Time after the last failure of the store during which a missing server entry may just
 # have expired: entries of live servers are back within 2 s of the store's recovery.
@@ -70,6 +72,7 @@
         log: Callable[..., None],
         on_restored: Callable[[], None],
         on_update: Callable[[], None],
+        evacuations: ZoneEvacuations | None = None,
     ) -> None:
         self._loop = loop
         self._tables = tables
@@ -80,7 +83,10 @@
         self._on_restored = on_restored
         # Called when something new has been read from the store.
         self._on_update = on_update
-        self._mirrors = {kind: KindMirror() for kind in MIRRORED_KINDS}
+        # None if the deployment has no evacuations; then their kind is not read.
+        self._evacuations = evacuations
+        kinds = MIRRORED_KINDS + ((names.KIND_EVACUATIONS,) if evacuations else ())
+        self._mirrors = {kind: KindMirror() for kind in kinds}
         self._failed_at = float("-inf")
         # Loop time since which most of the other hosts that read the store have done so
         # without failures, None if they have not or there are none.
@@ -98,6 +104,11 @@
         # one, which peers are not to copy.
         self._configuration: PlatformObject | None = None
 
+    @property
+    def kinds(self) -> tuple[str, ...]:
+        """Return the kinds that this host mirrors."""
+        return tuple(self._mirrors)
+
     @property
     def servers_position(self) -> StorePosition:
         """Return the position of the store up to which the servers are known."""
@@ -238,6 +249,11 @@
             elif kind == names.KIND_ROLLOUTS:
                 for rollout in self._valid([decode_rollout(stored, changes.era)]):
                     self._tables.put_rollout(rollout)
+            elif kind == names.KIND_EVACUATIONS and self._evacuations is not None:
+                if change.deleted:
+                    self._evacuations.end(stored.name, source)
+                else:
+                    self._evacuations.begin(stored.name, source)
         self._mirror_configuration()
         return new_changes
 
@@ -291,6 +307,9 @@
                 [decode_rollout(stored, listing.era) for stored in objects]
             )
             self._tables.list_rollouts(rollouts, restored)
+        elif self._evacuations is not None:
+            zones = {stored.name for stored in objects}
+            self._evacuations.replace(zones, source, restored)
 
     def _mirror_configuration(self) -> None:
         """Let peers copy the configuration in force, though the store has another."""
@@ -391,6 +410,9 @@
                 # A restored store may hold an older configuration than its peers.
                 for stored in listing.objects:
                     self._apply_configuration(stored, "peer")
+        if self._evacuations is not None and names.KIND_EVACUATIONS not in copied:
+            # A peer of an earlier build does not read evacuations.
+            self._evacuations.assume_none()
 
     def _valid(self, decoded: list[Result[T, Finding]]) -> list[T]:
         """Return the decoded values; log the findings of those that failed."""
--- a/masticfork/relay/tables.py
+++ b/masticfork/relay/tables.py
@@ -11,6 +11,7 @@
 from masticfork.core.routes import RouteTable
 from masticfork.relay.loop import Loop
 from masticfork.relay.server_call import ServerConnectionPool
+from masticfork.systems.evacuations import Evacuations
 from masticfork.systems.server_choice import ServerLoad
 from masticfork.systems.server_notices import (
     ServerNotice,
@@ -74,9 +75,15 @@
 class Tables:
     """The data by which requests are routed."""
 
-    def __init__(self, loop: Loop, log: Log) -> None:
+    def __init__(
+        self, loop: Loop, log: Log, evacuations: Evacuations | None = None
+    ) -> None:
         self._loop = loop
         self._log = log
+        self._evacuations = evacuations or Evacuations(known=True)
+        # Called with the row of a server whose entry was read, and whether the server
+        # has started since this host knows the servers.
+        self.on_server_read: Callable[[ServerRow, bool], None] = lambda *_: None
         self._routes: RouteTable | None = None
         self._rows: dict[str, ServerRow] = {}
         self._latest_start_ms: dict[str, int] = {}
@@ -100,7 +107,12 @@
     @property
     def complete(self) -> bool:
         """Return whether routes, servers and rollouts have all been read."""
-        return self._routes is not None and self._servers_known and self._rollouts_known
+        return (
+            self._routes is not None
+            and self._servers_known
+            and self._rollouts_known
+            and self._evacuations.known
+        )
 
     @property
     def rows(self) -> Iterable[ServerRow]:
@@ -131,7 +143,13 @@
         """Return the servers of a service that accept new calls."""
         rows = self._services.get(service, [])
         now = self._loop.now
-        return [row for row in rows if row.accepts_calls(now)]
+        return [
+            row for row in rows if not self.is_evacuated(row) and row.accepts_calls(now)
+        ]
+
+    def is_evacuated(self, row: ServerRow) -> bool:
+        """Return whether the availability zone of a server is evacuated."""
+        return row.server.zone in self._evacuations
 
     def seconds_until_resumption(self, service: str) -> float:
         """Return how long no server of a service that stays accepts calls.
@@ -140,7 +158,11 @@
         them accepts calls now, or if there is none.
         """
         rows, now = self._services.get(service, []), self._loop.now
-        times = (row.notice.accepts_calls_at(now) for row in rows if not row.leaving)
+        times = (
+            row.notice.accepts_calls_at(now)
+            for row in rows
+            if not row.leaving and not self.is_evacuated(row)
+        )
         return max(0.0, min(times, default=0.0) - now)
 
     def record_leaving(self, row: ServerRow, source: str) -> None:
@@ -280,12 +302,12 @@
         it may be of a server that has left since.
         """
         listed = {server.id: server for server in servers}
-        self._servers_known = True
         for server in listed.values():
             was_leaving = restored and self._has_left(server)
             self.put_server(server)
             if was_leaving:
                 self.record_pause(self._rows[server.id], RESTORED_ENTRY_PAUSE_SECONDS)
+        self._servers_known = True
         for server_id in [name for name in self._rows if name not in listed]:
             self.remove_server(server_id, with_grace)
 
@@ -306,13 +328,14 @@
             row.load.server = server
             row.remove_at = None
             self._rebuild_index()
+            self.on_server_read(row, False)
             return
         if row is not None:
             row.connections.close()
         connections = ServerConnectionPool(self._loop, server, self._log)
-        self._rows[server.id] = ServerRow(
-            ServerLoad(server), connections, self._notices.of(server)
-        )
+        started = self._servers_known and not self._notices.knows(server)
+        row = ServerRow(ServerLoad(server), connections, self._notices.of(server))
+        self._rows[server.id] = row
         self._record_start(server)
         self._log(
             "server added",
@@ -322,6 +345,7 @@
             draining=server.draining,
         )
         self._rebuild_index()
+        self.on_server_read(row, started)
 
     def remove_server(self, server_id: str, with_grace: bool) -> None:
         """Remove a server, `with_grace` only after the grace period."""
--- a/masticfork/relay/transit_listener.py
+++ b/masticfork/relay/transit_listener.py
@@ -80,7 +80,8 @@
         """Start to connect to a server for another host."""
         row = self._tables.row(server_id)
         too_many = len(self._connections) > self._max_connections
-        if self._stopping or too_many or row is None or row.leaving:
+        unusable = row is None or row.leaving or self._tables.is_evacuated(row)
+        if self._stopping or too_many or row is None or unusable:
             self._log("transit declined", server=server_id, stopping=self._stopping)
             return Refusal.DECLINED
         try:
--- a/masticfork/relay/version_evidence_test.py
+++ b/masticfork/relay/version_evidence_test.py
@@ -16,6 +16,7 @@
 from masticfork.relay.exchange import CallRecord, Exchange
 from masticfork.relay.metrics import RelayMetrics
 from masticfork.relay.own_loads import OwnLoads
+from masticfork.relay.paced_servers import PacedServers
 from masticfork.relay.request_quarantine import RequestQuarantine
 from masticfork.relay.rollout_controller import RolloutController
 from masticfork.relay.server_trials import ServerTrials
@@ -109,6 +110,7 @@
                 loop, RelayMetrics(), ignore, lambda key: False, lambda: None
             ),
             ServerTrials(loop, tables, RelayMetrics(), lambda: None, ignore),
+            PacedServers(loop, tables, RelayMetrics(), ignore),
             lambda: None,
         )
         for at, session in failures:
--- a/masticfork/systems/brittle_servers.py
+++ b/masticfork/systems/brittle_servers.py
@@ -14,7 +14,7 @@
 import attrs
 
 from masticfork.core.digests import BrittleReport
-from masticfork.core.ids import stable_hash
+from masticfork.systems.rate_share import rank_hosts
 
 # Time for which a refusal counts: longer than the second in which the server counts,
 # since other hosts learn of it later.
@@ -77,7 +77,7 @@
         if self.tolerated is None:
             return
         self._hosts = max(1, len(hosts))
-        ranked = sorted(hosts, key=lambda host: stable_hash(str(key), host))
+        ranked = rank_hosts(key, hosts)
         share, rest = divmod(slots, self._hosts)
         self.own_slots = share + (own_host in ranked[:rest])
 
--- a/masticfork/systems/server_limits.py
+++ b/masticfork/systems/server_limits.py
@@ -1,21 +1,12 @@
-"""Request rates that backend servers name, divided among the hosts.
+"""Request rates that backend servers name for all hosts together."""
 
-A server names a rate for all hosts together. Some hosts, the same ones for all that
-know each other, take an equal part each and space their requests evenly; so within any
-time the hosts together send no more than the rate and one request each. The others
-send none. No host saves up what it does not use.
-"""
-
-from collections.abc import Iterable
+from collections.abc import Collection
 
 import attrs
 
 from masticfork.core.digests import LimitReport
-from masticfork.core.ids import stable_hash
+from masticfork.systems.rate_share import RateShare
 
-# Hosts among which a rate is divided, beyond one for each request a second. Each adds
-# one request to what the server may get in a short time.
-MIN_SENDERS = 2
 # Lowest rate, in requests per second, that is applied: a server that names less is
 # still asked at this rate, as only its responses tell when the limit is lifted.
 MIN_RATE = 0.1
@@ -31,15 +22,12 @@
     rate: float | None = None
     # Time of the response that told the above, in seconds.
     told_at: float = 0.0
-    # Time from which this host may send the next request.
-    next_at: float = 0.0
-    # Seconds between two requests of this host, None if it takes no part.
-    _spacing: float | None = None
+    _share: RateShare = attrs.field(factory=RateShare)
 
     @property
     def own_interval(self) -> float | None:
         """Return the seconds between two requests of this host, None for no part."""
-        return self._spacing
+        return self._share.interval
 
     def name(self, rate: float, told_at: float) -> bool:
         """Apply a named rate; return whether it is a change and not outdated."""
@@ -59,38 +47,26 @@
         self.rate, self.told_at = None, told_at
         return True
 
-    def divide(self, key: int, own_host: str, hosts: Iterable[str], now: float) -> None:
+    def divide(
+        self, key: int, own_host: str, hosts: Collection[str], now: float
+    ) -> None:
         """Set the part of this host; `hosts` are the names of all known ones."""
-        if self.rate is None:
-            return
-        rate = max(self.rate, MIN_RATE)
-        ranked = sorted(hosts, key=lambda host: stable_hash(str(key), host))
-        senders = ranked[: MIN_SENDERS + int(rate)]
-        spacing = len(senders) / rate if own_host in senders else None
-        if spacing is not None and self._spacing is None:
-            # Hosts that learn of a limit at the same time begin one after another.
-            offset = (senders.index(own_host) + 1) / rate
-            self.next_at = max(self.next_at, now + offset)
-        self._spacing = spacing
+        if self.rate is not None:
+            rate = max(self.rate, MIN_RATE)
+            self._share.divide(rate, key, own_host, hosts, now)
 
     def accepts_calls(self, now: float) -> bool:
         """Return whether this host may send a request now."""
-        if self.rate is None:
-            return True
-        return self._spacing is not None and self.next_at <= now
+        return self.rate is None or self._share.accepts_calls(now)
 
     def take(self, now: float) -> None:
         """Count a request that is being sent."""
-        if self.rate is not None and self._spacing is not None:
-            self.next_at = now + self._spacing
+        if self.rate is not None:
+            self._share.take(now)
 
     def accepts_at(self, now: float) -> float:
         """Return when a host is expected to accept a request for the server."""
-        if self.rate is None:
-            return now
-        if self._spacing is None:
-            return now + 1.0 / max(self.rate, MIN_RATE)
-        return max(now, self.next_at)
+        return now if self.rate is None else self._share.accepts_at(now)
 
     def report(self, key: int, now: float) -> LimitReport | None:
         """Return what other hosts are to know, None if there is nothing."""
--- a/masticfork/systems/server_notices.py
+++ b/masticfork/systems/server_notices.py
@@ -3,7 +3,8 @@
 A server that leaves gets no new calls in that incarnation, whatever the store or other
 hosts say later: their information is older. A server that asks for a pause gets none
 until it is over. One that names a request rate gets no more than that from all hosts,
-and one that is brittle no more than it has room for.
+and one that is brittle no more than it has room for. One that has just started or
+recovered is paced.
 """
 
 from collections import OrderedDict
@@ -14,6 +15,7 @@
 from masticfork.core.ids import short_key
 from masticfork.systems.brittle_servers import BrittleServer
 from masticfork.systems.server_limits import ServerLimit
+from masticfork.systems.server_pace import ServerPace
 
 # Incarnations whose notices are remembered, the latest ones. Those of removed servers
 # are kept as well, since an outdated copy of the store may list them again.
@@ -34,15 +36,23 @@
     paused_until: float = 0.0
     limit: ServerLimit = attrs.field(factory=ServerLimit)
     brittle: BrittleServer = attrs.field(factory=BrittleServer)
+    # Not announced by the server, but to be kept for as long.
+    pace: ServerPace = attrs.field(factory=ServerPace)
 
     def accepts_calls(self, now: float) -> bool:
-        """Return whether the server has announced nothing that excludes new calls."""
-        paused = self.paused_until > now
-        return not self.leaving and not paused and self.limit.accepts_calls(now)
+        """Return whether nothing known of the server excludes new calls."""
+        return (
+            not self.leaving
+            and self.paused_until <= now
+            and self.limit.accepts_calls(now)
+            and self.pace.accepts_calls(now)
+        )
 
     def accepts_calls_at(self, now: float) -> float:
         """Return when the server is expected to accept calls unless it leaves."""
-        return max(self.paused_until, self.limit.accepts_at(now))
+        return max(
+            self.paused_until, self.limit.accepts_at(now), self.pace.accepts_at(now)
+        )
 
     def pause(self, seconds: float, now: float) -> None:
         """Exclude the server for `seconds`; a pause is never shortened."""
@@ -56,6 +66,10 @@
     def __init__(self) -> None:
         self._notices: OrderedDict[int, ServerNotice] = OrderedDict()
 
+    def knows(self, server: BackendServer) -> bool:
+        """Return whether a server's incarnation is known."""
+        return incarnation_key(server) in self._notices
+
     def of(self, server: BackendServer) -> ServerNotice:
         """Return the notice of a server's incarnation, which is empty at first."""
         key = incarnation_key(server)
