Pace warm servers by windows; keep requests in their home regions

The rate for all hosts after the cold time kept most hosts from the servers of a zone for seconds.

Routes and teams may name home regions (allowed_regions); requests reach only servers there, and pass only through hosts there. No deployment at hand has more than one region, so this is shown by tests alone.

--- a/masticfork/core/digests.py
+++ b/masticfork/core/digests.py
@@ -100,11 +100,8 @@
 
     # Identifies the incarnation on all hosts.
     key: int
-    # Requests a second that the answers to the reporting host have added to its pace.
-    gained: float
-    # Seconds since the latest of these answers that was late or failed, None if all
-    # were in time.
-    late_age: float | None
+    # Seconds since the latest late or failed answer to the reporting host.
+    late_age: float
 
 
 @attrs.frozen
--- a/masticfork/core/routes.py
+++ b/masticfork/core/routes.py
@@ -46,6 +46,8 @@
     services: tuple[ServiceShare, ...]
     # Target in seconds for the longest pause between two events of a stream.
     max_gap: float | None = None
+    # Regions whose servers may serve the route, None for all.
+    regions: frozenset[str] | None = None
 
     @property
     def retryable(self) -> bool:
@@ -90,6 +92,8 @@
     keys: tuple[str, ...]
     # Overrides the priority of routes if set.
     priority: int | None = None
+    # Regions whose servers may serve the team, None for all.
+    regions: frozenset[str] | None = None
 
 
 @attrs.frozen
--- a/masticfork/platform/formats_test.py
+++ b/masticfork/platform/formats_test.py
@@ -62,6 +62,17 @@
             ("y", 10),
         ]
 
+    def test_decodes_home_regions_and_cold_servers(self):
+        spec = configuration(3, route("safe", allowed_regions=["south"]))
+        spec["tenants"][0]["allowed_regions"] = ["north", "south"]
+        spec["services"][0].update(cold_per_s=8.8, cold_start_s=3.0)
+        table = decode_route_table(spec).ok_value
+        assert table.routes[0].regions == {"south"}
+        assert table.teams[0].regions == {"north", "south"}
+        cold, warm = table.services["desk"], table.services["engines"]
+        assert (cold.cold_rate, cold.cold_seconds) == (8.8, 3.0)
+        assert (warm.cold_rate, warm.cold_seconds) == (0.0, 0.0)
+
     @pytest.mark.parametrize(
         "change",
         [
@@ -72,6 +83,9 @@
             {"routes": [{"name": "r"}]},
             {"tenants": [{"api_keys": []}]},
             {"limits": {"idle_timeout_ms": "x"}},
+            {"routes": [route("safe", allowed_regions="south")]},
+            {"routes": [route("safe", allowed_regions=[3])]},
+            {"services": [{"name": "s", "cold_per_s": "8"}]},
         ],
     )
     def test_malformed_configuration_is_a_finding(self, change):
@@ -83,6 +97,11 @@
         server = decode_server(stored_object({**SERVER, "born": 17})).ok_value
         assert (server.id, server.address) == ("i-1", Address("10.0.0.9", 8080))
         assert (server.draining, server.started_at_ms) == (False, 17)
+        assert server.cold_remaining == 0.0
+
+    def test_decodes_how_long_a_server_stays_cold(self):
+        server = decode_server(stored_object({**SERVER, "cold_remaining_ms": 2500}))
+        assert server.ok_value.cold_remaining == 2.5
 
     @pytest.mark.parametrize(
         "change",
@@ -92,6 +111,7 @@
             {"slots": "6"},
             {"service": None},
             {"born": 1.5},
+            {"cold_remaining_ms": "long"},
         ],
     )
     def test_malformed_server_of_another_writer_is_a_finding(self, change):
--- a/masticfork/platform/route_format.py
+++ b/masticfork/platform/route_format.py
@@ -74,9 +74,18 @@
         max_gap=None
         if raw_gap is None
         else get_number(record, "gap_aim_ms") / _MS_PER_SECOND,
+        regions=_regions(record),
     )
 
 
+def _regions(record: Any) -> frozenset[str] | None:
+    """Return the home regions of a route or team, None if it has none."""
+    names = get_list(record, "allowed_regions")
+    if not all(isinstance(name, str) for name in names):
+        raise MalformedError("allowed_regions holds a value that is not a string")
+    return frozenset(names) or None
+
+
 def _service_shares(record: Any) -> tuple[ServiceShare, ...]:
     """Return a route's services: its `traffic_split`, or else its only `service`."""
     split = get_list(record, "traffic_split")
@@ -114,7 +123,7 @@
     keys = tuple(str(key) for key in get_list(record, "api_keys"))
     raw_priority = record.get("priority")
     priority = None if raw_priority is None else get_int(record, "priority")
-    return RoutedTeam(get_str(record, "name"), keys, priority)
+    return RoutedTeam(get_str(record, "name"), keys, priority, _regions(record))
 
 
 def _caller_limits(record: Any) -> CallerLimits:
--- a/masticfork/relay/call_evidence.py
+++ b/masticfork/relay/call_evidence.py
@@ -8,7 +8,11 @@
 from masticfork.relay.loop import Loop
 from masticfork.relay.metrics import RelayMetrics
 from masticfork.relay.own_loads import OwnLoads
-from masticfork.relay.paced_servers import TIMELY_TARGET_SHARE, PacedServers
+from masticfork.relay.paced_servers import (
+    TIMELY_EXPECTED_FACTOR,
+    TIMELY_TARGET_SHARE,
+    PacedServers,
+)
 from masticfork.relay.request_quarantine import RequestQuarantine
 from masticfork.relay.rollout_controller import RolloutController
 from masticfork.relay.server_trials import ServerTrials
@@ -182,7 +186,10 @@
     def _record_timeliness(self, record: CallRecord, head: ResponseHead) -> None:
         """Adapt the pace of the server to when and how its response has begun."""
         seconds = self._loop.now - record.started_at
-        in_time = seconds <= TIMELY_TARGET_SHARE * record.target
+        in_time = seconds <= max(
+            TIMELY_TARGET_SHARE * record.target,
+            TIMELY_EXPECTED_FACTOR * record.expected_delay,
+        )
         failed = head.not_run or head.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR
         timely = in_time and not failed
         self._paced_servers.record_answer(record.row, timely, record.started_at)
--- a/masticfork/relay/digest.capnp
+++ b/masticfork/relay/digest.capnp
@@ -61,10 +61,9 @@
   # (UInt16, 65535 for any number), those of the sender (UInt16), and the milliseconds
   # since the response that told it (UInt32).
   packedBrittle @25 :Data;
-  # Servers that have just started or recovered: records of 8 bytes with the hash of the
-  # server's incarnation (UInt32), the requests a second that the answers to the sender
-  # have added to its pace (UInt16), and the milliseconds since the latest late one
-  # (UInt16, 65535 for none or longer).
+  # Servers that have just started or recovered and are slow: records of 8 bytes with the
+  # hash of the server's incarnation (UInt32) and the milliseconds since the latest late
+  # or failed answer to the sender (UInt32).
   packedPaced @26 :Data;
 }
 
--- a/masticfork/relay/digest_codec.py
+++ b/masticfork/relay/digest_codec.py
@@ -40,7 +40,7 @@
 # The records of the packed fields on rollouts.
 _NEW_ANSWERS_RECORD = struct.Struct("<IIHHHH")
 _LIMIT_RECORD = struct.Struct("<IfI")
-_PACE_RECORD = struct.Struct("<IHH")
+_PACE_RECORD = struct.Struct("<II")
 _BRITTLE_RECORD = struct.Struct("<IHHI")
 _OLD_ANSWERS_RECORD = struct.Struct("<Ifff")
 _TIME_RECORD = struct.Struct("<Bf")
@@ -147,13 +147,7 @@
             for item in digest.brittle
         ),
         packedPaced=b"".join(
-            _PACE_RECORD.pack(
-                item.key,
-                min(_MAX_UINT16, round(item.gained)),
-                _MAX_UINT16
-                if item.late_age is None
-                else _milliseconds(item.late_age, _MAX_UINT16),
-            )
+            _PACE_RECORD.pack(item.key, _milliseconds(item.late_age, _MAX_UINT32))
             for item in digest.paced
         ),
         packedAnswered=_pack_key_times(digest.crashes.answered),
@@ -327,14 +321,8 @@
                     )
                 ),
                 paced=tuple(
-                    PaceReport(
-                        key,
-                        float(gained),
-                        None
-                        if late == _MAX_UINT16
-                        else late / _MILLISECONDS_PER_SECOND,
-                    )
-                    for key, gained, late in _unpack_records(
+                    PaceReport(key, late_age / _MILLISECONDS_PER_SECOND)
+                    for key, late_age in _unpack_records(
                         reader.packedPaced, _PACE_RECORD
                     )
                 ),
--- a/masticfork/relay/digest_codec_test.py
+++ b/masticfork/relay/digest_codec_test.py
@@ -10,6 +10,7 @@
     HostLoad,
     NewAnswers,
     OldAnswers,
+    PaceReport,
     RolloutEvidence,
 )
 from masticfork.core.store_position import StorePosition
@@ -49,6 +50,11 @@
         digest = attrs.evolve(DIGEST, loads=loads, sessions=sessions)
         assert len(encode_digest(digest)) < 1400
 
+    def test_round_trip_of_paced_servers(self):
+        reports = (PaceReport(4_000_000_000, 1.25), PaceReport(7, 0.0))
+        digest = attrs.evolve(DIGEST, paced=reports)
+        assert decode_digest(encode_digest(digest)) == Ok(digest)
+
     def test_round_trip_of_crash_reports(self):
         seen = (
             CrashObservation(3_000_000_001, 7, 2, 1.25),
--- a/masticfork/relay/entry.py
+++ b/masticfork/relay/entry.py
@@ -54,6 +54,7 @@
 from masticfork.systems.evacuations import Evacuations, ZoneChange
 from masticfork.systems.exposure import ExposureLimit
 from masticfork.systems.graceful_stop import GracefulStop
+from masticfork.systems.homes import ZoneRegions, check_homes, home_regions
 from masticfork.systems.model_choice import ConfidenceCascade, ModelPolicy
 from masticfork.systems.retry_budget import WindowedRetryBudget
 from masticfork.systems.server_choice import (
@@ -95,7 +96,10 @@
         self._metrics = RelayMetrics()
         with_evacuations = settings.bounds.evacuate is not None
         evacuations = Evacuations(known=not with_evacuations)
-        self._tables = Tables(self._loop, self.log, evacuations)
+        self._zones = zones = ZoneRegions(settings.zone_regions)
+        self._tables = Tables(
+            self._loop, self.log, evacuations, lambda table: check_homes(table, zones)
+        )
         self._paced_servers = PacedServers(
             self._loop, self._tables, self._metrics, self.log
         )
@@ -140,7 +144,7 @@
             self._digests.apply,
             self.log,
         )
-        self._transit_hosts = TransitHosts(self._loop, self._peers)
+        self._transit_hosts = TransitHosts(self._loop, self._peers, self._zones)
         self._store_view = StoreView(
             self._loop,
             self._tables,
@@ -480,6 +484,7 @@
             team=None if team is None else team.name,
             priority=min(LOWEST_PRIORITY, max(HIGHEST_PRIORITY, priority)),
             deadline=request.arrived_at + wait,
+            regions=home_regions(route, team),
         )
 
     def _refuse(
@@ -533,7 +538,7 @@
         """
         if self._trials.cut_off and not self._transit_hosts.available:
             return None
-        untried = self._untried_rows(service, work.route, session, tried_servers)
+        untried = self._untried_rows(work, session, tried_servers)
         row_by_load = {id(row.load): row for row in untried}
         now, loads = self._loop.now, [row.load for row in untried]
         if alone:
@@ -548,22 +553,22 @@
         return row_by_load[id(load)]
 
     def has_other_server(
-        self, service: str, route: str, session: str, tried_servers: set[str]
+        self, work: Work, session: str, tried_servers: set[str]
     ) -> bool:
         """Return whether an untried server is eligible and can be reached."""
         now = self._loop.now
-        rows = self._untried_rows(service, route, session, tried_servers)
+        rows = self._untried_rows(work, session, tried_servers)
         return any(row.load.avoid_until <= now for row in rows)
 
     def _untried_rows(
-        self, service: str, route: str, session: str, tried_servers: set[str]
+        self, work: Work, session: str, tried_servers: set[str]
     ) -> list[ServerRow]:
-        rows = self._eligible_rows(service, route, session)
+        rows = self._eligible_rows(work, session)
         return [row for row in rows if row.server.id not in tried_servers]
 
     def min_expected_delay(self, work: Work, session: str) -> float:
         """Return the shortest expected delay of any eligible server, in seconds."""
-        rows = self._eligible_rows(work.service, work.route, session)
+        rows = self._eligible_rows(work, session)
         delays = (self.expected_delay(row, work) for row in rows)
         return min(delays, default=float("inf"))
 
@@ -572,12 +577,16 @@
         zone, now = self._settings.zone, self._loop.now
         return expected_first_token_seconds(row.load, work, zone, now)
 
-    def _eligible_rows(
-        self, service: str, route: str, session: str
-    ) -> Sequence[ServerRow]:
+    def _eligible_rows(self, work: Work, session: str) -> Sequence[ServerRow]:
+        service = work.service
         version = self._session_versions.version(service, session, self._loop.now)
         rows = self._tables.servers_of(service)
-        return self._rollout_controller.eligible(service, route, session, version, rows)
+        if work.regions is not None:
+            permits = self._zones.permits
+            rows = [row for row in rows if permits(row.server.zone, work.regions)]
+        return self._rollout_controller.eligible(
+            service, work.route, session, version, rows
+        )
 
     def open_call(
         self, row: ServerRow, sink: CallSink, request: CallerRequest, call: Dispatch
@@ -588,7 +597,10 @@
         not be repeated gets a new connection, since the server may close an idle one
         just as the request is sent.
         """
-        host = self._transit_hosts.choose() if self._trials.cut_off else None
+        host = None
+        if self._trials.cut_off:
+            regions = sink.regions if isinstance(sink, Exchange) else None
+            host = self._transit_hosts.choose(regions)
         connections: ServerConnectionPool | TransitConnections = row.connections
         if host is not None:
             connections = TransitConnections(
--- a/masticfork/relay/exchange.py
+++ b/masticfork/relay/exchange.py
@@ -106,7 +106,7 @@
         """
 
     def has_other_server(
-        self, service: str, route: str, session: str, tried_servers: set[str]
+        self, work: Work, session: str, tried_servers: set[str]
     ) -> bool:
         """Return whether an untried server is eligible."""
 
@@ -255,6 +255,8 @@
     priority: int
     # Loop time by which the caller gets its final response.
     deadline: float
+    # Regions whose servers may serve the request, None for all.
+    regions: frozenset[str] | None = None
     history: CallHistory = attrs.field(factory=CallHistory)
     _identity: RequestIdentity = attrs.field(init=False)
     _model_index: int = 0
@@ -544,7 +546,7 @@
     def _work_for_call(self, model: str | None) -> Work:
         head = self.request.head
         if not self._is_stream or model is None:
-            return Work(self.service, route=self.route.name)
+            return Work(self.service, route=self.route.name, regions=self.regions)
         return Work(
             service=self.service,
             route=self.route.name,
@@ -552,6 +554,7 @@
             size=self._model_index,
             prompt=head.prompt,
             prompt_tokens=head.prompt_tokens,
+            regions=self.regions,
         )
 
     # Evaluation of responses, and retries.
@@ -578,8 +581,7 @@
             can_repeat = (
                 self.history.sent < self.route.max_attempts
                 and self.host.has_other_server(
-                    self.service,
-                    self.route.name,
+                    self._work_for_call(self._model_for_call()),
                     self._session_key,
                     self._tried_servers,
                 )
--- a/masticfork/relay/followers.py
+++ b/masticfork/relay/followers.py
@@ -20,6 +20,12 @@
 # answer them is detected only after it, so it must not be much longer than the time
 # within which a new configuration has to take effect.
 WATCH_WAIT_SECONDS = 4.0
+# The same for kinds that rarely change, and that are read from peers as well if this
+# host's calls for other kinds fail.
+WATCH_WAIT_SECONDS_BY_KIND = {names.KIND_EVACUATIONS: 10.0}
+# Pause between the first listing and the first watch of such kinds: most hosts that
+# start leave the watches to others by then.
+FIRST_WATCH_DELAY_SECONDS_BY_KIND = {names.KIND_EVACUATIONS: 1.5}
 # Wait of the first watch after a failure, short so that recovery is seen soon.
 RECOVERY_WATCH_WAIT_SECONDS = 0.2
 # Interval at which a paused follower checks whether the host stops.
@@ -160,13 +166,15 @@
         if isinstance(outcome, Err):
             return outcome.err_value
         self._position = outcome.ok_value.position
+        time.sleep(FIRST_WATCH_DELAY_SECONDS_BY_KIND.get(self._kind, 0.0))
         return None
 
     def _watch(self) -> PlatformError | None:
         assert self._position is not None
         # The first call after a failure has a short wait, so that the recovery of the
         # store is noticed soon.
-        wait = RECOVERY_WATCH_WAIT_SECONDS if self._failed else WATCH_WAIT_SECONDS
+        usual_wait = WATCH_WAIT_SECONDS_BY_KIND.get(self._kind, WATCH_WAIT_SECONDS)
+        wait = RECOVERY_WATCH_WAIT_SECONDS if self._failed else usual_wait
         outcome = self._objects.watch(self._kind, self._position.revision, wait)
         if isinstance(outcome, Err):
             return outcome.err_value
--- a/masticfork/relay/host_digests.py
+++ b/masticfork/relay/host_digests.py
@@ -106,7 +106,7 @@
         self._quarantine.apply_report(digest.crashes)
         self._tables.apply_limits(digest.limits, digest.host)
         self._tables.apply_brittle(digest.brittle, digest.host)
-        self._paced_servers.apply(digest.paced, digest.host)
+        self._paced_servers.apply(digest.paced)
         if digest.leaving:
             self._tables.apply_leaving_incarnations(digest.leaving, digest.host)
 
--- a/masticfork/relay/paced_servers.py
+++ b/masticfork/relay/paced_servers.py
@@ -11,9 +11,12 @@
 # Time after its start in which a host sends nothing to paced servers: until it has
 # heard the others, it would take the part of several hosts.
 JOIN_SECONDS = 2.0
-# Fraction of the route's target latency within which an answer to a paced server's call
-# begins in time: after it the call can still be repeated within the target.
+# Fraction of the route's target latency within which an answer begins in time: after it
+# the call can still be repeated within the target.
 TIMELY_TARGET_SHARE = 0.5
+# Multiple of the delay that the loads explain, within which an answer is in time too: a
+# server that is as late as all others is not slow.
+TIMELY_EXPECTED_FACTOR = 2.0
 
 
 class PacedServers:
@@ -61,7 +64,7 @@
                 self._log(
                     "server pace lowered",
                     server=row.server.id,
-                    rate=round(pace.rate(self._loop.now), 1),
+                    window=pace.window,
                 )
 
     def run(self, own_host: str, hosts: frozenset[str]) -> None:
@@ -78,17 +81,17 @@
 
     @property
     def reports(self) -> tuple[PaceReport, ...]:
-        """Return what other hosts are to know of paced servers."""
+        """Return the paced servers whose answers were late."""
         now = self._loop.now
         reports = (row.notice.pace.report(key, now) for key, row in self._rows.items())
         return tuple(report for report in reports if report is not None)
 
-    def apply(self, reports: Iterable[PaceReport], host: str) -> None:
-        """Apply what the answers to another host have added to paces."""
+    def apply(self, reports: Iterable[PaceReport]) -> None:
+        """Apply that answers of paced servers to another host were late."""
         for report in reports:
             row = self._rows.get(report.key)
             if row is not None:
-                row.notice.pace.apply(report, host, self._loop.now)
+                row.notice.pace.apply(report, self._loop.now)
 
     def _begin(self, row: ServerRow, cold_seconds: float, why: str) -> None:
         limits, pace = self._limits(row), row.notice.pace
@@ -102,7 +105,6 @@
             "server paced",
             server=row.server.id,
             why=why,
-            rate=round(pace.rate(now), 1),
             cold=round(max(0.0, pace.cold_until - now), 3),
             hosts=len(self._hosts),
         )
--- a/masticfork/relay/tables.py
+++ b/masticfork/relay/tables.py
@@ -7,6 +7,7 @@
 
 from masticfork.core.backend_servers import BackendServer, VersionRollout
 from masticfork.core.digests import BrittleReport, LimitReport
+from masticfork.core.findings import Findings
 from masticfork.core.ids import short_key
 from masticfork.core.routes import RouteTable
 from masticfork.relay.loop import Loop
@@ -65,7 +66,7 @@
         running = load.running + load.running_elsewhere
         return (
             not self.leaving
-            and self.notice.accepts_calls(now)
+            and self.notice.accepts_calls(load.running, now)
             and self.notice.brittle.accepts_calls(
                 load.running, running, self.server.slots, now
             )
@@ -76,11 +77,16 @@
     """The data by which requests are routed."""
 
     def __init__(
-        self, loop: Loop, log: Log, evacuations: Evacuations | None = None
+        self,
+        loop: Loop,
+        log: Log,
+        evacuations: Evacuations | None = None,
+        check: Callable[[RouteTable], Findings] = lambda _: (),
     ) -> None:
         self._loop = loop
         self._log = log
         self._evacuations = evacuations or Evacuations(known=True)
+        self._check = check
         # Called with the row of a server whose entry was read, and whether the server
         # has started since this host knows the servers.
         self.on_server_read: Callable[[ServerRow, bool], None] = lambda *_: None
@@ -137,6 +143,13 @@
             source=source,
             routes=len(table.routes),
         )
+        for finding in self._check(table):
+            self._log(
+                "configuration finding",
+                code=finding.code,
+                place=str(finding.place),
+                error=finding.message,
+            )
         return True
 
     def servers_of(self, service: str) -> list[ServerRow]:
--- a/masticfork/relay/transit_hosts.py
+++ b/masticfork/relay/transit_hosts.py
@@ -8,6 +8,7 @@
 from masticfork.core.backend_servers import Address
 from masticfork.relay.loop import Loop
 from masticfork.relay.peers import Peers
+from masticfork.systems.homes import ZoneRegions
 
 # Age of a digest beyond which its host is not called.
 MAX_DIGEST_AGE_SECONDS = 1.5
@@ -21,6 +22,7 @@
 
     name: str
     address: Address
+    zone: str = ""
 
 
 @attrs.define(eq=False)
@@ -29,6 +31,7 @@
 
     _loop: Loop
     _peers: Peers
+    _zones: ZoneRegions
     _calls: Counter[str] = attrs.field(factory=Counter)
     _avoided_until: dict[str, float] = attrs.field(factory=dict)
 
@@ -37,9 +40,16 @@
         """Return whether any host can be chosen."""
         return bool(self._candidates())
 
-    def choose(self) -> TransitHost | None:
-        """Return the host for a call, None if none reaches servers."""
-        candidates = self._candidates()
+    def choose(self, regions: frozenset[str] | None = None) -> TransitHost | None:
+        """Return the host for a call, None if none reaches servers.
+
+        The request may pass through hosts in the given regions only.
+        """
+        candidates = [
+            host
+            for host in self._candidates()
+            if self._zones.permits(host.zone, regions)
+        ]
         random.shuffle(candidates)
         return min(candidates, key=lambda host: self._calls[host.name], default=None)
 
@@ -69,5 +79,5 @@
                 continue
             if digest.host not in self._avoided_until:
                 transit_address = Address(address.host, digest.transit_port)
-                hosts.append(TransitHost(digest.host, transit_address))
+                hosts.append(TransitHost(digest.host, transit_address, digest.zone))
         return hosts
--- a/masticfork/systems/server_choice.py
+++ b/masticfork/systems/server_choice.py
@@ -149,6 +149,8 @@
     prompt_tokens: int = 0
     # Name of the route, by which the answers of two versions are compared.
     route: str = ""
+    # Regions whose servers may get the call, None for all.
+    regions: frozenset[str] | None = None
 
     @property
     def token_cost(self) -> float:
--- a/masticfork/systems/server_notices.py
+++ b/masticfork/systems/server_notices.py
@@ -39,13 +39,16 @@
     # Not announced by the server, but to be kept for as long.
     pace: ServerPace = attrs.field(factory=ServerPace)
 
-    def accepts_calls(self, now: float) -> bool:
-        """Return whether nothing known of the server excludes new calls."""
+    def accepts_calls(self, running: int, now: float) -> bool:
+        """Return whether nothing known of the server excludes new calls.
+
+        `running` are this host's calls in progress there.
+        """
         return (
             not self.leaving
             and self.paused_until <= now
             and self.limit.accepts_calls(now)
-            and self.pace.accepts_calls(now)
+            and self.pace.accepts_calls(running, now)
         )
 
     def accepts_calls_at(self, now: float) -> float:
--- a/masticfork/systems/server_pace.py
+++ b/masticfork/systems/server_pace.py
@@ -1,26 +1,23 @@
 """The pace of requests to a server that has just started or recovered.
 
 A cold server falls over if it gets more requests than it tolerates, and no host knows
-what the others send to it. So the pace is a rate for all hosts together, divided as in
-`rate_share`. While the server is cold, it is the rate that the configuration names.
-Then it rises with each answer in time, and loses half of what it has gained at each
-late or failed one. Hosts tell each other what their own answers have added; a host that
-hears no other goes by its own.
+what the others send to it. So while the server is cold, the hosts together send it the
+rate that the configuration names, divided as in `rate_share`. Then each host has some
+calls in progress at most: one at first, one more for each answer in time, and half as
+many after a late or failed one. Hosts tell each other of late answers, so that none
+sends more to a server that is slow for the others.
 """
 
 import attrs
 
 from masticfork.core.digests import PaceReport
-from masticfork.systems.rate_share import RateShare
+from masticfork.systems.rate_share import RateShare, rank_hosts
 
-# Requests a second by which one answer in time raises the pace: a server that answers
-# all in time gets twice as many after 0.7 s.
-RATE_PER_TIMELY_ANSWER = 1.0
 # Time without a late answer to any host after which a warm server is no longer paced,
-# whatever the rate: callers may ask for less than the pace allows.
-PROBATION_SECONDS = 5.0
-# Time for which the report of another host counts: some digests of it.
-REPORT_LIFETIME_SECONDS = 5.0
+# however many calls it gets: callers may ask for less than the pace allows.
+PROBATION_SECONDS = 3.0
+# Fraction of the server's slots that the first calls of all hosts may take together.
+FIRST_SLOT_SHARE = 0.5
 # Longest time for which a server is believed to be cold, so that a faulty entry does
 # not exclude it for good.
 MAX_COLD_SECONDS = 60.0
@@ -44,14 +41,6 @@
         return self.rate > 0.0
 
 
-@attrs.frozen
-class _Gain:
-    """What answers to another host have added to the pace."""
-
-    rate: float
-    until: float
-
-
 @attrs.define(eq=False)
 class ServerPace:
     """The pace of one incarnation of a server; times in seconds of the loop's clock."""
@@ -59,13 +48,11 @@
     # When the server has started or recovered, None while it is not paced.
     begun_at: float | None = None
     cold_until: float = 0.0
-    # Requests a second of all hosts while the server is cold, and the first ones after.
+    # Calls that this host may have in progress once the server is warm.
+    window: int = 0
+    # Requests a second of all hosts while the server is cold.
     _cold_rate: float = 0.0
-    # Rate at which the server is no longer paced.
-    _full_rate: float = 0.0
-    # Requests a second that this host's answers have added.
-    _gained: float = 0.0
-    _gained_elsewhere: dict[str, _Gain] = attrs.field(factory=dict)
+    _slots: int = 1
     _late_at: float | None = None
     _probation_until: float = 0.0
     _share: RateShare = attrs.field(factory=RateShare)
@@ -97,43 +84,26 @@
         self.begun_at = now
         if cold_seconds > 0.0:
             self.cold_until = cold_until
-        self._gained, self._late_at = 0.0, None
-        self._gained_elsewhere.clear()
-        self.exclude()
-        self._cold_rate, self._full_rate = limits.rate, max(limits.rate, slots)
+        self._cold_rate, self._slots = limits.rate, slots
+        self._late_at = None
         self._probation_until = max(self.cold_until, now) + PROBATION_SECONDS
+        self.exclude()
         return True
 
-    def rate(self, now: float) -> float:
-        """Return the requests a second that all hosts may send together."""
-        if self.is_cold(now):
-            return self._cold_rate
-        elsewhere = (g.rate for g in self._gained_elsewhere.values() if g.until > now)
-        return self._cold_rate + self._gained + sum(elsewhere)
-
     def record_answer(self, timely: bool, sent_at: float, now: float) -> None:
-        """Raise the pace for an answer in time; lower it for a late or failed one."""
+        """Widen the window for an answer in time; narrow it for another one."""
         if self.begun_at is None or sent_at < self.begun_at:
             return
         if timely:
-            self._gained = min(self._full_rate, self._gained + RATE_PER_TIMELY_ANSWER)
-            return
-        self._gained /= 2.0
-        self._gained_elsewhere = {
-            host: attrs.evolve(gain, rate=gain.rate / 2.0)
-            for host, gain in self._gained_elsewhere.items()
-        }
-        self._record_late(now)
-
-    def _record_late(self, at: float) -> None:
-        self._late_at = at
-        self._probation_until = max(self._probation_until, at + PROBATION_SECONDS)
+            self.window = min(self._slots, self.window + 1)
+        else:
+            self.window = max(1, self.window // 2)
+            self._late_at = now
+            self._extend_probation(now)
 
     def run(self, now: float) -> bool:
         """End the pace of a server that bears its load; return whether it ended."""
-        if not self.paced or self.is_cold(now):
-            return False
-        if self.rate(now) < self._full_rate and now < self._probation_until:
+        if not self.paced or now < self._probation_until:
             return False
         self.begun_at = None
         return True
@@ -142,38 +112,46 @@
         self, key: int, own_host: str, hosts: frozenset[str], now: float
     ) -> None:
         """Set the part of this host; `hosts` are the names of all known ones."""
-        if self.paced:
-            self._share.divide(self.rate(now), key, own_host, hosts, now)
+        if self.is_cold(now):
+            self._share.divide(self._cold_rate, key, own_host, hosts, now)
+        elif self.paced and not self.window:
+            first_hosts = max(1, int(FIRST_SLOT_SHARE * self._slots))
+            self.window = int(own_host in rank_hosts(key, hosts)[:first_hosts])
 
     def exclude(self) -> None:
         """Take no part in the pace for now."""
         self._share.interval = None
+        self.window = 0
 
-    def accepts_calls(self, now: float) -> bool:
-        """Return whether this host may send a request now."""
-        return not self.paced or self._share.accepts_calls(now)
+    def accepts_calls(self, running: int, now: float) -> bool:
+        """Return whether a request may be sent; `running` are this host's calls."""
+        if not self.paced:
+            return True
+        if self.is_cold(now):
+            return self._share.accepts_calls(now)
+        return running < self.window
 
     def accepts_at(self, now: float) -> float:
         """Return when a host is expected to accept a request for the server."""
-        return self._share.accepts_at(now) if self.paced else now
+        return self._share.accepts_at(now) if self.is_cold(now) else now
 
     def take(self, now: float) -> None:
         """Count a request that is being sent."""
-        if self.paced:
+        if self.is_cold(now):
             self._share.take(now)
 
     def report(self, key: int, now: float) -> PaceReport | None:
-        """Return what other hosts are to know, None if the server is not paced."""
-        if not self.paced:
+        """Return what other hosts are to know, None if no answer was late."""
+        if not self.paced or self._late_at is None:
             return None
-        late_age = None if self._late_at is None else max(0.0, now - self._late_at)
-        return PaceReport(key, self._gained, late_age)
-
-    def apply(self, report: PaceReport, host: str, now: float) -> None:
-        """Apply what the answers to another host have added to the pace."""
-        if self.paced:
-            until = now + REPORT_LIFETIME_SECONDS
-            self._gained_elsewhere[host] = _Gain(report.gained, until)
-            if report.late_age is not None:
-                late_until = now - report.late_age + PROBATION_SECONDS
-                self._probation_until = max(self._probation_until, late_until)
+        return PaceReport(key, max(0.0, now - self._late_at))
+
+    def apply(self, report: PaceReport, now: float) -> None:
+        """Apply that an answer to another host was late."""
+        late_at = now - report.late_age
+        if self.begun_at is not None and late_at > self.begun_at:
+            self._extend_probation(late_at)
+
+    def _extend_probation(self, late_at: float) -> None:
+        until = late_at + PROBATION_SECONDS
+        self._probation_until = max(self._probation_until, until)
--- a/standins/entry_environment.py
+++ b/standins/entry_environment.py
@@ -231,6 +231,7 @@
     host: str = "host-1",
     zone: str = "zone-a",
     store: ObjectStore | None = None,
+    zone_regions: dict[str, str] | None = None,
 ) -> Iterator[EntryHostEnvironment]:
     """Run an entry host in a thread, with a store that holds a configuration.
 
@@ -256,6 +257,7 @@
             memory_mb=256,
             file_descriptors=4096,
             bounds=bounds or Bounds(),
+            zone_regions=zone_regions or {},
         )
         entry = EntryHost(settings, _NullLogSink())
         thread = threading.Thread(target=entry.run, daemon=True)
--- a/standins/fake_exchange.py
+++ b/standins/fake_exchange.py
@@ -113,7 +113,7 @@
         return untried[0] if untried else None
 
     def has_other_server(
-        self, service: str, route: str, session: str, tried_servers: set[str]
+        self, work: Work, session: str, tried_servers: set[str]
     ) -> bool:
         """Return whether a server is untried."""
         return any(row.server.id not in tried_servers for row in self._rows)
