Decide on requests by the room of their service and by the shares of teams

Nothing weighed a request against the room that is left: one that could not be answered in its time was sent all the same, and a team that sends many times its usual took the room of others. Where the settings name the contract `pressure`, a request without a chance is refused at once, and a team over its usual part of the work yields while room is scarce.

--- a/masticfork/core/digests.py
+++ b/masticfork/core/digests.py
@@ -104,6 +104,20 @@
     late_age: float
 
 
+@attrs.frozen
+class TeamWork:
+    """The work of one team on one service that a host has received.
+
+    Both sums decay, the recent one within seconds.
+    """
+
+    # CRC-32 of the service's name, and of the names of the service and the team.
+    service: int
+    team: int
+    recent: float
+    usual: float
+
+
 @attrs.frozen
 class KindState:
     """What a host knows of one kind of store objects."""
@@ -151,6 +165,8 @@
     brittle: tuple[BrittleReport, ...] = ()
     # Servers that have just started or recovered.
     paced: tuple[PaceReport, ...] = ()
+    # Work by team, where hosts share scarce room among teams.
+    team_work: tuple[TeamWork, ...] = ()
     crashes: CrashReport = attrs.field(factory=CrashReport)
     # Port at which the host connects others to servers, 0 for none; and whether it
     # reaches no server itself.
--- a/masticfork/relay/digest.capnp
+++ b/masticfork/relay/digest.capnp
@@ -65,6 +65,9 @@
   # hash of the server's incarnation (UInt32) and the milliseconds since the latest late
   # or failed answer to the sender (UInt32).
   packedPaced @26 :Data;
+  # Work by team: records of 16 bytes with the hashes of the service, and of the service
+  # and the team (UInt32), and the recent and the usual work (Float32).
+  packedTeamWork @27 :Data;
 }
 
 struct Kind {
--- a/masticfork/relay/digest_codec.py
+++ b/masticfork/relay/digest_codec.py
@@ -21,6 +21,7 @@
     OldAnswers,
     PaceReport,
     RolloutEvidence,
+    TeamWork,
 )
 from masticfork.core.store_position import StorePosition
 
@@ -41,6 +42,7 @@
 _NEW_ANSWERS_RECORD = struct.Struct("<IIHHHH")
 _LIMIT_RECORD = struct.Struct("<IfI")
 _PACE_RECORD = struct.Struct("<II")
+_TEAM_WORK_RECORD = struct.Struct("<IIff")
 _BRITTLE_RECORD = struct.Struct("<IHHI")
 _OLD_ANSWERS_RECORD = struct.Struct("<Ifff")
 _TIME_RECORD = struct.Struct("<Bf")
@@ -150,6 +152,10 @@
             _PACE_RECORD.pack(item.key, _milliseconds(item.late_age, _MAX_UINT32))
             for item in digest.paced
         ),
+        packedTeamWork=b"".join(
+            _TEAM_WORK_RECORD.pack(item.service, item.team, item.recent, item.usual)
+            for item in digest.team_work
+        ),
         packedAnswered=_pack_key_times(digest.crashes.answered),
         packedQuarantined=_pack_key_times(digest.crashes.quarantined),
         running=sorted(digest.crashes.running),
@@ -326,6 +332,13 @@
                         reader.packedPaced, _PACE_RECORD
                     )
                 ),
+                team_work=tuple(
+                    TeamWork(*record)
+                    for record in _unpack_records(
+                        reader.packedTeamWork, _TEAM_WORK_RECORD
+                    )
+                    if all(map(math.isfinite, record))
+                ),
                 crashes=_unpack_crashes(reader),
                 partial=reader.partial,
             )
--- a/masticfork/relay/digest_codec_test.py
+++ b/masticfork/relay/digest_codec_test.py
@@ -12,6 +12,7 @@
     OldAnswers,
     PaceReport,
     RolloutEvidence,
+    TeamWork,
 )
 from masticfork.core.store_position import StorePosition
 from masticfork.relay.digest_codec import decode_digest, encode_digest
@@ -55,6 +56,11 @@
         digest = attrs.evolve(DIGEST, paced=reports)
         assert decode_digest(encode_digest(digest)) == Ok(digest)
 
+    def test_round_trip_of_work_by_team(self):
+        work = (TeamWork(4_000_000_000, 3, 12_000.0, 0.5),)
+        digest = attrs.evolve(DIGEST, team_work=work)
+        assert decode_digest(encode_digest(digest)) == Ok(digest)
+
     def test_round_trip_of_crash_reports(self):
         seen = (
             CrashObservation(3_000_000_001, 7, 2, 1.25),
--- a/masticfork/relay/entry.py
+++ b/masticfork/relay/entry.py
@@ -42,6 +42,7 @@
 from masticfork.relay.registration import Registration
 from masticfork.relay.request_quarantine import RequestQuarantine
 from masticfork.relay.rollout_controller import RolloutController
+from masticfork.relay.room import RoomGate
 from masticfork.relay.server_call import CallSink, ServerCall, ServerConnectionPool
 from masticfork.relay.server_trials import ServerTrials
 from masticfork.relay.session_versions import SessionVersions
@@ -57,11 +58,13 @@
 from masticfork.systems.homes import ZoneRegions, check_homes, home_regions
 from masticfork.systems.model_choice import ConfidenceCascade, ModelPolicy
 from masticfork.systems.retry_budget import WindowedRetryBudget
+from masticfork.systems.scarce_room import Admission, RoomRefusal
 from masticfork.systems.server_choice import (
     LowestExpectedDelay,
     ServerLoad,
     ServerPolicy,
     Work,
+    expected_delay_seconds,
     expected_first_token_seconds,
     loads_beside_suspects,
     loads_for_suspect,
@@ -122,6 +125,7 @@
         self._trials = ServerTrials(
             self._loop, self._tables, self._metrics, self._on_contact_changed, self.log
         )
+        self._room = RoomGate(self._loop, self._metrics, self.log, settings.scarce_room)
         self._digests = HostDigests(
             self._loop,
             settings.host,
@@ -131,6 +135,7 @@
             self._quarantine,
             self._trials,
             self._paced_servers,
+            self._room,
             settings.peer_ports[1],
         )
         self._objects = PlatformObjects(settings.store, time.monotonic)
@@ -622,6 +627,29 @@
         )
         return server_call
 
+    def admit(self, exchange: Exchange, work: Work) -> Admission | RoomRefusal:
+        """Decide on a new request by the room of its service."""
+        session = exchange.request.head.session or exchange.attempt_id
+        decision = self._room.admit(
+            exchange.attempt_id,
+            work,
+            exchange.team,
+            exchange.priority,
+            exchange.route.target,
+            exchange.deadline - self._loop.now,
+            lambda: self._min_wait(work, session),
+        )
+        if isinstance(decision, RoomRefusal):
+            return decision
+        return attrs.evolve(decision, priority=min(LOWEST_PRIORITY, decision.priority))
+
+    def _min_wait(self, work: Work, session: str) -> float:
+        """Return the expected seconds to an answer from the best eligible server."""
+        zone, now = self._settings.zone, self._loop.now
+        rows = self._eligible_rows(work, session)
+        waits = (expected_delay_seconds(row.load, work, zone, now) for row in rows)
+        return min(waits, default=float("inf"))
+
     def take_retry(self, service: str, reserved_share: float) -> bool:
         """Take a retry from the service's retry budget; return whether one was left."""
         return self._retry_budget.try_retry(service, self._loop.now, reserved_share)
@@ -682,6 +710,7 @@
         seconds = self._loop.now - exchange.request.arrived_at
         self._metrics.requests.labels(exchange.route.name, status).inc()
         self._metrics.total.labels(exchange.team or "").observe(seconds)
+        self._metrics.route_total.labels(exchange.route.name).observe(seconds)
         self.log(
             "end",
             request=exchange.attempt_id,
--- a/masticfork/relay/exchange.py
+++ b/masticfork/relay/exchange.py
@@ -20,6 +20,7 @@
     silence_limit,
 )
 from masticfork.systems.model_choice import ModelPolicy
+from masticfork.systems.scarce_room import Admission, RoomRefusal
 from masticfork.systems.server_choice import Work, pending_prompt_work
 
 # Non-stream responses up to this size are buffered until they are complete, so that the
@@ -121,6 +122,9 @@
     ) -> ServerCall:
         """Send a request to a server and return the call."""
 
+    def admit(self, exchange: "Exchange", work: Work) -> Admission | RoomRefusal:
+        """Decide on a new request by the room of its service."""
+
     def take_retry(self, service: str, reserved_share: float) -> bool:
         """Take a retry from the service's retry budget; return whether one was left.
 
@@ -273,6 +277,8 @@
     _deadline_timer: Timer | None = None
     _silence_timer: Timer | None = None
     _ended: bool = False
+    # Seconds after which a refused request may come back.
+    _retry_after: float = RETRY_AFTER_SECONDS
 
     @property
     def attempt_id(self) -> str:
@@ -325,6 +331,12 @@
             self._model_index = self.host.models.initial_size(self.route)
         self._deadline_timer = loop.call_at(self.deadline, self._on_deadline)
         self.host.count_request(self.service)
+        decision = self.host.admit(self, self._work_for_call(self._model_for_call()))
+        if isinstance(decision, RoomRefusal):
+            self._retry_after = decision.retry_after
+            self._fail_request(CallOutcome.UNSENT, decision.why)
+            return
+        self.priority = decision.priority
         self._send_call()
 
     def on_caller_disconnected(self) -> None:
@@ -713,7 +725,7 @@
     def _error_status(self) -> tuple[http.HTTPStatus, float | None]:
         """Return the status and Retry-After seconds of the error response."""
         if not self.history.may_have_run:
-            return http.HTTPStatus.SERVICE_UNAVAILABLE, RETRY_AFTER_SECONDS
+            return http.HTTPStatus.SERVICE_UNAVAILABLE, self._retry_after
         if self._seconds_left <= 0:
             return http.HTTPStatus.GATEWAY_TIMEOUT, None
         return http.HTTPStatus.BAD_GATEWAY, None
--- a/masticfork/relay/host_digests.py
+++ b/masticfork/relay/host_digests.py
@@ -11,6 +11,7 @@
 from masticfork.relay.reader_duty import ReaderDuty
 from masticfork.relay.request_quarantine import RequestQuarantine
 from masticfork.relay.rollout_controller import RolloutController
+from masticfork.relay.room import RoomGate
 from masticfork.relay.server_trials import ServerTrials
 from masticfork.relay.session_versions import SessionVersions
 from masticfork.relay.store_view import StoreView
@@ -39,6 +40,7 @@
         quarantine: RequestQuarantine,
         trials: ServerTrials,
         paced_servers: PacedServers,
+        room: RoomGate,
         transit_port: int,
     ) -> None:
         self._loop = loop
@@ -49,6 +51,7 @@
         self._quarantine = quarantine
         self._trials = trials
         self._paced_servers = paced_servers
+        self._room = room
         self._transit_port = transit_port
         self._own_loads = OwnLoads(tables, self._schedule_load_update)
         self._peer_loads = PeerLoads(tables)
@@ -107,6 +110,7 @@
         self._tables.apply_limits(digest.limits, digest.host)
         self._tables.apply_brittle(digest.brittle, digest.host)
         self._paced_servers.apply(digest.paced)
+        self._room.apply(digest.host, digest.team_work)
         if digest.leaving:
             self._tables.apply_leaving_incarnations(digest.leaving, digest.host)
 
@@ -148,6 +152,7 @@
             limits=self._tables.limits,
             brittle=self._tables.brittle_servers,
             paced=self._paced_servers.reports,
+            team_work=self._room.team_work,
             crashes=self._quarantine.report(),
         )
 
--- a/masticfork/relay/metrics.py
+++ b/masticfork/relay/metrics.py
@@ -38,6 +38,19 @@
             buckets=SECONDS_BUCKETS,
             registry=registry,
         )
+        self.route_total = Histogram(
+            "masticfork_relay_route_seconds",
+            "Time from a request to the end of its answer, by route",
+            ("route",),
+            buckets=SECONDS_BUCKETS,
+            registry=registry,
+        )
+        self.room_decisions = Counter(
+            "masticfork_relay_room_decisions",
+            "Decisions on requests by the room of their service",
+            ("service", "decision"),
+            registry=registry,
+        )
         self.store_failures = Counter(
             "masticfork_relay_store_failures",
             "Failed calls to the store",
--- a/masticfork/systems/server_choice.py
+++ b/masticfork/systems/server_choice.py
@@ -261,6 +261,15 @@
     return prefill + _backlog_seconds(load) + _penalty(load, zone, now)
 
 
+def expected_delay_seconds(
+    load: ServerLoad, work: Work, zone: str, now: float
+) -> float:
+    """Return the expected time to the answer, or to its first token, in seconds."""
+    if work.model is None:
+        return _expected_plain_delay(load, zone, now)
+    return expected_first_token_seconds(load, work, zone, now)
+
+
 def _expected_plain_delay(load: ServerLoad, zone: str, now: float) -> float:
     """Return the expected seconds to the answer of a server without a model."""
     running = _calls(load)
--- a/standins/fake_exchange.py
+++ b/standins/fake_exchange.py
@@ -18,6 +18,7 @@
 from masticfork.relay.server_call import CallSink, ServerConnectionPool, Stage
 from masticfork.relay.tables import ServerRow
 from masticfork.systems.model_choice import ConfidenceCascade
+from masticfork.systems.scarce_room import Admission, RoomRefusal
 from masticfork.systems.server_choice import ServerLoad, Work
 from masticfork.systems.server_notices import ServerNotices
 from standins.fake_loop import FakeLoop
@@ -126,6 +127,10 @@
         """Return a constant."""
         return 0.1
 
+    def admit(self, exchange: Exchange, work: Work) -> Admission | RoomRefusal:
+        """Admit every request."""
+        return Admission(exchange.priority)
+
     def open_call(
         self, row: ServerRow, sink: CallSink, request: CallerRequest, call: Dispatch
     ) -> FakeCall:
