Bound what a host holds for callers that read slowly

Each response was bounded by itself (256 KiB), their sum by nothing: on a host of 160 MB, 100 callers that stop reading could hold 25 MB and more. With the contract `pressure`, unsent responses take an eighth of the memory at most, those of one team half of that; the slowest callers of the team that holds most are reset first, with a log line, and their calls are cancelled.

--- a/masticfork/relay/caller.py
+++ b/masticfork/relay/caller.py
@@ -36,6 +36,13 @@
 class CallerExchange(Protocol):
     """Handles one request until its final response."""
 
+    @property
+    def team(self) -> str | None:
+        """Return the team of the request, None if it has none."""
+
+    def on_caller_too_slow(self) -> None:
+        """Cancel the exchange of a caller that was cut off for reading too slowly."""
+
     def on_caller_disconnected(self) -> None:
         """Cancel the exchange after the caller has disconnected."""
 
@@ -113,6 +120,7 @@
         self._response_chunked = False
         self._close_after_response = False
         self._rejected = False
+        self._team = ""
         self._idle_since = loop.now
         self._idle_timeout = host.limits.idle_timeout
         self._read_timer: Timer | None = None
@@ -129,6 +137,28 @@
         """Return whether too much of the response is still unsent."""
         return self._channel.unsent_bytes > MAX_UNSENT_RESPONSE_BYTES
 
+    @property
+    def team(self) -> str:
+        """Return the team of the latest request, empty if it has none."""
+        return self._team
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the bytes of responses that the caller has not taken yet."""
+        return self._channel.unsent_bytes
+
+    @property
+    def stalled_since(self) -> float:
+        """Return the loop time at which the caller last took any of them."""
+        return self._channel.progressed_at
+
+    def cut_off(self) -> None:
+        """Reset the connection of a caller that reads too slowly."""
+        exchange = self._exchange
+        self.abort_response()
+        if exchange is not None:
+            exchange.on_caller_too_slow()
+
     # Callbacks of the channel.
 
     def on_connected(self) -> None:
@@ -348,6 +378,7 @@
         exchange = self._host.begin_exchange(self, request)
         if self._exchange is placeholder:
             self._exchange = exchange
+        self._team = exchange.team or ""
 
     def _reject_input(self, status: http.HTTPStatus) -> None:
         """Answer invalid or oversized input with an error, and close the connection."""
@@ -427,6 +458,11 @@
 class NoExchange:
     """Placeholder for an exchange that is not created yet or was refused."""
 
+    team: str | None = None
+
+    def on_caller_too_slow(self) -> None:
+        """Do nothing: there is nothing to cancel."""
+
     def on_caller_disconnected(self) -> None:
         """Do nothing: there is nothing to cancel."""
 
--- a/masticfork/relay/channel.py
+++ b/masticfork/relay/channel.py
@@ -54,6 +54,7 @@
         self._connecting = connecting
         self._registered = True
         self._send_buffer = bytearray()
+        self._progressed_at = loop.now
         self._closed = False
         self._reading = True
         self._closing_when_sent = False
@@ -71,6 +72,11 @@
         """Return the number of bytes in the send buffer."""
         return len(self._send_buffer)
 
+    @property
+    def progressed_at(self) -> float:
+        """Return the loop time at which the peer last took buffered data."""
+        return self._progressed_at
+
     @property
     def _event_mask(self) -> int:
         events = selectors.EVENT_READ if self._reading else 0
@@ -94,6 +100,8 @@
                 self._schedule_close(error)
                 return
         if data:
+            if not self._send_buffer:
+                self._progressed_at = self._loop.now
             self._send_buffer += data
             self._update_registration()
 
@@ -163,6 +171,7 @@
         if self._send_buffer and not self._closed:
             try:
                 del self._send_buffer[: self._sock.send(self._send_buffer)]
+                self._progressed_at = self._loop.now
             except BlockingIOError:
                 return True
             except OSError as error:
--- a/masticfork/relay/entry.py
+++ b/masticfork/relay/entry.py
@@ -46,6 +46,7 @@
 from masticfork.relay.server_call import CallSink, ServerCall, ServerConnectionPool
 from masticfork.relay.server_trials import ServerTrials
 from masticfork.relay.session_versions import SessionVersions
+from masticfork.relay.slow_readers import SlowReaders
 from masticfork.relay.store_view import StoreView
 from masticfork.relay.tables import ServerRow, Tables
 from masticfork.relay.transit_calls import TransitConnections
@@ -126,6 +127,13 @@
             self._loop, self._tables, self._metrics, self._on_contact_changed, self.log
         )
         self._room = RoomGate(self._loop, self._metrics, self.log, settings.scarce_room)
+        self._slow_readers = SlowReaders(
+            self._loop,
+            self._metrics,
+            self.log,
+            settings.memory_mb << 20,
+            settings.scarce_room,
+        )
         self._digests = HostDigests(
             self._loop,
             settings.host,
@@ -293,6 +301,7 @@
                 exchange.on_quarantine()
         self._rollout_controller.run(self._loop.now)
         self._retry_budget.hosts = self._sharing_host_count()
+        self._slow_readers.run(self._connections)
         self._digests.run()
         self._reader_duty.run()
         self._store_view.run(self._loop.now, self._reader_duty.reading)
@@ -326,6 +335,11 @@
         """Return the number of peers heard from recently."""
         return len(self._peers.live_digests)
 
+    @property
+    def caller_connections(self) -> frozenset[CallerConnection]:
+        """Return the connections of callers."""
+        return frozenset(self._connections)
+
     @property
     def reads_the_store(self) -> bool:
         """Return whether this host follows the store itself."""
--- a/masticfork/relay/exchange.py
+++ b/masticfork/relay/exchange.py
@@ -343,6 +343,10 @@
         """Cancel the current call and end the exchange."""
         self._cancel("caller gone", 499)
 
+    def on_caller_too_slow(self) -> None:
+        """Cancel the current call: the caller was cut off for reading too slowly."""
+        self._cancel("caller reads too slowly", ABORTED_STATUS)
+
     def on_caller_writable(self) -> None:
         """Resume reading from the server."""
         if self._call_record is not None and self._call_record.call is not None:
--- a/masticfork/relay/metrics.py
+++ b/masticfork/relay/metrics.py
@@ -51,6 +51,17 @@
             ("service", "decision"),
             registry=registry,
         )
+        self.held_bytes = Gauge(
+            "masticfork_relay_held_bytes",
+            "Bytes of responses that callers have not taken yet",
+            registry=registry,
+        )
+        self.slow_readers = Counter(
+            "masticfork_relay_slow_readers",
+            "Callers that were cut off for reading too slowly",
+            ("team",),
+            registry=registry,
+        )
         self.store_failures = Counter(
             "masticfork_relay_store_failures",
             "Failed calls to the store",
--- a/standins/entry_environment.py
+++ b/standins/entry_environment.py
@@ -232,6 +232,8 @@
     zone: str = "zone-a",
     store: ObjectStore | None = None,
     zone_regions: dict[str, str] | None = None,
+    scarce_room: bool = False,
+    memory_mb: int = 256,
 ) -> Iterator[EntryHostEnvironment]:
     """Run an entry host in a thread, with a store that holds a configuration.
 
@@ -254,10 +256,11 @@
             peer_ports=(peer.port, transit.port),
             store=f"{LOOPBACK}:{store_server.port}",
             seeds=(),
-            memory_mb=256,
+            memory_mb=memory_mb,
             file_descriptors=4096,
             bounds=bounds or Bounds(),
             zone_regions=zone_regions or {},
+            scarce_room=scarce_room,
         )
         entry = EntryHost(settings, _NullLogSink())
         thread = threading.Thread(target=entry.run, daemon=True)
