--- a/masticfork/core/digests.py
+++ b/masticfork/core/digests.py
@@ -118,6 +118,18 @@
     usual: float
 
 
+@attrs.frozen
+class SpeedReport:
+    """One host's evidence on the speed of one incarnation of a server."""
+
+    # Identifies the incarnation on all hosts.
+    server: int
+    # Sum of the logarithms of the ratios of measured to expected times, and their
+    # number; both decay.
+    total: float
+    answers: float
+
+
 @attrs.frozen
 class KindState:
     """What a host knows of one kind of store objects."""
@@ -167,6 +179,7 @@
     paced: tuple[PaceReport, ...] = ()
     # Work by team, where hosts share scarce room among teams.
     team_work: tuple[TeamWork, ...] = ()
+    speeds: tuple[SpeedReport, ...] = ()
     crashes: CrashReport = attrs.field(factory=CrashReport)
     # Port at which the host connects others to servers, 0 for none; and whether it
     # reaches no server itself.
--- a/masticfork/relay/call_evidence.py
+++ b/masticfork/relay/call_evidence.py
@@ -17,6 +17,7 @@
 from masticfork.relay.rollout_controller import RolloutController
 from masticfork.relay.server_trials import ServerTrials
 from masticfork.relay.tables import Tables
+from masticfork.relay.uneven_servers import UnevenServers
 from masticfork.systems.failed_calls import CallOutcome
 from masticfork.systems.server_choice import UNREACHABLE_SECONDS
 from masticfork.systems.stream_pace import MIN_EVENTS, StreamPace
@@ -45,6 +46,7 @@
         quarantine: RequestQuarantine,
         trials: ServerTrials,
         paced_servers: PacedServers,
+        uneven_servers: UnevenServers,
         on_news: Callable[[], None],
     ) -> None:
         self._loop = loop
@@ -55,6 +57,7 @@
         self._quarantine = quarantine
         self._trials = trials
         self._paced_servers = paced_servers
+        self._uneven_servers = uneven_servers
         # Called when the other hosts should be told at once.
         self._on_news = on_news
         # Loop time of the latest failure by service and session.
@@ -112,6 +115,11 @@
         """
         if record.work.model is None:
             self.on_answered(record)
+        elif not failed:
+            seconds = self._loop.now - record.started_at
+            self._uneven_servers.record_answer(
+                record.row, seconds, record.expected_delay
+            )
         if record.counted_as_slow:
             return
         if failed and self._repeats_failure(record.row.server.service, session):
--- a/masticfork/relay/call_evidence_test.py
+++ b/masticfork/relay/call_evidence_test.py
@@ -14,6 +14,7 @@
 from masticfork.relay.rollout_controller import RolloutController
 from masticfork.relay.server_trials import ServerTrials
 from masticfork.relay.tables import Tables
+from masticfork.relay.uneven_servers import UnevenServers
 from masticfork.systems.exposure import ExposureLimit
 from masticfork.systems.failed_calls import CallOutcome
 from masticfork.systems.server_choice import Work
@@ -58,6 +59,7 @@
             self.quarantine,
             self.trials,
             PacedServers(self.loop, self.tables, metrics, ignore),
+            UnevenServers(self.loop, self.tables, metrics, ignore),
             ignore,
         )
 
--- a/masticfork/relay/digest.capnp
+++ b/masticfork/relay/digest.capnp
@@ -68,6 +68,10 @@
   # Work by team: records of 16 bytes with the hashes of the service, and of the service
   # and the team (UInt32), and the recent and the usual work (Float32).
   packedTeamWork @27 :Data;
+  # Evidence on the speeds of servers: records of 8 bytes with the hash of the server's
+  # incarnation (UInt32), the mean logarithm of measured to expected times in thousandths
+  # (Int16), and the number of answers in tenths (UInt16).
+  packedSpeeds @28 :Data;
 }
 
 struct Kind {
--- a/masticfork/relay/digest_codec.py
+++ b/masticfork/relay/digest_codec.py
@@ -21,6 +21,7 @@
     OldAnswers,
     PaceReport,
     RolloutEvidence,
+    SpeedReport,
     TeamWork,
 )
 from masticfork.core.store_position import StorePosition
@@ -28,6 +29,8 @@
 # Units in which digests carry pending work and weighted calls.
 PENDING_TOKENS_PER_UNIT = 1000.0
 BUSY_CALLS_PER_UNIT = 0.1
+LOG_RATIO_PER_UNIT = 0.001
+ANSWERS_PER_UNIT = 0.1
 _MAX_UINT8, _MAX_UINT16, _MAX_UINT32 = 0xFF, 0xFFFF, 0xFFFFFFFF
 _MILLISECONDS_PER_SECOND = 1000.0
 
@@ -43,6 +46,7 @@
 _LIMIT_RECORD = struct.Struct("<IfI")
 _PACE_RECORD = struct.Struct("<II")
 _TEAM_WORK_RECORD = struct.Struct("<IIff")
+_SPEED_RECORD = struct.Struct("<IhH")
 _BRITTLE_RECORD = struct.Struct("<IHHI")
 _OLD_ANSWERS_RECORD = struct.Struct("<Ifff")
 _TIME_RECORD = struct.Struct("<Bf")
@@ -156,6 +160,15 @@
             _TEAM_WORK_RECORD.pack(item.service, item.team, item.recent, item.usual)
             for item in digest.team_work
         ),
+        packedSpeeds=b"".join(
+            _SPEED_RECORD.pack(
+                item.server,
+                round(item.total / item.answers / LOG_RATIO_PER_UNIT),
+                min(_MAX_UINT16, round(item.answers / ANSWERS_PER_UNIT)),
+            )
+            for item in digest.speeds
+            if item.answers >= ANSWERS_PER_UNIT
+        ),
         packedAnswered=_pack_key_times(digest.crashes.answered),
         packedQuarantined=_pack_key_times(digest.crashes.quarantined),
         running=sorted(digest.crashes.running),
@@ -339,6 +352,16 @@
                     )
                     if all(map(math.isfinite, record))
                 ),
+                speeds=tuple(
+                    SpeedReport(
+                        server,
+                        mean * LOG_RATIO_PER_UNIT * answers * ANSWERS_PER_UNIT,
+                        answers * ANSWERS_PER_UNIT,
+                    )
+                    for server, mean, answers in _unpack_records(
+                        reader.packedSpeeds, _SPEED_RECORD
+                    )
+                ),
                 crashes=_unpack_crashes(reader),
                 partial=reader.partial,
             )
--- a/masticfork/relay/digest_codec_test.py
+++ b/masticfork/relay/digest_codec_test.py
@@ -1,4 +1,5 @@
 import attrs
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 from result import Err, Ok
@@ -12,6 +13,7 @@
     OldAnswers,
     PaceReport,
     RolloutEvidence,
+    SpeedReport,
     TeamWork,
 )
 from masticfork.core.store_position import StorePosition
@@ -61,6 +63,13 @@
         digest = attrs.evolve(DIGEST, team_work=work)
         assert decode_digest(encode_digest(digest)) == Ok(digest)
 
+    def test_round_trip_of_speeds(self):
+        digest = attrs.evolve(DIGEST, speeds=(SpeedReport(4_000_000_000, -1.5, 3.0),))
+        (speed,) = decode_digest(encode_digest(digest)).ok_value.speeds
+        assert speed.server == 4_000_000_000
+        assert speed.total == pytest.approx(-1.5)
+        assert speed.answers == pytest.approx(3.0)
+
     def test_round_trip_of_crash_reports(self):
         seen = (
             CrashObservation(3_000_000_001, 7, 2, 1.25),
--- a/masticfork/relay/entry.py
+++ b/masticfork/relay/entry.py
@@ -52,6 +52,7 @@
 from masticfork.relay.transit_calls import TransitConnections
 from masticfork.relay.transit_hosts import TransitHosts
 from masticfork.relay.transit_listener import TransitListener
+from masticfork.relay.uneven_servers import UnevenServers
 from masticfork.relay.zone_evacuations import ZoneEvacuations
 from masticfork.systems.evacuations import Evacuations, ZoneChange
 from masticfork.systems.exposure import ExposureLimit
@@ -107,6 +108,9 @@
         self._paced_servers = PacedServers(
             self._loop, self._tables, self._metrics, self.log
         )
+        self._uneven_servers = UnevenServers(
+            self._loop, self._tables, self._metrics, self.log
+        )
         self._tables.on_server_read = self._paced_servers.on_server_read
         self._model_policy: ModelPolicy = ConfidenceCascade()
         self._server_policy: ServerPolicy = LowestExpectedDelay()
@@ -144,6 +148,7 @@
             self._trials,
             self._paced_servers,
             self._room,
+            self._uneven_servers,
             settings.peer_ports[1],
         )
         self._objects = PlatformObjects(settings.store, time.monotonic)
@@ -213,6 +218,7 @@
             self._quarantine,
             self._trials,
             self._paced_servers,
+            self._uneven_servers,
             self._digests.schedule_news,
         )
         self._transit_listener = TransitListener(
@@ -294,6 +300,7 @@
         own_host, known_hosts = self._settings.host, self._peers.known_hosts
         self._tables.share_limits(own_host, known_hosts)
         self._paced_servers.run(own_host, known_hosts)
+        self._uneven_servers.run()
         self._session_versions.sweep(self._loop.now)
         self._call_evidence.report_slow_calls(self._open_exchanges)
         if self._quarantine.run():
--- a/masticfork/relay/host_digests.py
+++ b/masticfork/relay/host_digests.py
@@ -16,6 +16,7 @@
 from masticfork.relay.session_versions import SessionVersions
 from masticfork.relay.store_view import StoreView
 from masticfork.relay.tables import Tables
+from masticfork.relay.uneven_servers import UnevenServers
 
 # Age up to which a server's limit is also told in partial digests.
 LIMIT_NEWS_SECONDS = 0.5
@@ -41,6 +42,7 @@
         trials: ServerTrials,
         paced_servers: PacedServers,
         room: RoomGate,
+        uneven_servers: UnevenServers,
         transit_port: int,
     ) -> None:
         self._loop = loop
@@ -52,6 +54,7 @@
         self._trials = trials
         self._paced_servers = paced_servers
         self._room = room
+        self._uneven_servers = uneven_servers
         self._transit_port = transit_port
         self._own_loads = OwnLoads(tables, self._schedule_load_update)
         self._peer_loads = PeerLoads(tables)
@@ -111,6 +114,7 @@
         self._tables.apply_brittle(digest.brittle, digest.host)
         self._paced_servers.apply(digest.paced)
         self._room.apply(digest.host, digest.team_work)
+        self._uneven_servers.apply(digest.host, digest.speeds)
         if digest.leaving:
             self._tables.apply_leaving_incarnations(digest.leaving, digest.host)
 
@@ -153,6 +157,7 @@
             brittle=self._tables.brittle_servers,
             paced=self._paced_servers.reports,
             team_work=self._room.team_work,
+            speeds=self._uneven_servers.reports,
             crashes=self._quarantine.report(),
         )
 
--- a/masticfork/relay/metrics.py
+++ b/masticfork/relay/metrics.py
@@ -62,6 +62,11 @@
             ("team",),
             registry=registry,
         )
+        self.uneven_servers = Gauge(
+            "masticfork_relay_uneven_servers",
+            "Servers that are much slower or faster than the others of their service",
+            registry=registry,
+        )
         self.store_failures = Counter(
             "masticfork_relay_store_failures",
             "Failed calls to the store",
--- a/masticfork/relay/version_evidence_test.py
+++ b/masticfork/relay/version_evidence_test.py
@@ -21,6 +21,7 @@
 from masticfork.relay.rollout_controller import RolloutController
 from masticfork.relay.server_trials import ServerTrials
 from masticfork.relay.tables import Tables
+from masticfork.relay.uneven_servers import UnevenServers
 from masticfork.systems.exposure import ExposureLimit
 from masticfork.systems.server_choice import Work
 from standins.fake_exchange import FakeCaller, FakeHost, caller_request, response_head
@@ -111,6 +112,7 @@
             ),
             ServerTrials(loop, tables, RelayMetrics(), lambda: None, ignore),
             PacedServers(loop, tables, RelayMetrics(), ignore),
+            UnevenServers(loop, tables, RelayMetrics(), ignore),
             lambda: None,
         )
         for at, session in failures:
--- a/masticfork/systems/server_choice.py
+++ b/masticfork/systems/server_choice.py
@@ -73,6 +73,8 @@
     silences: int = 0
     # Moving average of the time to first byte, in seconds; 0 before the first answer.
     mean_time: float = 0.0
+    # How many times as long the server takes as the others of its service.
+    slowness: float = 1.0
     # Time of last use by model and prompt part, least recently used first.
     parts: OrderedDict[tuple[str, str], float] = attrs.field(factory=OrderedDict)
 
@@ -216,7 +218,7 @@
             return None
         best = min(
             candidates,
-            key=lambda pair: expected_first_token_seconds(
+            key=lambda pair: _uneven_first_token_seconds(
                 pair[0], work, zone, now, pair[1]
             ),
         )
@@ -261,6 +263,19 @@
     return prefill + _backlog_seconds(load) + _penalty(load, zone, now)
 
 
+def _uneven_first_token_seconds(
+    load: ServerLoad, work: Work, zone: str, now: float, expected: float
+) -> float:
+    """Return the expected time to first token, by the speed of the server.
+
+    The evidence on versions is relative to the time without it: else a slow version
+    would be as fast as expected.
+    """
+    penalty = _penalty(load, zone, now)
+    seconds = expected_first_token_seconds(load, work, zone, now, expected)
+    return (seconds - penalty) * load.slowness + penalty
+
+
 def expected_delay_seconds(
     load: ServerLoad, work: Work, zone: str, now: float
 ) -> float:
@@ -305,7 +320,7 @@
 def _least_loaded(loads: Sequence[ServerLoad]) -> list[ServerLoad]:
     if len(loads) <= PREFERRED_SERVERS:
         return []
-    return [min(loads, key=_backlog_seconds)]
+    return [min(loads, key=lambda load: load.slowness * _backlog_seconds(load))]
 
 
 def _backlog_seconds(load: ServerLoad) -> float:
