--- a/masticfork/core/digests.py
+++ b/masticfork/core/digests.py
@@ -152,6 +152,11 @@
     changes: bytes
 
 
+# Version of what hosts tell each other, told in digests; 0 for builds that tell none. See
+# docs/INTERFACES.md for what each version has added.
+PROTOCOL_VERSION = 1
+
+
 @attrs.frozen
 class Digest:
     """Snapshot of one host's load and rollout evidence."""
@@ -193,6 +198,8 @@
     # Whether the host follows the store itself, and whether its calls fail.
     reading: bool = False
     store_failing: bool = False
+    # Version of the sender's digests, see above.
+    protocol: int = PROTOCOL_VERSION
     # Whether `loads` has only changed entries; all else is as in the digest before.
     partial: bool = False
 
--- a/masticfork/relay/digest.capnp
+++ b/masticfork/relay/digest.capnp
@@ -72,6 +72,8 @@
   # incarnation (UInt32), the mean logarithm of measured to expected times in thousandths
   # (Int16), and the number of answers in tenths (UInt16).
   packedSpeeds @28 :Data;
+  # Version of what the sender tells; 0 for builds that tell none.
+  protocol @29 :UInt16;
 }
 
 struct Kind {
--- a/masticfork/relay/digest_codec.py
+++ b/masticfork/relay/digest_codec.py
@@ -72,6 +72,7 @@
         storeFailing=digest.store_failing,
         transitPort=digest.transit_port,
         cutOff=digest.cut_off,
+        protocol=digest.protocol,
         kinds=[
             {
                 "era": kind.position.era,
@@ -307,6 +308,7 @@
                 store_failing=reader.storeFailing,
                 transit_port=reader.transitPort,
                 cut_off=reader.cutOff,
+                protocol=reader.protocol,
                 kinds=tuple(
                     KindState(StorePosition(item.era, item.revision), item.fingerprint)
                     for item in reader.kinds
--- a/masticfork/relay/mirror.py
+++ b/masticfork/relay/mirror.py
@@ -19,6 +19,7 @@
 # The fastest level; configurations shrink to a tenth with it.
 COMPRESSION_LEVEL = 1
 ZLIB_FIRST_BYTE = b"\x78"
+_OBJECT_FIELDS = tuple(field.name for field in attrs.fields(PlatformObject))
 
 
 @attrs.define
@@ -84,12 +85,20 @@
     try:
         rows = json.loads(zlib.decompress(data))
         return [
-            ObjectChange(PlatformObject(**row), bool(deleted)) for row, deleted in rows
+            ObjectChange(_stored_object(row), bool(deleted)) for row, deleted in rows
         ]
     except (zlib.error, TypeError, ValueError) as error:
         raise ValueError(f"malformed changes: {error!r}") from error
 
 
+def _stored_object(row: Any) -> PlatformObject:
+    """Return an object as a peer has sent it.
+
+    Later builds may send more fields. Raise TypeError if one is missing.
+    """
+    return PlatformObject(**{name: row[name] for name in _OBJECT_FIELDS if name in row})
+
+
 def encode_copy(mirrors: dict[str, KindMirror]) -> bytes:
     """Return the compressed JSON in which peers exchange mirrors."""
     return zlib.compress(json.dumps(to_json(mirrors)).encode(), COMPRESSION_LEVEL)
@@ -125,7 +134,7 @@
     try:
         return {
             kind: Listing(
-                tuple(PlatformObject(**row) for row in part["objects"]),
+                tuple(_stored_object(row) for row in part["objects"]),
                 int(part["revision"]),
                 int(part.get("era", 0)),
             )
--- a/masticfork/relay/peers.py
+++ b/masticfork/relay/peers.py
@@ -259,7 +259,12 @@
             # A host that joins must know what the others keep from servers.
             self._next_digest = self._loop.now
         if known is None:
-            self._log("peer discovered", peer=digest.host, hosts=len(self._peers) + 2)
+            self._log(
+                "peer discovered",
+                peer=digest.host,
+                hosts=len(self._peers) + 2,
+                protocol=digest.protocol,
+            )
             known = self._peers[digest.host] = _Peer(digest, 0, self._loop.now)
         if not digest.partial:
             for server in known.loads.keys() - digest.loads.keys():
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -26,7 +26,13 @@
     RequestKind,
     Run,
 )
-from soak.servers import SoakServer
+from soak.servers import (
+    COLD_RATE,
+    COLD_SECONDS,
+    EVACUATED_ZONE,
+    SoakServer,
+    server_zone,
+)
 from standins.common import LOOPBACK, serving
 from standins.entry_environment import (
     ENGINES,
@@ -38,7 +44,7 @@
 from standins.fault_proxy import FaultProxy
 from standins.object_store import ObjectStore
 from standins.scripted_server import ScriptedServer
-from tools.processes import Program, stop_all
+from tools.processes import ROOT, Program, stop_all
 from tools.run_platform import GRACE_SECONDS, start_host
 
 # Time within which a host must exit after SIGTERM.
@@ -95,8 +101,16 @@
 class SoakEnvironment:
     """Runs the processes, injects faults and records what happens."""
 
-    def __init__(self, folder: Path, store: ObjectStore, port: int, seed: int) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        store: ObjectStore,
+        port: int,
+        seed: int,
+        source: Path = ROOT,
+    ) -> None:
         self._folder = folder
+        self._source = source
         self._store = store
         self._store_address = Address(LOOPBACK, port)
         self._seed = seed
@@ -110,6 +124,8 @@
         self._scheduled: list[tuple[float, Callable[[], None]]] = []
         # Servers that a deadly request has crashed, from the threads that serve it.
         self._crashed: queue.SimpleQueue[int] = queue.SimpleQueue()
+        # When cold servers are warm, by index.
+        self._cold_until: dict[int, float] = {}
         self._checks = 0
         self.shared = SharedState([])
 
@@ -178,18 +194,35 @@
             self._store.remove("servers", server.script.id)
             server.starts += 1
             server.script.id = f"i-{server.script.index}-{server.starts}"
-        entry = server_entry(server.scripted, server.service, state=state)
+        self._write_state(server, state)
+
+    def _write_state(self, server: _Server, state: str) -> None:
+        """Write the entry of a server's present instance."""
+        index = server.script.index
+        cold = max(0.0, self._cold_until.get(index, 0.0) - time.monotonic())
+        entry = server_entry(
+            server.scripted,
+            server.service,
+            state=state,
+            zone=server_zone(index),
+            cold_remaining_ms=round(cold * 1000),
+        )
         entry["address"] = str(server.proxy.address)
         self._store.put("servers", server.script.id, entry)
 
     def _add_host(self, index: int) -> None:
         proxy = FaultProxy(self._store_address)
         started_at = time.monotonic()
-        started = start_host(index, proxy.address, self._folder)
+        started = start_host(index, proxy.address, self._folder, self._source)
         target = Target(index, started.front)
         self.shared.targets.append(target)
         self._hosts.append(_Host(started.program, target, proxy, started_at))
 
+    def use_build(self, source: Path) -> None:
+        """Let each host run another build from its next start on."""
+        for host in self._hosts:
+            host.program.source = source
+
     # Main loop.
 
     def run(self, faults: list[Fault], seconds: float) -> None:
@@ -311,6 +344,11 @@
             return _inject_connection_fault(fault.kind, proxy)
         if fault.kind is FaultKind.SERVER_REPLACED:
             return self._replace_server(self._servers[fault.target], until)
+        if fault.kind is FaultKind.SERVER_COLD:
+            return self._cool_server(self._servers[fault.target], until)
+        if fault.kind is FaultKind.ZONE_EVACUATED:
+            self._store.put("evacuations", EVACUATED_ZONE, {})
+            return lambda: self._store.remove("evacuations", EVACUATED_ZONE)
         if fault.kind is FaultKind.SERVER_LIMITED:
             return self._limit_server(self._servers[fault.target])
         if fault.kind in SERVER_KINDS:
@@ -387,6 +425,12 @@
             FaultInterval(FaultKind.SERVER_CONNECTIONS_RESET, index, now, returns_at)
         )
 
+    def _cool_server(self, server: _Server, until: float) -> Callable[[], None]:
+        """Let a server announce that it is cold until the end of the fault."""
+        self._cold_until[server.script.index] = until
+        self._write_state(server, "ready")
+        return _no_revert
+
     def _limit_server(self, server: _Server) -> Callable[[], None]:
         server.script.limited = True
 
@@ -412,7 +456,10 @@
         routes = [route(kind) for kind in ("safe", "unsafe", "streaming")]
         extra = route("safe", name="extra", path_prefix=f"/extra-{version}/")
         self._config_written_at[version] = time.monotonic()
-        self._store.put("config", "main", configuration(version, *routes, extra))
+        spec = configuration(version, *routes, extra)
+        for service in spec["services"]:
+            service.update(cold_per_s=COLD_RATE, cold_start_s=COLD_SECONDS)
+        self._store.put("config", "main", spec)
         self.shared.version = version
 
 
@@ -449,13 +496,16 @@
 
 @contextmanager
 def soak_environment(
-    folder: Path, seed: int, hosts: int, servers: int
+    folder: Path, seed: int, hosts: int, servers: int, source: Path = ROOT
 ) -> Iterator[SoakEnvironment]:
-    """Run the processes of a soak until the context exits."""
+    """Run the processes of a soak until the context exits.
+
+    `source` is the folder of the build that the hosts run.
+    """
     store = ObjectStore()
     with ExitStack() as stack:
         store_server = stack.enter_context(serving(store))
-        environment = SoakEnvironment(folder, store, store_server.port, seed)
+        environment = SoakEnvironment(folder, store, store_server.port, seed, source)
         stack.callback(environment.end)
         environment.start(hosts, servers)
         yield environment
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -8,6 +8,7 @@
     HOST_OUTAGES,
     HOST_PROCESS_KINDS,
     SERVER_KINDS,
+    STORE_FAULTS,
     Attempt,
     FaultKind,
     History,
@@ -15,10 +16,13 @@
     Run,
 )
 from soak.servers import (
+    COLD_RATE,
+    EVACUATED_ZONE,
     EVENT_COUNT,
     EVENT_PAUSE_SECONDS,
     LIMITED_RATE,
     plain_body,
+    server_zone,
 )
 
 # Statuses that guarantee that the request has not run and never will.
@@ -43,6 +47,11 @@
 # Time after the third crash under a request by which all hosts know it, and the calls
 # of it that are allowed later.
 DEADLY_KNOWN_SECONDS, MAX_RETRIES_OF_DEADLY_REQUESTS = 3.0, 3
+# Time after an order to evacuate a zone, or after a server's entry that it is cold, by
+# which all hosts have read it.
+ORDER_KNOWN_SECONDS = 1.5
+# Requests beyond 1.5 times its rate that a cold server may get within a second.
+COLD_SLACK = 5
 
 
 def check_guarantees(history: History) -> list[Finding]:
@@ -313,6 +322,44 @@
             yield _finding("deadly", "body", f"{len(late)} crashes after the third")
 
 
+def _order_was_read(history: History, since: float) -> bool:
+    """Return whether hosts could read the store for some time before and after."""
+    return not any(
+        fault.kind in STORE_FAULTS | HOST_PROCESS_KINDS
+        and fault.overlaps(since - FAULT_LOOKBACK_SECONDS, since + ORDER_KNOWN_SECONDS)
+        for fault in history.fault_intervals
+    )
+
+
+def evacuated_zones_get_no_requests(history: History) -> Iterator[Finding]:
+    """Yield servers of an evacuated zone that got requests after all hosts knew."""
+    for order in history.fault_intervals:
+        is_order = order.kind is FaultKind.ZONE_EVACUATED
+        if not is_order or not _order_was_read(history, order.started_at):
+            continue
+        since = order.started_at + ORDER_KNOWN_SECONDS
+        for server, arrivals in history.arrivals.items():
+            late = [at for at in arrivals if since <= at <= order.ended_at]
+            if server_zone(server) == EVACUATED_ZONE and late:
+                message = f"got {len(late)} requests while its zone was evacuated"
+                yield _finding("evacuated", f"server {server}", message)
+
+
+def cold_servers_are_paced(history: History) -> Iterator[Finding]:
+    """Yield cold servers that got more requests in a second than they bear."""
+    for cold in history.fault_intervals:
+        is_cold = cold.kind is FaultKind.SERVER_COLD
+        if not is_cold or not _order_was_read(history, cold.started_at):
+            continue
+        since = cold.started_at + ORDER_KNOWN_SECONDS
+        arrivals = history.arrivals.get(cold.target, [])
+        times = [at for at in arrivals if since <= at <= cold.ended_at]
+        most = max((sum(at <= t < at + 1.0 for t in times) for at in times), default=0)
+        if most > 1.5 * COLD_RATE + COLD_SLACK:
+            message = f"got {most} requests within a second while it was cold"
+            yield _finding("cold", f"server {cold.target}", message)
+
+
 Guarantee = Callable[[History], Iterator[Finding]]
 
 GUARANTEES: tuple[Guarantee, ...] = (
@@ -329,4 +376,6 @@
     configuration_never_regresses,
     limits_are_kept,
     deadly_requests_are_kept_from_servers,
+    evacuated_zones_get_no_requests,
+    cold_servers_are_paced,
 )
--- a/soak/guarantees_test.py
+++ b/soak/guarantees_test.py
@@ -136,6 +136,30 @@
         assert found_codes(crashes=crashes) == codes
 
 
+class TestOrders:
+    def found(self, kind, arrivals, *other_faults):
+        order = FaultInterval(kind, 2, STARTED_AT, STARTED_AT + 3.0)
+        return found_codes(
+            fault_intervals=[order, *other_faults], arrivals={2: arrivals}
+        )
+
+    def test_request_to_an_evacuated_zone(self):
+        late = [STARTED_AT + 2.0]
+        assert self.found(FaultKind.ZONE_EVACUATED, late) == ["soak.evacuated"]
+        early = [STARTED_AT + 1.0, STARTED_AT + 3.1]
+        assert self.found(FaultKind.ZONE_EVACUATED, early) == []
+
+    def test_flood_of_a_cold_server(self):
+        flood = [STARTED_AT + 2.0 + 0.05 * n for n in range(16)]
+        assert self.found(FaultKind.SERVER_COLD, flood) == ["soak.cold"]
+        assert self.found(FaultKind.SERVER_COLD, flood[:12]) == []
+
+    def test_outage_of_the_store_excuses_late_knowledge(self):
+        outage = FaultInterval(FaultKind.STORE_DOWN, 0, STARTED_AT - 1.0, STARTED_AT)
+        late = [STARTED_AT + 2.0]
+        assert self.found(FaultKind.ZONE_EVACUATED, late, outage) == []
+
+
 class TestExcusedFailures:
     def test_a_killed_host_excuses_a_lost_answer(self):
         unanswered = attempt(status=None, complete=False, body=b"")
--- a/soak/records.py
+++ b/soak/records.py
@@ -29,6 +29,8 @@
     STORE_ANSWERS_LOST = "answers of the store lost"
     STORE_HISTORY_LOST = "store forgets its history"
     CONFIGURATION_CHANGED = "new configuration"
+    ZONE_EVACUATED = "availability zone evacuated"
+    SERVER_COLD = "server becomes cold"
 
 
 # Kinds that affect a host's process, and those that affect its store connections.
@@ -55,8 +57,18 @@
         FaultKind.SERVER_TRAFFIC_HELD,
         FaultKind.SERVER_REPLACED,
         FaultKind.SERVER_LIMITED,
+        FaultKind.SERVER_COLD,
     }
 )
+# Kinds that are drawn for themselves, so that the other faults of a seed stay the same.
+SEPARATE_KINDS = (FaultKind.ZONE_EVACUATED, FaultKind.SERVER_COLD)
+# Kinds during which hosts may learn of an order late.
+STORE_FAULTS = STORE_CONNECTION_KINDS | {
+    FaultKind.STORE_DOWN,
+    FaultKind.STORE_SLOW,
+    FaultKind.STORE_ANSWERS_LOST,
+    FaultKind.STORE_HISTORY_LOST,
+}
 # Kinds during which a host may answer late or not at all.
 HOST_OUTAGES = frozenset({FaultKind.HOST_KILLED, FaultKind.HOST_PAUSED})
 
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -23,6 +23,12 @@
 DEADLY_BODY = b"deadly"
 # Requests a second that a limited server names.
 LIMITED_RATE = 2
+# Requests a second that a cold server bears, and seconds for which it is cold after its
+# start, as the configuration names them.
+COLD_RATE, COLD_SECONDS = 6.0, 1.0
+# Zones of the servers, two servers of different services in each.
+ZONES = ("zone-a", "zone-b", "zone-c")
+EVACUATED_ZONE = ZONES[1]
 # Events of a complete stream, and the pause before each.
 EVENT_COUNT = 10
 EVENT_PAUSE_SECONDS = 0.03
@@ -43,6 +49,11 @@
 _AnswerScript = Callable[[ReceivedRequest, str], _Chunks]
 
 
+def server_zone(index: int) -> str:
+    """Return the availability zone of a server."""
+    return ZONES[index // 2 % len(ZONES)]
+
+
 def plain_body(attempt_id: str) -> bytes:
     """Return the body of a complete plain answer."""
     return b"done " + attempt_id.encode()
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -23,13 +23,17 @@
 
 
 class Program:
-    """A Python module run as a child process in the root folder, with a log file.
+    """A Python module run as a child process in a source folder, with a log file.
 
-    `arguments` are the module's name and command line; the log is folder/name.log.
+    `arguments` are the module's name and command line; the log is folder/name.log. The
+    `source` may be changed between two starts.
     """
 
-    def __init__(self, name: str, arguments: list[str], folder: Path) -> None:
+    def __init__(
+        self, name: str, arguments: list[str], folder: Path, source: Path = ROOT
+    ) -> None:
         self.name = name
+        self.source = source
         self._command = [sys.executable, "-m", *arguments]
         self._log_path = folder / f"{name}.log"
         self._process: subprocess.Popen[str] | None = None
@@ -66,7 +70,7 @@
         with self._log_path.open("a") as log:
             self._process = subprocess.Popen(
                 self._command,
-                cwd=ROOT,
+                cwd=self.source,
                 stdin=subprocess.DEVNULL,
                 stdout=subprocess.PIPE if reports_ready else log,
                 stderr=log,
--- a/tools/run_platform.py
+++ b/tools/run_platform.py
@@ -26,7 +26,7 @@
 from standins.object_store import ObjectStore
 from standins.ports import free_ports
 from standins.scripted_server import ReceivedRequest, ScriptedServer, events, response
-from tools.processes import Program, stop_all
+from tools.processes import ROOT, Program, stop_all
 
 ENTRY_MODULE = "masticfork.scripts.masticfork_entry"
 ZONES = ("zone-a", "zone-b", "zone-c")
@@ -51,6 +51,7 @@
 file_descriptors = 1024
 [bounds]
 grace_s = {grace}
+evacuate_ms = 5000
 [platform]
 address = "{store}"
 """
@@ -99,8 +100,13 @@
     )
 
 
-def start_host(number: int, store: Address, folder: Path) -> RunningHost:
-    """Start one entry host; write its settings and its log to `folder`."""
+def start_host(
+    number: int, store: Address, folder: Path, source: Path = ROOT
+) -> RunningHost:
+    """Start one entry host; write its settings and its log to `folder`.
+
+    `source` is the folder of the build that it runs.
+    """
     front, ready, host = free_address(), free_address(), f"host-{number}"
     first_port, last_port = sorted(free_ports(2))
     path = folder / f"{host}.toml"
@@ -116,7 +122,8 @@
             store=store,
         )
     )
-    program = Program(host, [ENTRY_MODULE, "--settings", str(path)], folder)
+    arguments = [ENTRY_MODULE, "--settings", str(path)]
+    program = Program(host, arguments, folder, source)
     program.start()
     return RunningHost(program, front, ready)
 
