Evacuate availability zones by the administration API and the command

They are stored as drains of a zone. Hosts do not confirm that they have applied an order, so the list can't name those that have not (open).

--- a/masticfork/admin/app.py
+++ b/masticfork/admin/app.py
@@ -52,6 +52,9 @@
             Operation.END_SERVER_DRAIN: lambda r: self._end_drain("server", r),
             Operation.START_HOST_DRAIN: lambda r: self._start_drain("host", r),
             Operation.END_HOST_DRAIN: lambda r: self._end_drain("host", r),
+            Operation.EVACUATIONS: lambda _: self._backend.evacuations(),
+            Operation.START_EVACUATION: lambda r: self._start_drain("zone", r),
+            Operation.END_EVACUATION: lambda r: self._end_drain("zone", r),
             Operation.BILLS: self._bills,
             Operation.EXPLAIN: self._explain,
         }
--- a/masticfork/admin/app_test.py
+++ b/masticfork/admin/app_test.py
@@ -16,6 +16,7 @@
     BillStep,
     BillView,
     DrainView,
+    EvacuationList,
     Explanation,
     HostHealth,
     HostView,
@@ -70,6 +71,10 @@
         self.orders.append(("end", kind, name, change.submission_id))
         return Ok(DrainView(kind, name, False, change.actor.name, 1.0, "s9"))
 
+    def evacuations(self) -> Any:
+        zone = DrainView("zone", "z1", True, "op", 1.0, "s9")
+        return Ok(EvacuationList((zone,)))
+
     def bills(self, query: Any) -> Any:
         items = [b for b in BILLS if not query.teams or b.team in query.teams]
         items = [b for b in items if b.request_id > query.after][: query.limit]
@@ -189,6 +194,8 @@
     ("POST", "/servers/a1/drain", "view", {}, "", 403, "forbidden"),
     ("POST", "/servers/a1/drain", "op", {}, "", 400, "malformed"),
     ("DELETE", "/hosts/h1/drain", "scoped", {}, "", 403, "forbidden"),
+    ("POST", "/zones/z1/evacuation", "view", {}, "", 403, "forbidden"),
+    ("POST", "/zones/z1/evacuation", "op", {}, "", 400, "malformed"),
     ("GET", "/bills?team=orders", "scoped", {}, "", 403, "forbidden"),
     ("GET", "/explain/r9", "view", {}, "", 404, "not_found"),
     ("GET", "/explain/broken", "view", {}, "", 500, "internal"),
@@ -349,6 +356,8 @@
             ("DELETE", "/servers/a1/drain", ("end", "server", "a1", "s9")),
             ("POST", "/hosts/h1/drain", ("drain", "host", "h1", "s9")),
             ("DELETE", "/hosts/h1/drain", ("end", "host", "h1", "s9")),
+            ("POST", "/zones/z1/evacuation", ("drain", "zone", "z1", "s9")),
+            ("DELETE", "/zones/z1/evacuation", ("end", "zone", "z1", "s9")),
         ],
     )
     def test_changes_pass_name_submission_id_and_actor(self, method, target, order):
@@ -357,6 +366,12 @@
         assert (status, client.backend.orders) == (200, [order])
         _check_documented(method, target, status, body)
 
+    def test_evacuations_are_listed(self):
+        client = ApiClient()
+        _, body = client.call("GET", "/evacuations", "view")
+        assert [zone["name"] for zone in body["items"]] == ["z1"]
+        _check_documented("GET", "/evacuations", 200, body)
+
     def test_bills_and_explanations_are_scoped(self):
         client = ApiClient()
         _, page = client.call("GET", "/bills", "scoped-view")
--- a/masticfork/admin/backend.py
+++ b/masticfork/admin/backend.py
@@ -9,6 +9,7 @@
 from masticfork.admin.views import (
     BillPage,
     DrainView,
+    EvacuationList,
     Explanation,
     RolloutAction,
     RolloutView,
@@ -62,12 +63,18 @@
     def start_drain(
         self, kind: str, name: str, change: ChangeRequest
     ) -> Result[DrainView, Problem]:
-        """Stop sending new work to a `server` or `host`; NOT_FOUND if unknown."""
+        """Stop sending new work to a `server`, a `host` or the servers of a `zone`.
+
+        NOT_FOUND if it is unknown.
+        """
 
     def end_drain(
         self, kind: str, name: str, change: ChangeRequest
     ) -> Result[DrainView, Problem]:
-        """Send work to a `server` or `host` again; no error if it is not drained."""
+        """Send work to it again; no error if it is not drained."""
+
+    def evacuations(self) -> Result[EvacuationList, Problem]:
+        """Return the availability zones whose servers get no new work."""
 
     def bills(self, query: BillQuery) -> Result[BillPage, Problem]:
         """Return a page of bills."""
--- a/masticfork/admin/drains.py
+++ b/masticfork/admin/drains.py
@@ -60,13 +60,13 @@
     def start(
         self, kind: str, name: str, change: ChangeRequest
     ) -> Result[DrainView, Problem]:
-        """Mark a `server` or `host` as drained."""
+        """Mark a `server`, a `host` or the servers of a `zone` as drained."""
         return self._change(_Change(kind, name, True, change))
 
     def end(
         self, kind: str, name: str, change: ChangeRequest
     ) -> Result[DrainView, Problem]:
-        """End the drain of a `server` or `host`."""
+        """End the drain of a `server`, `host` or `zone`."""
         return self._change(_Change(kind, name, False, change))
 
     def active(self, deadline: Deadline) -> Result[tuple[DrainView, ...], Problem]:
--- a/masticfork/admin/routes.py
+++ b/masticfork/admin/routes.py
@@ -36,6 +36,9 @@
     END_SERVER_DRAIN = "endServerDrain"
     START_HOST_DRAIN = "startHostDrain"
     END_HOST_DRAIN = "endHostDrain"
+    EVACUATIONS = "listEvacuations"
+    START_EVACUATION = "startEvacuation"
+    END_EVACUATION = "endEvacuation"
     BILLS = "listBills"
     EXPLAIN = "explainRequest"
 
@@ -92,6 +95,19 @@
         Operation.END_HOST_DRAIN,
         Permission.OPERATE_ALL,
     ),
+    Route("GET", "/evacuations", Operation.EVACUATIONS, Permission.VIEW),
+    Route(
+        "POST",
+        "/zones/{name}/evacuation",
+        Operation.START_EVACUATION,
+        Permission.OPERATE_ALL,
+    ),
+    Route(
+        "DELETE",
+        "/zones/{name}/evacuation",
+        Operation.END_EVACUATION,
+        Permission.OPERATE_ALL,
+    ),
     Route("GET", "/bills", Operation.BILLS, Permission.VIEW),
     Route("GET", "/explain/{request_id}", Operation.EXPLAIN, Permission.VIEW),
 )
--- a/masticfork/admin/views.py
+++ b/masticfork/admin/views.py
@@ -134,11 +134,18 @@
     events: tuple[dict[str, Any], ...]
 
 
+@attrs.frozen
+class EvacuationList:
+    """The availability zones whose servers get no new work."""
+
+    items: "tuple[DrainView, ...]"
+
+
 @attrs.frozen
 class DrainView:
-    """Drain of a backend server or entry host, which gets no new work while active."""
+    """Drain of a server, host or zone, which gets no new work while it is active."""
 
-    # Either `server` or `host`.
+    # One of `server`, `host` and `zone`, which stands for the servers of the zone.
     kind: str
     name: str
     active: bool
--- a/masticfork/core/digests.py
+++ b/masticfork/core/digests.py
@@ -152,7 +152,7 @@
     changes: bytes
 
 
-# Version of what hosts tell each other, told in digests; 0 for builds that tell none. See
+# Version of what hosts tell each other; 0 for builds that tell none. See
 # docs/INTERFACES.md for what each version has added.
 PROTOCOL_VERSION = 1
 
--- a/masticfork/core/tables.py
+++ b/masticfork/core/tables.py
@@ -74,9 +74,9 @@
 
 @attrs.frozen
 class Drain:
-    """An operator's order to send no new work to a server or host."""
+    """An operator's order to send no new work to a server, a host or a zone."""
 
-    # Either `server` or `host`.
+    # One of `server`, `host` and `zone`, which stands for all servers of the zone.
     kind: str
     name: str
 
--- a/masticfork/daemon/admin_backend.py
+++ b/masticfork/daemon/admin_backend.py
@@ -12,12 +12,14 @@
 from masticfork.admin.views import (
     BillPage,
     DrainView,
+    EvacuationList,
     Explanation,
     LeaseView,
     RolloutAction,
     RolloutView,
     Status,
 )
+from masticfork.core.deadlines import Deadline
 from masticfork.core.events import EventLog, Received
 from masticfork.core.ids import RequestId
 from masticfork.core.manifest import Rollout
@@ -30,6 +32,8 @@
 
 # Attempts to apply a change while others change the same rollout concurrently.
 MAX_ATTEMPTS = 4
+# Time within which evacuations are listed.
+LIST_TIMEOUT_SECONDS = 5.0
 
 
 class DaemonBackend:
@@ -114,15 +118,34 @@
     def start_drain(
         self, kind: str, name: str, change: ChangeRequest
     ) -> Result[DrainView, Problem]:
-        """Start draining a server or host, so that it gets no new requests."""
+        """Start draining a server, host or zone, so that it gets no new requests."""
+        if kind == "zone" and name not in self._zones:
+            message = f"no server lies in availability zone {name!r}"
+            return Err(Problem(ProblemCode.NOT_FOUND, message))
         return self._drains.start(kind, name, change)
 
     def end_drain(
         self, kind: str, name: str, change: ChangeRequest
     ) -> Result[DrainView, Problem]:
-        """End the drain of a server or host, so that it gets requests again."""
+        """End the drain of a server, host or zone, so that it gets requests again."""
         return self._drains.end(kind, name, change)
 
+    def evacuations(self) -> Result[EvacuationList, Problem]:
+        """Return the availability zones whose servers get no new work."""
+        deadline = Deadline.after(self._now(), LIST_TIMEOUT_SECONDS)
+        active = self._drains.active(deadline)
+        if isinstance(active, Err):
+            return active
+        zones = (drain for drain in active.ok_value if drain.kind == "zone")
+        return Ok(EvacuationList(tuple(zones)))
+
+    @property
+    def _zones(self) -> frozenset[str]:
+        """Return the availability zones of the configured servers."""
+        configuration = self._tables.configuration
+        pools = () if configuration is None else configuration.pools.values()
+        return frozenset(server.zone for pool in pools for server in pool.servers)
+
     def bills(self, query: BillQuery) -> Result[BillPage, Problem]:
         """Return a page of bills."""
         return self._bills.page(query)
--- a/masticfork/scripts/masticfork.py
+++ b/masticfork/scripts/masticfork.py
@@ -170,6 +170,30 @@
     session.show(body, lambda: f"{kind} {name} {done}")
 
 
+@main.command()
+@click.option("--begin", metavar="ZONE", help="Send no new work to servers of ZONE.")
+@click.option("--end", metavar="ZONE", help="Send work to the servers of ZONE again.")
+@submission_option
+@with_session
+def evacuations(
+    session: Session, begin: str | None, end: str | None, submission_id: str | None
+) -> None:
+    """List the evacuated availability zones, or begin or end an evacuation."""
+    if begin is not None and end is not None:
+        raise click.UsageError("--begin and --end exclude each other")
+    if begin is not None:
+        path = f"/zones/{begin}/evacuation"
+        body = _change(session, "POST", path, submission_id)
+        session.show(body, lambda: f"servers of zone {begin} get no new work")
+    elif end is not None:
+        body = _change(session, "DELETE", f"/zones/{end}/evacuation", submission_id)
+        session.show(body, lambda: f"servers of zone {end} take work again")
+    else:
+        body = session.get("/evacuations")
+        fields = ["name", "by", "at", "submission_id"]
+        session.show(body, lambda: rendering.record_table(body["items"], fields))
+
+
 @main.command()
 @click.option("--team", help="Only bills of this team.")
 @click.option(
--- a/masticfork/systems/eligibility.py
+++ b/masticfork/systems/eligibility.py
@@ -4,6 +4,7 @@
 
 from masticfork.core.configuration import Configuration
 from masticfork.core.ids import ServerName, TeamName, VersionId, model_of
+from masticfork.core.manifest import BackendServer
 from masticfork.core.refusals import Reason, Refusal
 from masticfork.core.rollouts import withdrawn_by_rollouts
 from masticfork.core.tables import Drain, ServerRow, Tables
@@ -97,17 +98,23 @@
 ) -> Result[None, Refusal]:
     declared = configuration.versions.get(version)
     pool = None if declared is None else configuration.pools.get(declared.pool)
-    if pool is None or all(server.name != name for server in pool.servers):
+    servers = () if pool is None else pool.servers
+    server = next((server for server in servers if server.name == name), None)
+    if server is None:
         return _refuse(Reason.NO_SERVER, f"server {name!r} does not serve {version!r}")
     row = tables.servers.get(name)
-    if row is None or not server_takes_work(row, now) or drained(tables, name):
+    if row is None or not server_takes_work(row, now) or drained(tables, server):
         return _refuse(Reason.NO_SERVER, f"server {name!r} accepts no new work")
     return Ok(None)
 
 
-def drained(tables: Tables, name: ServerName) -> bool:
-    """Return whether an operator or the platform is draining the server."""
-    return Drain("server", name) in tables.drains or name in tables.listed_leaving
+def drained(tables: Tables, server: BackendServer) -> bool:
+    """Return whether an operator or the platform drains the server or its zone."""
+    return (
+        Drain("server", server.name) in tables.drains
+        or Drain("zone", server.zone) in tables.drains
+        or server.name in tables.listed_leaving
+    )
 
 
 def server_takes_work(row: ServerRow, now: float) -> bool:
--- a/masticfork/systems/placement.py
+++ b/masticfork/systems/placement.py
@@ -182,7 +182,7 @@
     eligible = []
     for server in servers:
         row = tables.servers.get(server.name)
-        if server.name in tried or drained(tables, server.name):
+        if server.name in tried or drained(tables, server):
             continue
         if row is None or server_takes_work(row, now):
             eligible.append(server)
--- a/proofs/leaving_test.py
+++ b/proofs/leaving_test.py
@@ -70,6 +70,35 @@
         wait_for(both_used, 2 * PROPAGATION_LIMIT_SECONDS, "requests on both engines")
 
 
+class TestEvacuation:
+    def test_servers_of_an_evacuated_zone_get_no_new_requests(self, cluster):
+        """Guards against work for a zone that an operator is emptying."""
+        caller = Caller(cluster, "catalogue")
+        used = {server.name: server.zone for server in cluster.servers}
+        zone = used[server_names(cluster, POOL)[0]]
+        path = f"/admin/v1/zones/{zone}/evacuation"
+        status, body = admin(cluster, 0, "POST", path, Submission_Id=new_key())
+        assert (status, body["active"]) == (200, True)
+        time.sleep(PROPAGATION_LIMIT_SECONDS)
+        assert all(used[name] != zone for name in engines_used(cluster, caller))
+        _, listed = admin(cluster, 1, "GET", "/admin/v1/evacuations")
+        assert [item["name"] for item in listed["items"]] == [zone]
+        status, _ = admin(cluster, 2, "DELETE", path, Submission_Id=new_key())
+        assert status == 200
+        wait_for(
+            lambda: any(used[name] == zone for name in engines_used(cluster, caller)),
+            10.0,
+            "requests in the zone that is taken back",
+        )
+
+    def test_zone_without_servers_is_a_typed_error(self, cluster):
+        path = "/admin/v1/zones/nowhere/evacuation"
+        status, body = admin(cluster, 0, "POST", path, Submission_Id=new_key())
+        assert (status, body["code"]) == (404, "not_found")
+        _, listed = admin(cluster, 0, "GET", "/admin/v1/evacuations")
+        assert listed["items"] == []
+
+
 class TestHostList:
     def test_leaving_engine_gets_no_new_requests(self, cluster):
         caller = Caller(cluster, "catalogue")
