Generate the converter of manifests once

Two known reds passed hypothesis' deadline of 0.2 s beside load: each check of a manifest generated the converters of all records anew, which was most of its time.

--- a/masticfork/settings/manifest.py
+++ b/masticfork/settings/manifest.py
@@ -1,5 +1,6 @@
 """Parse, validate and render manifests."""
 
+import functools
 import json
 from typing import Any
 
@@ -104,6 +105,7 @@
     return ids.version_id(model, version)
 
 
+@functools.cache
 def _converter() -> cattrs.Converter:
     converter = make_converter()
     for name in _NAME_TYPES:
