--- a/masticfork/platform/settings_file_test.py
+++ b/masticfork/platform/settings_file_test.py
@@ -51,6 +51,17 @@
         assert settings.seeds == ()
         assert settings.bounds.grace == 8.0
 
+    def test_parts_that_only_some_deployments_have(self, load):
+        plain = load(VALID_SETTINGS).ok_value
+        assert (plain.bounds.evacuate, plain.scarce_room) == (None, False)
+        text = VALID_SETTINGS.replace(
+            "something_new = 3", 'contracts = ["base", "pressure"]\nregion = "north"'
+        ).replace("drain_ms = 2000", "drain_ms = 2000\nevacuate_ms = 5000")
+        settings = load(text + '[zones]\na = "north"\nb = "south"\n').ok_value
+        assert (settings.bounds.evacuate, settings.scarce_room) == (5.0, True)
+        assert settings.region == "north"
+        assert settings.zone_regions == {"a": "north", "b": "south"}
+
     @pytest.mark.parametrize(
         ("old", "new", "message"),
         [
@@ -59,6 +70,8 @@
             ("10.1.0.40:8227", "nowhere", "'nowhere' is not HOST:PORT"),
             ("[7340, 7355]", "[7340]", "two ports"),
             ("[limits]", "[limits", ""),
+            ("drain_ms", "evacuate_ms = 'x'\ndrain_ms", "evacuate_ms is not a number"),
+            ("[limits]", "[zones]\na = 3\n[limits]", "a is not a string"),
         ],
     )
     def test_malformed_file_is_a_finding_with_its_place(self, load, old, new, message):
--- a/masticfork/relay/evacuations_test.py
+++ b/masticfork/relay/evacuations_test.py
@@ -7,7 +7,10 @@
 
 import pytest
 
+from masticfork.core.routes import RouteKind
 from masticfork.platform.settings_file import Bounds
+from masticfork.relay.exchange import Exchange
+from masticfork.relay.server_call import Stage
 from standins.entry_environment import (
     ENGINES,
     SERVICE,
@@ -15,8 +18,10 @@
     route,
     running_entry_host,
 )
+from standins.fake_exchange import FakeCaller, FakeHost, caller_request
 from standins.object_store import ObjectStore
 from standins.scripted_server import events, response
+from standins.typed_routes import typed_route
 
 BOUNDS = Bounds(evacuate=5.0)
 
@@ -141,6 +146,32 @@
             assert len(server.requests) == 1
 
 
+class TestCallUnderWay:
+    @pytest.mark.parametrize(
+        ("stage", "calls"), [(Stage.CONNECTING, 2), (Stage.SENT, 1)]
+    )
+    def test_only_a_call_that_has_not_been_sent_moves(self, stage, calls):
+        """Guards against a connection that is established after the bound."""
+        host = FakeHost()
+        exchange = Exchange(
+            host=host,
+            caller=FakeCaller(),
+            request=caller_request(),
+            route=typed_route(RouteKind.NON_IDEMPOTENT, max_attempts=2),
+            service="s",
+            team=None,
+            priority=1,
+            deadline=2.0,
+        )
+        exchange.start()
+        host.calls[0].stage = stage
+        zone = exchange.unanswered_call.row.server.zone
+        exchange.on_evacuation("zone-elsewhere")
+        assert len(host.calls) == 1
+        exchange.on_evacuation(zone)
+        assert len(host.calls) == calls
+
+
 COLD_RATE = 4.0
 
 
--- a/masticfork/relay/zone_evacuations.py
+++ b/masticfork/relay/zone_evacuations.py
@@ -4,11 +4,9 @@
 
 from masticfork.relay.loop import Loop
 from masticfork.relay.metrics import RelayMetrics
+from masticfork.relay.tables import RESTORED_ORDER_GRACE_SECONDS
 from masticfork.systems.evacuations import Evacuations, ZoneChange
 
-# Time within which the operator writes orders again that a restored store has lost.
-RESTORED_ORDER_GRACE_SECONDS = 8.0
-
 
 class ZoneEvacuations:
     """Applies orders from the store and from peers, and reports each change."""
--- a/masticfork/systems/server_notices_test.py
+++ b/masticfork/systems/server_notices_test.py
@@ -14,7 +14,7 @@
     def test_server_is_excluded_until_the_pause_is_over(self):
         notice = ServerNotices().of(SERVER)
         notice.pause(2.0, 10.0)
-        assert [notice.accepts_calls(t) for t in (10.0, 11.9, 12.0)] == [
+        assert [notice.accepts_calls(0, t) for t in (10.0, 11.9, 12.0)] == [
             False,
             False,
             True,
@@ -24,7 +24,7 @@
         notice = ServerNotices().of(SERVER)
         notice.pause(5.0, 10.0)
         notice.pause(0.1, 11.0)
-        assert not notice.accepts_calls(14.9)
+        assert not notice.accepts_calls(0, 14.9)
 
     def test_huge_pause_is_bounded(self):
         notice = ServerNotices().of(SERVER)
@@ -46,4 +46,4 @@
             attrs.evolve(SERVER, started_at_ms=2000),
             attrs.evolve(SERVER, address=Address("10.0.0.2", 80)),
         ):
-            assert notices.of(restarted).accepts_calls(0.0)
+            assert notices.of(restarted).accepts_calls(0, 0.0)
