--- a/masticfork/platform/settings_file.py
+++ b/masticfork/platform/settings_file.py
@@ -71,8 +71,7 @@
     # Whether callers compete for room and may read slowly: the file's list `contracts`
     # holds `pressure`.
     scarce_room: bool = False
-    # Region of the host, and the region of each availability zone.
-    region: str = ""
+    # Region of each availability zone.
     zone_regions: dict[str, str] = attrs.field(factory=dict)
 
 
@@ -101,7 +100,6 @@
         file_descriptors=get_int(limits, "file_descriptors", 4096),
         bounds=_decode_bounds(table.get("bounds") or {}),
         scarce_room="pressure" in get_list(table, "contracts"),
-        region=get_str(table, "region", ""),
         zone_regions=_decode_zone_regions(table.get("zones") or {}),
     )
 
--- a/masticfork/relay/exchange.py
+++ b/masticfork/relay/exchange.py
@@ -464,8 +464,8 @@
     def on_evacuation(self, zone: str) -> None:
         """Send a call elsewhere that has not reached its server in an evacuated zone.
 
-        The connection may take longer than the servers may get requests. Calls that the
-        servers have received go on.
+        The connection may be established after the time within which the zone's servers
+        may still get requests. Calls that a server has received go on.
         """
         record = self._call_record
         if self._ended or record is None or record.call is None:
