--- a/masticfork/systems/server_speed.py
+++ b/masticfork/systems/server_speed.py
@@ -8,6 +8,7 @@
 
 import math
 import statistics
+from collections import OrderedDict
 from collections.abc import Iterable
 
 import attrs
@@ -57,6 +58,21 @@
     until: float
 
 
+@attrs.define
+class _Sum:
+    """Sum of the evidence that other hosts have reported on one server."""
+
+    total: float = 0.0
+    answers: float = 0.0
+    reports: int = 0
+
+    def add(self, speed: SpeedReport, sign: float) -> None:
+        """Add a report, or subtract it if `sign` is -1."""
+        self.total += sign * speed.total
+        self.answers += sign * speed.answers
+        self.reports += int(sign)
+
+
 class ServerSpeeds:
     """Evidence on the speeds of servers, of this host and as reported by others.
 
@@ -65,8 +81,11 @@
 
     def __init__(self) -> None:
         self._own: dict[int, _Evidence] = {}
-        # By host and server.
-        self._reported: dict[tuple[str, int], _Reported] = {}
+        # By host and server, the next one to expire first.
+        self._reported: OrderedDict[tuple[str, int], _Reported] = OrderedDict()
+        # Sums of the reported evidence by server: with many hosts there are too many
+        # reports to add them up each time.
+        self._sums: dict[int, _Sum] = {}
         # Servers that are due to be reported, the next one first.
         self._due: list[int] = []
 
@@ -101,7 +120,25 @@
         """Replace what is known of the evidence of another host on some servers."""
         until = now + REPORT_LIFETIME_SECONDS
         for speed in speeds:
+            self._remove(host, speed.server)
             self._reported[host, speed.server] = _Reported(speed, until)
+            self._sums.setdefault(speed.server, _Sum()).add(speed, 1.0)
+
+    def _remove(self, host: str, server: int) -> None:
+        reported = self._reported.pop((host, server), None)
+        if reported is None:
+            return
+        total = self._sums[server]
+        total.add(reported.speed, -1.0)
+        if not total.reports:
+            del self._sums[server]
+
+    def _expire(self, now: float) -> None:
+        while self._reported:
+            (host, server), reported = next(iter(self._reported.items()))
+            if reported.until > now:
+                return
+            self._remove(host, server)
 
     def slowness(self, servers: Iterable[int], now: float) -> dict[int, float]:
         """Return how many times as long each server of a service takes as the median.
@@ -116,17 +153,17 @@
         return {key: _clamp(math.exp(mean - median)) for key, mean in means.items()}
 
     def _means(self, keys: list[int], now: float) -> dict[int, float]:
+        self._expire(now)
         totals, answers = dict.fromkeys(keys, 0.0), dict.fromkeys(keys, 0.0)
-        self._reported = {
-            source: item for source, item in self._reported.items() if item.until > now
-        }
-        for evidence in self._own.values():
-            evidence.decay(now)
-        own = [SpeedReport(k, e.total, e.answers) for k, e in self._own.items()]
-        for item in (*own, *(reported.speed for reported in self._reported.values())):
-            if item.server in totals:
-                totals[item.server] += item.total
-                answers[item.server] += item.answers
+        for key in keys:
+            own, reported = self._own.get(key), self._sums.get(key)
+            if own is not None:
+                own.decay(now)
+                totals[key] += own.total
+                answers[key] += own.answers
+            if reported is not None:
+                totals[key] += reported.total
+                answers[key] += reported.answers
         # Without answers a server counts as an average one.
         average = sum(totals.values()) / max(1.0, sum(answers.values()))
         return {
--- a/masticfork/systems/server_speed_test.py
+++ b/masticfork/systems/server_speed_test.py
@@ -4,7 +4,11 @@
 
 import pytest
 
-from masticfork.systems.server_speed import MAX_DIFFERENCE, ServerSpeeds
+from masticfork.systems.server_speed import (
+    MAX_DIFFERENCE,
+    REPORT_LIFETIME_SECONDS,
+    ServerSpeeds,
+)
 
 SERVERS = range(45)
 
@@ -89,3 +93,16 @@
         speeds = ServerSpeeds()
         speeds.record(1, 1.0, 0.1, 0.0)
         assert speeds.slowness([1, 2], 0.0) == {1: 1.0, 2: 1.0}
+
+    def test_reports_of_lost_hosts_expire(self):
+        """Guards against sums that keep what a lost host has reported."""
+        slow = ServerSpeeds()
+        for n in range(100):
+            for server, seconds in ((1, 0.8), (2, 0.1), (3, 0.1)):
+                slow.record(server, seconds, 0.1, n * 0.01)
+        speeds = ServerSpeeds()
+        for at in (1.0, 2.0):
+            speeds.apply("host-2", slow.report([1, 2, 3], at), at)
+        assert speeds.slowness([1, 2, 3], 2.0)[1] > 1.5
+        later = 2.0 + REPORT_LIFETIME_SECONDS
+        assert speeds.slowness([1, 2, 3], later) == {1: 1.0, 2: 1.0, 3: 1.0}
