Add up the work of teams only while room is scarce; remove repetition

Each request at a deployment with `pressure` added up the work of all teams at all hosts, though only the decision on scarce room reads it; now it does so only there. Evacuations kept times that nothing read. The expected delays of entry hosts share one loop, the upgrade test plays its faults as the soak does, the time of a refusal is passed on instead of kept, and tests of homes use the typed route. Behaviour is the same; the upgrade test now also counts what the end of a soak finds.

--- a/masticfork/admin/views.py
+++ b/masticfork/admin/views.py
@@ -134,13 +134,6 @@
     events: tuple[dict[str, Any], ...]
 
 
-@attrs.frozen
-class EvacuationList:
-    """The availability zones whose servers get no new work."""
-
-    items: "tuple[DrainView, ...]"
-
-
 @attrs.frozen
 class DrainView:
     """Drain of a server, host or zone, which gets no new work while it is active."""
@@ -152,3 +145,10 @@
     by: str
     at: float
     submission_id: str
+
+
+@attrs.frozen
+class EvacuationList:
+    """The availability zones whose servers get no new work."""
+
+    items: tuple[DrainView, ...]
--- a/masticfork/relay/entry.py
+++ b/masticfork/relay/entry.py
@@ -5,7 +5,7 @@
 import selectors
 import time
 import traceback
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from pathlib import Path
 
 import attrs
@@ -89,6 +89,9 @@
 # Range of priorities that engines accept; 0 is the most urgent.
 HIGHEST_PRIORITY, LOWEST_PRIORITY = 0, 9
 
+# Estimates the delay of a call in seconds, by the server's load and the host's zone.
+DelayEstimate = Callable[[ServerLoad, Work, str, float], float]
+
 
 class EntryHost:
     """Connects the listeners, server tables, policies and store followers of a host."""
@@ -594,8 +597,13 @@
 
     def min_expected_delay(self, work: Work, session: str) -> float:
         """Return the shortest expected delay of any eligible server, in seconds."""
+        return self._shortest(expected_first_token_seconds, work, session)
+
+    def _shortest(self, estimate: DelayEstimate, work: Work, session: str) -> float:
+        """Return the shortest delay of any eligible server, infinity without one."""
+        zone, now = self._settings.zone, self._loop.now
         rows = self._eligible_rows(work, session)
-        delays = (self.expected_delay(row, work) for row in rows)
+        delays = (estimate(row.load, work, zone, now) for row in rows)
         return min(delays, default=float("inf"))
 
     def expected_delay(self, row: ServerRow, work: Work) -> float:
@@ -650,7 +658,6 @@
 
     def admit(self, exchange: Exchange, work: Work) -> Admission | RoomRefusal:
         """Decide on a new request by the room of its service."""
-        session = exchange.request.head.session or exchange.attempt_id
         decision = self._room.admit(
             exchange.attempt_id,
             work,
@@ -658,19 +665,12 @@
             exchange.priority,
             exchange.route.target,
             exchange.deadline - self._loop.now,
-            lambda: self._min_wait(work, session),
+            lambda: self._shortest(expected_delay_seconds, work, exchange.session_key),
         )
         if isinstance(decision, RoomRefusal):
             return decision
         return attrs.evolve(decision, priority=min(LOWEST_PRIORITY, decision.priority))
 
-    def _min_wait(self, work: Work, session: str) -> float:
-        """Return the expected seconds to an answer from the best eligible server."""
-        zone, now = self._settings.zone, self._loop.now
-        rows = self._eligible_rows(work, session)
-        waits = (expected_delay_seconds(row.load, work, zone, now) for row in rows)
-        return min(waits, default=float("inf"))
-
     def take_retry(self, service: str, reserved_share: float) -> bool:
         """Take a retry from the service's retry budget; return whether one was left."""
         return self._retry_budget.try_retry(service, self._loop.now, reserved_share)
--- a/masticfork/relay/exchange.py
+++ b/masticfork/relay/exchange.py
@@ -277,8 +277,6 @@
     _deadline_timer: Timer | None = None
     _silence_timer: Timer | None = None
     _ended: bool = False
-    # Seconds after which a refused request may come back.
-    _retry_after: float = RETRY_AFTER_SECONDS
 
     @property
     def attempt_id(self) -> str:
@@ -312,7 +310,7 @@
         return not self._response_started or self._is_event_response
 
     @property
-    def _session_key(self) -> str:
+    def session_key(self) -> str:
         """Return the caller's session id, or the attempt id if there is no session."""
         return self.request.head.session or self.attempt_id
 
@@ -333,8 +331,8 @@
         self.host.count_request(self.service)
         decision = self.host.admit(self, self._work_for_call(self._model_for_call()))
         if isinstance(decision, RoomRefusal):
-            self._retry_after = decision.retry_after
-            self._fail_request(CallOutcome.UNSENT, decision.why)
+            reason, seconds = decision.why, decision.retry_after
+            self._fail_request(CallOutcome.UNSENT, reason, seconds)
             return
         self.priority = decision.priority
         self._send_call()
@@ -372,7 +370,7 @@
         outcome = self._classify_response(head)
         if outcome in (None, CallOutcome.SERVER_ERROR):
             failed = self._is_server_failure(head, record)
-            self.host.on_own_response(record, self._session_key, failed)
+            self.host.on_own_response(record, self.session_key, failed)
         if outcome is not None:
             self._fail_call(outcome, self._describe_unusable(head))
             return
@@ -498,7 +496,7 @@
         model = self._model_for_call()
         work = self._work_for_call(model)
         row = self.host.choose_server(
-            self.service, work, self._session_key, self._tried_servers, alone
+            self.service, work, self.session_key, self._tried_servers, alone
         )
         if row is None:
             self._fail_request(CallOutcome.UNSENT, "no eligible server")
@@ -598,7 +596,7 @@
                 self.history.sent < self.route.max_attempts
                 and self.host.has_other_server(
                     self._work_for_call(self._model_for_call()),
-                    self._session_key,
+                    self.session_key,
                     self._tried_servers,
                 )
             )
@@ -652,7 +650,7 @@
         work = attrs.evolve(
             self._work_for_call(self.route.models[-1]), size=len(self.route.models) - 1
         )
-        starts_in = elapsed + self.host.min_expected_delay(work, self._session_key)
+        starts_in = elapsed + self.host.min_expected_delay(work, self.session_key)
         larger_index = self.host.models.escalate_to(
             self.route, self._model_index, head.confidence, starts_in
         )
@@ -710,14 +708,23 @@
         else:
             self._send_call()
 
-    def _fail_request(self, outcome: CallOutcome, why: str) -> None:
-        """End the exchange with an error, or abort a response that has begun."""
+    def _fail_request(
+        self,
+        outcome: CallOutcome,
+        why: str,
+        refused_for: float = RETRY_AFTER_SECONDS,
+    ) -> None:
+        """End the exchange with an error, or abort a response that has begun.
+
+        `refused_for` is the time in seconds after which a refused request may come
+        back.
+        """
         reason = f"{outcome.value}: {why}"
         if self._response_started:
             self._record_end(ABORTED_STATUS, reason)
             self.caller.abort_response()
             return
-        status, retry_after = self._error_status()
+        status, retry_after = self._error_status(refused_for)
         self._record_end(status.value, reason)
         attempt_id = self.request.head.attempt_id
         pause = self.host.seconds_until_resumption(self.service)
@@ -726,10 +733,10 @@
         headers = self.host.error_headers(attempt_id, retry_after, pause)
         self.caller.send_error(status, headers)
 
-    def _error_status(self) -> tuple[http.HTTPStatus, float | None]:
+    def _error_status(self, refused_for: float) -> tuple[http.HTTPStatus, float | None]:
         """Return the status and Retry-After seconds of the error response."""
         if not self.history.may_have_run:
-            return http.HTTPStatus.SERVICE_UNAVAILABLE, self._retry_after
+            return http.HTTPStatus.SERVICE_UNAVAILABLE, refused_for
         if self._seconds_left <= 0:
             return http.HTTPStatus.GATEWAY_TIMEOUT, None
         return http.HTTPStatus.BAD_GATEWAY, None
--- a/masticfork/relay/room.py
+++ b/masticfork/relay/room.py
@@ -11,6 +11,7 @@
     RoomRefusal,
     RoomRequest,
     decide,
+    is_scarce,
 )
 from masticfork.systems.server_choice import Work
 from masticfork.systems.team_shares import TeamShares
@@ -61,9 +62,13 @@
         expected = min_wait()
         if math.isinf(expected):
             return Admission(priority)
+        # The work of all teams at all hosts is added up only where it matters.
+        over_share = is_scarce(expected, target) and self._shares.is_over_share(
+            work.service, name, now
+        )
         request = RoomRequest(
             priority=priority,
-            over_share=self._shares.is_over_share(work.service, name, now),
+            over_share=over_share,
             ordered=ordered,
             target=target,
             time_left=time_left,
--- a/masticfork/relay/zone_evacuations.py
+++ b/masticfork/relay/zone_evacuations.py
@@ -27,7 +27,7 @@
 
     def begin(self, zone: str, source: str) -> None:
         """Send no more requests to the servers of a zone."""
-        if self._evacuations.begin(zone, self._loop.now):
+        if self._evacuations.begin(zone):
             self._report([ZoneChange(zone, True)], source)
 
     def end(self, zone: str, source: str) -> None:
@@ -42,7 +42,7 @@
         within which the operator writes them again.
         """
         if not restored:
-            self._report(self._evacuations.replace(zones, self._loop.now), source)
+            self._report(self._evacuations.replace(zones), source)
             return
         self._evacuations.keep_unlisted(zones)
         for zone in sorted(zones):
--- a/masticfork/systems/homes_test.py
+++ b/masticfork/systems/homes_test.py
@@ -1,31 +1,12 @@
 import attrs
 import pytest
 
-from masticfork.core.routes import (
-    CallerLimits,
-    Route,
-    RoutedTeam,
-    RouteKind,
-    RouteTable,
-    ServiceShare,
-)
+from masticfork.core.routes import CallerLimits, RoutedTeam, RouteKind, RouteTable
 from masticfork.systems.homes import ZoneRegions, check_homes, home_regions
+from standins.typed_routes import typed_route
 
 ZONES = ZoneRegions({"zone-a": "north", "zone-b": "south"})
-ROUTE = Route(
-    name="r",
-    host="a.example",
-    path_prefix="/",
-    kind=RouteKind.IDEMPOTENT,
-    timeout=2.0,
-    target=0.2,
-    max_attempts=2,
-    priority=0,
-    public=False,
-    resumable=False,
-    models=(),
-    services=(ServiceShare("desk", 1.0),),
-)
+ROUTE = typed_route(RouteKind.IDEMPOTENT)
 TEAM = RoutedTeam("team-1", ("key",))
 NORTH, SOUTH = frozenset({"north"}), frozenset({"south"})
 
--- a/masticfork/systems/scarce_room.py
+++ b/masticfork/systems/scarce_room.py
@@ -15,7 +15,8 @@
 
     # 0 is the most urgent.
     priority: int
-    # Whether its team sends far more than its usual part of the work.
+    # Whether its team sends far more than its usual part of the work; tells nothing
+    # unless room is scarce.
     over_share: bool
     # Whether servers of the service admit requests in the order of their priorities.
     ordered: bool
@@ -43,6 +44,11 @@
     retry_after: float
 
 
+def is_scarce(expected: float, target: float) -> bool:
+    """Return whether a request would wait too long for room; both in seconds."""
+    return expected > SCARCE_TARGET_SHARE * target
+
+
 def decide(request: RoomRequest) -> Admission | RoomRefusal:
     """Return what becomes of a request.
 
@@ -53,8 +59,7 @@
     if request.expected >= request.time_left:
         wait = request.expected - request.time_left
         return RoomRefusal("no room in time", max(MIN_RETRY_AFTER_SECONDS, wait))
-    is_scarce = request.expected > SCARCE_TARGET_SHARE * request.target
-    if not (is_scarce and request.over_share):
+    if not (request.over_share and is_scarce(request.expected, request.target)):
         return Admission(request.priority)
     if request.ordered:
         return Admission(request.priority + 1, "team over its share")
--- a/masticfork/systems/team_shares.py
+++ b/masticfork/systems/team_shares.py
@@ -42,6 +42,8 @@
 
 @attrs.define
 class _Work:
+    # CRC-32 of the service's name.
+    service: int
     recent: _DecayedSum = attrs.field(
         factory=lambda: _DecayedSum(RECENT_HALF_LIFE_SECONDS)
     )
@@ -62,23 +64,19 @@
     def __init__(self) -> None:
         # By a key of the service and the team.
         self._own: dict[int, _Work] = {}
-        self._services: dict[int, int] = {}
         self._reports: dict[str, _Report] = {}
 
     def record(self, service: str, team: str, amount: float, now: float) -> None:
         """Record a request; `amount` is its work, in one unit for each service."""
         key = _key(service, team)
-        work = self._own.setdefault(key, _Work())
-        self._services[key] = short_key(service)
+        work = self._own.setdefault(key, _Work(short_key(service)))
         work.recent.add(amount, now)
         work.usual.add(amount, now)
 
     def report(self, now: float) -> tuple[TeamWork, ...]:
         """Return this host's sums for the others."""
         return tuple(
-            TeamWork(
-                self._services[key], key, work.recent.value(now), work.usual.value(now)
-            )
+            TeamWork(work.service, key, work.recent.value(now), work.usual.value(now))
             for key, work in self._own.items()
         )
 
--- a/soak/main.py
+++ b/soak/main.py
@@ -14,7 +14,8 @@
 from soak.environment import soak_environment, start_callers
 from soak.fault_schedule import draw_faults
 from soak.guarantees import check_guarantees
-from soak.records import History
+from soak.records import Fault, History
+from tools.processes import ROOT
 
 # Time for callers to finish their last requests; the longest route timeout is 4 s.
 CALLER_STOP_SECONDS = 6.0
@@ -50,8 +51,19 @@
 def run_soak(seed: int, size: Size, folder: Path) -> Result:
     """Run one soak; write the logs of the processes to `folder`."""
     faults = draw_faults(seed, size.seconds, size.hosts, size.servers)
-    with soak_environment(folder, seed, size.hosts, size.servers) as environment:
+    return play_faults(seed, size, folder, faults)
+
+
+def play_faults(
+    seed: int, size: Size, folder: Path, faults: list[Fault], build: Path = ROOT
+) -> Result:
+    """Run one soak with given faults.
+
+    The hosts start with the sources in `build`; restarted ones run this build.
+    """
+    with soak_environment(folder, seed, size.hosts, size.servers, build) as environment:
         environment.wait_for_recovery()
+        environment.use_build(ROOT)
         threads = start_callers(environment, size.callers, seed)
         environment.run(faults, size.seconds)
         environment.wait_for_recovery()
--- a/soak/upgrade_test.py
+++ b/soak/upgrade_test.py
@@ -2,21 +2,19 @@
 
 import subprocess
 import tarfile
-import time
 
 import pytest
 
-from soak.environment import soak_environment, start_callers
-from soak.guarantees import check_guarantees
+from soak.main import Size, play_faults
 from soak.records import Fault, FaultKind
 from tools.processes import ROOT
 
 # Commit of the build before this one.
 PREVIOUS_BUILD = "2183c6a"
-HOSTS, SERVERS, CALLERS, SEED = 3, 6, 8, 1
+HOSTS, SEED = 3, 1
 # Time between the restarts of two hosts, and how long a host is away.
 STEP_SECONDS, RESTART_SECONDS = 2.5, 0.5
-CALLER_STOP_SECONDS = 6.0
+SIZE = Size(STEP_SECONDS * (HOSTS + 1), HOSTS, servers=6, callers=8)
 
 
 @pytest.fixture(scope="module")
@@ -42,18 +40,8 @@
 
 def play(folder, build, faults):
     """Play an upgrade from a build to this one; return the history and findings."""
-    with soak_environment(folder, SEED, HOSTS, SERVERS, build) as environment:
-        environment.wait_for_recovery()
-        environment.use_build(ROOT)
-        threads = start_callers(environment, CALLERS, SEED)
-        environment.run(faults, STEP_SECONDS * (HOSTS + 1))
-        environment.wait_for_recovery()
-        environment.shared.stopped.set()
-        until = time.monotonic() + CALLER_STOP_SECONDS
-        for thread in threads:
-            thread.join(max(0.0, until - time.monotonic()))
-        found = [*environment.findings, *check_guarantees(environment.history)]
-        return environment.history, [str(finding) for finding in found]
+    result = play_faults(SEED, SIZE, folder, faults, build)
+    return result.history, [str(finding) for finding in result.findings]
 
 
 class TestUpgrade:
