--- a/review/harness.py
+++ b/review/harness.py
@@ -250,11 +250,14 @@
     pairs = (line.split(":", 1) for line in lines)
     headers = {name.strip().lower(): value.strip() for name, value in pairs}
     length = int(headers.get("content-length", "0"))
-    while len(buffer) < length:
+    parts, received = [buffer], len(buffer)
+    while received < length:
         data = sock.recv(READ_BYTES)
         if not data:
             return None, b""
-        buffer += data
+        parts.append(data)
+        received += len(data)
+    buffer = b"".join(parts)
     return Request(method, target, headers, buffer[:length]), buffer[length:]
 
 
@@ -284,6 +287,16 @@
         """Return whether the process runs."""
         return self._process is not None and self._process.poll() is None
 
+    @property
+    def memory_used_mb(self) -> float:
+        """Return the resident memory of the process, 0 if it has ended."""
+        try:
+            lines = Path(f"/proc/{self.pid}/status").read_text().splitlines()
+        except OSError:
+            return 0.0
+        sizes = [line.split()[1] for line in lines if line.startswith("VmRSS:")]
+        return int(sizes[0]) / 1024 if sizes else 0.0
+
     @property
     def log(self) -> list[dict[str, Any]]:
         """Return the decoded log lines."""
@@ -531,10 +544,12 @@
     session: str = "",
     socket_options: Callable[[socket.socket], None] | None = None,
     read_pause: Callable[[int], float] | None = None,
+    bytes_per_second: float | None = None,
 ) -> Attempt:
     """Send one request on a new channel and read its answer.
 
-    `read_pause` returns the seconds to wait after reading some bytes.
+    `read_pause` returns the seconds to wait after reading some bytes, and
+    `bytes_per_second` is the rate at which the request is sent.
     """
     attempt = Attempt(attempt_id, host)
     head = (
@@ -556,7 +571,11 @@
         sock.settimeout(1.0)
         sock.connect((host.ip, port))
         attempt.connected = True
-        sock.sendall(data)
+        if bytes_per_second is None:
+            sock.sendall(data)
+        else:
+            sock.settimeout(deadline_ms / 1000)
+            _send_paced(sock, data, bytes_per_second)
         attempt.sent_at = record.write("sent", id=attempt_id, host=host.name, path=path)
         _read_answer(sock, attempt, limit, read_pause)
     except TimeoutError:
@@ -578,6 +597,13 @@
     return attempt
 
 
+def _send_paced(sock: socket.socket, data: bytes, rate: float) -> None:
+    began = time.monotonic()
+    for start in range(0, len(data), READ_BYTES):
+        time.sleep(max(0.0, began + start / rate - time.monotonic()))
+        sock.sendall(data[start : start + READ_BYTES])
+
+
 def _read_answer(
     sock: socket.socket,
     attempt: Attempt,
