--- a/review/harness.py
+++ b/review/harness.py
@@ -180,6 +180,8 @@
         self._record = record
         self._handler = handler
         self._listener = socket.create_server(("127.0.0.1", 0), backlog=256)
+        # Returns the headers of an answer beside the usual ones.
+        self.extra_headers: Callable[[], dict[str, str]] = dict
         # Times at which a run began and ended, by the id of the attempt.
         self.begun: dict[str, list[float]] = {}
         self.ended: dict[str, float] = {}
@@ -227,14 +229,22 @@
         time.sleep(seconds)
         at = self._record.write("run-ends", worker=self.name, id=attempt_id)
         self.ended[attempt_id] = at
-        return _head(f"{status} OK", request, len(body), self.name) + body
+        extra = self.extra_headers()
+        return _head(f"{status} OK", request, len(body), self.name, extra) + body
 
 
-def _head(status: str, request: Request, length: int, stamp: str = "") -> bytes:
+def _head(
+    status: str,
+    request: Request,
+    length: int,
+    stamp: str = "",
+    extra: dict[str, str] | None = None,
+) -> bytes:
     lines = [f"HTTP/1.1 {status}", f"X-Masticfork-Attempt-Id: {request.attempt_id}"]
     if stamp:
         lines.append(f"X-Masticfork-Server-Stamp: {stamp}")
     lines.append(f"Content-Length: {length}")
+    lines += [f"{name}: {value}" for name, value in (extra or {}).items()]
     return ("\r\n".join(lines) + "\r\n\r\n").encode()
 
 
@@ -353,6 +363,10 @@
             self._site.record.write("signal", host=self.name, signal=number.name)
             os.kill(self.pid, number)
 
+    def stop(self) -> None:
+        """Stop the process as the platform does."""
+        self.signal(signal.SIGTERM)
+
     def end(self) -> None:
         """Kill the process and wait for its end."""
         if self._process is not None:
