Accept late requests of a stopping host only if they end in time

Callers: two of three hosts of a zone get SIGTERM, so that the platform goes on to send them new connections. Orders that they accepted 6.7 to 7.1 s later ran at a server and ended with a closed connection, which tells neither that they ran nor that they may be repeated.

Cause: a host refused what may outlast its stop by a constant, 0.5 s for requests that are not streams and 5 s for streams. It knew neither the request's time limit nor how long the route's responses take (0.9 s here), and retries were not asked at all.

In relay/stopping_host_test.py 6 of 7 tests failed before (accepted requests without an answer, a retry that was cut off, no response at the exit); all pass now.

Why it works: a request is sent to a server during a stop only if its time limit, or twice the slowest recent response of its route, ends before the host exits. Retries and escalations to a larger model ask the same. If a response is slower still, the caller gets 502, or 503 if no byte was sent, in place of the end of the connection.

whole_path_test: the late stream had a time limit of 3 s, which ends before that host exits, so it is rightly accepted now. The test keeps its checks, with a shorter grace period and a limit of 4 s. The tests of GracefulStop take the time limit and the slowest response, and check the constants as the least allowance.

--- a/masticfork/relay/entry.py
+++ b/masticfork/relay/entry.py
@@ -29,7 +29,13 @@
 from masticfork.relay.call_evidence import CallEvidence
 from masticfork.relay.caller import CallerConnection, CallerExchange, NoExchange
 from masticfork.relay.channel import CALLER_USER_TIMEOUT_MS, Channel, listen
-from masticfork.relay.exchange import CallRecord, Exchange, HeldRequest
+from masticfork.relay.exchange import (
+    ABORTED_STATUS,
+    CALLER_GONE_STATUS,
+    CallRecord,
+    Exchange,
+    HeldRequest,
+)
 from masticfork.relay.followers import Follower, Lister
 from masticfork.relay.host_digests import HostDigests
 from masticfork.relay.logs import LogSink, relay_logger
@@ -59,6 +65,7 @@
 from masticfork.systems.graceful_stop import GracefulStop
 from masticfork.systems.homes import ZoneRegions, check_homes, home_regions
 from masticfork.systems.model_choice import ConfidenceCascade, ModelPolicy
+from masticfork.systems.response_times import ResponseTimes
 from masticfork.systems.retry_budget import WindowedRetryBudget
 from masticfork.systems.scarce_room import Admission, RoomRefusal
 from masticfork.systems.server_choice import (
@@ -88,6 +95,12 @@
 MIN_HOST_COUNT = 4
 # Range of priorities that engines accept; 0 is the most urgent.
 HIGHEST_PRIORITY, LOWEST_PRIORITY = 0, 9
+# Statuses of requests whose end tells nothing of how long their route's responses take.
+UNTIMED_STATUSES = (
+    ABORTED_STATUS,
+    CALLER_GONE_STATUS,
+    http.HTTPStatus.SERVICE_UNAVAILABLE,
+)
 
 # Estimates the delay of a call in seconds, by the server's load and the host's zone.
 DelayEstimate = Callable[[ServerLoad, Work, str, float], float]
@@ -207,6 +220,7 @@
         self._registration = Registration(
             self._objects, settings.host, self._peer_address
         )
+        self._response_times = ResponseTimes()
         self._connections: set[CallerConnection] = set()
         self._open_exchanges: set[Exchange] = set()
         self._digests.connect(
@@ -305,6 +319,7 @@
         self._paced_servers.run(own_host, known_hosts)
         self._uneven_servers.run()
         self._session_versions.sweep(self._loop.now)
+        self._response_times.sweep(self._loop.now)
         self._call_evidence.report_slow_calls(self._open_exchanges)
         if self._quarantine.run():
             for exchange in list(self._open_exchanges):
@@ -322,11 +337,18 @@
             self._continue_stop(self._stop)
 
     def _continue_stop(self, stop: GracefulStop) -> None:
-        """Close idle connections once no new callers arrive; stop by the deadline."""
+        """Close idle connections once no new callers arrive; stop by the deadline.
+
+        Requests that are unanswered by then fail, so that their callers need not infer
+        it from the end of the connection.
+        """
         now = self._loop.now
         if stop.closes_idle_connections(now):
             for caller in list(self._connections):
                 caller.close_idle()
+        if stop.is_past_deadline(now):
+            for exchange in list(self._open_exchanges):
+                exchange.on_host_exit()
         if stop.is_over(now, bool(self._connections) or self._transit_listener.busy):
             self._loop.stop()
 
@@ -496,14 +518,15 @@
             return http.HTTPStatus.UNAUTHORIZED
         if not request.head.attempt_id:
             return http.HTTPStatus.BAD_REQUEST
-        if self._stop is not None and self._stop.may_cut_off(route, self._loop.now):
+        wait = route.timeout
+        if request.head.timeout is not None:
+            wait = min(wait, request.head.timeout)
+        deadline = request.arrived_at + wait
+        if self.may_cut_off(route, deadline):
             return http.HTTPStatus.SERVICE_UNAVAILABLE
         priority = route.priority
         if team is not None and team.priority is not None:
             priority = team.priority
-        wait = route.timeout
-        if request.head.timeout is not None:
-            wait = min(wait, request.head.timeout)
         return Exchange(
             host=self,
             caller=caller,
@@ -512,7 +535,7 @@
             service=_pick_service(route, request.head.session),
             team=None if team is None else team.name,
             priority=min(LOWEST_PRIORITY, max(HIGHEST_PRIORITY, priority)),
-            deadline=request.arrived_at + wait,
+            deadline=deadline,
             regions=home_regions(route, team),
         )
 
@@ -537,6 +560,7 @@
             asked_host=request.host,
             path=request.path,
             version=None if table is None else table.version,
+            stopping=self.stopping,
         )
         self._metrics.requests.labels("", status.value).inc()
         caller.send_error(status, headers)
@@ -713,6 +737,17 @@
         """Return how long all servers of a service have asked to pause, or 0."""
         return self._tables.seconds_until_resumption(service)
 
+    def may_cut_off(self, route: Route, deadline: float) -> bool:
+        """Return whether the host may stop before a request sent now is answered.
+
+        `deadline` is the loop time by which the request is answered at the latest.
+        """
+        if self._stop is None:
+            return False
+        now = self._loop.now
+        slowest = self._response_times.slowest(route.name, now)
+        return self._stop.may_cut_off(route, deadline, slowest, now)
+
     def held_request(self, identity: RequestIdentity) -> HeldRequest | None:
         """Return why a request must not reach servers now, None if it may."""
         return self._quarantine.held(identity)
@@ -729,6 +764,8 @@
         """Record the end of an exchange in metrics and log."""
         self._open_exchanges.discard(exchange)
         seconds = self._loop.now - exchange.request.arrived_at
+        if status not in UNTIMED_STATUSES:
+            self._response_times.record(exchange.route.name, seconds, self._loop.now)
         self._metrics.requests.labels(exchange.route.name, status).inc()
         self._metrics.total.labels(exchange.team or "").observe(seconds)
         self._metrics.route_total.labels(exchange.route.name).observe(seconds)
--- a/masticfork/relay/exchange.py
+++ b/masticfork/relay/exchange.py
@@ -38,6 +38,8 @@
 CUT_OFF_SILENCE_SECONDS = 0.5
 # Logged as the status of a response that was aborted after its head was sent.
 ABORTED_STATUS = 0
+# Logged as the status of a request whose caller has disconnected.
+CALLER_GONE_STATUS = 499
 
 _MIN_SERVER_ERROR_STATUS = 500
 # Outcomes of calls that say nothing against their server; None is a complete response.
@@ -158,6 +160,12 @@
     def seconds_until_resumption(self, service: str) -> float:
         """Return how long all servers of a service have asked to pause, or 0."""
 
+    def may_cut_off(self, route: Route, deadline: float) -> bool:
+        """Return whether the host may stop before a request sent now is answered.
+
+        `deadline` is the loop time by which the request is answered at the latest.
+        """
+
     def held_request(self, identity: RequestIdentity) -> "HeldRequest | None":
         """Return why a request must not reach servers now, None if it may."""
 
@@ -339,7 +347,7 @@
 
     def on_caller_disconnected(self) -> None:
         """Cancel the current call and end the exchange."""
-        self._cancel("caller gone", 499)
+        self._cancel("caller gone", CALLER_GONE_STATUS)
 
     def on_caller_too_slow(self) -> None:
         """Cancel the current call: the caller was cut off for reading too slowly."""
@@ -485,6 +493,11 @@
         if held is not None and held.quarantined:
             self._fail_call(CallOutcome.QUARANTINED, held.why)
 
+    def on_host_exit(self) -> None:
+        """Cancel the current call and fail the request: the host exits."""
+        if not self._ended:
+            self._give_up("host exits")
+
     # Calls to servers.
 
     def _send_call(self) -> None:
@@ -646,6 +659,8 @@
         # Keep one more attempt in case a server refuses the escalated call.
         if self.history.sent + 2 > self.route.max_attempts or head.status >= 300:
             return None
+        if self.host.may_cut_off(self.route, self.deadline):
+            return None
         elapsed = self.host.loop.now - self.request.arrived_at
         work = attrs.evolve(
             self._work_for_call(self.route.models[-1]), size=len(self.route.models) - 1
@@ -696,6 +711,10 @@
         )
         next_step = next_action(self.route, self.history, outcome, self._seconds_left)
         can_retry = next_step is NextAction.RETRY and self._can_replace_call
+        if not self._response_started and self.host.may_cut_off(
+            self.route, self.deadline
+        ):
+            can_retry = False
         if not can_retry or outcome is CallOutcome.QUARANTINED:
             self._fail_request(outcome, why)
         elif outcome is CallOutcome.DROPPED:
@@ -744,6 +763,10 @@
     # Timeouts.
 
     def _on_deadline(self) -> None:
+        """Give the request up: its time is over."""
+        self._give_up("deadline")
+
+    def _give_up(self, why: str) -> None:
         """Cancel the current call and fail the request."""
         record = self._call_record
         if record is not None and record.call is not None:
@@ -751,7 +774,7 @@
                 self.history.may_have_run = True
             record.call.cancel()
             self._end_call(CallOutcome.SILENT)
-        self._fail_request(CallOutcome.SILENT, "deadline")
+        self._fail_request(CallOutcome.SILENT, why)
 
     def _restart_silence_timer(self) -> None:
         """Restart the timeout for the server's next response head or event."""
--- /dev/null
+++ b/masticfork/relay/stopping_host_test.py
@@ -0,0 +1,191 @@
+"""A host that stops: what it still accepts, and how accepted requests end."""
+
+import http.client
+import socket
+import threading
+import time
+from contextlib import contextmanager
+
+import pytest
+
+from masticfork.platform.settings_file import Bounds
+from masticfork.relay.exchange import Exchange
+from masticfork.relay.server_call import Stage
+from masticfork.systems.graceful_stop import STOP_MARGIN_SECONDS
+from standins.entry_environment import (
+    SERVICE,
+    configuration,
+    route,
+    running_entry_host,
+)
+from standins.fake_exchange import (
+    FakeCaller,
+    FakeHost,
+    caller_request,
+    response_head,
+)
+from standins.scripted_server import overloaded_response, response
+from standins.typed_routes import multi_model_route
+
+GRACE_SECONDS = 6.0
+# Time that the server takes for a request, and the time limit of the routes.
+WORK_SECONDS = 0.9
+TIMEOUT_MS = 4000
+
+
+def slow_response(request):
+    time.sleep(WORK_SECONDS)
+    yield response(request, b"whole")
+
+
+class Answers:
+    """Requests that are sent side by side on connections of their own."""
+
+    def __init__(self, env):
+        self.env = env
+        # Pairs of the status, 0 if the connection ended first, and its attempt ID.
+        self.received = []
+        self._threads = []
+
+    def send(self, path):
+        thread = threading.Thread(target=self._send, args=(path,))
+        self._threads.append(thread)
+        thread.start()
+
+    def _send(self, path):
+        headers = self.env.headers({"X-Masticfork-Deadline-Ms": str(TIMEOUT_MS)})
+        connection = http.client.HTTPConnection(
+            self.env.front.host, self.env.front.port, GRACE_SECONDS
+        )
+        try:
+            connection.request("POST", path, b"x", headers)
+            status = connection.getresponse().status
+        except ConnectionRefusedError:
+            return
+        except (OSError, http.client.HTTPException):
+            status = 0
+        finally:
+            connection.close()
+        self.received.append((status, headers["X-Masticfork-Attempt-Id"]))
+
+    def join(self):
+        for thread in self._threads:
+            thread.join()
+
+    def of(self, attempts):
+        """Return the statuses that the attempts of these IDs have got."""
+        return [status for status, attempt in self.received if attempt in attempts]
+
+
+@contextmanager
+def busy_host():
+    """Run a host that an open connection keeps from stopping early."""
+    routes = [
+        route(kind, timeout_ms=TIMEOUT_MS, target_latency_ms=1000)
+        for kind in ("safe", "unsafe")
+    ]
+    limits = {"idle_timeout_ms": 5000, "header_timeout_ms": 30_000}
+    spec = configuration(1, *routes, limits=limits)
+    bounds = Bounds(grace=GRACE_SECONDS)
+    with (
+        running_entry_host(spec, bounds) as env,
+        socket.create_connection((env.front.host, env.front.port)) as sock,
+    ):
+        sock.sendall(b"POST /")
+        yield env
+
+
+class TestLateRequests:
+    @pytest.mark.parametrize("answered_before", [0, 8])
+    @pytest.mark.parametrize("kind", ["safe", "unsafe"])
+    def test_accepted_requests_are_answered_by_their_server(
+        self, kind, answered_before
+    ):
+        """Guards against requests that a stopping host accepts late and cuts off."""
+        with busy_host() as env:
+            server = env.add_server(slow_response, SERVICE, slots=64)
+            env.wait_for_servers(1)
+            answers = Answers(env)
+            for _ in range(answered_before):
+                answers.send(f"/{kind}/x")
+            answers.join()
+            env.host.request_stop()
+            while env.host.loop.running:
+                answers.send(f"/{kind}/x")
+                time.sleep(0.1)
+            answers.join()
+            attempts = {request.attempt_id for request in server.requests}
+        assert {200, 503} <= {status for status, _ in answers.received}
+        assert set(answers.of(attempts)) == {200}
+
+    def test_requests_are_accepted_while_they_end_in_time(self):
+        """Guards against refusals of requests that could still be answered."""
+        with busy_host() as env:
+            env.add_server(lambda r: [response(r, b"whole")], SERVICE)
+            env.wait_for_servers(1)
+            for _ in range(8):
+                assert env.send("/unsafe/x").status == 200
+            env.host.request_stop()
+            time.sleep(GRACE_SECONDS - STOP_MARGIN_SECONDS - 1.0)
+            assert env.send("/unsafe/x").status == 200
+
+
+class TestLateRetries:
+    def test_refused_request_is_not_sent_once_more(self):
+        """Guards against a late retry that the end of the host cuts off."""
+
+        def refusing(request):
+            time.sleep(2.0)
+            yield overloaded_response()
+
+        with busy_host() as env:
+            servers = [env.add_server(refusing, SERVICE) for _ in range(2)]
+            env.wait_for_servers(2)
+            answers = Answers(env)
+            env.host.request_stop()
+            time.sleep(2.2)
+            answers.send("/safe/x")
+            answers.join()
+        assert [status for status, _ in answers.received] == [503]
+        assert sum(len(server.requests) for server in servers) == 1
+
+
+class TestEscalation:
+    @pytest.mark.parametrize(("stopping", "calls"), [(False, 2), (True, 1)])
+    def test_answer_is_kept_if_a_larger_model_would_be_cut_off(self, stopping, calls):
+        """Guards against usable answers that are dropped for one that is cut off."""
+        host, caller = FakeHost(), FakeCaller()
+        exchange = Exchange(
+            host=host,
+            caller=caller,
+            request=caller_request(model="*", model_chosen_by_router=True),
+            route=multi_model_route(),
+            service="s",
+            team=None,
+            priority=1,
+            deadline=12.0,
+        )
+        exchange.start()
+        host.stopping = stopping
+        host.calls[-1].stage = Stage.ANSWERING
+        exchange.on_head(response_head(confidence=5))
+        assert len(host.calls) == calls
+
+
+class TestEnd:
+    def test_unanswered_request_ends_with_a_failure(self):
+        """Guards against connections that close without any response."""
+
+        def silent(request):
+            time.sleep(GRACE_SECONDS)
+            yield b""
+
+        with busy_host() as env:
+            env.add_server(silent, SERVICE)
+            env.wait_for_servers(1)
+            answers = Answers(env)
+            env.host.request_stop()
+            time.sleep(2.2)
+            answers.send("/unsafe/x")
+            answers.join()
+        assert [status for status, _ in answers.received] == [502]
--- a/masticfork/relay/whole_path_test.py
+++ b/masticfork/relay/whole_path_test.py
@@ -603,7 +603,7 @@
 
     def test_late_stream_on_a_kept_alive_connection_is_refused(self):
         """Callers send on kept-alive connections until the process ends."""
-        with running_entry_host(bounds=Bounds(grace=7.0)) as env:
+        with running_entry_host(bounds=Bounds(grace=6.0)) as env:
             env.add_server(lambda a: events(a, 2), ENGINES)
             env.wait_for_servers(1)
             connection = http.client.HTTPConnection(env.front.host, env.front.port, 9)
@@ -619,7 +619,9 @@
                 # keeps it from that until the last one is answered.
                 sock.sendall(b"POST /")
                 got = read_response(connection)
-                late = env.send("/streaming/x")
+                late = env.send(
+                    "/streaming/x", headers={"X-Masticfork-Deadline-Ms": "4000"}
+                )
         assert got.status in (200, 503)
         assert late.status == 503
         assert late.headers["connection"] == "close"
--- a/masticfork/systems/graceful_stop.py
+++ b/masticfork/systems/graceful_stop.py
@@ -9,11 +9,14 @@
 READINESS_NOTICE_SECONDS = 2.6
 # Time before the end of the grace period at which all connections close.
 STOP_MARGIN_SECONDS = 0.4
-# Time that a stopping host allows for a stream; most end within it. A stream that may
-# outlast the grace period is refused, since it would be cut off.
+# Least time that a stopping host allows for a stream; most end within it. A stream that
+# may outlast the grace period is refused, since it would be cut off.
 STREAM_ALLOWANCE_SECONDS = 5.0
 # The same for requests that are not streams.
 NON_STREAM_ALLOWANCE_SECONDS = 0.5
+# Multiple of a route's slowest recent response that is allowed for a request: the other
+# requests of hosts that stop at the same time slow its server down.
+SLOWEST_RESPONSE_FACTOR = 2.0
 
 
 @attrs.frozen
@@ -35,17 +38,31 @@
         """Return whether idle connections are to close: no new callers arrive."""
         return now >= self.new_callers_end_at
 
+    def is_past_deadline(self, now: float) -> bool:
+        """Return whether all connections are to close."""
+        return now >= self.deadline
+
     def is_over(self, now: float, has_connections: bool) -> bool:
         """Return whether the host is to exit."""
         finished = not has_connections and self.closes_idle_connections(now)
-        return finished or now >= self.deadline
+        return finished or self.is_past_deadline(now)
+
+    def may_cut_off(
+        self, route: Route, answer_deadline: float, slowest: float | None, now: float
+    ) -> bool:
+        """Return whether a request sent to a server now may outlast the stop.
 
-    def may_cut_off(self, route: Route, now: float) -> bool:
-        """Return whether a request accepted now may outlast the stop."""
+        `answer_deadline` is when it is answered at the latest, and `slowest` the
+        seconds of the route's slowest recent response, None if they are unknown.
+        """
         if not self.closes_idle_connections(now):
             return False
-        is_stream = route.kind is RouteKind.STREAM
-        allowance = (
-            STREAM_ALLOWANCE_SECONDS if is_stream else NON_STREAM_ALLOWANCE_SECONDS
-        )
-        return now + allowance > self.deadline
+        ends_at = answer_deadline
+        if slowest is not None:
+            is_stream = route.kind is RouteKind.STREAM
+            allowance = max(
+                STREAM_ALLOWANCE_SECONDS if is_stream else NON_STREAM_ALLOWANCE_SECONDS,
+                SLOWEST_RESPONSE_FACTOR * slowest,
+            )
+            ends_at = min(answer_deadline, now + allowance)
+        return ends_at > self.deadline
--- a/masticfork/systems/graceful_stop_test.py
+++ b/masticfork/systems/graceful_stop_test.py
@@ -6,6 +6,7 @@
 from masticfork.systems.graceful_stop import (
     NON_STREAM_ALLOWANCE_SECONDS,
     READINESS_NOTICE_SECONDS,
+    SLOWEST_RESPONSE_FACTOR,
     STOP_MARGIN_SECONDS,
     STREAM_ALLOWANCE_SECONDS,
     GracefulStop,
@@ -14,6 +15,7 @@
 GRACE = 8.0
 BEGIN = 100.0
 STOP = GracefulStop.begun_at(BEGIN, GRACE)
+END = BEGIN + GRACE - STOP_MARGIN_SECONDS
 
 
 def route(kind):
@@ -21,11 +23,16 @@
     return Route("r", "h", "/", kind, 10.0, 1.0, 1, 1, False, True, (), services)
 
 
+def may_cut_off(kind, now, time_limit=100.0, slowest=0.01):
+    return STOP.may_cut_off(route(kind), now + time_limit, slowest, now)
+
+
 class TestAcceptedRequests:
+    @pytest.mark.parametrize("slowest", [None, 20.0])
     @pytest.mark.parametrize("kind", list(RouteKind))
-    def test_all_are_accepted_while_new_callers_may_arrive(self, kind):
+    def test_all_are_accepted_while_new_callers_may_arrive(self, kind, slowest):
         before_notice = BEGIN + READINESS_NOTICE_SECONDS - 0.01
-        assert not STOP.may_cut_off(route(kind), before_notice)
+        assert not may_cut_off(kind, before_notice, slowest=slowest)
 
     @pytest.mark.parametrize(
         ("kind", "allowance"),
@@ -36,10 +43,25 @@
         ],
     )
     def test_request_that_would_be_cut_off_is_refused(self, kind, allowance):
-        end = BEGIN + GRACE - STOP_MARGIN_SECONDS
-        last = max(BEGIN + READINESS_NOTICE_SECONDS - 0.01, end - allowance)
-        assert not STOP.may_cut_off(route(kind), last)
-        assert STOP.may_cut_off(route(kind), end - allowance + 0.1)
+        last = max(BEGIN + READINESS_NOTICE_SECONDS - 0.01, END - allowance)
+        assert not may_cut_off(kind, last)
+        assert may_cut_off(kind, END - allowance + 0.1)
+
+    @pytest.mark.parametrize("kind", [RouteKind.IDEMPOTENT, RouteKind.NON_IDEMPOTENT])
+    def test_request_of_a_slow_route_is_refused_sooner(self, kind):
+        """Guards against requests that a stopping host accepts late and cuts off."""
+        allowance = SLOWEST_RESPONSE_FACTOR * 0.9
+        assert not may_cut_off(kind, END - allowance - 0.01, slowest=0.9)
+        assert may_cut_off(kind, END - allowance + 0.01, slowest=0.9)
+
+    @pytest.mark.parametrize("kind", list(RouteKind))
+    def test_request_of_an_unknown_route_may_last_until_its_deadline(self, kind):
+        assert not may_cut_off(kind, END - 4.01, time_limit=4.0, slowest=None)
+        assert may_cut_off(kind, END - 3.99, time_limit=4.0, slowest=None)
+
+    @pytest.mark.parametrize("kind", list(RouteKind))
+    def test_no_request_lasts_longer_than_its_deadline(self, kind):
+        assert not may_cut_off(kind, END - 0.41, time_limit=0.4, slowest=9.0)
 
 
 class TestEnd:
@@ -50,6 +72,5 @@
         assert not STOP.is_over(notice, has_connections=True)
 
     def test_host_exits_before_the_end_of_the_grace_period(self):
-        end = BEGIN + GRACE - STOP_MARGIN_SECONDS
-        assert not STOP.is_over(end - 0.01, has_connections=True)
-        assert STOP.is_over(end, has_connections=True)
+        assert not STOP.is_over(END - 0.01, has_connections=True)
+        assert STOP.is_over(END, has_connections=True)
--- a/standins/fake_exchange.py
+++ b/standins/fake_exchange.py
@@ -14,6 +14,7 @@
     ResponseHead,
 )
 from masticfork.core.request_identity import RequestIdentity
+from masticfork.core.routes import Route
 from masticfork.relay.exchange import CallRecord, Exchange, HeldRequest
 from masticfork.relay.server_call import CallSink, ServerConnectionPool, Stage
 from masticfork.relay.tables import ServerRow
@@ -96,6 +97,7 @@
         self.ended_exchanges = 0
         self.held: HeldRequest | None = None
         self.suspected = False
+        self.stopping = False
         self.started_responses = 0
         # Whether each response that belongs to its call counts against its server.
         self.responses_failed: list[bool] = []
@@ -173,6 +175,10 @@
         """Return 0: no server has asked to pause."""
         return 0.0
 
+    def may_cut_off(self, route: Route, deadline: float) -> bool:
+        """Return what the test has set."""
+        return self.stopping
+
     def held_request(self, identity: RequestIdentity) -> HeldRequest | None:
         """Return what the test has set."""
         return self.held
