Replace silent readers of the store within half the time of a change

Callers: a key that had been taken away was accepted until 2.26 s after the store's acknowledgement, where 2 s are allowed, by hosts whose readers of the store had lost power.

Cause: hosts that don't read the store begin to read once the digests of all readers have been missing for 2.2 s. That is longer than config_apply_ms and drain_ms of small deployments, and no setting entered it.

Both cases of TestLostReaders (readers that end, readers that stand still) failed before and pass now.

Why it works: the silence is half of the shortest bound of a change (1 s for 2 s). Readers send a digest at least four times within it, so the loss of single datagrams doesn't replace them. What is left of the bound covers the check's interval of 0.25 s and one call to the store.

--- a/masticfork/platform/settings_file.py
+++ b/masticfork/platform/settings_file.py
@@ -26,6 +26,8 @@
 
     # Longest time from the announcement that a server leaves to the last request to it.
     drain: float = 2.0
+    # Longest time from a new configuration to the last request handled by an older one.
+    config_apply: float = 2.0
     # Time from SIGTERM to SIGKILL.
     grace: float = 8.0
     # Retries allowed per request to a service, as a ratio.
@@ -46,6 +48,12 @@
     # to its servers; None if the deployment has no evacuations.
     evacuate: float | None = None
 
+    @property
+    def shortest_change(self) -> float:
+        """Return the shortest time within which a change in the store takes effect."""
+        bounds = (self.drain, self.config_apply, self.evacuate)
+        return min(bound for bound in bounds if bound is not None)
+
 
 @attrs.frozen
 class EntrySettings:
@@ -108,6 +116,8 @@
     default = Bounds()
     return Bounds(
         drain=get_number(table, "drain_ms", default.drain * 1000) / 1000,
+        config_apply=get_number(table, "config_apply_ms", default.config_apply * 1000)
+        / 1000,
         grace=get_number(table, "grace_s", default.grace),
         retry_share=get_number(table, "retry_budget_ratio", default.retry_share),
         retry_slack=get_number(table, "budget_slack", default.retry_slack),
--- a/masticfork/relay/entry.py
+++ b/masticfork/relay/entry.py
@@ -206,6 +206,7 @@
             self._store_view,
             self._followers,
             self.log,
+            lambda: self._settings.bounds.shortest_change,
         )
         self._rollout_controller = RolloutController(
             self._loop,
--- a/masticfork/relay/host_digests.py
+++ b/masticfork/relay/host_digests.py
@@ -84,10 +84,14 @@
         self._rollouts = rollouts
 
     def run(self) -> None:
-        """Send a full digest if it is due; call it on each tick."""
+        """Send a digest if one is due; call it on each tick."""
         self._peer_loads.refresh()
         if self._peers.is_digest_due():
             self._peers.send_digest(self._full_digest())
+        elif self._peers.seconds_since_digest >= (
+            self._reader_duty.digest_interval_seconds
+        ):
+            self._send_header()
 
     def send_store_update(self) -> None:
         """Tell the other hosts what this one has read from the store."""
@@ -177,6 +181,9 @@
 
     def _send_news(self) -> None:
         self._news_scheduled = False
+        self._send_header()
+
+    def _send_header(self) -> None:
         self._peers.send_digest(attrs.evolve(self._header(), partial=True))
 
     def _send_load_update(self) -> None:
--- a/masticfork/relay/peers.py
+++ b/masticfork/relay/peers.py
@@ -84,6 +84,7 @@
         self._addresses: dict[str, Address] = {}
         self._peers: dict[str, _Peer] = {}
         self._next_digest = 0.0
+        self._sent_at = float("-inf")
         self._next_copy = 0.0
         self._copying = False
         self._copy_executor = ThreadPoolExecutor(1, "copier")
@@ -145,6 +146,11 @@
             1.0, len(self._addresses) / CHANGE_SCALING_HOSTS
         )
 
+    @property
+    def seconds_since_digest(self) -> float:
+        """Return the seconds since the latest digest, full or partial, was sent."""
+        return self._loop.now - self._sent_at
+
     def is_digest_due(self) -> bool:
         """Return whether the next full digest is due; also expire silent peers."""
         self._expire_silent()
@@ -157,6 +163,7 @@
             interval = min(MAX_DIGEST_INTERVAL_SECONDS, DIGEST_INTERVAL_SECONDS * scale)
             self._next_digest = self._loop.now + interval
         self._sequence += 1
+        self._sent_at = self._loop.now
         data = encode_digest(
             attrs.evolve(digest, incarnation=self._incarnation, sequence=self._sequence)
         )
--- a/masticfork/relay/reader_duty.py
+++ b/masticfork/relay/reader_duty.py
@@ -7,11 +7,13 @@
 from masticfork.relay.peers import Peers
 from masticfork.relay.store_view import StoreView
 from masticfork.relay.tables import Tables
-from masticfork.systems.store_readers import ReaderCandidate, choose_readers
+from masticfork.systems.store_readers import (
+    DIGESTS_PER_SILENCE,
+    ReaderCandidate,
+    choose_readers,
+    silence_limit,
+)
 
-# Silence after which a reader is replaced: twice the longest digest interval, and some
-# time for a digest that is late.
-READER_SILENCE_SECONDS = 2.2
 # Interval between listings of the hosts. Hosts that don't read the store also learn of
 # new ones by their digests.
 READER_LIST_SECONDS, OTHER_LIST_SECONDS = 5.0, 20.0
@@ -30,6 +32,7 @@
         view: StoreView,
         followers: list[Follower],
         log: Callable[..., None],
+        shortest_change: Callable[[], float],
     ) -> None:
         self._loop = loop
         self._host = host
@@ -39,6 +42,8 @@
         self._view = view
         self._followers = followers
         self._log = log
+        # Returns the shortest time in seconds within which a change takes effect.
+        self._shortest_change = shortest_change
         # Every host reads until it knows others that do.
         self._reading = True
 
@@ -47,6 +52,13 @@
         """Return whether this host follows the store itself."""
         return self._reading
 
+    @property
+    def digest_interval_seconds(self) -> float:
+        """Return the longest interval between digests by which others rely on it."""
+        if not self._reading:
+            return float("inf")
+        return silence_limit(self._shortest_change()) / DIGESTS_PER_SILENCE
+
     @property
     def list_interval_seconds(self) -> float:
         """Return the interval between listings of the hosts."""
@@ -54,7 +66,8 @@
 
     def run(self) -> None:
         """Start or stop following the store."""
-        digests = self._peers.recent_digests(READER_SILENCE_SECONDS)
+        silence = silence_limit(self._shortest_change())
+        digests = self._peers.recent_digests(silence)
         candidates = [ReaderCandidate(d.host, d.zone, d.store_failing) for d in digests]
         own = ReaderCandidate(self._host, self._zone, self._view.store_failing)
         chosen = choose_readers([own, *candidates])
@@ -76,6 +89,7 @@
             "reading the store" if should_read else "no longer reading the store",
             readers=len(chosen),
             hosts=len(candidates) + 1,
+            silence=silence,
         )
         for follower in self._followers:
             if should_read:
--- a/masticfork/relay/reader_duty_test.py
+++ b/masticfork/relay/reader_duty_test.py
@@ -8,12 +8,17 @@
 from masticfork.core.digests import Digest
 from masticfork.core.store_position import StorePosition
 from masticfork.platform.objects import Listing, PlatformObject
+from masticfork.platform.settings_file import Bounds
 from masticfork.relay.metrics import RelayMetrics
 from masticfork.relay.reader_duty import ReaderDuty
 from masticfork.relay.store_view import StoreView
 from masticfork.relay.tables import Tables
 from masticfork.store.client import ErrorKind, PlatformError
-from masticfork.systems.store_readers import ReaderCandidate, choose_readers
+from masticfork.systems.store_readers import (
+    ReaderCandidate,
+    choose_readers,
+    silence_limit,
+)
 from standins.entry_environment import (
     SERVICE,
     configuration,
@@ -26,6 +31,10 @@
 from standins.scripted_server import response
 
 HOSTS = 5
+# Shortest time within which a change in the store has to take effect on all hosts.
+SHORTEST_CHANGE_SECONDS = Bounds().shortest_change
+# Time for which the loop of a paused host stands still.
+PAUSE_SECONDS = 4.0
 
 
 def complete_response(request):
@@ -145,13 +154,50 @@
             assert not fleet.host_names_reading() & readers
 
 
+def stop(loop):
+    loop.post(loop.stop)
+
+
+def pause(loop):
+    loop.post(lambda: time.sleep(PAUSE_SECONDS))
+
+
+class TestLostReaders:
+    @pytest.mark.parametrize("lose", [stop, pause])
+    def test_changes_apply_in_time_while_all_readers_are_lost(self, lose):
+        """Guards against a key that other hosts accept long after its removal."""
+        with running_fleet() as fleet:
+            server = fleet.hosts[0].add_server(complete_response, SERVICE)
+            for env in fleet.hosts:
+                env.wait_until(lambda env=env: env.host.knows_server("i-1"))
+            readers = fleet.host_names_reading()
+            lost = [env for env in fleet.hosts if env.host._settings.host in readers]
+            fleet.hosts = [env for env in fleet.hosts if env not in lost]
+            for env in lost:
+                lose(env.host.loop)
+            time.sleep(0.05)
+            fleet.store.put("config", "main", configuration(4))
+            entry = server_entry(server, SERVICE, state="draining", sequence=2)
+            fleet.store.put("servers", "i-1", entry)
+            fleet.wait_until(
+                lambda: all(
+                    fleet.version(env) == 4 and env.send("/safe/x").status == 503
+                    for env in fleet.hosts
+                ),
+                SHORTEST_CHANGE_SECONDS,
+            )
+
+
 class FakePeers:
     """Digests of other hosts, set by the test."""
 
     def __init__(self):
         self.digests = []
+        # Silence in seconds up to which digests were asked for.
+        self.seconds = 0.0
 
     def recent_digests(self, seconds):
+        self.seconds = seconds
         return self.digests
 
 
@@ -205,6 +251,7 @@
             self.view,
             [self.follower],
             lambda *_, **__: None,
+            lambda: SHORTEST_CHANGE_SECONDS,
         )
 
     def hear(self, failing=(), silent=()):
@@ -245,6 +292,18 @@
         host.hear(silent=host.names)
         assert host.follower.following
 
+    def test_reader_is_replaced_long_before_a_change_must_take_effect(self):
+        host = DutyOfOneHost()
+        host.hear()
+        assert host.peers.seconds == silence_limit(SHORTEST_CHANGE_SECONDS) <= 1.0
+
+    def test_reader_sends_several_digests_within_the_silence(self):
+        host = DutyOfOneHost()
+        silence = silence_limit(SHORTEST_CHANGE_SECONDS)
+        assert host.duty.digest_interval_seconds <= silence / 4
+        host.hear()
+        assert host.duty.digest_interval_seconds == float("inf")
+
     def test_outage_does_not_make_all_hosts_read(self):
         host = DutyOfOneHost()
         host.hear()
--- a/masticfork/systems/store_readers.py
+++ b/masticfork/systems/store_readers.py
@@ -11,8 +11,26 @@
 
 from masticfork.core.ids import stable_hash
 
-# Two, so that the failure of one reader delays no change in its availability zone.
+# Two, so that the failure of one reader delays no change in its availability zone. The
+# failure of both delays changes until other hosts notice their silence.
 READERS_PER_ZONE = 2
+# Silence after which a reader is replaced, as a share of the shortest time within which
+# a change has to take effect, and its maximum. The rest of that time is for the check's
+# interval, and for reading the change.
+SILENCE_SHARE = 0.5
+MAX_SILENCE_SECONDS = 2.2
+# Digests that a reader sends within this silence at least, so that the loss of some
+# does not replace it.
+DIGESTS_PER_SILENCE = 4
+
+
+def silence_limit(shortest_change: float) -> float:
+    """Return the silence in seconds after which a reader is replaced.
+
+    `shortest_change` is the shortest time in seconds within which a change in the store
+    has to take effect on all hosts.
+    """
+    return min(MAX_SILENCE_SECONDS, SILENCE_SHARE * shortest_change)
 
 
 @attrs.frozen
--- a/masticfork/systems/store_readers_test.py
+++ b/masticfork/systems/store_readers_test.py
@@ -1,6 +1,12 @@
 """Tests of the choice of hosts that read the store."""
 
-from masticfork.systems.store_readers import ReaderCandidate, choose_readers
+import pytest
+
+from masticfork.systems.store_readers import (
+    ReaderCandidate,
+    choose_readers,
+    silence_limit,
+)
 
 
 def fleet(zones, hosts_per_zone, failing=()):
@@ -33,3 +39,15 @@
     def test_failing_hosts_read_if_there_are_no_others(self):
         failing = {candidate.host for candidate in fleet("a", 3)}
         assert len(choose_readers(fleet("a", 3, failing))) == 2
+
+
+class TestSilence:
+    @pytest.mark.parametrize("shortest_change", [0.5, 1.0, 2.0, 3.0, 4.0, 60.0])
+    def test_lost_readers_are_replaced_in_half_the_time_of_a_change(
+        self, shortest_change
+    ):
+        """Guards against changes that apply late because all readers are lost."""
+        assert silence_limit(shortest_change) <= shortest_change / 2
+
+    def test_long_bounds_do_not_make_hosts_wait_long(self):
+        assert silence_limit(60.0) <= 2.2
