Replace readers of the store that it does not answer any more

Callers: while all readers are cut off from the store, a change such as a key that is taken away reaches the other hosts only seconds late, as in the case of lost readers.

Cause: the readers' digests vouch for their processes, not for their way to the store. A watch is answered when something changes, or after 4 s, so a cut was noticed after up to 5 s; the other hosts began to read only then.

Evidence: two further cases of TestLostReaders (cut in both directions, or from the answers alone) failed before: the change was not known after the 2 s of the bound. Both pass now.

Why it works: a reader on which others rely makes a stale read, at a tenth of the price, once no call was answered for half of the tolerated silence. Two without an answer in a row mark it as failing, and the existing choice replaces it. No host relies on another where all are readers, so small deployments make no such calls.

--- a/masticfork/platform/objects.py
+++ b/masticfork/platform/objects.py
@@ -26,6 +26,8 @@
 }
 # Statuses that guarantee that the store did not apply a write.
 _NOT_APPLIED_STATUSES = (400, 401, 403, 405, 429, 503)
+# Statuses with which the store turns a host away.
+_REFUSED_STATUSES = (429, 503)
 
 
 @attrs.frozen
@@ -99,6 +101,12 @@
         self._pool = ConnectionPool(address, now)
         self._era_lock = threading.Lock()
         self._era = 0
+        self._answered_at = float("-inf")
+
+    @property
+    def answered_at(self) -> float:
+        """Return the time of the store's latest answer that was not a refusal."""
+        return self._answered_at
 
     @property
     def era(self) -> int:
@@ -178,6 +186,11 @@
         outcome = self._call("GET", _path(kind, name), deadline)
         return outcome.and_then(_decode_single)
 
+    def answers(self, kind: str, name: str, deadline: Deadline) -> bool:
+        """Return whether the store answers a read of one object, which may be stale."""
+        outcome = self._call("GET", f"{_path(kind, name)}?allow_stale=1", deadline)
+        return isinstance(outcome, Ok) or outcome.err_value.kind is ErrorKind.NOT_FOUND
+
     def create(
         self, kind: str, name: str, spec: Any, deadline: Deadline
     ) -> Result[PlatformObject, PlatformError]:
@@ -233,6 +246,8 @@
             kind = ErrorKind.UNAVAILABLE if not_applied else ErrorKind.UNKNOWN
             return Err(PlatformError(kind, failure.message))
         response = outcome.ok_value
+        if response.status not in _REFUSED_STATUSES:
+            self._answered_at = self._now()
         era = self._judge_era(response)
         body = _decode_response(method, response)
         if isinstance(body, Err):
--- a/masticfork/relay/entry.py
+++ b/masticfork/relay/entry.py
@@ -36,7 +36,7 @@
     Exchange,
     HeldRequest,
 )
-from masticfork.relay.followers import Follower, Lister
+from masticfork.relay.followers import Follower, Lister, StoreProbe
 from masticfork.relay.host_digests import HostDigests
 from masticfork.relay.logs import LogSink, relay_logger
 from masticfork.relay.loop import Loop
@@ -268,6 +268,14 @@
             self._store_view,
             lambda: self._reader_duty.list_interval_seconds,
         ).start()
+        StoreProbe(
+            names.KIND_HOSTS,
+            self._settings.host,
+            self._objects,
+            self._loop,
+            self._store_view,
+            lambda: self._reader_duty.tolerated_silence,
+        ).start()
         self._registration.start()
         self._loop.call_after(TICK_SECONDS, self._tick)
         self.log("started", zone=self._settings.zone, store=self._settings.store)
--- a/masticfork/relay/followers.py
+++ b/masticfork/relay/followers.py
@@ -41,6 +41,14 @@
 # Back-off after a failed call: every call is charged, including refused ones.
 MIN_BACKOFF_SECONDS = 0.15
 MAX_BACKOFF_SECONDS = 0.6
+# Interval and timeout of probes, as shares of the silence that other hosts tolerate. A
+# store that has failed is noticed within this silence.
+PROBE_INTERVAL_SHARE, PROBE_TIMEOUT_SHARE = 0.5, 0.25
+# Interval at which is checked whether another host relies on this one.
+PROBE_CHECK_SECONDS = 0.25
+# Probes in a row without an answer after which the store counts as failed: a single
+# answer may be lost.
+MAX_UNANSWERED_PROBES = 2
 
 
 class StoreListener(Protocol):
@@ -55,6 +63,9 @@
     def on_store_failure(self, kind: str, error: PlatformError) -> None:
         """Handle the failure of a call to the store."""
 
+    def on_probe(self, answered: bool) -> None:
+        """Handle that the store has answered a probe, or several in a row not."""
+
 
 class _StoreThread:
     """Base of the threads that read one kind of objects until the loop stops."""
@@ -113,6 +124,57 @@
             time.sleep(self._interval_seconds() * random.uniform(0.8, 1.2))
 
 
+class StoreProbe(_StoreThread):
+    """Checks whether the store still answers while other hosts rely on this one.
+
+    A watch doesn't tell: it is answered only when something changes, or seconds later.
+    """
+
+    def __init__(
+        self,
+        kind: str,
+        name: str,
+        objects: PlatformObjects,
+        loop: Loop,
+        listener: StoreListener,
+        tolerated_silence: Callable[[], float | None],
+    ) -> None:
+        super().__init__(kind, objects, loop, listener)
+        # The object that is read; it need not exist.
+        self._name = name
+        # Returns the silence in seconds that other hosts tolerate, None if none relies
+        # on this host.
+        self._tolerated_silence = tolerated_silence
+
+    def _run(self) -> None:
+        unanswered = 0
+        while self._loop.running:
+            silence = self._tolerated_silence()
+            if silence is None:
+                unanswered = 0
+                time.sleep(PROBE_CHECK_SECONDS)
+                continue
+            interval = PROBE_INTERVAL_SHARE * silence
+            deadline = Deadline.after(time.monotonic(), PROBE_TIMEOUT_SHARE * silence)
+            # Answers to other calls make a probe unnecessary.
+            if self._seconds_since_answer < interval or self._objects.answers(
+                self._kind, self._name, deadline
+            ):
+                unanswered = 0
+                pause = max(0.0, interval - self._seconds_since_answer)
+            else:
+                unanswered += 1
+                # A refused call fails at once.
+                pause = deadline.remaining(time.monotonic())
+            if not 0 < unanswered < MAX_UNANSWERED_PROBES:
+                self._loop.post(partial(self._listener.on_probe, not unanswered))
+            time.sleep(pause)
+
+    @property
+    def _seconds_since_answer(self) -> float:
+        return time.monotonic() - self._objects.answered_at
+
+
 class Follower(_StoreThread):
     """Lists a kind once, then watches it; lists again if the history has expired."""
 
--- a/masticfork/relay/reader_duty.py
+++ b/masticfork/relay/reader_duty.py
@@ -46,12 +46,23 @@
         self._shortest_change = shortest_change
         # Every host reads until it knows others that do.
         self._reading = True
+        self._others_rely = False
 
     @property
     def reading(self) -> bool:
         """Return whether this host follows the store itself."""
         return self._reading
 
+    @property
+    def tolerated_silence(self) -> float | None:
+        """Return the silence in seconds after which this reader is replaced.
+
+        None if no other host relies on this one. Thread-safe.
+        """
+        if not (self._reading and self._others_rely):
+            return None
+        return silence_limit(self._shortest_change())
+
     @property
     def digest_interval_seconds(self) -> float:
         """Return the longest interval between digests by which others rely on it."""
@@ -79,6 +90,7 @@
         should_read = (
             self._host in chosen or not others_read or not self._tables.complete
         )
+        self._others_rely = len(candidates) >= len(chosen)
         if not self._reading:
             # A call in progress when the followers were paused may have failed since.
             self._view.forget_failures()
--- a/masticfork/relay/reader_duty_test.py
+++ b/masticfork/relay/reader_duty_test.py
@@ -9,6 +9,7 @@
 from masticfork.core.store_position import StorePosition
 from masticfork.platform.objects import Listing, PlatformObject
 from masticfork.platform.settings_file import Bounds
+from masticfork.relay.followers import StoreProbe
 from masticfork.relay.metrics import RelayMetrics
 from masticfork.relay.reader_duty import ReaderDuty
 from masticfork.relay.store_view import StoreView
@@ -72,12 +73,16 @@
 
 
 @contextmanager
-def running_fleet():
+def running_fleet(with_store_links=False):
     store = ObjectStore()
     store.put("config", "main", configuration(1))
     with ExitStack() as stack:
         hosts = [
-            stack.enter_context(running_entry_host(host=f"host-{n}", store=store))
+            stack.enter_context(
+                running_entry_host(
+                    host=f"host-{n}", store=store, with_store_link=with_store_links
+                )
+            )
             for n in range(HOSTS)
         ]
         fleet = Fleet(store, hosts)
@@ -154,19 +159,27 @@
             assert not fleet.host_names_reading() & readers
 
 
-def stop(loop):
-    loop.post(loop.stop)
+def stop(env):
+    env.host.loop.post(env.host.loop.stop)
+
+
+def pause(env):
+    env.host.loop.post(lambda: time.sleep(PAUSE_SECONDS))
+
 
+def cut_from_store(env):
+    env.store_link.hold(to_server=True, from_server=True)
 
-def pause(loop):
-    loop.post(lambda: time.sleep(PAUSE_SECONDS))
+
+def cut_from_answers(env):
+    env.store_link.hold(to_server=False, from_server=True)
 
 
 class TestLostReaders:
-    @pytest.mark.parametrize("lose", [stop, pause])
+    @pytest.mark.parametrize("lose", [stop, pause, cut_from_store, cut_from_answers])
     def test_changes_apply_in_time_while_all_readers_are_lost(self, lose):
         """Guards against a key that other hosts accept long after its removal."""
-        with running_fleet() as fleet:
+        with running_fleet(with_store_links=True) as fleet:
             server = fleet.hosts[0].add_server(complete_response, SERVICE)
             for env in fleet.hosts:
                 env.wait_until(lambda env=env: env.host.knows_server("i-1"))
@@ -174,7 +187,7 @@
             lost = [env for env in fleet.hosts if env.host._settings.host in readers]
             fleet.hosts = [env for env in fleet.hosts if env not in lost]
             for env in lost:
-                lose(env.host.loop)
+                lose(env)
             time.sleep(0.05)
             fleet.store.put("config", "main", configuration(4))
             entry = server_entry(server, SERVICE, state="draining", sequence=2)
@@ -275,6 +288,66 @@
         self.duty.run()
 
 
+class FakeObjects:
+    """A store whose answers to probes the test sets; the last one is repeated."""
+
+    def __init__(self, *answers):
+        self.probes = 0
+        self.answered_at = float("-inf")
+        self._answers = list(answers)
+
+    def answers(self, kind, name, deadline):
+        answered = self._answers[min(self.probes, len(self._answers) - 1)]
+        self.probes += 1
+        if answered:
+            self.answered_at = time.monotonic()
+        return answered
+
+
+class ProbeResults:
+    """Receives the results of probes."""
+
+    def __init__(self):
+        self.results = []
+
+    def on_probe(self, answered):
+        self.results.append(answered)
+
+
+def run_probe(objects, silence, seconds=0.5):
+    """Run a probe of a store for some time and return its results."""
+    loop, listener = FakeLoop(), ProbeResults()
+    loop.running = True
+    StoreProbe(
+        "masticfork-hosts", "host-1", objects, loop, listener, lambda: silence
+    ).start()
+    time.sleep(seconds)
+    loop.running = False
+    return listener.results
+
+
+class TestProbe:
+    def test_store_that_answers_no_probe_counts_as_failed(self):
+        results = run_probe(FakeObjects(False), silence=0.2)
+        assert results
+        assert not any(results)
+
+    def test_single_lost_answer_does_not_count(self):
+        """Guards against readers that are replaced for each lost answer."""
+        assert all(run_probe(FakeObjects(False, True), silence=0.2))
+
+    def test_answers_to_other_calls_take_the_place_of_probes(self):
+        objects = FakeObjects(True)
+        objects.answered_at = time.monotonic() + 60.0
+        assert all(run_probe(objects, silence=0.2))
+        assert not objects.probes
+
+    def test_no_probe_is_sent_while_no_host_relies_on_this_one(self):
+        objects = FakeObjects(True)
+        run_probe(objects, silence=None)
+        assert not objects.probes
+
+
 class TestDuty:
     """Pattern: 77 hosts whose store fails, for all of them or for some."""
 
@@ -304,6 +377,25 @@
         host.hear()
         assert host.duty.digest_interval_seconds == float("inf")
 
+    def test_probes_are_for_readers_on_which_others_rely(self):
+        host = DutyOfOneHost()
+        host.hear(silent=host.names)
+        assert host.duty.reading
+        assert host.duty.tolerated_silence is None
+        host.hear(silent=host.chosen)
+        assert host.duty.reading
+        assert host.duty.tolerated_silence == silence_limit(SHORTEST_CHANGE_SECONDS)
+        host.hear()
+        assert host.duty.tolerated_silence is None
+
+    def test_reader_without_answers_to_probes_is_replaced(self):
+        host = DutyOfOneHost()
+        host.hear(silent=host.chosen)
+        host.view.on_probe(False)
+        assert host.view.store_failing
+        host.hear()
+        assert not host.duty.reading
+
     def test_outage_does_not_make_all_hosts_read(self):
         host = DutyOfOneHost()
         host.hear()
--- a/masticfork/relay/store_view.py
+++ b/masticfork/relay/store_view.py
@@ -94,6 +94,7 @@
         self._failing: set[str] = set()
         self._failing_since: float | None = None
         self._failure_known_until = 0.0
+        self._probe_failed = False
         # Loop time since which some peer has known more than this host.
         self._behind_since: float | None = None
         self._updates: list[KindUpdate] = []
@@ -127,7 +128,7 @@
         """Return whether calls of this host to the store have failed for some time."""
         now, since = self._loop.now, self._failing_since
         lasting = since is not None and now - since >= FAILURE_NOTICE_SECONDS
-        if lasting:
+        if lasting or self._probe_failed:
             self._failure_known_until = now + FAILURE_MEMORY_SECONDS
         return now < self._failure_known_until
 
@@ -201,6 +202,7 @@
         """Clear the failures of followers that have been paused."""
         self._failing.clear()
         self._failing_since = None
+        self._probe_failed = False
 
     # Called by the followers.
 
@@ -267,6 +269,12 @@
             self._failing.add(kind)
             self._log("store lost", kind=kind, error=error.message)
 
+    def on_probe(self, answered: bool) -> None:
+        """Record that the store has answered a probe, or several in a row not."""
+        if self._probe_failed == answered:
+            self._log("store answers" if answered else "store does not answer")
+        self._probe_failed = not answered
+
     @property
     def _entries_may_return(self) -> bool:
         """Return whether entries may be missing since the store has failed.
--- a/standins/entry_environment.py
+++ b/standins/entry_environment.py
@@ -14,6 +14,7 @@
 from masticfork.platform.settings_file import Bounds, EntrySettings
 from masticfork.relay.entry import EntryHost
 from standins.common import LOOPBACK, serving
+from standins.fault_proxy import FaultProxy
 from standins.object_store import ObjectStore
 from standins.ports import free_port
 from standins.scripted_server import Script, ScriptedServer
@@ -137,6 +138,8 @@
     # The address for other hosts.
     peer: Address
     log: logbook.TestHandler
+    # The host's connections to the store, if they lead through a proxy.
+    store_link: FaultProxy | None = None
     servers: list[ScriptedServer] = attrs.field(factory=list)
     _attempts: int = 0
 
@@ -234,11 +237,13 @@
     zone_regions: dict[str, str] | None = None,
     scarce_room: bool = False,
     memory_mb: int = 256,
+    with_store_link: bool = False,
 ) -> Iterator[EntryHostEnvironment]:
     """Run an entry host in a thread, with a store that holds a configuration.
 
     `spec` is the configuration: the default one if None, or none at all if False. A
-    `store` shared with other hosts keeps the one that it has.
+    `store` shared with other hosts keeps the one that it has. `with_store_link` leads
+    the host's connections to the store through a proxy.
     """
     shared_store, store = store, store or ObjectStore()
     if spec is not False and shared_store is None:
@@ -246,6 +251,11 @@
     with ExitStack() as stack:
         log = stack.enter_context(logbook.TestHandler().applicationbound())
         store_server = stack.enter_context(serving(store))
+        store_address = Address(LOOPBACK, store_server.port)
+        store_link = FaultProxy(store_address) if with_store_link else None
+        if store_link is not None:
+            stack.callback(store_link.close)
+            store_address = store_link.address
         front, ready, peer = free_address(), free_address(), free_address()
         transit = free_address()
         settings = EntrySettings(
@@ -254,7 +264,7 @@
             front=front,
             ready=ready,
             peer_ports=(peer.port, transit.port),
-            store=f"{LOOPBACK}:{store_server.port}",
+            store=str(store_address),
             seeds=(),
             memory_mb=memory_mb,
             file_descriptors=4096,
@@ -265,7 +275,9 @@
         entry = EntryHost(settings, _NullLogSink())
         thread = threading.Thread(target=entry.run, daemon=True)
         thread.start()
-        environment = EntryHostEnvironment(store, entry, front, ready, peer, log)
+        environment = EntryHostEnvironment(
+            store, entry, front, ready, peer, log, store_link
+        )
         try:
             if wait:
                 environment.wait_until(environment.is_ready, READY_TIMEOUT_SECONDS)
