Bound what entries of other writers may hold, one by one

Callers: an odd entry among those of the servers left hosts without all later changes: a new server got nothing, a removed one was kept, a restarted host did not get ready. With other entries, requests beside it failed at their deadline.

Cause: values were checked for their type where they are decoded, not for what the code behind them needs. Deep nesting raises RecursionError, which ended the threads that follow the store or kept changes from other hosts; numbers too large raise OverflowError; ports out of range and text that can't be encoded raise when a request is sent; long integers and bytes that are not UTF-8 made a whole page malformed.

Why it works: pages are decoded so that one value can't spoil them; objects are bounded in depth, names and revisions on each way in (store, changes and copies of peers); numbers, texts and addresses are checked for their range. Each entry is decoded by itself, with a finding that is logged once. The threads of the store survive an unexpected error.

--- a/masticfork/platform/formats_test.py
+++ b/masticfork/platform/formats_test.py
@@ -3,6 +3,7 @@
 
 from masticfork.core.backend_servers import Address, RolloutProgress, RolloutState
 from masticfork.core.routes import RouteKind
+from masticfork.platform.fields import MAX_MESSAGE_CHARACTERS
 from masticfork.platform.objects import PlatformObject
 from masticfork.platform.route_format import decode_route_table
 from masticfork.platform.server_format import (
@@ -106,6 +107,19 @@
     @pytest.mark.parametrize(
         "change",
         [
+            {"slots": 10**30},
+            {"cold_remaining_ms": float("inf")},
+            {"cold_remaining_ms": float("nan")},
+            {"born": -(10**30)},
+            {"version": "\ud800"},
+            {"zone": "z\n"},
+            {"service": "s" * 5000},
+            {"address": "10.0.0.9:0"},
+            {"address": "10.0.0.9:65536"},
+            {"address": "10.0.0.9:" + "9" * 5000},
+            {"address": "server.example:80"},
+            {"address": "224.0.0.1:80"},
+            {"address": "255.255.255.255:80"},
             {"state": "asleep"},
             {"address": "10.0.0.9"},
             {"slots": "6"},
@@ -115,7 +129,9 @@
         ],
     )
     def test_malformed_server_of_another_writer_is_a_finding(self, change):
-        assert isinstance(decode_server(stored_object({**SERVER, **change})), Err)
+        decoded = decode_server(stored_object({**SERVER, **change}))
+        assert str(decoded.err_value.place) == "servers/i-1"
+        assert len(decoded.err_value.message) <= MAX_MESSAGE_CHARACTERS
 
     @pytest.mark.parametrize("spec", [None, 3, "x", []])
     def test_spec_of_another_type_is_a_finding(self, spec):
@@ -144,6 +160,18 @@
         rollout = decode_rollout(stored_object(self.SPEC, status)).ok_value
         assert rollout.progress == RolloutProgress()
 
+    @pytest.mark.parametrize("duration", [0, -1, 10**30, float("inf"), float("nan")])
+    def test_rollout_without_a_usable_duration_is_a_finding(self, duration):
+        spec = {**self.SPEC, "duration_s": duration}
+        assert isinstance(decode_rollout(stored_object(spec)), Err)
+
+    @pytest.mark.parametrize(
+        "change", [{"order": 1 << 70}, {"order": True}, {"step": 1 << 70}]
+    )
+    def test_status_with_a_number_too_large_does_not_hide_the_rollout(self, change):
+        status = {"state": "running", "target": "v2", "step": 1, "order": 4, **change}
+        assert decode_rollout(stored_object(self.SPEC, status)).ok_value.created < 9
+
 
 class TestHosts:
     def test_address_round_trips_through_its_spec(self):
--- a/masticfork/platform/objects.py
+++ b/masticfork/platform/objects.py
@@ -12,11 +12,21 @@
 from masticfork.core.deadlines import Deadline
 from masticfork.core.store_position import StorePosition
 from masticfork.platform import names
+from masticfork.platform.fields import is_text
+from masticfork.platform.json_values import decode_json, is_nested_deeper
 from masticfork.store.client import ErrorKind, PlatformError
 from masticfork.store.connections import Call, ConnectionPool, HttpResponse, Stage
 
 # Extra time for a watch's response, beyond the wait that the request asks for.
 WATCH_MARGIN_SECONDS = 1.0
+# Levels of lists and objects beyond which a spec or a status is not decoded: the code
+# that copies, encodes and compares it is recursive.
+MAX_NESTED_LEVELS = 32
+# Stands in the place of a spec or a status that is not decoded.
+UNREADABLE = "(unreadable)"
+MAX_ODD_NAME_CHARACTERS = 100
+# Digests hold revisions in 64 bits.
+MAX_REVISION = (1 << 63) - 1
 
 _STATUS_ERRORS = {
     404: ErrorKind.NOT_FOUND,
@@ -298,7 +308,7 @@
     if 200 <= response.status < 300:
         kind = ErrorKind.UNAVAILABLE if method == "GET" else ErrorKind.UNKNOWN
         try:
-            body = json.loads(response.body)
+            body = decode_json(response.body)
         except ValueError as error:
             message = f"malformed JSON in the store's response: {error}"
             return Err(PlatformError(kind, message))
@@ -324,22 +334,41 @@
 
 
 def _decode_object(record: Any) -> PlatformObject | None:
-    """Return an object, None if it has no name.
-
-    Spec and status may be malformed, since others write them too; they are validated
-    where they are decoded.
-    """
+    """Return an object, None if it has no name."""
     metadata = record.get("metadata") if isinstance(record, dict) else None
-    if not isinstance(metadata, dict) or not isinstance(metadata.get("name"), str):
+    if not isinstance(metadata, dict):
         return None
-    return PlatformObject(
-        metadata["name"],
-        _int_or_zero(metadata.get("revision")),
-        _int_or_zero(metadata.get("create_rev")),
+    return bounded_object(
+        metadata.get("name"),
+        metadata.get("revision"),
+        metadata.get("create_rev"),
         record.get("spec"),
         record.get("status"),
     )
 
 
+def bounded_object(
+    name: Any, revision: Any, created: Any, spec: Any, status: Any
+) -> PlatformObject | None:
+    """Return an object that hosts can hash, encode and compare, None without a name.
+
+    Other writers may have placed anything in it. Spec and status may still be
+    malformed; they are validated where they are decoded.
+    """
+    if not isinstance(name, str):
+        return None
+    if not is_text(name):
+        # It is still told apart from others in findings.
+        name, spec, status = ascii(name)[:MAX_ODD_NAME_CHARACTERS], UNREADABLE, None
+    if is_nested_deeper(spec, MAX_NESTED_LEVELS):
+        spec = UNREADABLE
+    if is_nested_deeper(status, MAX_NESTED_LEVELS):
+        status = UNREADABLE
+    return PlatformObject(
+        name, _int_or_zero(revision), _int_or_zero(created), spec, status
+    )
+
+
 def _int_or_zero(value: Any) -> int:
-    return value if isinstance(value, int) else 0
+    is_int = isinstance(value, int) and not isinstance(value, bool)
+    return value if is_int and abs(value) <= MAX_REVISION else 0
--- a/masticfork/platform/objects_test.py
+++ b/masticfork/platform/objects_test.py
@@ -9,7 +9,13 @@
 
 from masticfork.core.deadlines import Deadline
 from masticfork.core.store_position import StorePosition
-from masticfork.platform.objects import PlatformObjects
+from masticfork.platform.fields import is_text
+from masticfork.platform.objects import (
+    UNREADABLE,
+    PlatformObject,
+    PlatformObjects,
+    bounded_object,
+)
 from masticfork.store.client import ErrorKind
 
 
@@ -160,3 +166,36 @@
         client.list_all("servers", soon()).unwrap()
         outcome = client.create("hosts", "h", {}, soon())
         assert outcome.unwrap_err().kind is ErrorKind.UNKNOWN
+
+
+class TestBoundedObjects:
+    """Guards against metadata of other writers that hosts cannot hash or send."""
+
+    def test_usual_object_is_kept(self):
+        spec = {"service": "s", "list": [{"a": [1]}]}
+        expected = PlatformObject("i-1", 5, 4, spec, {"state": "running"})
+        assert bounded_object("i-1", 5, 4, spec, {"state": "running"}) == expected
+
+    @pytest.mark.parametrize(
+        "revision", [None, True, 1.5, "7", 1 << 63, -(1 << 70), float("inf"), [1]]
+    )
+    def test_revision_that_does_not_fit_a_digest_counts_as_none(self, revision):
+        decoded = bounded_object("i-1", revision, revision, {}, None)
+        assert (decoded.revision, decoded.created) == (0, 0)
+
+    @pytest.mark.parametrize("name", ["\ud800", "a\r\nb", "\0", "x" * 5000])
+    def test_name_that_cannot_be_sent_is_replaced(self, name):
+        decoded = bounded_object(name, 5, 5, {"service": "s"}, None)
+        assert is_text(decoded.name)
+        assert decoded.spec == UNREADABLE
+
+    @pytest.mark.parametrize("name", [None, 7, ["a"], {}])
+    def test_object_without_a_name_is_none(self, name):
+        assert bounded_object(name, 5, 5, {}, None) is None
+
+    def test_deep_status_does_not_make_the_spec_unreadable(self):
+        status = []
+        for _ in range(100):
+            status = [status]
+        decoded = bounded_object("r", 5, 5, {"target": "v2"}, status)
+        assert (decoded.spec, decoded.status) == ({"target": "v2"}, UNREADABLE)
--- a/masticfork/platform/route_format.py
+++ b/masticfork/platform/route_format.py
@@ -22,6 +22,7 @@
     get_list,
     get_number,
     get_str,
+    is_text,
     malformed_finding,
 )
 
@@ -69,7 +70,7 @@
         priority=get_int(record, "priority", 0),
         public=get_bool(record, "public", False),
         resumable=get_bool(record, "resumable", False),
-        models=tuple(str(name) for name in get_list(record, "sizes")),
+        models=_texts(record, "sizes"),
         services=_service_shares(record),
         max_gap=None
         if raw_gap is None
@@ -78,12 +79,16 @@
     )
 
 
+def _texts(record: Any, name: str) -> tuple[str, ...]:
+    values = get_list(record, name)
+    if not all(map(is_text, values)):
+        raise MalformedError(f"{name} holds a value that is not printable text")
+    return tuple(values)
+
+
 def _regions(record: Any) -> frozenset[str] | None:
     """Return the home regions of a route or team, None if it has none."""
-    names = get_list(record, "allowed_regions")
-    if not all(isinstance(name, str) for name in names):
-        raise MalformedError("allowed_regions holds a value that is not a string")
-    return frozenset(names) or None
+    return frozenset(_texts(record, "allowed_regions")) or None
 
 
 def _service_shares(record: Any) -> tuple[ServiceShare, ...]:
@@ -91,10 +96,14 @@
     split = get_list(record, "traffic_split")
     if not split:
         return (ServiceShare(get_str(record, "service"), 1.0),)
-    return tuple(
+    shares = tuple(
         ServiceShare(get_str(part, "service"), get_number(part, "weight"))
         for part in split
     )
+    weights = [share.weight for share in shares]
+    if min(weights) < 0 or sum(weights) <= 0:
+        raise MalformedError("the weights of traffic_split are not shares")
+    return shares
 
 
 def _service(record: Any) -> RoutedService:
--- a/masticfork/platform/server_format.py
+++ b/masticfork/platform/server_format.py
@@ -1,5 +1,6 @@
 """Decodes servers, rollouts and hosts from store objects; encodes what hosts write."""
 
+import ipaddress
 from typing import Any
 
 from result import Err, Ok, Result
@@ -13,6 +14,7 @@
 )
 from masticfork.core.findings import Finding
 from masticfork.core.store_position import StorePosition
+from masticfork.platform import names
 from masticfork.platform.fields import (
     MalformedError,
     get_int,
@@ -22,6 +24,10 @@
 )
 from masticfork.platform.objects import PlatformObject
 
+MAX_PORT = 65_535
+# Python refuses to parse integers of more than 4,300 digits.
+MAX_PORT_DIGITS = 5
+
 _DRAINING_BY_STATE = {"ready": False, "draining": True}
 
 
@@ -30,9 +36,26 @@
     host, _, port = value.rpartition(":")
     if not host or not (port.isascii() and port.isdigit()):
         raise MalformedError(f"{value!r} is not HOST:PORT")
+    if len(port) > MAX_PORT_DIGITS or not 0 < int(port) <= MAX_PORT:
+        raise MalformedError(f"{value!r} has no port from 1 to {MAX_PORT}")
     return Address(host, int(port))
 
 
+def decode_ip_address(value: str) -> Address:
+    """Parse an address of the form IP:PORT to connect to, or raise MalformedError.
+
+    A name would be looked up by the thread that serves all requests.
+    """
+    address = decode_address(value)
+    try:
+        ip = ipaddress.IPv4Address(address.host)
+    except ValueError as error:
+        raise MalformedError(f"{value!r} is not IP:PORT") from error
+    if ip.is_unspecified or ip.is_multicast or ip.is_reserved:
+        raise MalformedError(f"{value!r} is not the address of one host")
+    return address
+
+
 def decode_server(stored: PlatformObject) -> Result[BackendServer, Finding]:
     """Decode a backend server, or report why its object is malformed."""
     spec = stored.spec
@@ -43,7 +66,7 @@
             BackendServer(
                 id=stored.name,
                 service=get_str(spec, "service"),
-                address=decode_address(get_str(spec, "address")),
+                address=decode_ip_address(get_str(spec, "address")),
                 zone=get_str(spec, "zone"),
                 version=get_str(spec, "version"),
                 slots=max(1, get_int(spec, "slots")),
@@ -75,7 +98,7 @@
             VersionRollout(
                 service=get_str(spec, "service"),
                 target=target,
-                duration=get_number(spec, "duration_s"),
+                duration=_positive_number(spec, "duration_s"),
                 position=StorePosition(era, stored.revision),
                 created=_order_id(stored.status, target) or stored.created,
                 object_created=stored.created,
@@ -88,12 +111,21 @@
         )
 
 
+def _positive_number(spec: Any, name: str) -> float:
+    value = get_number(spec, name)
+    if value <= 0:
+        raise MalformedError(f"{name} is not positive")
+    return value
+
+
 def _order_id(status: Any, target: str) -> int:
     """Return the identifier of the order that a status is about, 0 if it has none."""
     if not isinstance(status, dict) or status.get("target") != target:
         return 0
-    order_id = status.get("order")
-    return order_id if isinstance(order_id, int) else 0
+    try:
+        return get_int(status, "order", 0)
+    except MalformedError:
+        return 0
 
 
 def _progress(status: Any, target: str) -> RolloutProgress:
@@ -131,9 +163,13 @@
 def decode_host(stored: PlatformObject) -> Result[Address, Finding]:
     """Decode the address on which an entry host listens for its peers."""
     try:
-        return Ok(decode_address(get_str(stored.spec, "address")))
+        return Ok(decode_ip_address(get_str(stored.spec, "address")))
     except MalformedError as error:
-        return Err(malformed_finding("host.malformed", stored.name, error))
+        return Err(
+            malformed_finding(
+                "host.malformed", f"{names.KIND_HOSTS}/{stored.name}", error
+            )
+        )
 
 
 def encode_host(address: Address) -> dict[str, Any]:
--- a/masticfork/relay/followers.py
+++ b/masticfork/relay/followers.py
@@ -211,7 +211,11 @@
                 self._position = self._resume_position
                 self._failed = False
             step = self._list if self._position is None else self._watch
-            error = step()
+            try:
+                error = step()
+            except Exception as unexpected:
+                # A thread that ends leaves the host with what it knows by then.
+                error = PlatformError(ErrorKind.UNAVAILABLE, repr(unexpected))
             if error is None:
                 self._backoff = MIN_BACKOFF_SECONDS
                 continue
--- a/masticfork/relay/mirror.py
+++ b/masticfork/relay/mirror.py
@@ -13,6 +13,7 @@
     Listing,
     ObjectChange,
     PlatformObject,
+    bounded_object,
 )
 
 FINGERPRINT_MODULUS = 1 << 32
@@ -76,7 +77,10 @@
 
 def encode_changes(changes: list[ObjectChange]) -> bytes:
     """Return the compressed JSON in which hosts send changes to each other."""
-    rows = [[attrs.asdict(change.object), change.deleted] for change in changes]
+    rows = [
+        [attrs.asdict(change.object, recurse=False), change.deleted]
+        for change in changes
+    ]
     return zlib.compress(json.dumps(rows).encode(), COMPRESSION_LEVEL)
 
 
@@ -87,16 +91,22 @@
         return [
             ObjectChange(_stored_object(row), bool(deleted)) for row, deleted in rows
         ]
-    except (zlib.error, TypeError, ValueError) as error:
+    except (zlib.error, RecursionError, TypeError, ValueError) as error:
         raise ValueError(f"malformed changes: {error!r}") from error
 
 
 def _stored_object(row: Any) -> PlatformObject:
     """Return an object as a peer has sent it.
 
-    Later builds may send more fields. Raise TypeError if one is missing.
+    Later builds may send more fields, and earlier ones send what cannot be used. Raise
+    TypeError if a field is missing, ValueError if the name is.
     """
-    return PlatformObject(**{name: row[name] for name in _OBJECT_FIELDS if name in row})
+    stored = bounded_object(
+        **{name: row[name] for name in _OBJECT_FIELDS if name in row}
+    )
+    if stored is None:
+        raise ValueError("an object without a name")
+    return stored
 
 
 def encode_copy(mirrors: dict[str, KindMirror]) -> bytes:
@@ -112,7 +122,7 @@
     try:
         compressed = data[:1] == ZLIB_FIRST_BYTE
         value = json.loads(zlib.decompress(data) if compressed else data)
-    except zlib.error as error:
+    except (zlib.error, RecursionError) as error:
         raise ValueError(f"malformed store copy: {error!r}") from error
     return from_json(value)
 
@@ -123,7 +133,10 @@
         kind: {
             "era": mirror.position.era,
             "revision": mirror.position.revision,
-            "objects": [attrs.asdict(stored) for stored in mirror.objects.values()],
+            "objects": [
+                attrs.asdict(stored, recurse=False)
+                for stored in mirror.objects.values()
+            ],
         }
         for kind, mirror in mirrors.items()
     }
--- a/masticfork/relay/mirror_test.py
+++ b/masticfork/relay/mirror_test.py
@@ -1,14 +1,24 @@
 import json
+import zlib
 
 import pytest
 
 from masticfork.platform.objects import (
+    UNREADABLE,
     Changes,
     Listing,
     ObjectChange,
     PlatformObject,
 )
-from masticfork.relay.mirror import KindMirror, from_json, to_json
+from masticfork.relay.mirror import (
+    KindMirror,
+    decode_changes,
+    decode_copy,
+    encode_changes,
+    encode_copy,
+    from_json,
+    to_json,
+)
 
 
 def stored_object(name, revision):
@@ -53,3 +63,36 @@
     def test_malformed_copy_raises_value_error(self, value):
         with pytest.raises(ValueError, match="malformed store copy"):
             from_json(value)
+
+
+class TestUnusableNews:
+    """Guards against a host that stops copying at what a peer has passed on."""
+
+    DEEP = b"[" * 100_000 + b"]" * 100_000
+
+    @pytest.mark.parametrize("compress", [bytes, zlib.compress])
+    def test_deep_copy_is_a_value_error(self, compress):
+        copied = b'{"servers": {"revision": 1, "objects": %b}}' % self.DEEP
+        with pytest.raises(ValueError):
+            decode_copy(compress(copied))
+
+    def test_deep_changes_are_a_value_error(self):
+        with pytest.raises(ValueError):
+            decode_changes(zlib.compress(self.DEEP))
+
+    def test_objects_of_earlier_builds_are_bounded(self):
+        nested = "x"
+        for _ in range(500):
+            nested = [nested]
+        sent = PlatformObject("\ud800", 1 << 70, True, nested, None)
+        change = ObjectChange(sent, False)
+        received = decode_changes(encode_changes([change]))[0].object
+        assert received == PlatformObject("'\\ud800'", 0, 0, UNREADABLE, None)
+        mirror = KindMirror()
+        mirror.apply_listing(Listing((received,), 1))
+        assert decode_copy(encode_copy({"servers": mirror}))
+
+    def test_object_without_a_name_is_a_value_error(self):
+        sent = PlatformObject(None, 1, 1, {}, None)
+        with pytest.raises(ValueError):
+            decode_changes(encode_changes([ObjectChange(sent, False)]))
--- a/masticfork/relay/store_view.py
+++ b/masticfork/relay/store_view.py
@@ -1,7 +1,8 @@
 """Updates of the tables from the store, or from peers while the store fails."""
 
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from functools import partial
 from typing import TypeVar
 
 from result import Err, Result
@@ -11,6 +12,7 @@
 from masticfork.core.findings import Finding
 from masticfork.core.store_position import StorePosition
 from masticfork.platform import names
+from masticfork.platform.fields import malformed_finding
 from masticfork.platform.objects import (
     Changes,
     Listing,
@@ -54,6 +56,8 @@
 READER_BEHIND_SECONDS = 1.0
 # Longest changes that are sent by datagram; peers copy longer ones over HTTP.
 MAX_UPDATE_BYTES = 8000
+# Entries whose latest finding is remembered.
+MAX_REPORTED_FINDINGS = 1024
 # Hosts of earlier builds request the copy there, and read plain JSON.
 PLAIN_COPY_PATH = b"/copy"
 
@@ -104,6 +108,9 @@
         # The object of the configuration in force. A restored store may hold an older
         # one, which peers are not to copy.
         self._configuration: PlatformObject | None = None
+        # The latest findings by the place of the entry, the oldest first: other writers
+        # repeat their entries.
+        self._reported: dict[str, Finding] = {}
 
     @property
     def kinds(self) -> tuple[str, ...]:
@@ -244,12 +251,20 @@
                     stored.name, with_grace=self._entries_may_return
                 )
             elif kind == names.KIND_SERVERS:
-                for server in self._valid([decode_server(stored)]):
+                servers = self._decode_each(kind, [stored], decode_server)
+                for server in servers:
                     self._tables.put_server(server)
+                if not servers:
+                    # As in a listing, the entry names no server to use.
+                    self._tables.remove_server(
+                        stored.name, with_grace=self._entries_may_return
+                    )
             elif kind == names.KIND_ROLLOUTS and change.deleted:
                 self._tables.remove_rollout(stored.name)
             elif kind == names.KIND_ROLLOUTS:
-                for rollout in self._valid([decode_rollout(stored, changes.era)]):
+                for rollout in self._decode_each(
+                    kind, [stored], partial(decode_rollout, era=changes.era)
+                ):
                     self._tables.put_rollout(rollout)
             elif kind == names.KIND_EVACUATIONS and self._evacuations is not None:
                 if change.deleted:
@@ -307,12 +322,12 @@
                 self._apply_configuration(stored, source)
             self._mirror_configuration()
         elif kind == names.KIND_SERVERS:
-            servers = self._valid([decode_server(stored) for stored in objects])
+            servers = self._decode_each(kind, objects, decode_server)
             grace = self._entries_may_return or restored
             self._tables.list_servers(servers, grace, restored)
         elif kind == names.KIND_ROLLOUTS:
-            rollouts = self._valid(
-                [decode_rollout(stored, listing.era) for stored in objects]
+            rollouts = self._decode_each(
+                kind, objects, partial(decode_rollout, era=listing.era)
             )
             self._tables.list_rollouts(rollouts, restored)
         elif self._evacuations is not None:
@@ -340,7 +355,9 @@
     def _apply_configuration(self, stored: PlatformObject, source: str) -> None:
         if stored.name != names.CONFIG_NAME:
             return
-        for table in self._valid([decode_route_table(stored.spec)]):
+        for table in self._decode_each(
+            names.KIND_CONFIG, [stored], lambda stored: decode_route_table(stored.spec)
+        ):
             if self._tables.adopt_routes(table, source):
                 self._configuration = stored
                 self._metrics.version.set(table.version)
@@ -348,7 +365,7 @@
     def _apply_hosts(self, listing: Listing) -> None:
         addresses: dict[str, Address] = {}
         for stored in listing.objects:
-            for address in self._valid([decode_host(stored)]):
+            for address in self._decode_each(names.KIND_HOSTS, [stored], decode_host):
                 addresses[stored.name] = address
         self._peers.set_hosts(addresses)
 
@@ -422,12 +439,36 @@
             # A peer of an earlier build does not read evacuations.
             self._evacuations.assume_none()
 
-    def _valid(self, decoded: list[Result[T, Finding]]) -> list[T]:
-        """Return the decoded values; log the findings of those that failed."""
-        for outcome in decoded:
-            if isinstance(outcome, Err):
-                self._log_finding(outcome.err_value)
-        return [outcome.ok_value for outcome in decoded if not isinstance(outcome, Err)]
+    def _decode_each(
+        self,
+        kind: str,
+        objects: Iterable[PlatformObject],
+        decode: Callable[[PlatformObject], Result[T, Finding]],
+    ) -> list[T]:
+        """Return the values of the objects that can be decoded; report the others."""
+        values: list[T] = []
+        for stored in objects:
+            place = f"{kind}/{stored.name}"
+            try:
+                decoded = decode(stored)
+            except Exception as error:
+                # One entry must not keep the host from all others.
+                decoded = Err(malformed_finding("entry.unreadable", place, error))
+            if isinstance(decoded, Err):
+                self._report_finding(place, decoded.err_value)
+            else:
+                self._reported.pop(place, None)
+                values.append(decoded.ok_value)
+        return values
+
+    def _report_finding(self, place: str, finding: Finding) -> None:
+        """Log a finding unless it is the latest one that was logged for its place."""
+        if self._reported.get(place) == finding:
+            return
+        self._reported[place] = finding
+        if len(self._reported) > MAX_REPORTED_FINDINGS:
+            del self._reported[next(iter(self._reported))]
+        self._log_finding(finding)
 
     def _log_finding(self, finding: Finding) -> None:
         self._log(
--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -1,6 +1,7 @@
 """Stand-in for the users' object store: kinds, revisions, status and watches."""
 
 import copy
+import itertools
 import json
 import threading
 import time
@@ -64,6 +65,9 @@
         self._compacted_revision = 0
         self._era = 1
         self._calls = 0
+        # Bytes to be sent in the place of markers among the encoded objects.
+        self._raw_values: dict[bytes, bytes] = {}
+        self._raw_numbers = itertools.count()
 
     def counts(self) -> dict[str, Any]:
         """Return the number of requests."""
@@ -91,6 +95,12 @@
             stored.spec = spec
             self._log_change(kind, stored, deleted=False)
 
+    def put_raw(self, kind: str, name: str, spec: bytes) -> None:
+        """Create an object, or replace its spec, with bytes that need not be JSON."""
+        marker = f"raw-{next(self._raw_numbers)}"
+        self._raw_values[json.dumps(marker).encode()] = spec
+        self.put(kind, name, marker)
+
     def remove(self, kind: str, name: str) -> None:
         """Delete an object if it exists."""
         with self._changed:
@@ -139,10 +149,19 @@
         if era != self._era:
             # Calls in progress when the store goes away get no response.
             raise ConnectionDroppedError
+        if self._raw_values and call.method == "GET":
+            reply = self._with_raw_values(reply)
         if self.faults.get("hide_era"):
             return reply
         return attrs.evolve(reply, headers=(("Store-Era", str(era)),))
 
+    def _with_raw_values(self, reply: Reply) -> Reply:
+        """Replace the markers in a reply by the bytes that they stand for."""
+        body = json.dumps(reply.body).encode()
+        for marker, value in list(self._raw_values.items()):
+            body = body.replace(marker, value)
+        return attrs.evolve(reply, stream=lambda write: write(body))
+
     def _handle(self, call: Call) -> Reply:
         self._calls += 1
         time.sleep(self.faults.get("silent_seconds") or 0)
