Believe a refusal without an attempt id only on a new connection

Callers: told "not run, come back" (503) of requests that a server was running, as a faulty server wrote an earlier refusal once more on a kept connection.

Cause: a refusal without an attempt id counted as the answer to the request under way. On a connection that has carried other requests, it may be of one of these.

Why it works: on a kept connection such a refusal ends the call as broken, so the request counts as one that may have run, and its final failure is 502. A server that rejects the first request of a connection without reading its id is believed as before.

--- a/masticfork/relay/exchange.py
+++ b/masticfork/relay/exchange.py
@@ -590,8 +590,12 @@
         """Return whether a response belongs to the request."""
         if head.attempt_id == self.request.head.attempt_id:
             return True
-        # A server that rejects a request need not have read its attempt id.
-        return head.not_run and not head.attempt_id
+        # A server that rejects a request need not have read its attempt id. After other
+        # requests on the connection, the refusal may be of one of these.
+        record = self._call_record
+        call = None if record is None else record.call
+        is_first = call is not None and not call.reused_connection
+        return head.not_run and not head.attempt_id and is_first
 
     def _classify_response(self, head: ResponseHead) -> CallOutcome | None:
         """Return why an own response is unusable, None if it may be passed on."""
--- a/masticfork/relay/stray_responses_test.py
+++ b/masticfork/relay/stray_responses_test.py
@@ -7,8 +7,15 @@
 
 from masticfork.core.routes import RouteKind
 from masticfork.relay.exchange import Exchange
-from standins.entry_environment import SERVICE, configuration, route, running_entry_host
+from standins.entry_environment import (
+    ENGINES,
+    SERVICE,
+    configuration,
+    route,
+    running_entry_host,
+)
 from standins.fake_exchange import FakeCaller, FakeHost, caller_request, response_head
+from standins.repeated_refusal import RepeatedRefusal
 from standins.scripted_server import response
 from standins.typed_routes import typed_route
 
@@ -68,6 +75,7 @@
             ({"attempt_id": b"a-2"}, False),
             ({"attempt_id": b""}, False),
             ({"attempt_id": b"a-2", "not_run": True, "status": 503}, False),
+            # On a connection that has carried no other request.
             ({"attempt_id": b"", "not_run": True, "status": 503}, True),
             ({}, True),
         ],
@@ -82,6 +90,39 @@
         assert (record.head_received_at is not None) is own
 
 
+class TestRepeatedRefusals:
+    def test_refusal_without_an_id_proves_nothing_on_a_kept_connection(self):
+        """Guards against "not run" for a request that a server is running."""
+        host, caller = FakeHost(), FakeCaller()
+        exchange = single_call_exchange(host, caller)
+        host.calls[0].reused_connection = True
+        exchange.on_head(response_head(status=503, not_run=True, attempt_id=b""))
+        assert caller.status == 502
+        assert not host.started_responses
+
+    @pytest.mark.parametrize("status", [400, 421, 429, 503])
+    @pytest.mark.parametrize("kind", ["safe", "streaming", "unsafe"])
+    def test_requests_that_ran_are_not_refused(self, kind, status):
+        """Guards against callers that are told "not run" of what has run."""
+        spec = configuration(1, *(route(name) for name in ("safe", "unsafe")))
+        spec["routes"].append(route("streaming", sizes=["small"], max_attempts=2))
+        with running_entry_host(spec) as env:
+            for service in (SERVICE, ENGINES):
+                for _ in range(2):
+                    env.add_server(RepeatedRefusal(status), service)
+            env.wait_for_servers(4)
+            answers = {}
+            for number in range(REQUEST_COUNT):
+                headers = {"X-Masticfork-Attempt-Id": f"own-{number}"}
+                answers[f"own-{number}"] = env.send(f"/{kind}/x", headers=headers)
+            kept = env.logged("call failed", reused_connection=True)
+            ran = [r.attempt_id for server in env.servers for r in server.requests]
+        assert kept == (kind != "unsafe")
+        assert {answers[attempt].status for attempt in ran} <= {200, 502}
+        if kind == "unsafe":
+            assert sorted(ran) == sorted(answers)
+
+
 class TestLateSecondResponses:
     @pytest.mark.parametrize("ahead", [True, False])
     @pytest.mark.parametrize("cut_step", [0, 5])
--- a/masticfork/relay/unreachable_servers_test.py
+++ b/masticfork/relay/unreachable_servers_test.py
@@ -19,6 +19,7 @@
     running_entry_host,
 )
 from standins.object_store import ObjectStore
+from standins.repeated_refusal import RepeatedRefusal
 from standins.scripted_server import (
     CloseConnectionError,
     ResetConnectionError,
@@ -209,6 +210,13 @@
         assert cut_off.send("/unsafe/x").status == 502
         assert len(self.requests(cut_off)) == 1
 
+    @pytest.mark.parametrize("kind", ["safe", "unsafe"])
+    def test_repeated_refusal_of_another_request_is_not_met(self, cut_off, kind):
+        """Guards against "not run" for a request that a server is running."""
+        self.use(cut_off, RepeatedRefusal(503))
+        for _ in range(8):
+            assert cut_off.send(f"/{kind}/x").status == 200
+
     def test_request_that_may_have_run_is_not_repeated(self, fleet, cut_off):
         """Guards against a host that fails under a call and has it sent again."""
 
