Continue a stream only with a response like the one that has begun

Callers: a stream that broke off ended as complete, with events missing, if the next server answered 204 or 206, or 200 without framing and closed the connection before any event.

Cause: once a stream has begun, any success of the next server continued it, and its end without events was taken for the end of the stream.

Why it works: a run with another status than the response that has begun is broken, and so is a resumed run without framing that ends before its first event. The next server is asked then, or the stream is reset.

--- a/masticfork/relay/exchange.py
+++ b/masticfork/relay/exchange.py
@@ -423,17 +423,16 @@
 
     def on_end(self) -> None:
         """Complete the response to the caller."""
-        if self._call_record is None or self._response_head is None:
+        record = self._call_record
+        if record is None or self._response_head is None:
             return
         if self._is_event_response:
-            if self._event_splitter.partial_event_bytes:
-                self._fail_call(
-                    CallOutcome.BROKEN, "stream ended in the middle of an event"
-                )
+            if why := self._why_run_is_incomplete(record):
+                self._fail_call(CallOutcome.BROKEN, why)
                 return
             self._start_stream_response()
             self.host.on_stream_complete(
-                self._call_record, self._event_splitter.last_event_id or 0
+                record, self._event_splitter.last_event_id or 0
             )
         elif not self._response_started:
             self.caller.start_response(self._response_head, self._body_bytes)
@@ -443,6 +442,16 @@
         self._record_end(self._response_head.status, "answered")
         self.caller.end_response()
 
+    def _why_run_is_incomplete(self, record: CallRecord) -> str | None:
+        """Return why a run that has ended lacks events, None if it seems complete."""
+        if self._event_splitter.partial_event_bytes:
+            return "stream ended in the middle of an event"
+        resumed = self._response_started and not record.answered
+        if resumed and record.call is not None and record.call.ends_at_close:
+            # Nothing tells it from a server that closed the connection too early.
+            return "resumed stream without framing ended before any event"
+        return None
+
     def on_failed(self, failure: CallFailure) -> None:
         """Fail the call, as unsent if its connection was never established."""
         unsent = failure.stage is Stage.CONNECTING
@@ -604,7 +613,10 @@
         if head.encoded or self._may_be_mixed(head):
             return CallOutcome.BROKEN
         if head.status < 300:
-            return None if head.signed else CallOutcome.BROKEN
+            begun = self._response_head if self._response_started else None
+            # Only a response like the one that has begun continues its stream.
+            continues = begun is None or head.status == begun.status
+            return None if head.signed and continues else CallOutcome.BROKEN
         if head.status in _NOT_RUN_STATUSES:
             return CallOutcome.BROKEN
         if head.status >= _MIN_SERVER_ERROR_STATUS and self.route.retryable:
--- a/masticfork/relay/server_call.py
+++ b/masticfork/relay/server_call.py
@@ -215,7 +215,12 @@
 
         Nothing tells where a body without framing ends and such a response begins.
         """
-        return self._reused_connection and self._reader.ends_at_close
+        return self._reused_connection and self.ends_at_close
+
+    @property
+    def ends_at_close(self) -> bool:
+        """Return whether the body has no framing and ends with the connection."""
+        return self._reader.ends_at_close
 
     @property
     def stage(self) -> Stage:
--- a/masticfork/relay/unreachable_servers_test.py
+++ b/masticfork/relay/unreachable_servers_test.py
@@ -31,6 +31,12 @@
     unframed_head,
 )
 from standins.server_paths import Cut, ServerPaths
+from standins.stream_errors import (
+    STREAM_ERRORS,
+    WHOLE_EVENTS,
+    BreakingServers,
+    is_beginning_of_the_stream,
+)
 
 HOSTS = 3
 PLAIN_SERVERS, ENGINE_COUNT = 3, 3
@@ -217,6 +223,19 @@
         for _ in range(8):
             assert cut_off.send(f"/{kind}/x").status == 200
 
+    @pytest.mark.parametrize("name", STREAM_ERRORS)
+    def test_errors_do_not_reach_a_stream_that_has_begun(self, cut_off, name):
+        """Guards against an error's text, or an early end, in a caller's stream."""
+        self.use(cut_off, BreakingServers(STREAM_ERRORS[name], 99, b""))
+        got = cut_off.read_stream("/streaming/x")
+        assert got.status == 200
+        assert not got.complete
+        assert is_beginning_of_the_stream(got.body)
+        self.use(cut_off, BreakingServers(STREAM_ERRORS[name], 1, b""))
+        got = cut_off.read_stream("/streaming/x")
+        assert got.complete
+        assert got.body == b"".join(WHOLE_EVENTS)
+
     def test_request_that_may_have_run_is_not_repeated(self, fleet, cut_off):
         """Guards against a host that fails under a call and has it sent again."""
 
--- a/standins/entry_environment.py
+++ b/standins/entry_environment.py
@@ -192,6 +192,24 @@
         finally:
             connection.close()
 
+    def read_stream(self, path: str) -> Response:
+        """Send one request and return all that arrives before the end or a reset."""
+        connection = http.client.HTTPConnection(self.front.host, self.front.port, 10)
+        received = None
+        try:
+            connection.request("POST", path, b"x", self.headers())
+            response = connection.getresponse()
+            received = Response(response.status, {}, b"", complete=False)
+            while data := response.read1():
+                received.body += data
+            received.complete = response.isclosed()
+        except (http.client.IncompleteRead, ConnectionError):
+            if received is None:
+                raise
+        finally:
+            connection.close()
+        return received
+
     def headers(self, changes: dict[str, str] | None = None) -> dict[str, str]:
         """Return the headers of a valid request with a new attempt ID."""
         self._attempts += 1
--- a/standins/fake_exchange.py
+++ b/standins/fake_exchange.py
@@ -39,6 +39,7 @@
     ran_request: bool = False
     reused_connection: bool = False
     may_hold_other_response: bool = False
+    ends_at_close: bool = False
     via: str | None = None
 
     def cancel(self) -> None:
