Count a connection until its unsent data is sent

Callers: on a slow link, the last 47 to 299 KB of a long answer were missing if the host was stopped meanwhile, though its grace period had not ended.

Cause: a connection that is to close once its buffer is empty was taken out of the host's connections at once. A stopping host without connections exits, and its buffers are lost with it.

Why it works: the channel reports when the last byte is sent or the connection is lost, and only then is it removed. Connections that lead other hosts to servers had the same fault and are counted alike.

--- a/masticfork/relay/caller.py
+++ b/masticfork/relay/caller.py
@@ -450,9 +450,7 @@
     def _close_when_sent(self) -> None:
         self._cancel_timer()
         self._queued_requests.clear()
-        self._channel.owner = None
-        self._channel.close_when_sent()
-        self._host.remove_connection(self)
+        self._channel.close_when_sent(lambda: self._host.remove_connection(self))
 
 
 class NoExchange:
--- a/masticfork/relay/channel.py
+++ b/masticfork/relay/channel.py
@@ -4,6 +4,7 @@
 import errno
 import selectors
 import socket
+from collections.abc import Callable
 from typing import Protocol
 
 from masticfork.core.backend_servers import Address
@@ -123,12 +124,17 @@
             return False
         return False
 
-    def close_when_sent(self) -> None:
-        """Close once the send buffer is empty."""
+    def close_when_sent(self, on_closed: Callable[[], None]) -> None:
+        """Close once the send buffer is empty, or the connection is lost; then call.
+
+        The owner gets no further events.
+        """
         if self._send_buffer:
             self._closing_when_sent = True
+            self.owner = _ClosingOwner(on_closed)
         else:
             self.close()
+            on_closed()
 
     def close(self) -> None:
         """Close at once, discarding unsent data, without calling the owner."""
@@ -224,6 +230,27 @@
         self._registered = events != 0
 
 
+class _ClosingOwner:
+    """Reports the end of a connection that only sends what is left."""
+
+    def __init__(self, on_closed: Callable[[], None]) -> None:
+        self._on_closed = on_closed
+
+    def on_connected(self) -> None:
+        """Do nothing: the connection has been used."""
+
+    def on_data(self, data: bytes) -> None:
+        """Do nothing: nothing more is read."""
+
+    def on_drained(self) -> None:
+        """Report the end: the channel closes now."""
+        self._on_closed()
+
+    def on_closed(self, error: OSError | None) -> None:
+        """Report the end: the rest cannot be sent."""
+        self._on_closed()
+
+
 def connect(loop: Loop, address: Address) -> Channel:
     """Start to connect to a server; raise OSError if that fails at once."""
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
--- a/masticfork/relay/stopping_host_test.py
+++ b/masticfork/relay/stopping_host_test.py
@@ -4,6 +4,7 @@
 import socket
 import threading
 import time
+from concurrent.futures import ThreadPoolExecutor
 from contextlib import contextmanager
 
 import pytest
@@ -150,6 +151,72 @@
         assert sum(len(server.requests) for server in servers) == 1
 
 
+class SlowReader:
+    """Reads a long response at the pace of a slow link."""
+
+    SEGMENT_BYTES, WINDOW_BYTES = 1400, 16_384
+
+    def __init__(self, env, path):
+        self._sock = socket.socket()
+        tcp, option = socket.IPPROTO_TCP, socket.TCP_MAXSEG
+        self._sock.setsockopt(tcp, option, self.SEGMENT_BYTES)
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.WINDOW_BYTES)
+        self._sock.settimeout(GRACE_SECONDS)
+        self._sock.connect((env.front.host, env.front.port))
+        headers = env.headers({"X-Masticfork-Deadline-Ms": "12000"})
+        lines = [f"{name}: {value}" for name, value in headers.items()]
+        head = "\r\n".join([f"POST {path} HTTP/1.1", "Content-Length: 0", *lines])
+        self._sock.sendall(head.encode() + b"\r\n\r\n")
+
+    def read(self, seconds, size):
+        """Return the bytes that arrive, so many within this time at an even pace."""
+        received, began = 0, time.monotonic()
+        while received < size:
+            try:
+                data = self._sock.recv(4096)
+            except OSError:
+                return received
+            if not data:
+                return received
+            received += len(data)
+            due = began + seconds * received / size
+            time.sleep(max(0.0, due - time.monotonic()))
+        return received
+
+
+class TestUnsentResponses:
+    # The sizes differ, so that some responses end with much that is unsent.
+    SIZES = range(2_200_000, 2_700_000, 60_000)
+
+    def test_ends_of_long_answers_are_sent_before_the_host_exits(self):
+        """Guards against an answer whose unsent end is lost with its host."""
+
+        def long_response(request):
+            yield response(request, b"x" * int(request.target.rpartition("/")[2]))
+
+        seconds = GRACE_SECONDS - STOP_MARGIN_SECONDS - 0.6
+        spec = configuration(1, route("safe", timeout_ms=12_000))
+        bounds = Bounds(grace=GRACE_SECONDS)
+        with running_entry_host(spec, bounds) as env:
+            env.add_server(long_response, SERVICE)
+            env.wait_for_servers(1)
+            readers = {size: SlowReader(env, f"/safe/{size}") for size in self.SIZES}
+            time.sleep(0.3)
+            env.host.request_stop()
+            with ThreadPoolExecutor(len(readers)) as pool:
+                reading = {
+                    size: pool.submit(reader.read, seconds, size)
+                    for size, reader in readers.items()
+                }
+            missing = {
+                size: size - read.result()
+                for size, read in reading.items()
+                if read.result() < size
+            }
+            assert not missing
+            env.wait_until(lambda: not env.host.loop.running, 2.0)
+
+
 class TestEscalation:
     @pytest.mark.parametrize(("stopping", "calls"), [(False, 2), (True, 1)])
     def test_answer_is_kept_if_a_larger_model_would_be_cut_off(self, stopping, calls):
--- a/masticfork/relay/transit_listener.py
+++ b/masticfork/relay/transit_listener.py
@@ -210,9 +210,7 @@
 
     def _close_when_sent(self) -> None:
         self._timer.cancel()
-        self._channel.owner = None
-        self._channel.close_when_sent()
-        self._listener.remove(self)
+        self._channel.close_when_sent(lambda: self._listener.remove(self))
 
 
 class _ServerSide:
