Keep requests from versions that were rolled back

Callers: sessions on v1 were sent to v2 after v2 had been rolled back, as soon as v3 was ordered, and got a part of v2's errors.

Cause: each version but the target of the present order counted as the old one, and the rollback of an earlier order was forgotten with it.

Why it works: a rollout carries the versions that earlier orders were rolled back from, in memory and in its status in the store. They are left out unless nothing else has servers, their answers are evidence for neither version, and an order of one of them tries it anew.

--- a/masticfork/core/backend_servers.py
+++ b/masticfork/core/backend_servers.py
@@ -78,3 +78,5 @@
     stored_progress: RolloutProgress = attrs.field(
         default=attrs.Factory(lambda self: self.progress, takes_self=True)
     )
+    # Versions of the service that earlier orders were rolled back from.
+    rejected: frozenset[str] = frozenset()
--- a/masticfork/platform/server_format.py
+++ b/masticfork/platform/server_format.py
@@ -20,6 +20,7 @@
     get_int,
     get_number,
     get_str,
+    is_text,
     malformed_finding,
 )
 from masticfork.platform.objects import PlatformObject
@@ -27,6 +28,9 @@
 MAX_PORT = 65_535
 # Python refuses to parse integers of more than 4,300 digits.
 MAX_PORT_DIGITS = 5
+# Versions that were rolled back and are stored with a rollout; of most of them no
+# server is left.
+MAX_REJECTED_VERSIONS = 16
 
 _DRAINING_BY_STATE = {"ready": False, "draining": True}
 
@@ -103,6 +107,7 @@
                 created=_order_id(stored.status, target) or stored.created,
                 object_created=stored.created,
                 progress=_progress(stored.status, target),
+                rejected=_rejected_versions(stored.status) - {target},
             )
         )
     except MalformedError as error:
@@ -144,12 +149,23 @@
     return RolloutProgress(state, step, ordered_at)
 
 
+def _rejected_versions(status: Any) -> frozenset[str]:
+    """Return the versions that were rolled back, by the status of any order."""
+    if not isinstance(status, dict):
+        return frozenset()
+    listed = status.get("rejected")
+    versions = list(listed) if isinstance(listed, list) else []
+    if status.get("state") == RolloutState.ROLLED_BACK.value:
+        versions.append(status.get("target"))
+    return frozenset(filter(is_text, versions))
+
+
 def encode_progress(
     rollout: VersionRollout, progress: RolloutProgress
 ) -> dict[str, Any]:
     """Encode new progress of a rollout as its status.
 
-    `step`, `ordered_at` and `order` are the router's own fields.
+    `step`, `ordered_at`, `order` and `rejected` are the router's own fields.
     """
     return {
         "state": progress.state.value,
@@ -157,6 +173,7 @@
         "step": progress.step,
         "ordered_at": progress.ordered_at,
         "order": rollout.created,
+        "rejected": sorted(rollout.rejected)[:MAX_REJECTED_VERSIONS],
     }
 
 
--- a/masticfork/relay/rollout_controller.py
+++ b/masticfork/relay/rollout_controller.py
@@ -188,10 +188,13 @@
         `earlier` is the short key of the version that it used last, if any.
         """
         rollout = self._tables.rollouts.get(service)
+        rejected = self._tables.rejected_versions(service)
         if rollout is None:
-            return rows
+            return _without_versions(rows, rejected) if rejected else rows
         new = [row for row in rows if row.server.version == rollout.target]
         old = [row for row in rows if row.server.version != rollout.target]
+        if rejected:
+            old = _without_versions(old, rejected)
         if rollout.progress.state is RolloutState.DONE:
             return new or old
         if rollout.progress.state is not RolloutState.RUNNING:
@@ -242,6 +245,8 @@
     ) -> None:
         """Record one response as evidence."""
         rollout = self._tables.rollouts.get(server.service)
+        if self._is_rejected(server):
+            return
         slow = self._is_slow(rollout, server, time)
         is_new = _is_on_trial(rollout, server)
         if not is_new:
@@ -263,6 +268,8 @@
     ) -> None:
         """Record the pace of a complete stream as evidence."""
         rollout = self._tables.rollouts.get(server.service)
+        if self._is_rejected(server):
+            return
         baseline = self._usual_paces_of(server.service)
         is_new = _is_on_trial(rollout, server)
         elsewhere = [item.usual_paces for item in self._reported(rollout)]
@@ -298,6 +305,14 @@
             if not is_final(rollout.progress)
         )
 
+    def _is_rejected(self, server: BackendServer) -> bool:
+        """Return whether a server's version was rolled back by an earlier order.
+
+        Its answers belong to neither version of the present one.
+        """
+        rollout = self._tables.rollouts.get(server.service)
+        return rollout is not None and server.version in rollout.rejected
+
     def _own_evidence(self, rollout: VersionRollout) -> RolloutEvidence:
         service = rollout.service
         times = self.usual_times(service).usual_times
@@ -461,6 +476,13 @@
         return MAX_WRITE_DELAY_SECONDS * int.from_bytes(digest) / 65536.0
 
 
+def _without_versions(
+    rows: Sequence[ServerRow], versions: frozenset[str]
+) -> list[ServerRow]:
+    """Return the servers of other versions, or all if there are none."""
+    return [row for row in rows if row.server.version not in versions] or list(rows)
+
+
 def _is_on_trial(rollout: VersionRollout | None, server: BackendServer) -> bool:
     """Return whether a server runs a new version that is not completed."""
     return (
--- a/masticfork/relay/tables.py
+++ b/masticfork/relay/tables.py
@@ -19,7 +19,11 @@
     ServerNotices,
     incarnation_key,
 )
-from masticfork.systems.version_shift import with_known_progress
+from masticfork.systems.version_shift import (
+    rejected_versions,
+    with_known_progress,
+    with_known_rejections,
+)
 
 # Time for which a server stays usable after its entry went missing during or shortly
 # after a failure of the store: entries of live servers are back within 2 s, and a
@@ -103,6 +107,8 @@
         self._rows_by_key: dict[int, ServerRow] = {}
         self._servers_known = False
         self._rollouts: dict[str, VersionRollout] = {}
+        # The latest rollout of services whose order was deleted.
+        self._removed_rollouts: dict[str, VersionRollout] = {}
         self._rollouts_known = False
 
     @property
@@ -130,6 +136,11 @@
         """Return the rollouts by service."""
         return self._rollouts
 
+    def rejected_versions(self, service: str) -> frozenset[str]:
+        """Return the versions of a service that were rolled back."""
+        rollout = self._rollouts.get(service) or self._removed_rollouts.get(service)
+        return frozenset() if rollout is None else rejected_versions(rollout)
+
     def adopt_routes(self, table: RouteTable, source: str) -> bool:
         """Put a configuration in force if it is newer; return whether it was."""
         current = self._routes
@@ -417,6 +428,9 @@
             if rollout.position <= current.position:
                 return False
             rollout = with_known_progress(rollout, current)
+        known = current or self._removed_rollouts.pop(rollout.service, None)
+        if known is not None:
+            rollout = with_known_rejections(rollout, known)
         self._rollouts[rollout.service] = rollout
         self._log(
             "rollout updated",
@@ -432,7 +446,9 @@
 
     def remove_rollout(self, service: str) -> None:
         """Remove a rollout that was deleted."""
-        if self._rollouts.pop(service, None) is not None:
+        rollout = self._rollouts.pop(service, None)
+        if rollout is not None:
+            self._removed_rollouts[service] = rollout
             self._log("rollout removed", service=service)
 
     def _remove_unless_updated(self, rollout: VersionRollout) -> None:
--- a/masticfork/systems/version_shift.py
+++ b/masticfork/systems/version_shift.py
@@ -155,6 +155,24 @@
     return attrs.evolve(listed, created=known.created, progress=progress)
 
 
+def with_known_rejections(
+    rollout: VersionRollout, known: VersionRollout
+) -> VersionRollout:
+    """Return a rollout with the versions that are rejected after an earlier one.
+
+    The target of an order is not rejected: it is tried anew.
+    """
+    rejected = rollout.rejected | rejected_versions(known)
+    return attrs.evolve(rollout, rejected=rejected - {rollout.target})
+
+
+def rejected_versions(rollout: VersionRollout) -> frozenset[str]:
+    """Return the versions that requests must not use after this order."""
+    if rollout.progress.state is RolloutState.ROLLED_BACK:
+        return rollout.rejected | {rollout.target}
+    return rollout.rejected
+
+
 def _stage(progress: RolloutProgress) -> tuple[int, int]:
     """Return a value that grows as a rollout advances."""
     if is_final(progress):
