Take the age of a rollout from hosts that have seen its order

Callers: a host that started during a rollout while its clock was 2.4 s ahead completed the rollout that much too early, and all requests of the service went to a version that was not proven.

Cause: such a host took the rollout's age from the time of day, less the time that another host had written from its own clock.

Why it works: hosts that saw the order tell its age by their steady clock. A host that starts adopts it and passes it on, and writes no progress for 1.5 s unless it has heard one. Without any, the time of day is used as before.

--- a/masticfork/core/digests.py
+++ b/masticfork/core/digests.py
@@ -66,6 +66,9 @@
     usual_paces: dict[int, float] = attrs.field(factory=dict)
     # Whether the host has judged the new version bad.
     judged_bad: bool = False
+    # Seconds since the order by a steady clock, None if the host has only the time of
+    # day to tell them by.
+    age: float | None = None
 
 
 @attrs.frozen
@@ -154,7 +157,7 @@
 
 # Version of what hosts tell each other; 0 for builds that tell none. See
 # docs/INTERFACES.md for what each version has added.
-PROTOCOL_VERSION = 1
+PROTOCOL_VERSION = 2
 
 
 @attrs.frozen
--- a/masticfork/relay/digest.capnp
+++ b/masticfork/relay/digest.capnp
@@ -132,6 +132,8 @@
   # Usual times between the events of its streams in the same form: a key of the model
   # size and the load, and seconds.
   packedPaces @13 :Data;
+  # Milliseconds since the order and one more, 0 if the sender knows no steady clock's.
+  age @14 :UInt32;
 }
 
 struct Session {
--- a/masticfork/relay/digest_codec.py
+++ b/masticfork/relay/digest_codec.py
@@ -104,6 +104,9 @@
                 "oldBad": sum(item.bad for item in evidence.old),
                 "oldSlow": sum(item.slow for item in evidence.old),
                 "judgedBad": evidence.judged_bad,
+                "age": 0
+                if evidence.age is None
+                else 1 + _milliseconds(evidence.age, _MAX_UINT32 - 1),
                 "packedNew": b"".join(
                     _NEW_ANSWERS_RECORD.pack(
                         item.server,
@@ -299,6 +302,9 @@
                             _unpack_records(item.packedPaces, _TIME_RECORD)
                         ),
                         judged_bad=item.judgedBad,
+                        age=(item.age - 1) / _MILLISECONDS_PER_SECOND
+                        if item.age
+                        else None,
                     )
                     for item in reader.rollouts
                 ),
--- a/masticfork/relay/digest_codec_test.py
+++ b/masticfork/relay/digest_codec_test.py
@@ -53,6 +53,11 @@
         digest = attrs.evolve(DIGEST, loads=loads, sessions=sessions)
         assert len(encode_digest(digest)) < 1400
 
+    @pytest.mark.parametrize("age", [None, 0.0, 21.5])
+    def test_round_trip_of_the_age_of_a_rollout(self, age):
+        digest = attrs.evolve(DIGEST, rollouts=(attrs.evolve(EVIDENCE, age=age),))
+        assert decode_digest(encode_digest(digest)) == Ok(digest)
+
     def test_round_trip_of_paced_servers(self):
         reports = (PaceReport(4_000_000_000, 1.25), PaceReport(7, 0.0))
         digest = attrs.evolve(DIGEST, paced=reports)
--- a/masticfork/relay/host_digests.py
+++ b/masticfork/relay/host_digests.py
@@ -112,6 +112,7 @@
     def apply(self, digest: Digest) -> None:
         """Apply what a peer has observed of sessions, servers and the store."""
         self._store_view.apply_updates(digest)
+        self._rollouts.apply_ages(digest.rollouts)
         self._sessions.apply_report(digest.sessions, self._loop.now)
         self._quarantine.apply_report(digest.crashes)
         self._tables.apply_limits(digest.limits, digest.host)
--- a/masticfork/relay/rollout_controller.py
+++ b/masticfork/relay/rollout_controller.py
@@ -4,7 +4,7 @@
 import math
 import time as clock
 from collections import OrderedDict
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from concurrent.futures import ThreadPoolExecutor
 from typing import Protocol
 
@@ -46,6 +46,9 @@
 # Longest delay before a write that other hosts may make as well. Each host waits for a
 # different fraction of it, so that usually only one host writes.
 MAX_WRITE_DELAY_SECONDS = 0.4
+# Time for which a host that starts during a rollout waits to hear from others how long
+# ago it was ordered; full digests are sent at least once a second.
+AGE_WAIT_SECONDS = 1.5
 # Slow answers of one server at shorter intervals count as one: they may have waited in
 # one queue, behind a single long prompt.
 SAME_QUEUE_SECONDS = 0.5
@@ -78,6 +81,11 @@
     # The same time in Unix seconds.
     ordered_unix_seconds: float
     budget: ExposureBudget
+    # Whether the loop time is known from a host that has seen the order, not estimated
+    # from the time of day, which may differ by seconds between hosts.
+    is_age_sure: bool
+    # Loop time until which no progress is written while it is not.
+    wait_until: float
     # Answers of the new version by hashes of server and route, and second since the
     # order; the oldest are dropped.
     new: OrderedDict[tuple[int, int, int], NewAnswers] = attrs.field(
@@ -94,6 +102,11 @@
     writing: bool = False
     write_after: float = 0.0
 
+    def adopt_age(self, age: float, now: float) -> None:
+        """Take over how long ago the rollout was ordered, in seconds, if not sure."""
+        if not self.is_age_sure:
+            self.ordered_at, self.is_age_sure = now - age, True
+
     def repeats_slow_answer(self, server: str, now: float) -> bool:
         """Record a slow answer; return whether it closely follows another one."""
         if now - self.slow_at.get(server, -math.inf) < SAME_QUEUE_SECONDS:
@@ -129,6 +142,7 @@
         service: str,
         usual_times: dict[int, float],
         usual_paces: dict[int, float],
+        now: float,
     ) -> RolloutEvidence:
         """Return the evidence in the form in which other hosts get it."""
         return RolloutEvidence(
@@ -142,6 +156,7 @@
             usual_times=usual_times,
             usual_paces=usual_paces,
             judged_bad=self.bad,
+            age=now - self.ordered_at if self.is_age_sure else None,
         )
 
 
@@ -313,11 +328,21 @@
         rollout = self._tables.rollouts.get(server.service)
         return rollout is not None and server.version in rollout.rejected
 
+    def apply_ages(self, reported: Iterable[RolloutEvidence]) -> None:
+        """Take over from another host how long ago unfinished rollouts were ordered."""
+        for item in reported:
+            rollout = self._tables.rollouts.get(item.service)
+            if item.age is None or rollout is None or is_final(rollout.progress):
+                continue
+            if item.created == rollout.created:
+                self._record_of(rollout).adopt_age(item.age, self._loop.now)
+
     def _own_evidence(self, rollout: VersionRollout) -> RolloutEvidence:
         service = rollout.service
         times = self.usual_times(service).usual_times
         paces = self._usual_paces_of(service).usual
-        return self._record_of(rollout).evidence(service, times, paces)
+        now = self._loop.now
+        return self._record_of(rollout).evidence(service, times, paces, now)
 
     def _usual_paces_of(self, service: str) -> PaceBaseline:
         return self._usual_paces.setdefault(service, PaceBaseline())
@@ -375,6 +400,8 @@
         record = self._record_of(rollout)
         if record.writing or now < record.write_after:
             return
+        if not record.is_age_sure and now < record.wait_until and not record.bad:
+            return
         elapsed = now - record.ordered_at
         assessment = self._assess(rollout)
         if not is_final(rollout.progress):
@@ -457,17 +484,22 @@
         """Return a new record.
 
         The wall clock is used only for a rollout that had progressed before this host
-        read it, for instance after a restart.
+        read it, for instance after a restart, until another host tells its age.
         """
         wall, now = clock.time(), self._loop.now
         ordered = rollout.progress.ordered_at
         rounding = hash_fraction(f"{self._host}/{rollout.created}")
         budget = ExposureBudget(self._limit, rounding)
-        if rollout.progress.state is RolloutState.ORDERED or ordered <= 0.0:
-            return _RolloutRecord(rollout.created, rollout.target, now, wall, budget)
-        age = min(max(0.0, wall - ordered), rollout.duration)
+        is_sure = rollout.progress.state is RolloutState.ORDERED or ordered <= 0.0
+        age = 0.0 if is_sure else min(max(0.0, wall - ordered), rollout.duration)
         return _RolloutRecord(
-            rollout.created, rollout.target, now - age, ordered, budget
+            rollout.created,
+            rollout.target,
+            now - age,
+            wall if is_sure else ordered,
+            budget,
+            is_sure,
+            now + AGE_WAIT_SECONDS,
         )
 
     def _write_delay(self, rollout: VersionRollout) -> float:
