--- a/masticfork/relay/odd_entries_test.py
+++ b/masticfork/relay/odd_entries_test.py
@@ -3,6 +3,7 @@
 import json
 import time
 from contextlib import ExitStack
+from types import SimpleNamespace
 
 import pytest
 
@@ -26,20 +27,9 @@
 
 def entry(**raw_fields):
     """Return the encoded entry of a server with some fields replaced by raw bytes."""
-    fields = {
-        name: json.dumps(value).encode()
-        for name, value in {
-            "service": SERVICE,
-            "address": "127.0.0.1:9",
-            "zone": "zone-a",
-            "version": "v1",
-            "slots": 6,
-            "state": "ready",
-            "cold_remaining_ms": 0,
-            "sequence": 1,
-            "born": 1_700_000_000_000,
-        }.items()
-    } | raw_fields
+    usual = server_entry(SimpleNamespace(address="127.0.0.1:9"), SERVICE)
+    fields = {name: json.dumps(value).encode() for name, value in usual.items()}
+    fields |= raw_fields
     parts = (b'"%b": %b' % (name.encode(), raw) for name, raw in fields.items())
     return b"{" + b", ".join(parts) + b"}"
 
