Skip one check of the readers after a host stood still itself

Callers: none; the store was called by all hosts after a moment in which they got no processor time.

Cause: a host that goes on after a standstill finds the readers silent before it has received what they sent meanwhile, and reads the store itself.

Why it works: a check that comes later than half of the silence is skipped, once, so that the next one, 0.25 s later, knows what was sent.

--- a/masticfork/relay/reader_duty.py
+++ b/masticfork/relay/reader_duty.py
@@ -14,6 +14,9 @@
     silence_limit,
 )
 
+# Share of the tolerated silence. After a longer pause between two checks, which usually
+# are 0.25 s apart, a check tells nothing of the readers.
+STANDSTILL_SHARE = 0.5
 # Interval between listings of the hosts. Hosts that don't read the store also learn of
 # new ones by their digests.
 READER_LIST_SECONDS, OTHER_LIST_SECONDS = 5.0, 20.0
@@ -47,6 +50,9 @@
         # Every host reads until it knows others that do.
         self._reading = True
         self._others_rely = False
+        # Loop time of the latest check, and whether it was skipped.
+        self._checked_at = loop.now
+        self._skipped = False
 
     @property
     def reading(self) -> bool:
@@ -78,6 +84,12 @@
     def run(self) -> None:
         """Start or stop following the store."""
         silence = silence_limit(self._shortest_change())
+        checked_at, self._checked_at = self._checked_at, self._loop.now
+        stood_still = self._loop.now - checked_at > STANDSTILL_SHARE * silence
+        self._skipped = stood_still and not self._skipped
+        if self._skipped:
+            # What the others have sent meanwhile may not have been received yet.
+            return
         digests = self._peers.recent_digests(silence)
         candidates = [ReaderCandidate(d.host, d.zone, d.store_failing) for d in digests]
         own = ReaderCandidate(self._host, self._zone, self._view.store_failing)
