--- a/masticfork/core/backend_servers.py
+++ b/masticfork/core/backend_servers.py
@@ -46,15 +46,31 @@
     ROLLED_BACK = "rolled_back"
 
 
+@attrs.frozen
+class HostRequests:
+    """Requests of a service that one start of a host has sent during a rollout."""
+
+    host: str
+    # Random number that identifies the start of the host's process.
+    start: int
+    sent: int
+    # Those of them that the new version got, or may get soon.
+    to_new: int
+
+
 @attrs.frozen
 class RolloutProgress:
     """Progress of a rollout, as the hosts have written it to the store."""
 
     state: RolloutState = RolloutState.ORDERED
-    # Current step, `CANARY` or `FULL` of `systems.version_shift`.
+    # Current step, `CANARY`, `FULL` or `CONFIRMED` of `systems.version_shift`.
     step: int = 0
-    # Unix time in seconds at which the first host read the order.
+    # Unix time in seconds of the order, by the time of day of the host that wrote.
     ordered_at: float = 0.0
+    # Seconds since the order, at least, when this was written.
+    elapsed: float = 0.0
+    # What the hosts had sent by then.
+    requests: tuple[HostRequests, ...] = ()
 
 
 @attrs.frozen
--- a/masticfork/core/digests.py
+++ b/masticfork/core/digests.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from masticfork.core.backend_servers import HostRequests
 from masticfork.core.crash_reports import CrashReport
 from masticfork.core.store_position import StorePosition
 
@@ -30,6 +31,8 @@
     bad: int
     # Slow answers, which count as good or bad as well.
     slow: int
+    # Whether the version ran about as many calls as the service usually does.
+    loaded: bool = False
 
 
 @attrs.frozen
@@ -69,6 +72,13 @@
     # Seconds since the order by a steady clock, None if the host has only the time of
     # day to tell them by.
     age: float | None = None
+    # What the host has sent since the order, None from hosts that do not tell it.
+    requests: HostRequests | None = None
+    # Requests a second that it expects to send.
+    rate: float = 0.0
+    # Requests that the new version may still get from it once the calls on the old
+    # version were repeated.
+    left: float = 0.0
 
 
 @attrs.frozen
@@ -157,7 +167,7 @@
 
 # Version of what hosts tell each other; 0 for builds that tell none. See
 # docs/INTERFACES.md for what each version has added.
-PROTOCOL_VERSION = 2
+PROTOCOL_VERSION = 3
 
 
 @attrs.frozen
--- a/masticfork/platform/server_format.py
+++ b/masticfork/platform/server_format.py
@@ -3,11 +3,13 @@
 import ipaddress
 from typing import Any
 
+import attrs
 from result import Err, Ok, Result
 
 from masticfork.core.backend_servers import (
     Address,
     BackendServer,
+    HostRequests,
     RolloutProgress,
     RolloutState,
     VersionRollout,
@@ -31,6 +33,8 @@
 # Versions that were rolled back and are stored with a rollout; of most of them no
 # server is left.
 MAX_REJECTED_VERSIONS = 16
+# Starts of hosts whose requests are stored with a rollout.
+MAX_HOST_REQUESTS = 1000
 
 _DRAINING_BY_STATE = {"ready": False, "draining": True}
 
@@ -144,9 +148,29 @@
         state = RolloutState(get_str(status, "state"))
         step = get_int(status, "step", 0)
         ordered_at = get_number(status, "ordered_at", 0.0)
+        elapsed = max(0.0, get_number(status, "elapsed", 0.0))
     except ValueError:
         return RolloutProgress()
-    return RolloutProgress(state, step, ordered_at)
+    return RolloutProgress(state, step, ordered_at, elapsed, _requests(status))
+
+
+def _requests(status: dict[str, Any]) -> tuple[HostRequests, ...]:
+    """Return what hosts had sent by a status, without malformed entries."""
+    listed = status.get("requests")
+    found = []
+    for item in listed[:MAX_HOST_REQUESTS] if isinstance(listed, list) else ():
+        try:
+            found.append(
+                HostRequests(
+                    get_str(item, "host"),
+                    get_int(item, "start"),
+                    max(0, get_int(item, "sent")),
+                    max(0, get_int(item, "to_new")),
+                )
+            )
+        except MalformedError:
+            continue
+    return tuple(found)
 
 
 def _rejected_versions(status: Any) -> frozenset[str]:
@@ -165,13 +189,17 @@
 ) -> dict[str, Any]:
     """Encode new progress of a rollout as its status.
 
-    `step`, `ordered_at`, `order` and `rejected` are the router's own fields.
+    All but `state` and `target` are the router's own fields.
     """
     return {
         "state": progress.state.value,
         "target": rollout.target,
         "step": progress.step,
         "ordered_at": progress.ordered_at,
+        "elapsed": round(progress.elapsed, 3),
+        "requests": [
+            attrs.asdict(item) for item in progress.requests[:MAX_HOST_REQUESTS]
+        ],
         "order": rollout.created,
         "rejected": sorted(rollout.rejected)[:MAX_REJECTED_VERSIONS],
     }
--- a/masticfork/relay/digest.capnp
+++ b/masticfork/relay/digest.capnp
@@ -121,7 +121,8 @@
   judgedBad @9 :Bool;
   # Answers of the new version in little-endian records of 16 bytes: hashes of the server
   # and of the route (UInt32), seconds since the order, good, bad and slow answers
-  # (UInt16 each).
+  # (UInt16 each). The highest bit of the seconds tells whether the version ran about as
+  # many calls as the service usually does.
   packedNew @10 :Data;
   # Answers of the old version in records of 16 bytes: hash of the route (UInt32), good,
   # bad and slow answers (Float32).
@@ -134,6 +135,16 @@
   packedPaces @13 :Data;
   # Milliseconds since the order and one more, 0 if the sender knows no steady clock's.
   age @14 :UInt32;
+  # Identifies the start of the sender, and what it has sent since the order: requests,
+  # those that the new version got or may get soon, and requests a second to come.
+  # `start` is 0 if the sender does not tell them.
+  start @15 :UInt32;
+  sent @16 :UInt32;
+  sentToNew @17 :UInt32;
+  rate @18 :Float32;
+  # Requests that the new version may still get from the sender once the calls on the old
+  # version were repeated.
+  left @19 :Float32;
 }
 
 struct Session {
--- a/masticfork/relay/digest_codec.py
+++ b/masticfork/relay/digest_codec.py
@@ -9,6 +9,7 @@
 import capnp
 from result import Err, Ok, Result
 
+from masticfork.core.backend_servers import HostRequests
 from masticfork.core.crash_reports import CrashObservation, CrashReport
 from masticfork.core.digests import (
     BrittleReport,
@@ -33,6 +34,8 @@
 ANSWERS_PER_UNIT = 0.1
 _MAX_UINT8, _MAX_UINT16, _MAX_UINT32 = 0xFF, 0xFFFF, 0xFFFFFFFF
 _MILLISECONDS_PER_SECOND = 1000.0
+# Bit of the seconds of answers that marks those under the usual load.
+_LOADED_BIT = 0x8000
 
 # The fields of `Load` in the schema, in their order there.
 _LOAD_RECORD = struct.Struct("<IHHH")
@@ -111,7 +114,7 @@
                     _NEW_ANSWERS_RECORD.pack(
                         item.server,
                         item.route,
-                        item.second,
+                        item.second & ~_LOADED_BIT | item.loaded * _LOADED_BIT,
                         min(_MAX_UINT16, item.good),
                         min(_MAX_UINT16, item.bad),
                         min(_MAX_UINT16, item.slow),
@@ -122,6 +125,7 @@
                     _OLD_ANSWERS_RECORD.pack(item.route, item.good, item.bad, item.slow)
                     for item in evidence.old
                 ),
+                **_requests_fields(evidence),
                 "packedTimes": _pack_times(evidence.usual_times),
                 "packedPaces": _pack_times(evidence.usual_paces),
             }
@@ -180,6 +184,34 @@
     return bytes(message.to_bytes_packed())
 
 
+def _requests_fields(evidence: RolloutEvidence) -> dict[str, int | float]:
+    """Return the fields of the schema that tell what a host has sent."""
+    requests = evidence.requests
+    if requests is None:
+        return {}
+    return {
+        "start": requests.start,
+        "sent": min(_MAX_UINT32, requests.sent),
+        "sentToNew": min(_MAX_UINT32, requests.to_new),
+        "rate": evidence.rate,
+        "left": evidence.left,
+    }
+
+
+def _unpack_new_answers(record: tuple[int, ...]) -> NewAnswers:
+    """Return answers of a new version from the fields of their record."""
+    server, route, second, good, bad, slow = record
+    loaded = bool(second & _LOADED_BIT)
+    return NewAnswers(server, route, second & ~_LOADED_BIT, good, bad, slow, loaded)
+
+
+def _unpack_requests(host: str, item: Any) -> HostRequests | None:
+    """Return what a host has sent, None if it does not tell it."""
+    if not item.start:
+        return None
+    return HostRequests(host, item.start, item.sent, item.sentToNew)
+
+
 def _pack_loads(loads: dict[int, HostLoad]) -> bytes:
     return b"".join(
         _LOAD_RECORD.pack(
@@ -284,9 +316,9 @@
                         service=item.service,
                         created=item.created,
                         new=tuple(
-                            NewAnswers(*record)
-                            for record in _unpack_records(
-                                item.packedNew, _NEW_ANSWERS_RECORD
+                            map(
+                                _unpack_new_answers,
+                                _unpack_records(item.packedNew, _NEW_ANSWERS_RECORD),
                             )
                         ),
                         old=tuple(
@@ -305,8 +337,12 @@
                         age=(item.age - 1) / _MILLISECONDS_PER_SECOND
                         if item.age
                         else None,
+                        requests=_unpack_requests(reader.host, item),
+                        rate=item.rate,
+                        left=item.left,
                     )
                     for item in reader.rollouts
+                    if math.isfinite(item.rate) and math.isfinite(item.left)
                 ),
                 sessions=_unpack_sessions(reader),
                 zone=reader.zone,
--- a/masticfork/relay/digest_codec_test.py
+++ b/masticfork/relay/digest_codec_test.py
@@ -4,6 +4,7 @@
 from hypothesis import strategies as st
 from result import Err, Ok
 
+from masticfork.core.backend_servers import HostRequests
 from masticfork.core.crash_reports import CrashObservation, CrashReport
 from masticfork.core.digests import (
     BrittleReport,
@@ -58,6 +59,28 @@
         digest = attrs.evolve(DIGEST, rollouts=(attrs.evolve(EVIDENCE, age=age),))
         assert decode_digest(encode_digest(digest)) == Ok(digest)
 
+    def test_round_trip_of_what_a_host_has_sent(self):
+        loaded = NewAnswers(1, 2, 0x7FFF, 3, 1, 0, loaded=True)
+        sent = attrs.evolve(
+            EVIDENCE,
+            new=(*EVIDENCE.new, loaded),
+            requests=HostRequests("host-1", 4_000_000_000, 120, 17),
+            rate=7.5,
+            left=-2.25,
+        )
+        digest = attrs.evolve(DIGEST, rollouts=(sent,))
+        assert decode_digest(encode_digest(digest)) == Ok(digest)
+
+    @pytest.mark.parametrize("value", [float("nan"), float("inf")])
+    def test_evidence_with_numbers_that_are_not_finite_is_left_out(self, value):
+        """Guards against sums over all hosts that one host makes useless."""
+        requests = HostRequests("host-1", 1, 120, 17)
+        broken = attrs.evolve(EVIDENCE, requests=requests, left=value)
+        decoded = decode_digest(
+            encode_digest(attrs.evolve(DIGEST, rollouts=(broken, EVIDENCE)))
+        )
+        assert decoded.ok_value.rollouts == (EVIDENCE,)
+
     def test_round_trip_of_paced_servers(self):
         reports = (PaceReport(4_000_000_000, 1.25), PaceReport(7, 0.0))
         digest = attrs.evolve(DIGEST, paced=reports)
--- a/masticfork/relay/entry.py
+++ b/masticfork/relay/entry.py
@@ -217,6 +217,7 @@
             self._peers.evidence,
             ExposureLimit(bounds.expose_share, bounds.expose_slack),
             self._sharing_host_count,
+            on_judged=lambda: self._digests.send_full_soon(),
         )
         self._registration = Registration(
             self._objects, settings.host, self._peer_address
@@ -611,7 +612,9 @@
         if load is None:
             return None
         version = load.server.version
-        self._session_versions.record(service, session, version, self._loop.now)
+        earlier = self._session_versions.version(service, session, now)
+        self._rollout_controller.record_session(service, earlier is not None)
+        self._session_versions.record(service, session, version, now)
         return row_by_load[id(load)]
 
     def has_other_server(
--- a/masticfork/relay/host_digests.py
+++ b/masticfork/relay/host_digests.py
@@ -112,7 +112,7 @@
     def apply(self, digest: Digest) -> None:
         """Apply what a peer has observed of sessions, servers and the store."""
         self._store_view.apply_updates(digest)
-        self._rollouts.apply_ages(digest.rollouts)
+        self._rollouts.apply_evidence(digest.rollouts)
         self._sessions.apply_report(digest.sessions, self._loop.now)
         self._quarantine.apply_report(digest.crashes)
         self._tables.apply_limits(digest.limits, digest.host)
@@ -180,6 +180,11 @@
             self._news_scheduled = True
             self._loop.call_after(NEWS_BATCH_SECONDS, self._send_news)
 
+    def send_full_soon(self) -> None:
+        """Schedule a full digest: it holds what other hosts should know at once."""
+        self._peers.hasten_digest()
+        self._loop.call_after(NEWS_BATCH_SECONDS, self.run)
+
     def _send_news(self) -> None:
         self._news_scheduled = False
         self._send_header()
--- a/masticfork/relay/peers.py
+++ b/masticfork/relay/peers.py
@@ -156,6 +156,10 @@
         self._expire_silent()
         return self._loop.now >= self._next_digest
 
+    def hasten_digest(self) -> None:
+        """Make the next full digest due now."""
+        self._next_digest = self._loop.now
+
     def send_digest(self, digest: Digest) -> None:
         """Send a digest to all known hosts."""
         if not digest.partial:
--- a/masticfork/relay/rollout_controller.py
+++ b/masticfork/relay/rollout_controller.py
@@ -1,7 +1,9 @@
 """Control of rollouts: collects evidence and writes progress to the store."""
 
 import hashlib
+import itertools
 import math
+import random
 import time as clock
 from collections import OrderedDict
 from collections.abc import Callable, Iterable, Sequence
@@ -13,6 +15,7 @@
 
 from masticfork.core.backend_servers import (
     BackendServer,
+    HostRequests,
     RolloutProgress,
     RolloutState,
     VersionRollout,
@@ -26,7 +29,15 @@
 from masticfork.relay.loop import Loop
 from masticfork.relay.tables import ServerRow, Tables
 from masticfork.store.client import PlatformError
-from masticfork.systems.exposure import ExposureBudget, ExposureLimit, RolloutMoment
+from masticfork.systems.exposure import (
+    CONFIRMING_ANSWERS,
+    CONFIRMING_FRACTION,
+    ExposureBudget,
+    ExposureLimit,
+    RolloutMoment,
+    UsualLoad,
+    host_part,
+)
 from masticfork.systems.stream_pace import PaceBaseline, StreamPace
 from masticfork.systems.version_evidence import Assessment, assess
 from masticfork.systems.version_shift import (
@@ -34,6 +45,7 @@
     AnswerCounts,
     LatencyBaseline,
     ResponseTime,
+    full_load_time,
     hash_fraction,
     is_canary_candidate,
     is_final,
@@ -45,17 +57,27 @@
 WRITE_INTERVAL_SECONDS = 0.3
 # Longest delay before a write that other hosts may make as well. Each host waits for a
 # different fraction of it, so that usually only one host writes.
-MAX_WRITE_DELAY_SECONDS = 0.4
+MAX_WRITE_DELAY_SECONDS, MAX_FINAL_WRITE_DELAY_SECONDS = 0.4, 0.2
 # Time for which a host that starts during a rollout waits to hear from others how long
 # ago it was ordered; full digests are sent at least once a second.
 AGE_WAIT_SECONDS = 1.5
+# Interval at which the age of a rollout and what hosts have sent are stored, which is
+# all that remains of them if all hosts are lost at once.
+CHECKPOINT_SECONDS = 1.0
+# Time before the end of a rollout in which only its steps are written, and the longest
+# delay before the write of a checkpoint. A write that is under way holds up the next.
+CHECKPOINT_FREE_SECONDS = 2.0
+MAX_CHECKPOINT_DELAY_SECONDS = 1.2
+# Requests that the new version got from hosts that were lost with its answers, as a
+# fraction of the known answers, above which it is not confirmed.
+MAX_UNHEARD_FRACTION = 0.35
 # Slow answers of one server at shorter intervals count as one: they may have waited in
 # one queue, behind a single long prompt.
 SAME_QUEUE_SECONDS = 0.5
 # Records of a new version's answers that a host keeps and reports, and the last second
 # that they name; routes of the old version's answers that it keeps apart.
 MAX_ANSWER_RECORDS = 60
-MAX_SECOND = 0xFFFF
+MAX_SECOND = 0x7FFF
 MAX_ROUTES = 16
 # In place of a route, for the pace of complete streams of all routes.
 STREAM_PACE = "stream pace"
@@ -76,19 +98,30 @@
 
     created: int
     target: str
-    # Loop time at which the rollout was ordered, as estimated by this host.
+    # Loop times at which the rollout was ordered: as estimated by this host, and at the
+    # latest.
     ordered_at: float
-    # The same time in Unix seconds.
-    ordered_unix_seconds: float
+    ordered_by: float
     budget: ExposureBudget
     # Whether the loop time is known from a host that has seen the order, not estimated
     # from the time of day, which may differ by seconds between hosts.
     is_age_sure: bool
     # Loop time until which no progress is written while it is not.
     wait_until: float
-    # Answers of the new version by hashes of server and route, and second since the
-    # order; the oldest are dropped.
-    new: OrderedDict[tuple[int, int, int], NewAnswers] = attrs.field(
+    # What starts of hosts have sent, and the answers of the new version to those of
+    # other hosts, by host and start.
+    requests: dict[tuple[str, int], HostRequests]
+    answers: dict[tuple[str, int], tuple[NewAnswers, ...]]
+    # The most hosts among which the fixed number was divided.
+    hosts: int
+    usual_load: UsualLoad = attrs.field(factory=UsualLoad)
+    # Calls on the new version that count as that load, and the answers under it that
+    # confirm the version.
+    full_load: float = math.inf
+    confirming_answers: int = 0
+    # Answers of the new version by hashes of server and route, second since the order,
+    # and whether they are loaded; the oldest are dropped.
+    new: OrderedDict[tuple[int, int, int, bool], NewAnswers] = attrs.field(
         factory=OrderedDict
     )
     # Answers of the old version by hash of the route.
@@ -105,7 +138,34 @@
     def adopt_age(self, age: float, now: float) -> None:
         """Take over how long ago the rollout was ordered, in seconds, if not sure."""
         if not self.is_age_sure:
-            self.ordered_at, self.is_age_sure = now - age, True
+            self.ordered_at = self.ordered_by = now - age
+            self.is_age_sure = True
+
+    def adopt_least_age(self, age: float, now: float) -> None:
+        """Take over how long ago the rollout was ordered at least, in seconds."""
+        if not self.is_age_sure:
+            self.ordered_by = min(self.ordered_by, now - age)
+            self.ordered_at = min(self.ordered_at, self.ordered_by)
+
+    def add_evidence(self, evidence: RolloutEvidence) -> None:
+        """Take over what another host has sent, and with which answers.
+
+        They still count once the host is lost.
+        """
+        requests = evidence.requests
+        if requests is not None:
+            self.add_requests([requests])
+            self.answers[requests.host, requests.start] = evidence.new
+
+    def add_requests(self, items: Iterable[HostRequests]) -> None:
+        """Take over what starts of hosts have sent."""
+        for item in items:
+            known = self.requests.get((item.host, item.start), item)
+            self.requests[item.host, item.start] = attrs.evolve(
+                item,
+                sent=max(item.sent, known.sent),
+                to_new=max(item.to_new, known.to_new),
+            )
 
     def repeats_slow_answer(self, server: str, now: float) -> bool:
         """Record a slow answer; return whether it closely follows another one."""
@@ -115,12 +175,19 @@
         return False
 
     def add_new(
-        self, server: str, route: str, failed: bool, slow: bool, now: float
+        self,
+        server: str,
+        route: str,
+        failed: bool,
+        slow: bool,
+        now: float,
+        loaded: bool = False,
     ) -> None:
         """Record an answer of the new version."""
         second = max(0, int(now - self.ordered_at))
-        key = (short_key(server), short_key(route), min(second, MAX_SECOND))
-        known = self.new.get(key, NewAnswers(*key, 0, 0, 0))
+        group = (short_key(server), short_key(route), min(second, MAX_SECOND))
+        key = (*group, loaded)
+        known = self.new.get(key, NewAnswers(*group, 0, 0, 0, loaded))
         self.new[key] = attrs.evolve(
             known,
             good=known.good + (not failed),
@@ -142,7 +209,8 @@
         service: str,
         usual_times: dict[int, float],
         usual_paces: dict[int, float],
-        now: float,
+        requests: HostRequests,
+        moment: RolloutMoment,
     ) -> RolloutEvidence:
         """Return the evidence in the form in which other hosts get it."""
         return RolloutEvidence(
@@ -156,7 +224,10 @@
             usual_times=usual_times,
             usual_paces=usual_paces,
             judged_bad=self.bad,
-            age=now - self.ordered_at if self.is_age_sure else None,
+            age=moment.elapsed if self.is_age_sure else None,
+            requests=requests,
+            rate=self.budget.rate(moment.now),
+            left=self.budget.left(moment),
         )
 
 
@@ -174,6 +245,7 @@
         limit: ExposureLimit,
         host_count: Callable[[], int],
         executor: WriteExecutor | None = None,
+        on_judged: Callable[[], None] = lambda: None,
     ) -> None:
         self._loop = loop
         self._peer_evidence = peer_evidence
@@ -183,6 +255,10 @@
         self._tables = tables
         self._host = host
         self._log = log
+        # Called when this host has judged a version bad.
+        self._on_judged = on_judged
+        # Identifies this start of the host; 0 stands for none.
+        self._start = random.randrange(1, 1 << 32)
         self._records: dict[str, _RolloutRecord] = {}
         # By service, also while no rollout runs: a new version is compared with them
         # from its first answer on.
@@ -222,7 +298,8 @@
             return new or old
         moment = self._moment(rollout, record, rows)
         if rollout.progress.step >= FULL:
-            return (new or old) if record.budget.allows_all(moment) else (old or new)
+            allowed = record.budget.allows_full_load(moment)
+            return (new or old) if allowed else (old or new)
         takes_canary = (
             was_on_new is None
             and is_canary_candidate(rollout, session)
@@ -239,16 +316,30 @@
         old_running = sum(
             row.load.running for row in rows if row.server.version != rollout.target
         )
-        elapsed = self._loop.now - record.ordered_at
-        return RolloutMoment(elapsed, rollout.duration, old_running, self._host_count())
+        now = self._loop.now
+        return RolloutMoment(
+            now,
+            now - record.ordered_at,
+            now - record.ordered_by,
+            rollout.duration,
+            rollout.duration - full_load_time(rollout.duration),
+            old_running,
+            record.hosts,
+        )
+
+    def record_session(self, service: str, returning: bool) -> None:
+        """Count a request by whether its session has used some version before."""
+        rollout = self._tables.rollouts.get(service)
+        if returning and rollout is not None and not is_final(rollout.progress):
+            self._record_of(rollout).budget.count_returning(self._loop.now)
 
     def record_call(self, server: BackendServer, route: str) -> None:
         """Count a call that is being sent."""
         rollout = self._tables.rollouts.get(server.service)
         if rollout is not None and not is_final(rollout.progress):
             record = self._record_of(rollout)
-            elapsed = self._loop.now - record.ordered_at
-            record.budget.count(route, server.version == rollout.target, elapsed)
+            is_new = server.version == rollout.target
+            record.budget.count(route, is_new, self._loop.now)
 
     def record_answer(
         self,
@@ -272,7 +363,8 @@
         if slow and not failed and record.repeats_slow_answer(server.id, now):
             return
         if is_new:
-            record.add_new(server.id, route, failed, slow, now)
+            loaded = self._running(rollout, rollout.target) >= record.full_load
+            record.add_new(server.id, route, failed, slow, now, loaded)
         else:
             record.add_old(route, failed, slow, now)
         if failed or slow:
@@ -328,21 +420,42 @@
         rollout = self._tables.rollouts.get(server.service)
         return rollout is not None and server.version in rollout.rejected
 
-    def apply_ages(self, reported: Iterable[RolloutEvidence]) -> None:
-        """Take over from another host how long ago unfinished rollouts were ordered."""
+    def apply_evidence(self, reported: Iterable[RolloutEvidence]) -> None:
+        """Take over what another host has just told of unfinished rollouts.
+
+        This is how long ago they were ordered, what the host has sent, and its
+        judgement.
+        """
         for item in reported:
             rollout = self._tables.rollouts.get(item.service)
-            if item.age is None or rollout is None or is_final(rollout.progress):
+            if rollout is None or is_final(rollout.progress):
+                continue
+            if item.created != rollout.created:
                 continue
-            if item.created == rollout.created:
-                self._record_of(rollout).adopt_age(item.age, self._loop.now)
+            record = self._record_of(rollout)
+            if item.age is not None:
+                record.adopt_age(item.age, self._loop.now)
+            record.add_evidence(item)
+            if item.judged_bad:
+                self._set_bad(rollout, record, self._assess(rollout), elsewhere=True)
 
     def _own_evidence(self, rollout: VersionRollout) -> RolloutEvidence:
         service = rollout.service
         times = self.usual_times(service).usual_times
         paces = self._usual_paces_of(service).usual
-        now = self._loop.now
-        return self._record_of(rollout).evidence(service, times, paces, now)
+        record = self._record_of(rollout)
+        rows = self._tables.servers_of(service)
+        moment = self._moment(rollout, record, rows)
+        requests = self._own_requests(rollout, record, moment)
+        return record.evidence(service, times, paces, requests, moment)
+
+    def _own_requests(
+        self, rollout: VersionRollout, record: _RolloutRecord, moment: RolloutMoment
+    ) -> HostRequests:
+        """Return what this host has sent, as other hosts and the store get it."""
+        full_load = rollout.progress.step >= FULL and not record.bad
+        committed = record.budget.committed(moment, full_load)
+        return HostRequests(self._host, self._start, record.budget.sent, committed)
 
     def _usual_paces_of(self, service: str) -> PaceBaseline:
         return self._usual_paces.setdefault(service, PaceBaseline())
@@ -365,11 +478,13 @@
 
     def _assess(self, rollout: VersionRollout) -> Assessment:
         """Return what the evidence of all hosts says of the new version."""
-        known = [*self._reported(rollout), self._own_evidence(rollout)]
-        return assess(
-            (answers for item in known for answers in item.new),
-            (answers for item in known for answers in item.old),
-        )
+        reported = self._reported(rollout)
+        record, own = self._record_of(rollout), self._own_evidence(rollout)
+        new = [*own.new, *itertools.chain(*record.answers.values())]
+        # Hosts of earlier builds do not tell which start of theirs has answers.
+        earlier = (item.new for item in reported if item.requests is None)
+        new.extend(itertools.chain(*earlier))
+        return assess(new, (counts for item in [*reported, own] for counts in item.old))
 
     def _judge_version(
         self, rollout: VersionRollout, record: _RolloutRecord, assessment: Assessment
@@ -378,16 +493,29 @@
         if record.bad:
             return
         judged = any(item.judged_bad for item in self._reported(rollout))
-        if not judged and not assessment.is_bad:
+        if judged or assessment.is_bad:
+            self._set_bad(rollout, record, assessment, elsewhere=judged)
+
+    def _set_bad(
+        self,
+        rollout: VersionRollout,
+        record: _RolloutRecord,
+        assessment: Assessment,
+        elsewhere: bool,
+    ) -> None:
+        """Mark the new version as bad; tell other hosts unless one of them did so."""
+        if record.bad:
             return
         record.bad = True
         self._log(
             "new version judged bad",
             service=rollout.service,
             target=rollout.target,
-            judged_elsewhere=judged,
+            judged_elsewhere=elsewhere,
             **_assessment_fields(assessment),
         )
+        if not elsewhere:
+            self._on_judged()
 
     def run(self, now: float) -> None:
         """Advance all unfinished rollouts and write their progress if it is due."""
@@ -398,27 +526,118 @@
 
     def _advance(self, rollout: VersionRollout, now: float) -> None:
         record = self._record_of(rollout)
+        self._update_part(rollout, record)
+        self._measure_load(rollout, record, now)
         if record.writing or now < record.write_after:
             return
-        if not record.is_age_sure and now < record.wait_until and not record.bad:
-            return
         elapsed = now - record.ordered_at
         assessment = self._assess(rollout)
         if not is_final(rollout.progress):
             self._judge_version(rollout, record, assessment)
+        if not record.is_age_sure and now < record.wait_until and not record.bad:
+            return
         has_servers = assessment.answers > 0 or self._has_new_servers(rollout)
-        progress = next_progress(rollout, elapsed, assessment, has_servers)
+        progress = next_progress(
+            rollout,
+            elapsed,
+            assessment,
+            has_servers,
+            self._is_confirmed(rollout, record, assessment),
+            self._is_affordable(rollout, record),
+        )
         if record.bad and not is_final(progress):
             progress = attrs.evolve(progress, state=RolloutState.ROLLED_BACK)
+        max_delay = MAX_WRITE_DELAY_SECONDS
+        if is_final(progress):
+            max_delay = MAX_FINAL_WRITE_DELAY_SECONDS
         if progress == rollout.stored_progress:
-            record.due_since = None
-            return
+            if not _is_checkpoint_due(rollout, now - record.ordered_by):
+                record.due_since = None
+                return
+            max_delay = MAX_CHECKPOINT_DELAY_SECONDS
         if record.due_since is None:
             record.due_since = now
-        if now - record.due_since < self._write_delay(rollout):
+        if now - record.due_since < max_delay * self._write_order(rollout):
             return
-        progress = attrs.evolve(progress, ordered_at=record.ordered_unix_seconds)
-        self._write(rollout, record, progress, assessment)
+        self._write(
+            rollout, record, self._stamped(rollout, record, progress), assessment
+        )
+
+    def _stamped(
+        self, rollout: VersionRollout, record: _RolloutRecord, progress: RolloutProgress
+    ) -> RolloutProgress:
+        """Return progress with the rollout's age and what the hosts have sent."""
+        rows = self._tables.servers_of(rollout.service)
+        moment = self._moment(rollout, record, rows)
+        record.add_requests([self._own_requests(rollout, record, moment)])
+        return attrs.evolve(
+            progress,
+            ordered_at=clock.time() - moment.elapsed,
+            elapsed=moment.least_elapsed,
+            requests=tuple(record.requests.values()),
+        )
+
+    def _update_part(self, rollout: VersionRollout, record: _RolloutRecord) -> None:
+        """Update this host's part of the fixed number of allowed requests."""
+        for item in self._reported(rollout):
+            record.add_evidence(item)
+        record.add_requests(rollout.progress.requests)
+        record.adopt_least_age(rollout.progress.elapsed, self._loop.now)
+        hosts = {host for host, _ in record.requests} | {self._host}
+        record.hosts = max(record.hosts, self._host_count(), len(hosts))
+        earlier = [
+            item
+            for (host, start), item in record.requests.items()
+            if host == self._host and start != self._start
+        ]
+        record.budget.part = host_part(self._limit, record.hosts, earlier)
+
+    def _measure_load(
+        self, rollout: VersionRollout, record: _RolloutRecord, now: float
+    ) -> None:
+        """Update what a full load is, as far as the allowed requests suffice for it."""
+        record.usual_load.sample(self._running(rollout), now)
+        rows = self._tables.servers_of(rollout.service)
+        moment = self._moment(rollout, record, rows)
+        rate = record.budget.rate(now)
+        rate += sum(item.rate for item in self._reported(rollout))
+        seconds = record.budget.full_load_seconds(moment)
+        record.full_load = record.usual_load.reached_within(seconds, rate)
+        answers = min(CONFIRMING_ANSWERS, CONFIRMING_FRACTION * rate * seconds)
+        record.confirming_answers = math.floor(answers)
+
+    def _running(self, rollout: VersionRollout, version: str | None = None) -> int:
+        """Return the calls that run on a version, or on all, from all hosts."""
+        rows = self._tables.servers_of(rollout.service)
+        return sum(
+            row.load.running + row.load.running_elsewhere
+            for row in rows
+            if version in (None, row.server.version)
+        )
+
+    def _is_confirmed(
+        self, rollout: VersionRollout, record: _RolloutRecord, assessment: Assessment
+    ) -> bool:
+        """Return whether the answers under full load, from most hosts, are known."""
+        if assessment.loaded < record.confirming_answers:
+            return False
+        reported = [item.requests for item in self._reported(rollout)]
+        live = {(item.host, item.start) for item in reported if item is not None}
+        unheard = 0
+        for key, item in record.requests.items():
+            if key not in live and key != (self._host, self._start):
+                known = record.answers.get(key, ())
+                answers = sum(answer.good + answer.bad for answer in known)
+                unheard += max(0, item.to_new - answers)
+        return unheard <= MAX_UNHEARD_FRACTION * assessment.answers
+
+    def _is_affordable(self, rollout: VersionRollout, record: _RolloutRecord) -> bool:
+        """Return whether the new version may serve alone from now on."""
+        known = [*self._reported(rollout), self._own_evidence(rollout)]
+        left = sum(item.left for item in known)
+        rate = sum(item.rate for item in known)
+        seconds = max(0.0, rollout.duration - (self._loop.now - record.ordered_by))
+        return left >= (1.0 - self._limit.share) * rate * seconds
 
     def _write(
         self,
@@ -484,28 +703,48 @@
         """Return a new record.
 
         The wall clock is used only for a rollout that had progressed before this host
-        read it, for instance after a restart, until another host tells its age.
+        read it, for instance after a restart, until another host tells its age. An
+        order without progress is new, unless this host has started since.
         """
-        wall, now = clock.time(), self._loop.now
-        ordered = rollout.progress.ordered_at
+        progress, now = rollout.progress, self._loop.now
+        least_age = age = progress.elapsed
+        read_at = self._tables.ordered_at(rollout)
+        is_sure = progress.state is RolloutState.ORDERED and read_at is not None
+        if is_sure and read_at is not None:
+            least_age = age = now - read_at
+        elif progress.ordered_at > 0.0:
+            wall_age = clock.time() - progress.ordered_at
+            age = max(least_age, min(wall_age, rollout.duration))
         rounding = hash_fraction(f"{self._host}/{rollout.created}")
-        budget = ExposureBudget(self._limit, rounding)
-        is_sure = rollout.progress.state is RolloutState.ORDERED or ordered <= 0.0
-        age = 0.0 if is_sure else min(max(0.0, wall - ordered), rollout.duration)
-        return _RolloutRecord(
+        record = _RolloutRecord(
             rollout.created,
             rollout.target,
             now - age,
-            wall if is_sure else ordered,
-            budget,
+            now - least_age,
+            ExposureBudget(self._limit, rounding, 0.0, now),
             is_sure,
             now + AGE_WAIT_SECONDS,
+            {},
+            {},
+            self._host_count(),
         )
+        self._update_part(rollout, record)
+        return record
 
-    def _write_delay(self, rollout: VersionRollout) -> float:
+    def _write_order(self, rollout: VersionRollout) -> float:
+        """Return this host's place among those that may write, in [0, 1)."""
         text = f"{self._host}/{rollout.position.revision}".encode()
         digest = hashlib.blake2b(text, digest_size=2).digest()
-        return MAX_WRITE_DELAY_SECONDS * int.from_bytes(digest) / 65536.0
+        return int.from_bytes(digest) / 65536.0
+
+
+def _is_checkpoint_due(rollout: VersionRollout, elapsed: float) -> bool:
+    """Return whether the age in the store is old; `elapsed` is the least age."""
+    if is_final(rollout.progress):
+        return False
+    if rollout.duration - elapsed <= CHECKPOINT_FREE_SECONDS:
+        return False
+    return elapsed - rollout.progress.elapsed >= CHECKPOINT_SECONDS
 
 
 def _without_versions(
--- a/masticfork/relay/rollout_exposure_test.py
+++ b/masticfork/relay/rollout_exposure_test.py
@@ -174,6 +174,8 @@
         self.store = Store(lambda: self.now)
         self.hosts = [Host(f"host-{n}", self) for n in range(fleet.hosts)]
         self._add_servers("v1")
+        for host in self.hosts:
+            host.tables.list_rollouts([])
         # Evidence of the other hosts by the host that has read it.
         self.reported = {}
         # Hosts, rows, routes and end times of the calls that run.
@@ -220,6 +222,7 @@
                     self.ordered = True
                     self._add_servers("v2")
                 self._read_store()
+            self._tell_loads()
             if self.now >= next_digest:
                 next_digest = self.now + self.fleet.digest_seconds
                 self.publish()
@@ -231,6 +234,13 @@
             for _ in range(int(arrivals) + (self.rng.random() < arrivals % 1.0)):
                 self._send_new_request()
 
+    def _tell_loads(self):
+        """Let each host know the calls of the others."""
+        for host in self.hosts:
+            for row in host.tables.rows:
+                running = self.running_by_server[row.server.id]
+                row.load.running_elsewhere = running - row.load.running
+
     def _add_servers(self, version):
         for host in self.hosts:
             for number in range(self.fleet.servers):
--- a/masticfork/relay/tables.py
+++ b/masticfork/relay/tables.py
@@ -110,6 +110,9 @@
         # The latest rollout of services whose order was deleted.
         self._removed_rollouts: dict[str, VersionRollout] = {}
         self._rollouts_known = False
+        # By service, the orders that were given since then: their identifiers and the
+        # loop times at which they were read.
+        self._new_orders: dict[str, tuple[int, float]] = {}
 
     @property
     def routes(self) -> RouteTable | None:
@@ -407,7 +410,6 @@
         If the store was `restored` from an older copy, missing ones stay for the time
         within which operators write them again.
         """
-        self._rollouts_known = True
         listed = {rollout.service: rollout for rollout in rollouts}
         missing = [row for name, row in self._rollouts.items() if name not in listed]
         for rollout in missing:
@@ -420,6 +422,15 @@
                 self.remove_rollout(rollout.service)
         for rollout in listed.values():
             self.put_rollout(rollout)
+        self._rollouts_known = True
+
+    def ordered_at(self, rollout: VersionRollout) -> float | None:
+        """Return the loop time at which an order was read.
+
+        It is None if the order is older than this host's first listing of rollouts.
+        """
+        created, read_at = self._new_orders.get(rollout.service, (None, 0.0))
+        return read_at if created == rollout.created else None
 
     def put_rollout(self, rollout: VersionRollout) -> bool:
         """Add or update a rollout if its position is newer; return whether it was."""
@@ -431,6 +442,10 @@
         known = current or self._removed_rollouts.pop(rollout.service, None)
         if known is not None:
             rollout = with_known_rejections(rollout, known)
+        if self._rollouts_known and (
+            current is None or current.created != rollout.created
+        ):
+            self._new_orders[rollout.service] = rollout.created, self._loop.now
         self._rollouts[rollout.service] = rollout
         self._log(
             "rollout updated",
--- a/masticfork/systems/exposure.py
+++ b/masticfork/systems/exposure.py
@@ -1,35 +1,55 @@
-"""How many requests a version that is not proven may get, kept by each host alone.
+"""How many requests a version that is not proven may get.
 
 The bound on a deployment is a share of all requests of a service plus a fixed number.
 A host takes that share of the requests that it sends itself and an equal part of the
 fixed number, so the sum over the hosts keeps the bound whatever they know of each
-other.
+other. A host that has started anew goes on with what it had left.
 """
 
 import math
 from collections import Counter
+from collections.abc import Iterable
 
 import attrs
 
+from masticfork.core.backend_servers import HostRequests
+
 # Fraction of the bound that is used; requests may reach a server late or not at all.
 USED_FRACTION = 0.92
-# Time after the last step in which requests reach the new version before the rollout's
-# time ends, at most.
-SECONDS_AFTER_COMPLETION = 0.85
+# Time before the end for which requests are kept that reach the new version once it
+# serves alone, at most and as a fraction of a short time. It is longer than the time
+# from the completion to the end, since request rates vary.
+SECONDS_AFTER_COMPLETION, FRACTION_AFTER_COMPLETION = 0.95, 0.16
 # Fraction of the calls running on the old version that are expected to still run, and
 # to be repeated on the new one, when the old servers stop.
-REPEATED_FRACTION = 0.5
-# Duration of the last step for which the canary leaves requests.
-FULL_STEP_SECONDS = 0.5
-# Bounds on the fraction of the allowed requests that the canary step uses.
-MIN_CANARY_FRACTION, MAX_CANARY_FRACTION = 0.1, 0.85
+REPEATED_FRACTION = 0.75
+# Duration of the full load for which the canary leaves requests. Calls of 1 s have
+# reached their usual number on each server by then, and have been answered.
+FULL_LOAD_SECONDS = 2.0
+# Time from the end of the full load to the completion, in which sessions that have used
+# the new version return to it.
+SETTLING_SECONDS = 1.6
+# Answers under the usual load that confirm a version, and the fraction of the requests
+# of a full load that is enough if they are few.
+CONFIRMING_ANSWERS, CONFIRMING_FRACTION = 8, 0.12
+# Fraction of the usual number of calls that counts as the usual load, since their
+# number varies; and of the time of a full load in which all hosts take part in it.
+USUAL_LOAD_FRACTION = 0.9
+COMMON_LOAD_FRACTION = 0.6
+# Time constant of the usual number of calls.
+USUAL_LOAD_SECONDS = 5.0
+# Bounds on the fraction of the allowed requests that the canary step uses, and the
+# requests of all hosts that it gets at least unless they are more than a fraction.
+MIN_CANARY_FRACTION, MAX_CANARY_FRACTION = 0.1, 0.6
+MIN_CANARY_REQUESTS, MAX_MIN_CANARY_FRACTION = 14, 0.25
 # Part of the canary's requests that is divided equally among the main routes, so that a
 # rare route is tried as well; the rest follows the traffic.
 EQUAL_PART = 0.75
 # A route with a larger share of the requests is a main route.
 MAIN_ROUTE_SHARE = 0.05
-# Time constant of the mean request rate.
+# Time constant of the recent request rate, and the least time that it is taken over.
 RATE_SECONDS = 2.0
+MIN_RATE_SECONDS = 0.5
 
 
 @attrs.frozen
@@ -44,32 +64,122 @@
 class RolloutMoment:
     """The state of a rollout, as a host sees it, in which it chooses a version."""
 
-    # Seconds since the order, and until the end of the time that it allows.
+    # Time by a steady clock, in seconds.
+    now: float
+    # Seconds since the order as estimated, and at least.
     elapsed: float
+    least_elapsed: float
+    # Seconds from the order to the end of the time that it allows.
     duration: float
+    # Seconds from the order to the full load.
+    canary_seconds: float
     # Calls that this host runs on the old version.
     old_running: int
-    # Hosts that share the bound, including this one.
+    # Hosts among which the fixed number is divided.
     hosts: int
 
     @property
     def remaining(self) -> float:
-        """Return the seconds left, 0 after the end."""
+        """Return the seconds left as estimated, 0 after the end."""
         return max(0.0, self.duration - self.elapsed)
 
+    @property
+    def most_remaining(self) -> float:
+        """Return the seconds left at most, 0 after the end."""
+        return max(0.0, self.duration - self.least_elapsed)
+
+
+def host_part(
+    limit: ExposureLimit, hosts: int, earlier: Iterable[HostRequests]
+) -> float:
+    """Return a host's part of the fixed number, by what its `earlier` starts have sent.
+
+    A start may use what those before it have left of the host's part, and no more.
+    """
+    balance = sum(limit.share * item.sent - item.to_new for item in earlier)
+    return limit.slack / hosts + balance
+
+
+@attrs.define
+class _RecentCount:
+    """Exponentially decayed number of requests."""
+
+    # Times by a steady clock at which the count begins, and up to which it is decayed.
+    _since: float
+    _decayed_at: float = attrs.field(
+        default=attrs.Factory(lambda self: self._since, takes_self=True)
+    )
+    _count: float = 0.0
+
+    def add(self, now: float) -> None:
+        """Count a request."""
+        self._count = self._decayed(now) + 1.0
+        self._decayed_at = now
+
+    def rate(self, now: float) -> float:
+        """Return the recent requests a second."""
+        seconds = max(MIN_RATE_SECONDS, now - self._since)
+        weight = RATE_SECONDS * (1.0 - math.exp(-seconds / RATE_SECONDS))
+        return self._decayed(now) / weight
+
+    def _decayed(self, now: float) -> float:
+        age = max(0.0, now - self._decayed_at)
+        return self._count * math.exp(-age / RATE_SECONDS)
+
+
+@attrs.define
+class UsualLoad:
+    """Exponentially decayed mean of the calls that a service runs."""
+
+    _sum: float = 0.0
+    _weight: float = 0.0
+    _sampled_at: float = -math.inf
+
+    @property
+    def mean(self) -> float:
+        """Return the mean number of calls, 0 if it is unknown."""
+        return self._sum / self._weight if self._weight else 0.0
+
+    def reached_within(self, seconds: float, rate: float) -> float:
+        """Return the calls that run after a time in which `rate` a second have begun.
+
+        Their number builds up as long as calls usually last.
+        """
+        if rate <= 0.0 or self.mean <= 0.0:
+            return 0.0
+        seconds *= COMMON_LOAD_FRACTION
+        built_up = 1.0 - math.exp(-seconds * rate / self.mean)
+        return USUAL_LOAD_FRACTION * built_up * self.mean
+
+    def sample(self, running: int, now: float) -> None:
+        """Record how many calls run."""
+        decay = math.exp(-max(0.0, now - self._sampled_at) / USUAL_LOAD_SECONDS)
+        self._sum = self._sum * decay + running
+        self._weight = self._weight * decay + 1.0
+        self._sampled_at = now
+
 
 @attrs.define
 class ExposureBudget:
-    """Requests of one service that this host has sent since a rollout was ordered."""
+    """Requests of one service that this host has sent during a rollout."""
 
     _limit: ExposureLimit
     # Number in [0, 1) at which the host rounds its allowances up: they are fractions of
     # a request, and the hosts' sum is to be exact on average.
     _rounding: float
+    # This host's part of the fixed number.
+    part: float
+    # Time by a steady clock from which on requests are counted.
+    _since: float = 0.0
     _all: Counter[str] = attrs.field(factory=Counter)
     _new: Counter[str] = attrs.field(factory=Counter)
-    _recent: float = 0.0
-    _recent_at: float = 0.0
+    _recent: _RecentCount = attrs.field(
+        default=attrs.Factory(lambda self: _RecentCount(self._since), takes_self=True)
+    )
+    # Requests of sessions that have used some version before.
+    _returning: _RecentCount = attrs.field(
+        default=attrs.Factory(lambda self: _RecentCount(self._since), takes_self=True)
+    )
 
     @property
     def sent(self) -> int:
@@ -81,42 +191,99 @@
         """Return the requests sent to the new version."""
         return self._new.total()
 
-    def count(self, route: str, is_new: bool, elapsed: float) -> None:
-        """Count a request that is sent `elapsed` seconds after the order."""
-        self._recent = self._decayed(elapsed) + 1.0
-        self._recent_at = elapsed
+    def count(self, route: str, is_new: bool, now: float) -> None:
+        """Count a request that is sent."""
+        self._recent.add(now)
         self._all[route] += 1
         self._new[route] += is_new
 
+    def count_returning(self, now: float) -> None:
+        """Count a request of a session that has used some version before."""
+        self._returning.add(now)
+
+    def _mean_rate(self, now: float) -> float:
+        """Return the requests a second since the host counts them."""
+        return self.sent / max(MIN_RATE_SECONDS, now - self._since)
+
     def allows_canary(self, route: str, moment: RolloutMoment) -> bool:
         """Return whether the canary step has a request left for a route."""
-        rate = self._decayed(moment.elapsed) / RATE_SECONDS
-        reserved = self._reserved(rate, moment) + rate * FULL_STEP_SECONDS
-        fraction = USED_FRACTION - reserved / self._expected_bound(rate, moment)
-        fraction = min(MAX_CANARY_FRACTION, max(MIN_CANARY_FRACTION, fraction))
-        slack = self._limit.slack / moment.hosts
-        passed = min(1.0, moment.elapsed / moment.duration)
-        bound = self._limit.share * self.sent + slack * passed
-        allowance = fraction * bound * self._weight(route)
+        rate = self.rate(moment.now)
+        kept = self._reserved(rate, moment) + rate * FULL_LOAD_SECONDS
+        expected = self._expected_bound(rate, moment)
+        if expected <= 0.0:
+            return False
+        least = min(
+            MAX_MIN_CANARY_FRACTION, MIN_CANARY_REQUESTS / (expected * moment.hosts)
+        )
+        fraction = max(MIN_CANARY_FRACTION, least, USED_FRACTION - kept / expected)
+        fraction = min(MAX_CANARY_FRACTION, fraction)
+        known = self._limit.share * (self.sent + 1) + self.part
+        passed = min(1.0, moment.elapsed / moment.canary_seconds)
+        allowance = min(fraction * expected * passed, USED_FRACTION * known)
+        allowance *= self._weight(route)
         return self._new[route] + 1 <= allowance + self._rounding
 
-    def allows_all(self, moment: RolloutMoment) -> bool:
-        """Return whether the last step has a request left."""
-        if moment.remaining <= 0.0:
+    def allows_full_load(self, moment: RolloutMoment) -> bool:
+        """Return whether the full load has a request left."""
+        if moment.most_remaining <= 0.0:
             return True
-        rate = self._decayed(moment.elapsed) / RATE_SECONDS
-        used = self.sent_to_new + 1 + self._reserved(rate, moment)
-        return used <= USED_FRACTION * self._expected_bound(rate, moment)
+        allowance = self._full_load_allowance(moment)
+        return self.sent_to_new + 1 <= allowance + self._rounding
+
+    def committed(self, moment: RolloutMoment, full_load: bool) -> int:
+        """Return the requests that the new version may get from this host soon.
+
+        A host that is lost has sent no more than it had told of.
+        """
+        allowance = self._full_load_allowance(moment) if full_load else 0.0
+        return max(self.sent_to_new, math.floor(allowance + self._rounding))
+
+    def left(self, moment: RolloutMoment) -> float:
+        """Return the requests left once the old version's calls were repeated."""
+        repeated = REPEATED_FRACTION * moment.old_running
+        bound = self._limit.share * self.sent + self.part
+        return bound - self.sent_to_new - repeated
+
+    def full_load_seconds(self, moment: RolloutMoment) -> float:
+        """Return for how long the bound allows a full load, at most the usual time."""
+        rate = self._mean_rate(moment.now)
+        if rate <= 0.0:
+            return 0.0
+        slack = self._limit.slack / moment.hosts
+        bound = self._limit.share * rate * moment.duration + slack
+        used = (USED_FRACTION - MIN_CANARY_FRACTION) * bound
+        seconds = (used - self._reserved(rate, moment)) / rate
+        return min(FULL_LOAD_SECONDS, max(0.0, seconds))
+
+    def rate(self, now: float) -> float:
+        """Return the requests a second to expect: the mean, or more in a burst."""
+        mean = self._mean_rate(now)
+        deviation = math.sqrt(mean / (2.0 * RATE_SECONDS))
+        return max(mean, self._recent.rate(now) - deviation)
+
+    def _full_load_allowance(self, moment: RolloutMoment) -> float:
+        rate = self.rate(moment.now)
+        bound = self._limit.share * (self.sent + 1) + self.part
+        expected = self._expected_bound(rate, moment)
+        return min(
+            USED_FRACTION * bound,
+            USED_FRACTION * expected - self._reserved(rate, moment),
+        )
 
     def _expected_bound(self, rate: float, moment: RolloutMoment) -> float:
         """Return the bound at the end of the rollout if the traffic stays as it is."""
         sent = self.sent + rate * moment.remaining
-        return self._limit.share * sent + self._limit.slack / moment.hosts
+        return self._limit.share * sent + self.part
 
     def _reserved(self, rate: float, moment: RolloutMoment) -> float:
-        """Return the requests that reach the new version once it serves alone."""
-        seconds = min(moment.remaining, SECONDS_AFTER_COMPLETION)
-        return rate * seconds + REPEATED_FRACTION * moment.old_running
+        """Return the requests to the new version after the full load."""
+        seconds = min(
+            SECONDS_AFTER_COMPLETION, FRACTION_AFTER_COMPLETION * moment.duration
+        )
+        alone = rate * min(moment.remaining, seconds)
+        repeated = REPEATED_FRACTION * moment.old_running
+        settling = min(moment.remaining, SETTLING_SECONDS)
+        return alone + repeated + settling * self._returning.rate(moment.now)
 
     def _weight(self, route: str) -> float:
         """Return the part of the canary's requests that a route gets."""
@@ -125,7 +292,3 @@
         main = sum(count > MAIN_ROUTE_SHARE * sent for count in self._all.values())
         equal = 1.0 / max(1, main) if share > MAIN_ROUTE_SHARE else share
         return EQUAL_PART * equal + (1.0 - EQUAL_PART) * share
-
-    def _decayed(self, elapsed: float) -> float:
-        age = max(0.0, elapsed - self._recent_at)
-        return self._recent * math.exp(-age / RATE_SECONDS)
--- a/masticfork/systems/version_evidence.py
+++ b/masticfork/systems/version_evidence.py
@@ -33,7 +33,7 @@
 # Answers, over all routes and of each main route, without which a version is not
 # proven; fewer are enough where the old version had little to answer.
 MIN_ANSWERS, MIN_ROUTE_ANSWERS = 10, 3
-MIN_ANSWER_SHARE = 0.1
+MIN_ANSWER_SHARE = 0.06
 # A route with a larger share of the old version's answers is a main route.
 MAIN_ROUTE_SHARE = 0.08
 
@@ -51,6 +51,8 @@
     suspicion: float
     # Whether the version has answered enough on each main route.
     proven: bool
+    # Answers under the usual load of the service.
+    loaded: int = 0
 
     @property
     def is_bad(self) -> bool:
@@ -73,6 +75,8 @@
         groups += [
             [item for item in answers if item.route == route] for route in routes
         ]
+    # Some versions fail under load only.
+    groups.append([item for item in answers if item.loaded])
     harm = suspicion = 0.0
     for group in groups:
         for measure in _MEASURES:
@@ -86,6 +90,7 @@
         harm=harm,
         suspicion=suspicion,
         proven=_is_proven(answers, reference),
+        loaded=sum(item.good + item.bad for item in answers if item.loaded),
     )
 
 
@@ -183,7 +188,8 @@
     if by_route.total() < min(MIN_ANSWERS, MIN_ANSWER_SHARE * total):
         return False
     return all(
-        by_route[route] >= min(MIN_ROUTE_ANSWERS, MIN_ANSWER_SHARE * item.total)
+        by_route[route]
+        >= math.floor(min(MIN_ROUTE_ANSWERS, MIN_ANSWER_SHARE * item.total))
         for route, item in reference.items()
         if item.total > MAIN_ROUTE_SHARE * total
     )
--- a/masticfork/systems/version_shift.py
+++ b/masticfork/systems/version_shift.py
@@ -3,7 +3,8 @@
 All hosts follow the step in the store. A host that finds the new version bad stops
 sending requests to it at once and records the rollback. Any host may record the next
 step, with a conditional write that fails if another host has written since. What the
-version may get before the end of the rollout's time is limited by `exposure`.
+version may get before the end of the rollout's time is limited by `exposure`. It is
+completed only if it was confirmed by its answers under the full load of the service.
 """
 
 import statistics
@@ -21,17 +22,25 @@
 from masticfork.systems.version_evidence import Assessment
 
 # The canary step gets a part of the requests that a version may get before it is
-# proven, the full step all of them as far as that limit allows.
-CANARY, FULL = 0, 1
+# proven, the full step all requests as far as that limit allows. A confirmed version
+# keeps its sessions until it is completed.
+CANARY, FULL, CONFIRMED = 0, 1, 2
 # Fraction of the sessions from which the canary step takes its requests. All hosts take
 # the same ones, so that a session that changes hosts mostly keeps its version.
 CANARY_CANDIDATES = 0.5
-# Seconds before the end of the rollout's time at which the full step begins and at
-# which the rollout is completed or rolled back; and the fractions of a short time for
-# both. Until then the new version is a small part of the service: what it has been
-# shown to bear so far is no more than that.
-FULL_SECONDS, FULL_FRACTION = 1.7, 0.3
+# Seconds before the end of the rollout's time at which the full step begins, at which
+# the version may be confirmed, and at which the rollout is completed; and the fractions
+# of a short time for them. Answers under full load, and what other hosts have had, are
+# known before the version is confirmed.
+FULL_SECONDS, FULL_FRACTION = 5.0, 0.48
+CONFIRMATION_SECONDS, CONFIRMATION_FRACTION = 2.0, 0.25
 COMPLETION_SECONDS, COMPLETION_FRACTION = 0.9, 0.15
+# Fraction of the time from the full step to the end at which it begins for a version
+# that has not answered enough, since the service has few requests.
+UNPROVEN_FRACTION = 0.85
+# Fraction of the time from the completion to the end at which a version that is not
+# confirmed is rolled back.
+LAST_CHANCE_FRACTION = 0.4
 # An answer is slow if it took longer than this quantile of the old version's recent
 # answers by this factor. Times are compared relative to the expected ones, since these
 # differ with the length of the prompt, what the server keeps of it, and its queue.
@@ -185,12 +194,15 @@
     elapsed: float,
     assessment: Assessment,
     has_servers: bool = True,
+    loaded: bool = True,
+    affordable: bool = True,
 ) -> RolloutProgress:
     """Return the rollout's next progress, or the current one if no change is due.
 
     `elapsed` is the time in seconds since the rollout was ordered, and `has_servers`
     states whether the new version has any server: without one it never replaces the old
-    one.
+    one. It is `loaded` if it has answered under the full load of the service, and
+    `affordable` if it may serve alone until the end of the rollout's time.
     """
     progress, duration = rollout.progress, rollout.duration
     if is_final(progress):
@@ -201,16 +213,36 @@
         return attrs.evolve(progress, state=RolloutState.RUNNING, step=CANARY)
     remaining = duration - elapsed
     passed = has_servers and not assessment.is_suspicious
-    if remaining <= min(COMPLETION_SECONDS, COMPLETION_FRACTION * duration):
-        served = progress.step >= FULL and passed
-        final = RolloutState.DONE if served else RolloutState.ROLLED_BACK
-        return attrs.evolve(progress, state=final)
-    due = remaining <= min(FULL_SECONDS, FULL_FRACTION * duration)
-    if progress.step < FULL and due and passed and assessment.proven:
+    completion = min(COMPLETION_SECONDS, COMPLETION_FRACTION * duration)
+    if remaining <= completion and not passed:
+        return attrs.evolve(progress, state=RolloutState.ROLLED_BACK)
+    if progress.step >= CONFIRMED:
+        if remaining <= completion and affordable:
+            return attrs.evolve(progress, state=RolloutState.DONE)
+        return progress
+    chance = LAST_CHANCE_FRACTION if progress.step == FULL else 1.0
+    if remaining <= chance * completion:
+        return attrs.evolve(progress, state=RolloutState.ROLLED_BACK)
+    if not passed:
+        return progress
+    confirmable = min(CONFIRMATION_SECONDS, CONFIRMATION_FRACTION * duration)
+    if progress.step == FULL:
+        if remaining <= confirmable and loaded and assessment.proven:
+            return attrs.evolve(progress, step=CONFIRMED)
+        return progress
+    full_load = full_load_time(duration)
+    if not assessment.proven:
+        full_load *= UNPROVEN_FRACTION
+    if confirmable < remaining <= full_load:
         return attrs.evolve(progress, step=FULL)
     return progress
 
 
+def full_load_time(duration: float) -> float:
+    """Return the seconds from the start of the full step to the end of the time."""
+    return min(FULL_SECONDS, FULL_FRACTION * duration)
+
+
 def is_canary_candidate(rollout: VersionRollout, session: str) -> bool:
     """Return whether the canary step may take a session; the same on all hosts."""
     return hash_fraction(f"{rollout.created}/{session}") < CANARY_CANDIDATES
