Refuse late orders that a stopping host may not answer in time

Callers: an order that reached a stopping host late was sent if twice its route's slowest recent response ended before the exit. If its server turned slow just then, the caller got 502 for work that ran, though other hosts could have taken it.

Cause: a guess about the server where only the time limit is certain.

Why it works: a request that may not be repeated is sent only if its own time limit ends before the exit, else refused at once as not run.

The test that an order is accepted 1 s before the exit asserted the guess; it now asserts it for requests that may be repeated, and for orders both sides of the new rule.

--- a/masticfork/relay/stopping_host_test.py
+++ b/masticfork/relay/stopping_host_test.py
@@ -119,16 +119,47 @@
         assert {200, 503} <= {status for status, _ in answers.received}
         assert set(answers.of(attempts)) == {200}
 
-    def test_requests_are_accepted_while_they_end_in_time(self):
+    @pytest.mark.parametrize(
+        ("kind", "limit_ms", "status"),
+        [("safe", 3000, 200), ("unsafe", 700, 200), ("unsafe", 3000, 503)],
+    )
+    def test_requests_are_accepted_while_they_end_in_time(self, kind, limit_ms, status):
         """Guards against refusals of requests that could still be answered."""
+        limit = {"X-Masticfork-Deadline-Ms": str(limit_ms)}
         with busy_host() as env:
             env.add_server(lambda r: [response(r, b"whole")], SERVICE)
             env.wait_for_servers(1)
             for _ in range(8):
-                assert env.send("/unsafe/x").status == 200
+                assert env.send(f"/{kind}/x").status == 200
             env.host.request_stop()
             time.sleep(GRACE_SECONDS - STOP_MARGIN_SECONDS - 1.0)
-            assert env.send("/unsafe/x").status == 200
+            assert env.send(f"/{kind}/x", headers=limit).status == status
+
+    @pytest.mark.parametrize("seconds", [1.5, 3.0])
+    def test_request_that_may_not_be_repeated_never_depends_on_a_guess(self, seconds):
+        """Guards against orders cut off as their server turns slow during the stop."""
+        slow_from = float("inf")
+
+        def turning_slow(request):
+            time.sleep(seconds if time.monotonic() > slow_from else 0.02)
+            yield response(request, b"whole")
+
+        with busy_host() as env:
+            server = env.add_server(turning_slow, SERVICE, slots=64)
+            env.wait_for_servers(1)
+            answers = Answers(env)
+            for _ in range(8):
+                answers.send("/unsafe/x")
+            answers.join()
+            env.host.request_stop()
+            slow_from = time.monotonic() + 1.0
+            while env.host.loop.running:
+                answers.send("/unsafe/x")
+                time.sleep(0.1)
+            answers.join()
+            attempts = {request.attempt_id for request in server.requests}
+        assert {200, 503} <= {status for status, _ in answers.received}
+        assert set(answers.of(attempts)) == {200}
 
 
 class TestLateRetries:
--- a/masticfork/systems/graceful_stop.py
+++ b/masticfork/systems/graceful_stop.py
@@ -53,12 +53,14 @@
         """Return whether a request sent to a server now may outlast the stop.
 
         `answer_deadline` is when it is answered at the latest, and `slowest` the
-        seconds of the route's slowest recent response, None if they are unknown.
+        seconds of the route's slowest recent response, None if they are unknown. A
+        server may turn slow, so requests that may not be repeated must end by their
+        deadline: other hosts can still take them.
         """
         if not self.closes_idle_connections(now):
             return False
         ends_at = answer_deadline
-        if slowest is not None:
+        if slowest is not None and route.retryable:
             is_stream = route.kind is RouteKind.STREAM
             allowance = max(
                 STREAM_ALLOWANCE_SECONDS if is_stream else NON_STREAM_ALLOWANCE_SECONDS,
--- a/masticfork/systems/graceful_stop_test.py
+++ b/masticfork/systems/graceful_stop_test.py
@@ -1,5 +1,6 @@
 """Tests of graceful stops: what is accepted until when, and when the host exits."""
 
+import attrs
 import pytest
 
 from masticfork.core.routes import Route, RouteKind, ServiceShare
@@ -39,7 +40,6 @@
         [
             (RouteKind.STREAM, STREAM_ALLOWANCE_SECONDS),
             (RouteKind.IDEMPOTENT, NON_STREAM_ALLOWANCE_SECONDS),
-            (RouteKind.NON_IDEMPOTENT, NON_STREAM_ALLOWANCE_SECONDS),
         ],
     )
     def test_request_that_would_be_cut_off_is_refused(self, kind, allowance):
@@ -47,13 +47,25 @@
         assert not may_cut_off(kind, last)
         assert may_cut_off(kind, END - allowance + 0.1)
 
-    @pytest.mark.parametrize("kind", [RouteKind.IDEMPOTENT, RouteKind.NON_IDEMPOTENT])
-    def test_request_of_a_slow_route_is_refused_sooner(self, kind):
+    def test_request_of_a_slow_route_is_refused_sooner(self):
         """Guards against requests that a stopping host accepts late and cuts off."""
-        allowance = SLOWEST_RESPONSE_FACTOR * 0.9
+        kind, allowance = RouteKind.IDEMPOTENT, SLOWEST_RESPONSE_FACTOR * 0.9
         assert not may_cut_off(kind, END - allowance - 0.01, slowest=0.9)
         assert may_cut_off(kind, END - allowance + 0.01, slowest=0.9)
 
+    @pytest.mark.parametrize("slowest", [None, 0.01, 0.9, 20.0])
+    @pytest.mark.parametrize("resumable", [False, True])
+    @pytest.mark.parametrize("kind", [RouteKind.NON_IDEMPOTENT, RouteKind.STREAM])
+    def test_request_that_may_not_be_repeated_must_end_by_its_deadline(
+        self, kind, resumable, slowest
+    ):
+        """Guards against orders cut off as their server turns slow during the stop."""
+        unrepeatable = attrs.evolve(route(kind), resumable=resumable)
+        if unrepeatable.retryable:
+            return
+        for now, expected in ((END - 4.01, False), (END - 3.99, True)):
+            assert STOP.may_cut_off(unrepeatable, now + 4.0, slowest, now) is expected
+
     @pytest.mark.parametrize("kind", list(RouteKind))
     def test_request_of_an_unknown_route_may_last_until_its_deadline(self, kind):
         assert not may_cut_off(kind, END - 4.01, time_limit=4.0, slowest=None)
