Test responses that end inside their head

Other operators reported a 200 with an empty or short body after a server had stopped in the middle of a head.

--- a/masticfork/relay/unreachable_servers_test.py
+++ b/masticfork/relay/unreachable_servers_test.py
@@ -216,6 +216,23 @@
         assert cut_off.send("/unsafe/x").status == 502
         assert len(self.requests(cut_off)) == 1
 
+    @pytest.mark.parametrize("end", [CloseConnectionError, ResetConnectionError])
+    @pytest.mark.parametrize("kind", ["safe", "unsafe"])
+    @pytest.mark.parametrize("missing", [1, 3, 30, 120])
+    def test_answer_that_ends_in_its_head_is_a_failure(
+        self, cut_off, kind, missing, end
+    ):
+        """Guards against a short or empty answer that is framed as whole."""
+
+        def cut(request):
+            yield response(request, b"")[:-missing]
+            raise end
+
+        self.use(cut_off, cut)
+        assert cut_off.send(f"/{kind}/x").status == 502
+        ran = Counter(request.attempt_id for request in self.requests(cut_off))
+        assert kind == "safe" or set(ran.values()) == {1}
+
     @pytest.mark.parametrize("kind", ["safe", "unsafe"])
     def test_repeated_refusal_of_another_request_is_not_met(self, cut_off, kind):
         """Guards against "not run" for a request that a server is running."""
