Hear hosts that start anew after their clock was set back

A host that had started while its clock was ahead, and starts again once the clock is right, was ignored by its peers for 20 s: its loads, its evidence on rollouts, and its judgements.

Cause: starts are told apart by the time of day, and an earlier one counted as a late datagram however long the host had been silent.

Evidence: a digest 0.5 s after the last one with an earlier start time was ignored (TestRestarts, failed before).

Why it works: datagrams are not under way for 0.5 s.

Writes of rollout progress now log the load and the least age as well.

--- a/masticfork/relay/partial_digests_test.py
+++ b/masticfork/relay/partial_digests_test.py
@@ -11,7 +11,12 @@
 from masticfork.core.store_position import StorePosition
 from masticfork.relay.digest_codec import encode_digest
 from masticfork.relay.loop import Loop
-from masticfork.relay.peers import GATHER_SECONDS, GATHERING_HOSTS, Peers
+from masticfork.relay.peers import (
+    GATHER_SECONDS,
+    GATHERING_HOSTS,
+    REORDERING_SECONDS,
+    Peers,
+)
 from standins.common import LOOPBACK
 from standins.entry_environment import free_address
 from standins.fake_loop import FakeLoop
@@ -112,6 +117,40 @@
         self.registered = False
 
 
+class TestRestarts:
+    """Hosts that start anew; incarnations are start times by the time of day."""
+
+    def peers(self, loop):
+        return Peers(
+            loop,
+            free_address(),
+            (),
+            "host-1",
+            "zone-a",
+            lambda *_: None,
+            lambda _: None,
+            lambda *_, **__: None,
+        )
+
+    def incarnation_known_after(self, seconds: float) -> int:
+        """Return which start is known if the second one has an earlier time."""
+        loop = RecordingLoop()
+        peers = self.peers(loop)
+        for incarnation in (5000, 3000):
+            digest = attrs.evolve(FULL, incarnation=incarnation)
+            peers.on_datagram(encode_digest(digest), Address(LOOPBACK, 1))
+            loop.advance(seconds)
+        (known,) = peers.live_digests
+        return known.incarnation
+
+    def test_host_whose_clock_was_set_back_is_heard(self):
+        """Guards against a host that is ignored since its clock was ahead before."""
+        assert self.incarnation_known_after(REORDERING_SECONDS) == 3000
+
+    def test_late_datagram_of_an_earlier_start_is_ignored(self):
+        assert self.incarnation_known_after(REORDERING_SECONDS / 2) == 5000
+
+
 class TestGathering:
     """Pattern: 76 hosts that each send four datagrams a second."""
 
--- a/masticfork/relay/peers.py
+++ b/masticfork/relay/peers.py
@@ -37,6 +37,8 @@
 GATHER_SECONDS = 0.04
 # Age beyond which a digest is ignored.
 DIGEST_LIFETIME_SECONDS = 3.0
+# Silence of a host after which no datagram of an earlier start of it is under way.
+REORDERING_SECONDS = 0.5
 # Silence after which a host no longer shares the retry budget.
 BUDGET_SHARE_SECONDS = 20.0
 # Timeout of fetching a peer's store copy, and the interval before the next attempt.
@@ -261,7 +263,7 @@
             if digest.partial:
                 # Its base is unknown; the next full digest holds these loads as well.
                 return
-            if known is not None and digest.incarnation < known.digest.incarnation:
+            if known is not None and self._is_late(known, digest):
                 return
         elif digest.sequence <= known.sequence:
             return
@@ -285,6 +287,15 @@
         known.sequence, known.heard_at = digest.sequence, self._loop.now
         known.digest = known.digest.updated_by(digest)
 
+    def _is_late(self, known: _Peer, digest: Digest) -> bool:
+        """Return whether a digest is of an earlier start than the one that is known.
+
+        Starts are told apart by the time of day, which may have been set back.
+        """
+        silent = self._loop.now - known.heard_at
+        is_earlier = digest.incarnation < known.digest.incarnation
+        return is_earlier and silent < REORDERING_SECONDS
+
     def _replace_load(self, peer: _Peer, server: int, load: HostLoad) -> None:
         previous = peer.loads.get(server)
         if previous == load:
--- a/masticfork/relay/rollout_controller.py
+++ b/masticfork/relay/rollout_controller.py
@@ -656,7 +656,11 @@
             sent=record.budget.sent,
             sent_to_new=record.budget.sent_to_new,
             **_assessment_fields(assessment),
+            confirming_answers=record.confirming_answers,
+            full_load=round(record.full_load, 1),
+            part=round(record.budget.part, 1),
             elapsed=round(self._loop.now - record.ordered_at, 2),
+            least_elapsed=round(self._loop.now - record.ordered_by, 2),
             revision=rollout.position.revision,
             era=rollout.position.era,
         )
@@ -772,4 +776,5 @@
         "harm": round(assessment.harm, 2),
         "suspicion": round(assessment.suspicion, 2),
         "proven": assessment.proven,
+        "loaded": assessment.loaded,
     }
