Complete good versions of engines in time

Cause: engines that get a whole service keep nothing of what the old ones have read, and are slower at first; the full load is long enough now to count that as evidence. And what was left of the allowed requests was asked for more strictly than it had been kept, since long calls may be repeated.

Why it works: under the first full load of a service of long calls only answers four times slower than usual count as slow. A rollout whose age is sure is completed 0.5 s before its end at the latest. Failures under load are still judged on their own, slowness under load is not.

--- a/masticfork/relay/rollout_controller.py
+++ b/masticfork/relay/rollout_controller.py
@@ -41,7 +41,9 @@
 from masticfork.systems.stream_pace import PaceBaseline, StreamPace
 from masticfork.systems.version_evidence import Assessment, assess
 from masticfork.systems.version_shift import (
+    COLD_SLOW_MULTIPLE,
     FULL,
+    SLOW_MULTIPLE,
     AnswerCounts,
     LatencyBaseline,
     ResponseTime,
@@ -68,6 +70,11 @@
 # delay before the write of a checkpoint. A write that is under way holds up the next.
 CHECKPOINT_FREE_SECONDS = 2.0
 MAX_CHECKPOINT_DELAY_SECONDS = 1.2
+# Mean length of calls from which on they are those of engines, which read prompts
+# before they answer.
+LONG_CALL_SECONDS = 0.5
+# Time before the end at which a rollout whose age is sure is completed in any case.
+LATEST_COMPLETION_SECONDS = 0.5
 # Requests that the new version got from hosts that were lost with its answers, as a
 # fraction of the known answers, above which it is not confirmed.
 MAX_UNHEARD_FRACTION = 0.35
@@ -118,6 +125,8 @@
     # Calls on the new version that count as that load, and the answers under it that
     # confirm the version.
     full_load: float = math.inf
+    # Mean length of the service's calls, in seconds.
+    call_seconds: float = 0.0
     confirming_answers: int = 0
     # Answers of the new version by hashes of server and route, second since the order,
     # and whether they are loaded; the oldest are dropped.
@@ -387,12 +396,22 @@
             return
         record = self._record_of(rollout)
         if is_new:
+            slow = slow and not self._is_slow_to_begin(rollout)
             record.add_new(server.id, STREAM_PACE, False, slow, now)
         else:
             record.add_old(STREAM_PACE, False, slow, now)
         if slow:
             self._judge_version(rollout, record, self._assess(rollout))
 
+    def _is_slow_to_begin(self, rollout: VersionRollout) -> bool:
+        """Return whether a good version may be slow under its first full load.
+
+        Engines are until they have read what those of the old version keep.
+        """
+        if rollout.progress.step < FULL:
+            return False
+        return self._record_of(rollout).call_seconds >= LONG_CALL_SECONDS
+
     def usual_times(self, service: str) -> LatencyBaseline:
         """Return the response times of a service without those of a new version."""
         return self._usual_times.setdefault(service, LatencyBaseline())
@@ -470,7 +489,13 @@
         self, rollout: VersionRollout | None, server: BackendServer, time: ResponseTime
     ) -> bool:
         elsewhere = [item.usual_times for item in self._reported(rollout)]
-        return self.usual_times(server.service).is_slow(time, elsewhere)
+        is_cold = (
+            rollout is not None
+            and _is_on_trial(rollout, server)
+            and self._is_slow_to_begin(rollout)
+        )
+        multiple = COLD_SLOW_MULTIPLE if is_cold else SLOW_MULTIPLE
+        return self.usual_times(server.service).is_slow(time, elsewhere, multiple)
 
     def _has_new_servers(self, rollout: VersionRollout) -> bool:
         rows = self._tables.servers_of(rollout.service)
@@ -603,6 +628,7 @@
         rate += sum(item.rate for item in self._reported(rollout))
         seconds = record.budget.full_load_seconds(moment)
         record.full_load = record.usual_load.reached_within(seconds, rate)
+        record.call_seconds = record.usual_load.call_seconds(rate)
         answers = min(CONFIRMING_ANSWERS, CONFIRMING_FRACTION * rate * seconds)
         record.confirming_answers = math.floor(answers)
 
@@ -637,6 +663,9 @@
         left = sum(item.left for item in known)
         rate = sum(item.rate for item in known)
         seconds = max(0.0, rollout.duration - (self._loop.now - record.ordered_by))
+        if record.is_age_sure and seconds <= LATEST_COMPLETION_SECONDS:
+            # What is needed now was kept; calls that may be repeated vary.
+            return True
         return left >= (1.0 - self._limit.share) * rate * seconds
 
     def _write(
--- a/masticfork/relay/rollout_evidence_test.py
+++ b/masticfork/relay/rollout_evidence_test.py
@@ -1,6 +1,7 @@
 """Evidence that a host collects on a rollout."""
 
 import attrs
+import pytest
 from result import Err
 
 from masticfork.core.backend_servers import (
@@ -16,7 +17,7 @@
 from masticfork.relay.tables import Tables
 from masticfork.store.client import ErrorKind, PlatformError
 from masticfork.systems.exposure import ExposureLimit
-from masticfork.systems.version_shift import ResponseTime
+from masticfork.systems.version_shift import CANARY, FULL, ResponseTime
 from standins.fake_loop import FakeLoop, SynchronousExecutor
 
 
@@ -99,6 +100,36 @@
         (evidence,) = controller.evidence()
         return slow_answers(evidence)
 
+    @pytest.mark.parametrize(
+        ("step", "running", "seconds", "expected"),
+        [
+            (CANARY, 4, 0.4, 1),
+            (FULL, 4, 0.4, 0),
+            (FULL, 4, 0.9, 1),
+            (FULL, 0, 0.4, 1),
+        ],
+    )
+    def test_engines_may_be_slower_under_their_first_full_load(
+        self, step, running, seconds, expected
+    ):
+        """Guards against good versions accused while their engines keep nothing."""
+        tables, controller = self.controller()
+        for version in ("v1", "v2"):
+            tables.put_server(server(version))
+        for _ in range(20):
+            controller.record_answer(
+                server("v1"), "r", False, ResponseTime(0, 0.1), 0.0
+            )
+        tables.put_rollout(rollout(RolloutState.RUNNING, step))
+        controller.record_call(server("v1"), "r")
+        tables.row("i-v1").load.running = running
+        controller.run(0.0)
+        controller.record_answer(
+            server("v2"), "r", False, ResponseTime(0, seconds), 0.0
+        )
+        (evidence,) = controller.evidence()
+        assert slow_answers(evidence) == expected
+
     def test_withdrawn_version_does_not_change_the_usual_times(self):
         tables, controller = self.controller()
         tables.put_rollout(rollout(RolloutState.RUNNING))
--- a/masticfork/systems/exposure.py
+++ b/masticfork/systems/exposure.py
@@ -21,8 +21,9 @@
 # from the completion to the end, since request rates vary.
 SECONDS_AFTER_COMPLETION, FRACTION_AFTER_COMPLETION = 0.95, 0.16
 # Fraction of the calls running on the old version that are expected to still run, and
-# to be repeated on the new one, when the old servers stop.
-REPEATED_FRACTION = 0.75
+# to be repeated on the new one, when the old servers stop; and the one for which
+# requests are kept until then.
+REPEATED_FRACTION, KEPT_FRACTION = 0.65, 0.75
 # Duration of the full load for which the canary leaves requests. Calls of 1 s have
 # reached their usual number on each server by then, and have been answered.
 FULL_LOAD_SECONDS = 2.0
@@ -151,6 +152,10 @@
         built_up = 1.0 - math.exp(-seconds * rate / self.mean)
         return USUAL_LOAD_FRACTION * built_up * self.mean
 
+    def call_seconds(self, rate: float) -> float:
+        """Return how long calls last if so many begin each second, 0 if unknown."""
+        return self.mean / rate if rate > 0.0 else 0.0
+
     def sample(self, running: int, now: float) -> None:
         """Record how many calls run."""
         decay = math.exp(-max(0.0, now - self._sampled_at) / USUAL_LOAD_SECONDS)
@@ -281,7 +286,7 @@
             SECONDS_AFTER_COMPLETION, FRACTION_AFTER_COMPLETION * moment.duration
         )
         alone = rate * min(moment.remaining, seconds)
-        repeated = REPEATED_FRACTION * moment.old_running
+        repeated = KEPT_FRACTION * moment.old_running
         settling = min(moment.remaining, SETTLING_SECONDS)
         return alone + repeated + settling * self._returning.rate(moment.now)
 
--- a/masticfork/systems/version_evidence.py
+++ b/masticfork/systems/version_evidence.py
@@ -75,14 +75,14 @@
         groups += [
             [item for item in answers if item.route == route] for route in routes
         ]
+    judged = [(group, measure) for group in groups for measure in _MEASURES]
     # Some versions fail under load only.
-    groups.append([item for item in answers if item.loaded])
+    judged.append(([item for item in answers if item.loaded], _FAILURES))
     harm = suspicion = 0.0
-    for group in groups:
-        for measure in _MEASURES:
-            peak, last = _evidence(group, measure, reference)
-            harm = max(harm, peak / BAD_EVIDENCE)
-            suspicion = max(suspicion, last / SUSPICIOUS_EVIDENCE)
+    for group, measure in judged:
+        peak, last = _evidence(group, measure, reference)
+        harm = max(harm, peak / BAD_EVIDENCE)
+        suspicion = max(suspicion, last / SUSPICIOUS_EVIDENCE)
     return Assessment(
         answers=sum(item.good + item.bad for item in answers),
         failed=sum(item.bad for item in answers),
@@ -115,17 +115,13 @@
         return min(max(share, self.min_share), 1.0 - 2.0 * self.min_share)
 
 
-_MEASURES = (
-    _Measure(
-        lambda item: item.bad,
-        lambda item: item.bad,
-        PRIOR_FAILED_SHARE,
-        MIN_FAILED_SHARE,
-    ),
-    _Measure(
-        lambda item: item.slow, lambda item: item.slow, PRIOR_SLOW_SHARE, MIN_SLOW_SHARE
-    ),
+_FAILURES = _Measure(
+    lambda item: item.bad, lambda item: item.bad, PRIOR_FAILED_SHARE, MIN_FAILED_SHARE
 )
+_SLOWNESS = _Measure(
+    lambda item: item.slow, lambda item: item.slow, PRIOR_SLOW_SHARE, MIN_SLOW_SHARE
+)
+_MEASURES = (_FAILURES, _SLOWNESS)
 
 
 def _evidence(
--- a/masticfork/systems/version_evidence_test.py
+++ b/masticfork/systems/version_evidence_test.py
@@ -1,5 +1,6 @@
 import random
 
+import attrs
 import pytest
 
 from masticfork.core.digests import NewAnswers, OldAnswers
@@ -62,6 +63,17 @@
         few = answers(MIN_ROUTE_ANSWERS, route=2)
         assert assess(answers(MIN_ANSWERS) + few, OLD).proven
 
+    def test_failures_under_load_are_not_diluted(self):
+        """Guards against versions that fail under the usual load only."""
+        loaded = [
+            attrs.evolve(item, loaded=True)
+            for item in answers(12, bad={1, 6, 11}, since=20)
+        ]
+        between = answers(60, since=20)
+        assert assess(answers(20) + loaded + between, OLD).is_bad
+        unloaded = [attrs.evolve(item, loaded=False) for item in loaded]
+        assert not assess(answers(20) + unloaded + between, OLD).is_bad
+
     def test_service_without_requests_needs_no_answers(self):
         assert assess([], []).proven
 
--- a/masticfork/systems/version_shift.py
+++ b/masticfork/systems/version_shift.py
@@ -46,6 +46,8 @@
 # differ with the length of the prompt, what the server keeps of it, and its queue.
 USUAL_QUANTILE = 0.9
 SLOW_MULTIPLE = 2.0
+# The same for engines that have just got all requests of their service.
+COLD_SLOW_MULTIPLE = 4.0
 # Added to expected times, which contain neither transport nor an engine's first step.
 FIXED_RESPONSE_SECONDS = 0.05
 # Faster answers never count as slow.
@@ -123,7 +125,10 @@
         times.append(time.relative)
 
     def is_slow(
-        self, time: ResponseTime, elsewhere: Sequence[Mapping[int, float]] = ()
+        self,
+        time: ResponseTime,
+        elsewhere: Sequence[Mapping[int, float]] = (),
+        multiple: float = SLOW_MULTIPLE,
     ) -> bool:
         """Return whether an answer of either version is slow against the baseline.
 
@@ -137,7 +142,7 @@
             if not others:
                 return False
             usual = statistics.median(others)
-        return time.relative > usual * SLOW_MULTIPLE
+        return time.relative > usual * multiple
 
 
 def is_final(progress: RolloutProgress) -> bool:
