--- a/masticfork/relay/rollout_controller.py
+++ b/masticfork/relay/rollout_controller.py
@@ -509,7 +509,8 @@
         # Hosts of earlier builds do not tell which start of theirs has answers.
         earlier = (item.new for item in reported if item.requests is None)
         new.extend(itertools.chain(*earlier))
-        return assess(new, (counts for item in [*reported, own] for counts in item.old))
+        old = (counts for item in [*reported, own] for counts in item.old)
+        return assess(new, old, self._loop.now - record.ordered_at)
 
     def _judge_version(
         self, rollout: VersionRollout, record: _RolloutRecord, assessment: Assessment
@@ -806,4 +807,5 @@
         "suspicion": round(assessment.suspicion, 2),
         "proven": assessment.proven,
         "loaded": assessment.loaded,
+        "recent": assessment.recent,
     }
--- a/masticfork/systems/version_evidence.py
+++ b/masticfork/systems/version_evidence.py
@@ -36,6 +36,8 @@
 MIN_ANSWER_SHARE = 0.06
 # A route with a larger share of the old version's answers is a main route.
 MAIN_ROUTE_SHARE = 0.08
+# Age up to which answers are recent; they are counted by whole seconds.
+RECENT_SECONDS = 1.0
 
 
 @attrs.frozen
@@ -53,6 +55,8 @@
     proven: bool
     # Answers under the usual load of the service.
     loaded: int = 0
+    # Answers of the last `RECENT_SECONDS`.
+    recent: int = 0
 
     @property
     def is_bad(self) -> bool:
@@ -65,8 +69,13 @@
         return self.harm >= 1.0 or self.suspicion >= 1.0
 
 
-def assess(new: Iterable[NewAnswers], old: Iterable[OldAnswers]) -> Assessment:
-    """Return the assessment of a new version from the answers of all hosts."""
+def assess(
+    new: Iterable[NewAnswers], old: Iterable[OldAnswers], elapsed: float = 0.0
+) -> Assessment:
+    """Return the assessment of a new version from the answers of all hosts.
+
+    `elapsed` is the time in seconds since the order.
+    """
     answers = sorted(new, key=lambda item: item.second)
     reference = _sum_by_route(old)
     routes = {item.route for item in answers}
@@ -91,6 +100,11 @@
         suspicion=suspicion,
         proven=_is_proven(answers, reference),
         loaded=sum(item.good + item.bad for item in answers if item.loaded),
+        recent=sum(
+            item.good + item.bad
+            for item in answers
+            if item.second >= int(elapsed - RECENT_SECONDS)
+        ),
     )
 
 
--- a/masticfork/systems/version_evidence_test.py
+++ b/masticfork/systems/version_evidence_test.py
@@ -48,6 +48,10 @@
         late = answers(10, bad={1, 4, 6, 7}, since=40)
         assert assess(answers(40) + late, OLD).is_bad
 
+    def test_recent_answers_are_counted_apart(self):
+        assert assess(answers(20), OLD, elapsed=19.9).recent == 2
+        assert assess(answers(20), OLD, elapsed=30.0).recent == 0
+
     def test_fault_of_one_server_is_not_the_versions(self):
         """Guards against good versions rolled back for one bad server."""
         failing = NewAnswers(9, 1, 5, 0, 4, 0)
