--- a/masticfork/core/backend_servers.py
+++ b/masticfork/core/backend_servers.py
@@ -63,7 +63,8 @@
     """Progress of a rollout, as the hosts have written it to the store."""
 
     state: RolloutState = RolloutState.ORDERED
-    # Current step, `CANARY`, `FULL` or `CONFIRMED` of `systems.version_shift`.
+    # Current step, `CANARY` or `FULL` of `systems.version_shift`; earlier builds write
+    # a further one.
     step: int = 0
     # Unix time in seconds of the order, by the time of day of the host that wrote.
     ordered_at: float = 0.0
@@ -71,6 +72,8 @@
     elapsed: float = 0.0
     # What the hosts had sent by then.
     requests: tuple[HostRequests, ...] = ()
+    # How long a write to the store took lately, in seconds.
+    store_seconds: float = 0.0
 
 
 @attrs.frozen
--- a/masticfork/core/digests.py
+++ b/masticfork/core/digests.py
@@ -31,7 +31,7 @@
     bad: int
     # Slow answers, which count as good or bad as well.
     slow: int
-    # Whether the version ran about as many calls as the service usually does.
+    # Whether the requests were sent while the version got all of its service.
     loaded: bool = False
 
 
--- a/masticfork/platform/server_format.py
+++ b/masticfork/platform/server_format.py
@@ -149,9 +149,11 @@
         step = get_int(status, "step", 0)
         ordered_at = get_number(status, "ordered_at", 0.0)
         elapsed = max(0.0, get_number(status, "elapsed", 0.0))
+        store_seconds = max(0.0, get_number(status, "store_seconds", 0.0))
     except ValueError:
         return RolloutProgress()
-    return RolloutProgress(state, step, ordered_at, elapsed, _requests(status))
+    requests = _requests(status)
+    return RolloutProgress(state, step, ordered_at, elapsed, requests, store_seconds)
 
 
 def _requests(status: dict[str, Any]) -> tuple[HostRequests, ...]:
@@ -197,6 +199,7 @@
         "step": progress.step,
         "ordered_at": progress.ordered_at,
         "elapsed": round(progress.elapsed, 3),
+        "store_seconds": round(progress.store_seconds, 3),
         "requests": [
             attrs.asdict(item) for item in progress.requests[:MAX_HOST_REQUESTS]
         ],
--- a/masticfork/relay/digest.capnp
+++ b/masticfork/relay/digest.capnp
@@ -121,8 +121,8 @@
   judgedBad @9 :Bool;
   # Answers of the new version in little-endian records of 16 bytes: hashes of the server
   # and of the route (UInt32), seconds since the order, good, bad and slow answers
-  # (UInt16 each). The highest bit of the seconds tells whether the version ran about as
-  # many calls as the service usually does.
+  # (UInt16 each). The highest bit of the seconds tells whether the requests were sent
+  # while the version got all of its service.
   packedNew @10 :Data;
   # Answers of the old version in records of 16 bytes: hash of the route (UInt32), good,
   # bad and slow answers (Float32).
--- a/masticfork/relay/entry.py
+++ b/masticfork/relay/entry.py
@@ -217,7 +217,7 @@
             self._peers.evidence,
             ExposureLimit(bounds.expose_share, bounds.expose_slack),
             self._sharing_host_count,
-            on_judged=lambda: self._digests.send_full_soon(),
+            on_evidence=lambda: self._digests.send_full_soon(),
         )
         self._registration = Registration(
             self._objects, settings.host, self._peer_address
@@ -612,8 +612,6 @@
         if load is None:
             return None
         version = load.server.version
-        earlier = self._session_versions.version(service, session, now)
-        self._rollout_controller.record_session(service, earlier is not None)
         self._session_versions.record(service, session, version, now)
         return row_by_load[id(load)]
 
--- a/masticfork/relay/loaded_versions_test.py
+++ b/masticfork/relay/loaded_versions_test.py
@@ -35,7 +35,6 @@
 TICK_SECONDS = 0.05
 # Interval at which hosts advance rollouts.
 RUN_SECONDS = 0.25
-MEDIAN_WORK_SECONDS = 0.3
 OVERLOADED_CALLS = 3
 FAILED_SHARE = 0.5
 # Share of the requests that belong to a session with earlier ones.
@@ -88,6 +87,8 @@
     requests_per_second: float = 31.0
     servers: int = 3
     duration: float = 24.0
+    # Median time that a call takes.
+    work_seconds: float = 0.3
 
 
 def ignore(*args, **fields):
@@ -278,6 +279,7 @@
         while self.now < end:
             self.now += TICK_SECONDS
             for host in self.hosts.values():
+                self.running_host = host.number
                 host.loop.advance(self.now - host.loop.now)
             due = [item for item in self.pending if item[0] <= self.now]
             self.pending = [item for item in self.pending if item[0] > self.now]
@@ -344,7 +346,7 @@
             if self.hosts.get(call.host.number) is call.host:
                 self._enter(call.host)
                 seconds = self.now - call.sent_at
-                time = ResponseTime(0, seconds, MEDIAN_WORK_SECONDS)
+                time = ResponseTime(0, seconds, self.service.work_seconds)
                 call.host.controller.record_answer(
                     call.row.server, call.route, call.failed, time, self.now
                 )
@@ -387,7 +389,6 @@
         choices = self.rng.sample(list(eligible), min(2, len(eligible)))
         row = min(choices, key=self._known_load)
         server = row.server
-        host.controller.record_session("s", earlier is not None)
         host.controller.record_call(server, route)
         if session:
             self.sessions[session] = short_key(server.version)
@@ -395,7 +396,8 @@
         self.running[server.id] += 1
         failed = False
         if server.version == "v2":
-            failed = self.version(self.running[server.id], self.rng)
+            served = ServedCall(self.running[server.id], self.age)
+            failed = self.version(served, self.rng)
         if self.age >= 0.0:
             self.sent[server.version] += 1
             if self.age <= self.service.duration:
@@ -403,7 +405,7 @@
             limit = self.bad_at[MAX_BAD_ANSWERS - 1 : MAX_BAD_ANSWERS]
             if server.version == "v2" and limit:
                 self.late += self.now > limit[0] + ROLLBACK_SECONDS
-        work = MEDIAN_WORK_SECONDS * self.rng.lognormvariate(0.0, 0.4)
+        work = self.service.work_seconds * self.rng.lognormvariate(0.0, 0.4)
         self.calls.append(
             Call(host, row, route, self.now, self.now + work, failed),
         )
@@ -416,15 +418,25 @@
     )
 
 
-Version = Callable[[int, random.Random], bool]
+@attrs.frozen
+class ServedCall:
+    """A call as the version that serves it sees it."""
+
+    # Calls that run on the server.
+    running: int
+    # Seconds since the order.
+    age: float
+
+
+Version = Callable[[ServedCall, random.Random], bool]
 
 
-def good(running, rng):
+def good(call, rng):
     return False
 
 
-def failing_under_load(running, rng):
-    return running > OVERLOADED_CALLS and rng.random() < FAILED_SHARE
+def failing_under_load(call, rng):
+    return call.running > OVERLOADED_CALLS and rng.random() < FAILED_SHARE
 
 
 @functools.cache
--- a/masticfork/relay/rollout_age_test.py
+++ b/masticfork/relay/rollout_age_test.py
@@ -18,7 +18,7 @@
 from masticfork.relay.rollout_controller import AGE_WAIT_SECONDS, RolloutController
 from masticfork.relay.tables import Tables
 from masticfork.systems.exposure import ExposureLimit
-from masticfork.systems.version_shift import CONFIRMED
+from masticfork.systems.version_shift import FULL
 from standins.fake_loop import FakeLoop, SynchronousExecutor
 
 DURATION_SECONDS = 24.0
@@ -49,7 +49,7 @@
 
 
 class StartedHost:
-    """A host that starts during a rollout, once it is confirmed, with a wrong clock."""
+    """A host that starts during a rollout, in its full step, with a wrong clock."""
 
     def __init__(self, monkeypatch):
         wall = time.time()
@@ -71,7 +71,7 @@
             lambda: 4,
             executor=SynchronousExecutor(),
         )
-        progress = RolloutProgress(RolloutState.RUNNING, CONFIRMED, wall - TRUE_AGE)
+        progress = RolloutProgress(RolloutState.RUNNING, FULL, wall - TRUE_AGE)
         position = StorePosition(0, 7)
         tables.put_rollout(
             VersionRollout("s", "v2", DURATION_SECONDS, position, 5, 5, progress)
--- a/masticfork/relay/rollout_controller.py
+++ b/masticfork/relay/rollout_controller.py
@@ -30,16 +30,16 @@
 from masticfork.relay.tables import ServerRow, Tables
 from masticfork.store.client import PlatformError
 from masticfork.systems.exposure import (
-    CONFIRMING_ANSWERS,
-    CONFIRMING_FRACTION,
     ExposureBudget,
     ExposureLimit,
     RolloutMoment,
+    Traffic,
     UsualLoad,
     host_part,
 )
+from masticfork.systems.rollout_plan import RolloutPlan
 from masticfork.systems.stream_pace import PaceBaseline, StreamPace
-from masticfork.systems.version_evidence import Assessment, assess
+from masticfork.systems.version_evidence import RECENT_SECONDS, Assessment, assess
 from masticfork.systems.version_shift import (
     COLD_SLOW_MULTIPLE,
     FULL,
@@ -47,7 +47,6 @@
     AnswerCounts,
     LatencyBaseline,
     ResponseTime,
-    full_load_time,
     hash_fraction,
     is_canary_candidate,
     is_final,
@@ -57,9 +56,10 @@
 # Timeout of a write, and the interval before the next one.
 WRITE_TIMEOUT_SECONDS = 1.0
 WRITE_INTERVAL_SECONDS = 0.3
-# Longest delay before a write that other hosts may make as well. Each host waits for a
-# different fraction of it, so that usually only one host writes.
-MAX_WRITE_DELAY_SECONDS, MAX_FINAL_WRITE_DELAY_SECONDS = 0.4, 0.2
+# Longest delay before a write that other hosts may make as well: of the order's first
+# one, and of each later step. Each host waits for a different fraction of it, so that
+# usually only one host writes.
+MAX_WRITE_DELAY_SECONDS, MAX_STEP_DELAY_SECONDS = 0.4, 0.2
 # Time for which a host that starts during a rollout waits to hear from others how long
 # ago it was ordered; full digests are sent at least once a second.
 AGE_WAIT_SECONDS = 1.5
@@ -74,7 +74,14 @@
 # before they answer.
 LONG_CALL_SECONDS = 0.5
 # Time before the end at which a rollout whose age is sure is completed in any case.
-LATEST_COMPLETION_SECONDS = 0.5
+LATEST_COMPLETION_SECONDS = 0.15
+# Times of writes to the store that are further back lose weight by this factor with
+# each write, so that the slowest of the latest ones is known.
+STORE_SECONDS_DECAY = 0.7
+# Added to the time until a wake-up, since a timer may be early by rounding.
+WAKE_MARGIN_SECONDS = 0.001
+# Interval at which the rollouts are advanced if nothing is due sooner.
+RUN_INTERVAL_SECONDS = 0.25
 # Requests that the new version got from hosts that were lost with its answers, as a
 # fraction of the known answers, above which it is not confirmed.
 MAX_UNHEARD_FRACTION = 0.35
@@ -121,13 +128,15 @@
     answers: dict[tuple[str, int], tuple[NewAnswers, ...]]
     # The most hosts among which the fixed number was divided.
     hosts: int
+    plan: RolloutPlan
     usual_load: UsualLoad = attrs.field(factory=UsualLoad)
-    # Calls on the new version that count as that load, and the answers under it that
-    # confirm the version.
-    full_load: float = math.inf
-    # Mean length of the service's calls, in seconds.
-    call_seconds: float = 0.0
-    confirming_answers: int = 0
+    traffic: Traffic = attrs.field(factory=Traffic)
+    # Loop time at which this host has seen that the new version gets all requests.
+    full_since: float = math.inf
+    # The longest recent write to the store, in seconds.
+    store_seconds: float = 0.0
+    # Loop time of the next wake-up for this rollout.
+    wake_at: float = math.inf
     # Answers of the new version by hashes of server and route, second since the order,
     # and whether they are loaded; the oldest are dropped.
     new: OrderedDict[tuple[int, int, int, bool], NewAnswers] = attrs.field(
@@ -254,7 +263,7 @@
         limit: ExposureLimit,
         host_count: Callable[[], int],
         executor: WriteExecutor | None = None,
-        on_judged: Callable[[], None] = lambda: None,
+        on_evidence: Callable[[], None] = lambda: None,
     ) -> None:
         self._loop = loop
         self._peer_evidence = peer_evidence
@@ -264,8 +273,9 @@
         self._tables = tables
         self._host = host
         self._log = log
-        # Called when this host has judged a version bad.
-        self._on_judged = on_judged
+        # Called when other hosts should know at once what this one knows of a version:
+        # that it is bad, or has failed under full load.
+        self._on_evidence = on_evidence
         # Identifies this start of the host; 0 stands for none.
         self._start = random.randrange(1, 1 << 32)
         self._records: dict[str, _RolloutRecord] = {}
@@ -307,6 +317,7 @@
             return new or old
         moment = self._moment(rollout, record, rows)
         if rollout.progress.step >= FULL:
+            record.full_since = min(record.full_since, self._loop.now)
             allowed = record.budget.allows_full_load(moment)
             return (new or old) if allowed else (old or new)
         takes_canary = (
@@ -330,18 +341,11 @@
             now,
             now - record.ordered_at,
             now - record.ordered_by,
-            rollout.duration,
-            rollout.duration - full_load_time(rollout.duration),
+            record.plan,
             old_running,
             record.hosts,
         )
 
-    def record_session(self, service: str, returning: bool) -> None:
-        """Count a request by whether its session has used some version before."""
-        rollout = self._tables.rollouts.get(service)
-        if returning and rollout is not None and not is_final(rollout.progress):
-            self._record_of(rollout).budget.count_returning(self._loop.now)
-
     def record_call(self, server: BackendServer, route: str) -> None:
         """Count a call that is being sent."""
         rollout = self._tables.rollouts.get(server.service)
@@ -372,12 +376,14 @@
         if slow and not failed and record.repeats_slow_answer(server.id, now):
             return
         if is_new:
-            loaded = self._running(rollout, rollout.target) >= record.full_load
+            loaded = now - time.seconds >= record.full_since
             record.add_new(server.id, route, failed, slow, now, loaded)
         else:
             record.add_old(route, failed, slow, now)
         if failed or slow:
             self._judge_version(rollout, record, self._assess(rollout))
+            if is_new and rollout.progress.step >= FULL and not record.bad:
+                self._on_evidence()
 
     def record_stream(
         self, server: BackendServer, pace: StreamPace, now: float
@@ -410,7 +416,7 @@
         """
         if rollout.progress.step < FULL:
             return False
-        return self._record_of(rollout).call_seconds >= LONG_CALL_SECONDS
+        return self._record_of(rollout).traffic.call_seconds >= LONG_CALL_SECONDS
 
     def usual_times(self, service: str) -> LatencyBaseline:
         """Return the response times of a service without those of a new version."""
@@ -541,7 +547,7 @@
             **_assessment_fields(assessment),
         )
         if not elsewhere:
-            self._on_judged()
+            self._on_evidence()
 
     def run(self, now: float) -> None:
         """Advance all unfinished rollouts and write their progress if it is due."""
@@ -553,7 +559,7 @@
     def _advance(self, rollout: VersionRollout, now: float) -> None:
         record = self._record_of(rollout)
         self._update_part(rollout, record)
-        self._measure_load(rollout, record, now)
+        self._update_plan(rollout, record, now)
         if record.writing or now < record.write_after:
             return
         elapsed = now - record.ordered_at
@@ -567,15 +573,16 @@
             rollout,
             elapsed,
             assessment,
+            record.plan,
             has_servers,
             self._is_confirmed(rollout, record, assessment),
             self._is_affordable(rollout, record),
         )
         if record.bad and not is_final(progress):
             progress = attrs.evolve(progress, state=RolloutState.ROLLED_BACK)
-        max_delay = MAX_WRITE_DELAY_SECONDS
-        if is_final(progress):
-            max_delay = MAX_FINAL_WRITE_DELAY_SECONDS
+        max_delay = MAX_STEP_DELAY_SECONDS
+        if rollout.progress.state is RolloutState.ORDERED and not is_final(progress):
+            max_delay = MAX_WRITE_DELAY_SECONDS
         if progress == rollout.stored_progress:
             if not _is_checkpoint_due(rollout, now - record.ordered_by):
                 record.due_since = None
@@ -583,7 +590,9 @@
             max_delay = MAX_CHECKPOINT_DELAY_SECONDS
         if record.due_since is None:
             record.due_since = now
-        if now - record.due_since < max_delay * self._write_order(rollout):
+        write_at = record.due_since + max_delay * self._write_order(rollout)
+        if now < write_at:
+            self._wake_at(record, write_at)
             return
         self._write(
             rollout, record, self._stamped(rollout, record, progress), assessment
@@ -600,6 +609,7 @@
             progress,
             ordered_at=clock.time() - moment.elapsed,
             elapsed=moment.least_elapsed,
+            store_seconds=record.store_seconds,
             requests=tuple(record.requests.values()),
         )
 
@@ -618,35 +628,46 @@
         ]
         record.budget.part = host_part(self._limit, record.hosts, earlier)
 
-    def _measure_load(
+    def _update_plan(
         self, rollout: VersionRollout, record: _RolloutRecord, now: float
     ) -> None:
-        """Update what a full load is, as far as the allowed requests suffice for it."""
+        """Update how long the allowed requests suffice for a full load, and until when.
+
+        Hosts differ little in what they know, and the first to begin it begins for all.
+        """
         record.usual_load.sample(self._running(rollout), now)
+        reported = self._reported(rollout)
+        rate = record.budget.rate(now) + sum(item.rate for item in reported)
+        record.traffic = Traffic(rate, record.usual_load.call_seconds(rate))
+        seconds = record.traffic.full_load_seconds(self._limit, record.plan)
+        store_seconds = max(record.store_seconds, rollout.progress.store_seconds)
+        record.plan = RolloutPlan.of(rollout.duration, seconds, store_seconds)
+        if rollout.progress.step >= FULL:
+            record.full_since = min(record.full_since, now)
+        elapsed = now - record.ordered_at
+        for due in record.plan.times:
+            if elapsed < due < elapsed + RUN_INTERVAL_SECONDS:
+                self._wake_at(record, record.ordered_at + due)
+
+    def _wake_at(self, record: _RolloutRecord, at: float) -> None:
+        """Advance the rollouts at a loop time that no regular run may be close to."""
+        if self._loop.now < record.wake_at <= at:
+            return
+        record.wake_at = at
+        seconds = max(0.0, at - self._loop.now) + WAKE_MARGIN_SECONDS
+        self._loop.call_after(seconds, lambda: self.run(self._loop.now))
+
+    def _running(self, rollout: VersionRollout) -> int:
+        """Return the calls of the service that run, from all hosts."""
         rows = self._tables.servers_of(rollout.service)
-        moment = self._moment(rollout, record, rows)
-        rate = record.budget.rate(now)
-        rate += sum(item.rate for item in self._reported(rollout))
-        seconds = record.budget.full_load_seconds(moment)
-        record.full_load = record.usual_load.reached_within(seconds, rate)
-        record.call_seconds = record.usual_load.call_seconds(rate)
-        answers = min(CONFIRMING_ANSWERS, CONFIRMING_FRACTION * rate * seconds)
-        record.confirming_answers = math.floor(answers)
-
-    def _running(self, rollout: VersionRollout, version: str | None = None) -> int:
-        """Return the calls that run on a version, or on all, from all hosts."""
-        rows = self._tables.servers_of(rollout.service)
-        return sum(
-            row.load.running + row.load.running_elsewhere
-            for row in rows
-            if version in (None, row.server.version)
-        )
+        return sum(row.load.running + row.load.running_elsewhere for row in rows)
 
     def _is_confirmed(
         self, rollout: VersionRollout, record: _RolloutRecord, assessment: Assessment
     ) -> bool:
-        """Return whether the answers under full load, from most hosts, are known."""
-        if assessment.loaded < record.confirming_answers:
+        """Return whether recent answers under full load, from most hosts, are known."""
+        needed = record.traffic.recent_answers(record.plan, RECENT_SECONDS)
+        if assessment.recent < needed:
             return False
         reported = [item.requests for item in self._reported(rollout)]
         live = {(item.host, item.start) for item in reported if item is not None}
@@ -686,8 +707,9 @@
             sent=record.budget.sent,
             sent_to_new=record.budget.sent_to_new,
             **_assessment_fields(assessment),
-            confirming_answers=record.confirming_answers,
-            full_load=round(record.full_load, 1),
+            recent_needed=record.traffic.recent_answers(record.plan, RECENT_SECONDS),
+            full_from=round(record.plan.full_from, 2),
+            complete_from=round(record.plan.complete_from, 2),
             part=round(record.budget.part, 1),
             elapsed=round(self._loop.now - record.ordered_at, 2),
             least_elapsed=round(self._loop.now - record.ordered_by, 2),
@@ -695,13 +717,16 @@
             era=rollout.position.era,
         )
         status = encode_progress(rollout, progress)
+        written_at = self._loop.now
 
         def write() -> None:
             deadline = Deadline.after(clock.monotonic(), WRITE_TIMEOUT_SECONDS)
             outcome = self._objects.replace_status(
                 names.KIND_ROLLOUTS, rollout.service, status, rollout.position, deadline
             )
-            self._loop.post(lambda: self._on_written(rollout, record, outcome))
+            self._loop.post(
+                lambda: self._on_written(rollout, record, outcome, written_at)
+            )
 
         self._executor.submit(write)
 
@@ -710,9 +735,13 @@
         rollout: VersionRollout,
         record: _RolloutRecord,
         outcome: Result[PlatformObject, PlatformError],
+        written_at: float,
     ) -> None:
         """Handle the result of a write; after a lost response, the watch reports it."""
         record.writing = False
+        record.store_seconds = max(
+            self._loop.now - written_at, STORE_SECONDS_DECAY * record.store_seconds
+        )
         record.write_after = self._loop.now + WRITE_INTERVAL_SECONDS
         if isinstance(outcome, Err):
             self._log(
@@ -761,6 +790,7 @@
             {},
             {},
             self._host_count(),
+            RolloutPlan.of(rollout.duration, 0.0, progress.store_seconds),
         )
         self._update_part(rollout, record)
         return record
@@ -805,6 +835,7 @@
         "slow": assessment.slow,
         "harm": round(assessment.harm, 2),
         "suspicion": round(assessment.suspicion, 2),
+        "doubt": round(assessment.doubt, 2),
         "proven": assessment.proven,
         "loaded": assessment.loaded,
         "recent": assessment.recent,
--- a/masticfork/relay/rollout_exposure_test.py
+++ b/masticfork/relay/rollout_exposure_test.py
@@ -215,7 +215,7 @@
         while self.now < WARMUP_SECONDS + DURATION_SECONDS:
             self.now += TICK_SECONDS
             for host in self.hosts:
-                host.loop.now = self.now
+                host.loop.advance(self.now - host.loop.now)
             self._finish_calls()
             if self.now >= WARMUP_SECONDS:
                 if not self.ordered:
--- a/masticfork/relay/rollout_judgement_test.py
+++ b/masticfork/relay/rollout_judgement_test.py
@@ -13,7 +13,7 @@
 from masticfork.relay.rollout_controller import RolloutController
 from masticfork.relay.tables import Tables
 from masticfork.systems.exposure import ExposureLimit
-from masticfork.systems.version_shift import ResponseTime
+from masticfork.systems.version_shift import CANARY, FULL, ResponseTime
 from standins.fake_loop import FakeLoop, SynchronousExecutor
 
 SPEC = {"service": "s", "target": "v2", "duration_s": 20.0}
@@ -63,7 +63,7 @@
             ExposureLimit(0.15, 30.0),
             lambda: 4,
             executor=SynchronousExecutor(),
-            on_judged=self._count,
+            on_evidence=self._count,
         )
 
     def _count(self):
@@ -80,7 +80,7 @@
     def test_other_hosts_are_told_at_once(self):
         """Guards against hosts that complete what another one has judged bad."""
         host = JudgingHost()
-        host.tables.put_rollout(rollout(RUNNING))
+        host.tables.put_rollout(rollout({**RUNNING, "step": CANARY}))
         for number in range(4):
             host.controller.record_answer(
                 server("v2", number), "r", True, ResponseTime(0, 0.1), 100.0
@@ -88,6 +88,18 @@
         assert host.told == 1
         assert host.versions == {"v1"}
 
+    def test_other_hosts_are_told_of_each_failure_under_full_load(self):
+        """Guards against a host that completes what fails at the others."""
+        host = JudgingHost()
+        host.tables.put_rollout(rollout({**RUNNING, "step": FULL}))
+        for number in range(4):
+            failed = number == 2
+            host.controller.record_answer(
+                server("v2", number), "r", failed, ResponseTime(0, 0.1), 100.0
+            )
+        assert host.told == 1
+        assert host.versions == {"v2"}
+
     def test_judgement_of_another_host_holds_from_its_digest_on(self):
         """Guards against a host that goes on until it advances the rollout next."""
         host = JudgingHost()
--- a/masticfork/systems/exposure.py
+++ b/masticfork/systems/exposure.py
@@ -13,30 +13,25 @@
 import attrs
 
 from masticfork.core.backend_servers import HostRequests
+from masticfork.systems.rollout_plan import RolloutPlan
 
 # Fraction of the bound that is used; requests may reach a server late or not at all.
 USED_FRACTION = 0.92
-# Time before the end for which requests are kept that reach the new version once it
-# serves alone, at most and as a fraction of a short time. It is longer than the time
-# from the completion to the end, since request rates vary.
-SECONDS_AFTER_COMPLETION, FRACTION_AFTER_COMPLETION = 0.95, 0.16
 # Fraction of the calls running on the old version that are expected to still run, and
 # to be repeated on the new one, when the old servers stop; and the one for which
 # requests are kept until then.
 REPEATED_FRACTION, KEPT_FRACTION = 0.65, 0.75
-# Duration of the full load for which the canary leaves requests. Calls of 1 s have
-# reached their usual number on each server by then, and have been answered.
-FULL_LOAD_SECONDS = 2.0
-# Time from the end of the full load to the completion, in which sessions that have used
-# the new version return to it.
-SETTLING_SECONDS = 1.6
-# Answers under the usual load that confirm a version, and the fraction of the requests
-# of a full load that is enough if they are few.
-CONFIRMING_ANSWERS, CONFIRMING_FRACTION = 8, 0.12
-# Fraction of the usual number of calls that counts as the usual load, since their
-# number varies; and of the time of a full load in which all hosts take part in it.
-USUAL_LOAD_FRACTION = 0.9
-COMMON_LOAD_FRACTION = 0.6
+# Part of the planned full load that the allowed requests suffice for if the traffic is
+# a little uneven between the hosts and in time.
+PLANNED_FRACTION = 0.85
+# Time before the completion for which a part of the requests of a full load is kept, so
+# that there are answers until then.
+LAST_SECONDS, LAST_SECONDS_FRACTION = 1.0, 0.5
+# Time until most answers are known to all hosts.
+TELLING_SECONDS = 0.3
+# Recent answers under full load without which a version is not completed, and the
+# fraction of the service's requests that is enough if they are few.
+RECENT_ANSWERS, RECENT_FRACTION = 8, 0.4
 # Time constant of the usual number of calls.
 USUAL_LOAD_SECONDS = 5.0
 # Bounds on the fraction of the allowed requests that the canary step uses, and the
@@ -70,10 +65,7 @@
     # Seconds since the order as estimated, and at least.
     elapsed: float
     least_elapsed: float
-    # Seconds from the order to the end of the time that it allows.
-    duration: float
-    # Seconds from the order to the full load.
-    canary_seconds: float
+    plan: RolloutPlan
     # Calls that this host runs on the old version.
     old_running: int
     # Hosts among which the fixed number is divided.
@@ -82,12 +74,57 @@
     @property
     def remaining(self) -> float:
         """Return the seconds left as estimated, 0 after the end."""
-        return max(0.0, self.duration - self.elapsed)
+        return max(0.0, self.plan.ends_at - self.elapsed)
 
     @property
     def most_remaining(self) -> float:
         """Return the seconds left at most, 0 after the end."""
-        return max(0.0, self.duration - self.least_elapsed)
+        return max(0.0, self.plan.ends_at - self.least_elapsed)
+
+    @property
+    def until_completion(self) -> float:
+        """Return the seconds until the completion as estimated, 0 after it."""
+        return max(0.0, self.plan.complete_from - self.elapsed)
+
+
+@attrs.frozen
+class Traffic:
+    """The traffic of a service, over all hosts."""
+
+    # Requests a second.
+    rate: float = 0.0
+    # Mean length of calls in seconds, 0 if it is unknown.
+    call_seconds: float = 0.0
+
+    def full_load_seconds(self, limit: ExposureLimit, plan: RolloutPlan) -> float:
+        """Return for how many seconds the limit allows a full load.
+
+        What the canary uses, what comes after the completion, and the calls on the old
+        version that have not ended by then are left out.
+        """
+        if self.rate <= 0.0:
+            return plan.ends_at
+        bound = limit.share * self.rate * plan.ends_at + limit.slack
+        canary = max(
+            MIN_CANARY_FRACTION * bound,
+            min(MAX_MIN_CANARY_FRACTION * bound, MIN_CANARY_REQUESTS),
+        )
+        alone = self.rate * (plan.ends_at - plan.complete_from)
+        seconds = (USED_FRACTION * bound - canary - alone) / self.rate
+        return PLANNED_FRACTION * max(0.0, seconds - self._repeated_seconds(seconds))
+
+    def recent_answers(self, plan: RolloutPlan, recent_seconds: float) -> int:
+        """Return how many recent answers under full load complete a version."""
+        answered = max(0.0, plan.full_seconds - self.call_seconds - TELLING_SECONDS)
+        expected = self.rate * min(recent_seconds, answered)
+        return math.floor(min(RECENT_ANSWERS, RECENT_FRACTION * expected))
+
+    def _repeated_seconds(self, seconds: float) -> float:
+        """Return the part of a full load that repeated calls take the place of."""
+        if self.call_seconds <= 0.0:
+            return 0.0
+        unended = math.exp(-max(0.0, seconds) / self.call_seconds)
+        return KEPT_FRACTION * self.call_seconds * unended
 
 
 def host_part(
@@ -141,17 +178,6 @@
         """Return the mean number of calls, 0 if it is unknown."""
         return self._sum / self._weight if self._weight else 0.0
 
-    def reached_within(self, seconds: float, rate: float) -> float:
-        """Return the calls that run after a time in which `rate` a second have begun.
-
-        Their number builds up as long as calls usually last.
-        """
-        if rate <= 0.0 or self.mean <= 0.0:
-            return 0.0
-        seconds *= COMMON_LOAD_FRACTION
-        built_up = 1.0 - math.exp(-seconds * rate / self.mean)
-        return USUAL_LOAD_FRACTION * built_up * self.mean
-
     def call_seconds(self, rate: float) -> float:
         """Return how long calls last if so many begin each second, 0 if unknown."""
         return self.mean / rate if rate > 0.0 else 0.0
@@ -181,10 +207,6 @@
     _recent: _RecentCount = attrs.field(
         default=attrs.Factory(lambda self: _RecentCount(self._since), takes_self=True)
     )
-    # Requests of sessions that have used some version before.
-    _returning: _RecentCount = attrs.field(
-        default=attrs.Factory(lambda self: _RecentCount(self._since), takes_self=True)
-    )
 
     @property
     def sent(self) -> int:
@@ -202,10 +224,6 @@
         self._all[route] += 1
         self._new[route] += is_new
 
-    def count_returning(self, now: float) -> None:
-        """Count a request of a session that has used some version before."""
-        self._returning.add(now)
-
     def _mean_rate(self, now: float) -> float:
         """Return the requests a second since the host counts them."""
         return self.sent / max(MIN_RATE_SECONDS, now - self._since)
@@ -213,7 +231,8 @@
     def allows_canary(self, route: str, moment: RolloutMoment) -> bool:
         """Return whether the canary step has a request left for a route."""
         rate = self.rate(moment.now)
-        kept = self._reserved(rate, moment) + rate * FULL_LOAD_SECONDS
+        full_load = rate * moment.plan.full_seconds / PLANNED_FRACTION
+        kept = self._reserved(rate, moment) + full_load
         expected = self._expected_bound(rate, moment)
         if expected <= 0.0:
             return False
@@ -223,7 +242,7 @@
         fraction = max(MIN_CANARY_FRACTION, least, USED_FRACTION - kept / expected)
         fraction = min(MAX_CANARY_FRACTION, fraction)
         known = self._limit.share * (self.sent + 1) + self.part
-        passed = min(1.0, moment.elapsed / moment.canary_seconds)
+        passed = min(1.0, moment.elapsed / moment.plan.full_from)
         allowance = min(fraction * expected * passed, USED_FRACTION * known)
         allowance *= self._weight(route)
         return self._new[route] + 1 <= allowance + self._rounding
@@ -233,6 +252,8 @@
         if moment.most_remaining <= 0.0:
             return True
         allowance = self._full_load_allowance(moment)
+        kept_seconds = min(LAST_SECONDS, moment.until_completion)
+        allowance -= LAST_SECONDS_FRACTION * kept_seconds * self._mean_rate(moment.now)
         return self.sent_to_new + 1 <= allowance + self._rounding
 
     def committed(self, moment: RolloutMoment, full_load: bool) -> int:
@@ -249,17 +270,6 @@
         bound = self._limit.share * self.sent + self.part
         return bound - self.sent_to_new - repeated
 
-    def full_load_seconds(self, moment: RolloutMoment) -> float:
-        """Return for how long the bound allows a full load, at most the usual time."""
-        rate = self._mean_rate(moment.now)
-        if rate <= 0.0:
-            return 0.0
-        slack = self._limit.slack / moment.hosts
-        bound = self._limit.share * rate * moment.duration + slack
-        used = (USED_FRACTION - MIN_CANARY_FRACTION) * bound
-        seconds = (used - self._reserved(rate, moment)) / rate
-        return min(FULL_LOAD_SECONDS, max(0.0, seconds))
-
     def rate(self, now: float) -> float:
         """Return the requests a second to expect: the mean, or more in a burst."""
         mean = self._mean_rate(now)
@@ -282,13 +292,9 @@
 
     def _reserved(self, rate: float, moment: RolloutMoment) -> float:
         """Return the requests to the new version after the full load."""
-        seconds = min(
-            SECONDS_AFTER_COMPLETION, FRACTION_AFTER_COMPLETION * moment.duration
-        )
-        alone = rate * min(moment.remaining, seconds)
-        repeated = KEPT_FRACTION * moment.old_running
-        settling = min(moment.remaining, SETTLING_SECONDS)
-        return alone + repeated + settling * self._returning.rate(moment.now)
+        completion = moment.plan.ends_at - moment.plan.complete_from
+        alone = rate * min(moment.remaining, completion)
+        return alone + KEPT_FRACTION * moment.old_running
 
     def _weight(self, route: str) -> float:
         """Return the part of the canary's requests that a route gets."""
--- a/masticfork/systems/exposure_test.py
+++ b/masticfork/systems/exposure_test.py
@@ -8,18 +8,22 @@
 from masticfork.core.backend_servers import HostRequests
 from masticfork.systems.exposure import (
     MIN_CANARY_REQUESTS,
+    RECENT_ANSWERS,
     ExposureBudget,
     ExposureLimit,
     RolloutMoment,
+    Traffic,
     UsualLoad,
     host_part,
 )
+from masticfork.systems.rollout_plan import RolloutPlan
 
 DURATION = 15.0
 LIMIT = ExposureLimit(0.15, 30.0)
 
 
 CANARY_SECONDS = 10.0
+PLAN = RolloutPlan(CANARY_SECONDS, 14.6, DURATION)
 
 
 def budget(rounding=0.5, hosts=4):
@@ -27,9 +31,7 @@
 
 
 def moment(elapsed, hosts=4, old_running=0):
-    return RolloutMoment(
-        elapsed, elapsed, elapsed, DURATION, CANARY_SECONDS, old_running, hosts
-    )
+    return RolloutMoment(elapsed, elapsed, elapsed, PLAN, old_running, hosts)
 
 
 class TestCanary:
@@ -76,11 +78,14 @@
 
     def test_running_calls_of_the_old_version_leave_less(self):
         idle, busy = budget(), budget()
-        for n in range(30):
+        for n in range(43):
             at = n / 3
-            idle.count("a", idle.allows_canary("a", moment(at)), at)
-            loaded = busy.allows_canary("a", moment(at, old_running=60))
-            busy.count("a", loaded, at)
+            for own, running in ((idle, 0), (busy, 6)):
+                now = moment(at, old_running=running)
+                in_canary = at < CANARY_SECONDS
+                full_load = own.allows_full_load(now)
+                is_new = own.allows_canary("a", now) if in_canary else full_load
+                own.count("a", is_new, at)
         assert 0 < busy.sent_to_new < idle.sent_to_new
 
 
@@ -154,9 +159,51 @@
             load.sample(20 if tenth >= 100 else 10, tenth / 10)
         assert load.mean == pytest.approx(20.0, abs=0.5)
 
-    def test_short_full_load_does_not_reach_the_usual_number_of_calls(self):
+    def test_length_of_calls_follows_from_their_number(self):
         load = UsualLoad()
         load.sample(30, 0.0)
-        assert load.reached_within(10.0, 30.0) == pytest.approx(27.0, abs=0.2)
-        assert load.reached_within(1.0, 30.0) < 15.0
-        assert load.reached_within(0.0, 30.0) == 0.0
+        assert load.call_seconds(20.0) == pytest.approx(1.5)
+        assert load.call_seconds(0.0) == 0.0
+
+
+class TestTraffic:
+    PLAN = RolloutPlan.of(DURATION, 0.0, 0.01)
+
+    @pytest.mark.parametrize("rate", [2.0, 8.0, 31.0, 120.0])
+    @pytest.mark.parametrize("call_seconds", [0.015, 0.3, 1.2])
+    def test_full_load_fits_into_the_limit(self, rate, call_seconds):
+        """Guards against full loads that end before the completion."""
+        traffic = Traffic(rate, call_seconds)
+        seconds = traffic.full_load_seconds(LIMIT, self.PLAN)
+        allowed = LIMIT.share * rate * DURATION + LIMIT.slack
+        alone = rate * (DURATION - self.PLAN.complete_from)
+        assert rate * seconds + alone <= allowed or seconds == 0.0
+
+    def test_light_service_gets_a_long_one(self):
+        light = Traffic(8.0, 0.015).full_load_seconds(LIMIT, self.PLAN)
+        busy = Traffic(120.0, 0.015).full_load_seconds(LIMIT, self.PLAN)
+        assert busy < 2.0 < light
+
+    def test_recent_answers_are_needed_as_far_as_there_are_any(self):
+        """Guards against good versions of services whose answers come later."""
+        plan = RolloutPlan.of(DURATION, 3.0, 0.01)
+        needed = [Traffic(rate, 0.015).recent_answers(plan, 1.0) for rate in (2, 8, 31)]
+        assert needed == [0, 3, RECENT_ANSWERS]
+        assert Traffic(31.0, 4.0).recent_answers(plan, 1.0) == 0
+        assert Traffic(0.0, 0.0).recent_answers(plan, 1.0) == 0
+
+
+class TestLastSeconds:
+    def test_requests_are_kept_for_the_last_second_before_the_completion(self):
+        """Guards against answers that end while a version may still turn bad."""
+        own = budget(0.0, hosts=1)
+        for n in range(100):
+            own.count("a", False, n * 0.1)
+        at = 10.0
+        while own.allows_full_load(moment(at, hosts=1)):
+            own.count("a", True, at)
+        spent = own.sent_to_new
+        for at in (14.2, 14.4, 14.55):
+            while own.allows_full_load(moment(at, hosts=1)):
+                own.count("a", True, at)
+        assert own.sent_to_new >= spent + 3
--- a/masticfork/systems/version_evidence.py
+++ b/masticfork/systems/version_evidence.py
@@ -15,21 +15,32 @@
 
 from masticfork.core.digests import NewAnswers, OldAnswers
 
-# Additional share of failed or slow answers that the test tells from none.
-HARMFUL_SHARE = 0.18
+# Additional share of failed or slow answers that the test tells from none, and a larger
+# one that fewer answers tell where the old version often fails as well.
+HARMFUL_SHARE, SEVERE_SHARE = 0.18, 0.5
 # Shares of failed and of slow answers assumed for an old version without answers, and
-# the number of answers that this assumption counts for.
+# the number of answers that this assumption counts for; the share of all routes counts
+# for fewer in that of one of them.
 PRIOR_FAILED_SHARE, PRIOR_SLOW_SHARE = 0.02, 0.05
-PRIOR_ANSWERS = 20.0
+PRIOR_ANSWERS, ROUTE_PRIOR_ANSWERS = 20.0, 8.0
+# Standard deviations by which the old version's share may be larger than the one
+# observed where a version is about to be completed: it is that of few answers.
+SHARE_DEVIATIONS = 0.5
 # Lowest shares used for the old version.
 MIN_FAILED_SHARE, MIN_SLOW_SHARE = 0.02, 0.04
-# Sums of log likelihood ratios from which a version is bad, and from which it gets no
-# further requests and is not completed.
-BAD_EVIDENCE = 4.4
-SUSPICIOUS_EVIDENCE = 2.3
+# Sums of log likelihood ratios from which a version is bad, from which it does not get
+# all requests, and from which it is not completed. More is needed of a single route,
+# since there are several.
+BAD_EVIDENCE = 4.7
+SUSPICIOUS_EVIDENCE = 2.8
+DOUBTFUL_EVIDENCE = 3.0
+ROUTE_FACTOR = 1.3
 # Fraction of either that must remain without the answers of the server that looks
 # worst, if others have answered as well: one server's fault is not the version's.
 FRACTION_WITHOUT_WORST_SERVER = 0.4
+# Evidence in favour of the version, from its other servers, that makes a failure the
+# fault of one server where a version is about to be completed.
+CLEARING_EVIDENCE = 2.3
 # Answers, over all routes and of each main route, without which a version is not
 # proven; fewer are enough where the old version had little to answer.
 MIN_ANSWERS, MIN_ROUTE_ANSWERS = 10, 3
@@ -53,10 +64,13 @@
     suspicion: float
     # Whether the version has answered enough on each main route.
     proven: bool
-    # Answers under the usual load of the service.
+    # Answers to requests that were sent while the version got all of its service, and
+    # those of the last `RECENT_SECONDS` among them.
     loaded: int = 0
-    # Answers of the last `RECENT_SECONDS`.
     recent: int = 0
+    # Present evidence against the version, as a multiple of what prevents completion.
+    # That of one server counts unless the answers of the others clear the version.
+    doubt: float = 0.0
 
     @property
     def is_bad(self) -> bool:
@@ -79,19 +93,25 @@
     answers = sorted(new, key=lambda item: item.second)
     reference = _sum_by_route(old)
     routes = {item.route for item in answers}
-    groups = [answers]
+    groups = [(answers, 1.0)]
     if len(routes) > 1:
         groups += [
-            [item for item in answers if item.route == route] for route in routes
+            ([item for item in answers if item.route == route], ROUTE_FACTOR)
+            for route in routes
         ]
-    judged = [(group, measure) for group in groups for measure in _MEASURES]
+    judged = [
+        (group, factor, measure) for group, factor in groups for measure in _MEASURES
+    ]
     # Some versions fail under load only.
-    judged.append(([item for item in answers if item.loaded], _FAILURES))
-    harm = suspicion = 0.0
-    for group, measure in judged:
+    judged.append(([item for item in answers if item.loaded], 1.0, _FAILURES))
+    harm = suspicion = doubt = 0.0
+    for group, factor, measure in judged:
         peak, last = _evidence(group, measure, reference)
         harm = max(harm, peak / BAD_EVIDENCE)
-        suspicion = max(suspicion, last / SUSPICIOUS_EVIDENCE)
+        suspicion = max(suspicion, last / SUSPICIOUS_EVIDENCE / factor)
+        for share in measure.harmful_shares:
+            remaining = _uncleared_evidence(group, measure, reference, share)
+            doubt = max(doubt, remaining / DOUBTFUL_EVIDENCE / factor)
     return Assessment(
         answers=sum(item.good + item.bad for item in answers),
         failed=sum(item.bad for item in answers),
@@ -103,8 +123,9 @@
         recent=sum(
             item.good + item.bad
             for item in answers
-            if item.second >= int(elapsed - RECENT_SECONDS)
+            if item.loaded and item.second >= int(elapsed - RECENT_SECONDS)
         ),
+        doubt=doubt,
     )
 
 
@@ -116,24 +137,41 @@
     old_count: Callable[[OldAnswers], float]
     prior_share: float
     min_share: float
+    # Additional shares that a version about to be completed must not have.
+    harmful_shares: tuple[float, ...]
 
-    def share(self, reference: dict[int, OldAnswers], route: int) -> float:
-        """Return the old version's share on a route, smoothed by that of all routes."""
+    def share(
+        self, reference: dict[int, OldAnswers], route: int, deviations: float
+    ) -> float:
+        """Return the old version's share on a route, smoothed by that of all routes.
+
+        It is taken to be larger than observed by some standard `deviations`.
+        """
         count = sum(self.old_count(item) for item in reference.values())
         total = sum(item.total for item in reference.values())
         mean = (count + self.prior_share * PRIOR_ANSWERS) / (total + PRIOR_ANSWERS)
         own = reference.get(route, OldAnswers(route, 0.0, 0.0, 0.0))
-        share = (self.old_count(own) + mean * PRIOR_ANSWERS) / (
-            own.total + PRIOR_ANSWERS
+        own_count = self.old_count(own)
+        own_count += deviations * math.sqrt(own_count)
+        share = (own_count + mean * ROUTE_PRIOR_ANSWERS) / (
+            own.total + ROUTE_PRIOR_ANSWERS
         )
         return min(max(share, self.min_share), 1.0 - 2.0 * self.min_share)
 
 
 _FAILURES = _Measure(
-    lambda item: item.bad, lambda item: item.bad, PRIOR_FAILED_SHARE, MIN_FAILED_SHARE
+    lambda item: item.bad,
+    lambda item: item.bad,
+    PRIOR_FAILED_SHARE,
+    MIN_FAILED_SHARE,
+    (HARMFUL_SHARE, SEVERE_SHARE),
 )
 _SLOWNESS = _Measure(
-    lambda item: item.slow, lambda item: item.slow, PRIOR_SLOW_SHARE, MIN_SLOW_SHARE
+    lambda item: item.slow,
+    lambda item: item.slow,
+    PRIOR_SLOW_SHARE,
+    MIN_SLOW_SHARE,
+    (HARMFUL_SHARE,),
 )
 _MEASURES = (_FAILURES, _SLOWNESS)
 
@@ -142,41 +180,101 @@
     answers: Sequence[NewAnswers], measure: _Measure, reference: dict[int, OldAnswers]
 ) -> tuple[float, float]:
     """Return the largest and the last evidence that one server does not explain."""
-    peak, last = _cusum(answers, measure, reference)
+    weights = _Weights(measure, reference)
+    sums = _cusum(answers, weights)
+    worst = _worst_server(answers, measure)
+    if worst is None:
+        return sums.peak, sums.last
+    others = [item for item in answers if item.server != worst]
+    other_sums = _cusum(others, weights)
+    return (
+        min(sums.peak, other_sums.peak / FRACTION_WITHOUT_WORST_SERVER),
+        min(sums.last, other_sums.last / FRACTION_WITHOUT_WORST_SERVER),
+    )
+
+
+def _uncleared_evidence(
+    answers: Sequence[NewAnswers],
+    measure: _Measure,
+    reference: dict[int, OldAnswers],
+    harmful_share: float,
+) -> float:
+    """Return the last evidence, 0 if it is that of one server and the others are good.
+
+    Answers before the evidence began to rise tell nothing of a version that has turned
+    bad since.
+    """
+    weights = _Weights(measure, reference, harmful_share, SHARE_DEVIATIONS)
+    sums = _cusum(answers, weights)
+    worst = _worst_server(answers, measure)
+    if worst is None:
+        return sums.last
+    others = [item for item in answers[sums.rises_from :] if item.server != worst]
+    cleared = sum(weights.of(item) for item in others) <= -CLEARING_EVIDENCE
+    return 0.0 if cleared else sums.last
+
+
+def _worst_server(answers: Sequence[NewAnswers], measure: _Measure) -> int | None:
+    """Return the server with most counted answers, None if there is only one."""
     by_server: Counter[int] = Counter()
     for item in answers:
         by_server[item.server] += measure.count(item)
     if len(by_server) < 2:
-        return peak, last
-    worst = max(by_server, key=lambda server: by_server[server])
-    others = [item for item in answers if item.server != worst]
-    other_peak, other_last = _cusum(others, measure, reference)
-    return (
-        min(peak, other_peak / FRACTION_WITHOUT_WORST_SERVER),
-        min(last, other_last / FRACTION_WITHOUT_WORST_SERVER),
-    )
+        return None
+    return max(by_server, key=lambda server: by_server[server])
 
 
-def _cusum(
-    answers: Sequence[NewAnswers], measure: _Measure, reference: dict[int, OldAnswers]
-) -> tuple[float, float]:
-    """Return the largest and the last sum of log likelihood ratios."""
-    weights = {}
+@attrs.frozen
+class _Sums:
+    """The sums of log likelihood ratios of a series of answers."""
+
+    peak: float
+    last: float
+    # Index from which on the last sum has risen from 0.
+    rises_from: int
+
+
+class _Weights:
+    """Log likelihood ratios of answers, by route."""
+
+    def __init__(
+        self,
+        measure: _Measure,
+        reference: dict[int, OldAnswers],
+        harmful_share: float = HARMFUL_SHARE,
+        deviations: float = 0.0,
+    ) -> None:
+        self._measure = measure
+        self._reference = reference
+        self._harmful_share = harmful_share
+        self._deviations = deviations
+        self._by_route: dict[int, tuple[float, float]] = {}
+
+    def of(self, item: NewAnswers) -> float:
+        """Return how much answers tell against the version."""
+        if item.route not in self._by_route:
+            usual = self._measure.share(self._reference, item.route, self._deviations)
+            self._by_route[item.route] = _log_ratios(usual, self._harmful_share)
+        against, in_favour = self._by_route[item.route]
+        count = self._measure.count(item)
+        return count * against + (item.good + item.bad - count) * in_favour
+
+
+def _cusum(answers: Sequence[NewAnswers], weights: _Weights) -> _Sums:
+    """Return the sums of log likelihood ratios."""
     total = peak = 0.0
-    for item in answers:
-        if item.route not in weights:
-            weights[item.route] = _log_ratios(measure.share(reference, item.route))
-        against, in_favour = weights[item.route]
-        count = measure.count(item)
-        total += count * against + (item.good + item.bad - count) * in_favour
-        total = max(0.0, total)
+    rises_from = 0
+    for index, item in enumerate(answers):
+        if total == 0.0:
+            rises_from = index
+        total = max(0.0, total + weights.of(item))
         peak = max(peak, total)
-    return peak, total
+    return _Sums(peak, total, rises_from)
 
 
-def _log_ratios(usual: float) -> tuple[float, float]:
+def _log_ratios(usual: float, harmful_share: float) -> tuple[float, float]:
     """Return the log likelihood ratios of a bad and of a good answer."""
-    harmful = usual + HARMFUL_SHARE * (1.0 - usual)
+    harmful = usual + harmful_share * (1.0 - usual)
     return math.log(harmful / usual), math.log((1.0 - harmful) / (1.0 - usual))
 
 
--- a/masticfork/systems/version_evidence_test.py
+++ b/masticfork/systems/version_evidence_test.py
@@ -49,8 +49,28 @@
         assert assess(answers(40) + late, OLD).is_bad
 
     def test_recent_answers_are_counted_apart(self):
-        assert assess(answers(20), OLD, elapsed=19.9).recent == 2
-        assert assess(answers(20), OLD, elapsed=30.0).recent == 0
+        loaded = [attrs.evolve(item, loaded=True) for item in answers(20)]
+        assert assess(loaded, OLD, elapsed=19.9).recent == 2
+        assert assess(loaded, OLD, elapsed=30.0).recent == 0
+        assert assess(answers(20), OLD, elapsed=19.9).recent == 0
+
+    def test_failures_of_one_server_leave_a_doubt_until_the_others_clear_it(self):
+        """Guards against versions completed as all failures chanced on one server."""
+        failing = NewAnswers(0, 1, 40, 0, 3, 0)
+        few = answers(6, servers=1, since=41)
+        few = [attrs.evolve(item, server=1) for item in few]
+        before = answers(30)
+        assessment = assess([*before, failing, *few], OLD)
+        assert not assessment.is_suspicious
+        assert assessment.doubt >= 1.0
+        many = [attrs.evolve(item, good=4) for item in few]
+        assert assess([*before, failing, *many], OLD).doubt < 1.0
+
+    def test_frequent_failures_of_both_versions_leave_no_doubt(self):
+        """Guards against good versions that are refused for what callers cause."""
+        old = [OldAnswers(1, 80.0, 0.0, 2.0), OldAnswers(2, 30.0, 5.0, 1.0)]
+        new = answers(20) + answers(10, bad={3, 7}, route=2)
+        assert assess(new, old).doubt < 1.0
 
     def test_fault_of_one_server_is_not_the_versions(self):
         """Guards against good versions rolled back for one bad server."""
--- a/masticfork/systems/version_shift.py
+++ b/masticfork/systems/version_shift.py
@@ -4,7 +4,7 @@
 sending requests to it at once and records the rollback. Any host may record the next
 step, with a conditional write that fails if another host has written since. What the
 version may get before the end of the rollout's time is limited by `exposure`. It is
-completed only if it was confirmed by its answers under the full load of the service.
+completed only on recent answers under the full load of the service.
 """
 
 import statistics
@@ -19,28 +19,15 @@
     VersionRollout,
 )
 from masticfork.core.ids import stable_hash
+from masticfork.systems.rollout_plan import RolloutPlan
 from masticfork.systems.version_evidence import Assessment
 
 # The canary step gets a part of the requests that a version may get before it is
-# proven, the full step all requests as far as that limit allows. A confirmed version
-# keeps its sessions until it is completed.
-CANARY, FULL, CONFIRMED = 0, 1, 2
+# proven, the full step all requests as far as that limit allows.
+CANARY, FULL = 0, 1
 # Fraction of the sessions from which the canary step takes its requests. All hosts take
 # the same ones, so that a session that changes hosts mostly keeps its version.
 CANARY_CANDIDATES = 0.5
-# Seconds before the end of the rollout's time at which the full step begins, at which
-# the version may be confirmed, and at which the rollout is completed; and the fractions
-# of a short time for them. Answers under full load, and what other hosts have had, are
-# known before the version is confirmed.
-FULL_SECONDS, FULL_FRACTION = 5.0, 0.48
-CONFIRMATION_SECONDS, CONFIRMATION_FRACTION = 2.0, 0.25
-COMPLETION_SECONDS, COMPLETION_FRACTION = 0.9, 0.15
-# Fraction of the time from the full step to the end at which it begins for a version
-# that has not answered enough, since the service has few requests.
-UNPROVEN_FRACTION = 0.85
-# Fraction of the time from the completion to the end at which a version that is not
-# confirmed is rolled back.
-LAST_CHANCE_FRACTION = 0.4
 # An answer is slow if it took longer than this quantile of the old version's recent
 # answers by this factor. Times are compared relative to the expected ones, since these
 # differ with the length of the prompt, what the server keeps of it, and its queue.
@@ -198,56 +185,42 @@
     rollout: VersionRollout,
     elapsed: float,
     assessment: Assessment,
+    plan: RolloutPlan,
     has_servers: bool = True,
-    loaded: bool = True,
+    confirmed: bool = True,
     affordable: bool = True,
 ) -> RolloutProgress:
     """Return the rollout's next progress, or the current one if no change is due.
 
     `elapsed` is the time in seconds since the rollout was ordered, and `has_servers`
     states whether the new version has any server: without one it never replaces the old
-    one. It is `loaded` if it has answered under the full load of the service, and
-    `affordable` if it may serve alone until the end of the rollout's time.
+    one. It is `confirmed` if there are recent answers under the full load of the
+    service, and `affordable` if it may serve alone until the end of the rollout's time.
     """
-    progress, duration = rollout.progress, rollout.duration
+    progress = rollout.progress
     if is_final(progress):
         return progress
     if assessment.is_bad:
         return attrs.evolve(progress, state=RolloutState.ROLLED_BACK)
     if progress.state is RolloutState.ORDERED:
         return attrs.evolve(progress, state=RolloutState.RUNNING, step=CANARY)
-    remaining = duration - elapsed
     passed = has_servers and not assessment.is_suspicious
-    completion = min(COMPLETION_SECONDS, COMPLETION_FRACTION * duration)
-    if remaining <= completion and not passed:
-        return attrs.evolve(progress, state=RolloutState.ROLLED_BACK)
-    if progress.step >= CONFIRMED:
-        if remaining <= completion and affordable:
-            return attrs.evolve(progress, state=RolloutState.DONE)
+    if elapsed < plan.complete_from:
+        proven = assessment.proven
+        full_from = plan.full_from if proven else plan.unproven_full_from
+        if progress.step < FULL and passed and elapsed >= full_from:
+            return attrs.evolve(progress, step=FULL)
         return progress
-    chance = LAST_CHANCE_FRACTION if progress.step == FULL else 1.0
-    if remaining <= chance * completion:
+    if not passed or assessment.doubt >= 1.0 or progress.step < FULL:
+        return attrs.evolve(progress, state=RolloutState.ROLLED_BACK)
+    if confirmed and assessment.proven:
+        done = attrs.evolve(progress, state=RolloutState.DONE)
+        return done if affordable else progress
+    if elapsed >= plan.give_up_from:
         return attrs.evolve(progress, state=RolloutState.ROLLED_BACK)
-    if not passed:
-        return progress
-    confirmable = min(CONFIRMATION_SECONDS, CONFIRMATION_FRACTION * duration)
-    if progress.step == FULL:
-        if remaining <= confirmable and loaded and assessment.proven:
-            return attrs.evolve(progress, step=CONFIRMED)
-        return progress
-    full_load = full_load_time(duration)
-    if not assessment.proven:
-        full_load *= UNPROVEN_FRACTION
-    if confirmable < remaining <= full_load:
-        return attrs.evolve(progress, step=FULL)
     return progress
 
 
-def full_load_time(duration: float) -> float:
-    """Return the seconds from the start of the full step to the end of the time."""
-    return min(FULL_SECONDS, FULL_FRACTION * duration)
-
-
 def is_canary_candidate(rollout: VersionRollout, session: str) -> bool:
     """Return whether the canary step may take a session; the same on all hosts."""
     return hash_fraction(f"{rollout.created}/{session}") < CANARY_CANDIDATES
--- a/masticfork/systems/version_shift_test.py
+++ b/masticfork/systems/version_shift_test.py
@@ -9,17 +9,12 @@
     VersionRollout,
 )
 from masticfork.core.store_position import StorePosition
+from masticfork.systems.rollout_plan import RolloutPlan
 from masticfork.systems.version_evidence import Assessment
 from masticfork.systems.version_shift import (
     CANARY,
     CANARY_CANDIDATES,
-    COMPLETION_SECONDS,
-    CONFIRMATION_SECONDS,
-    CONFIRMED,
     FULL,
-    FULL_SECONDS,
-    LAST_CHANCE_FRACTION,
-    UNPROVEN_FRACTION,
     LatencyBaseline,
     ResponseTime,
     is_canary_candidate,
@@ -30,6 +25,15 @@
 PROVEN = Assessment(40, 0, 0, harm=0.0, suspicion=0.0, proven=True)
 SUSPICIOUS = Assessment(40, 2, 0, harm=0.5, suspicion=1.1, proven=True)
 BAD = Assessment(8, 4, 0, harm=1.2, suspicion=3.0, proven=False)
+DOUBTFUL = attrs.evolve(PROVEN, doubt=1.1)
+# The full step from 19 s on, the completion from 23.5 s on, the last chance at 23.8 s.
+PLAN = RolloutPlan(19.0, 23.5, 24.0)
+# Steps that are stored: earlier builds write one beyond the full step.
+STEPS = [CANARY, FULL, FULL + 1]
+
+
+def advanced(rollout, elapsed, assessment, **conditions):
+    return next_progress(rollout, elapsed, assessment, PLAN, **conditions)
 
 
 def rollout(state=RolloutState.RUNNING, step=0, duration=24.0):
@@ -46,74 +50,74 @@
 
 class TestAdvance:
     def test_ordered_rollout_starts_with_the_canary(self):
-        progress = next_progress(rollout(RolloutState.ORDERED), 0.1, NONE)
+        progress = advanced(rollout(RolloutState.ORDERED), 0.1, NONE)
         assert (progress.state, progress.step) == (RolloutState.RUNNING, CANARY)
 
     @pytest.mark.parametrize(
-        ("remaining", "step", "expected"),
+        ("elapsed", "step", "expected"),
         [
-            (20.0, CANARY, (RolloutState.RUNNING, CANARY)),
-            (FULL_SECONDS + 0.1, CANARY, (RolloutState.RUNNING, CANARY)),
-            (FULL_SECONDS, CANARY, (RolloutState.RUNNING, FULL)),
-            (CONFIRMATION_SECONDS, CANARY, (RolloutState.RUNNING, CANARY)),
-            (CONFIRMATION_SECONDS + 0.1, FULL, (RolloutState.RUNNING, FULL)),
-            (CONFIRMATION_SECONDS, FULL, (RolloutState.RUNNING, CONFIRMED)),
-            (COMPLETION_SECONDS + 0.1, CONFIRMED, (RolloutState.RUNNING, CONFIRMED)),
-            (COMPLETION_SECONDS, CONFIRMED, (RolloutState.DONE, CONFIRMED)),
-            (COMPLETION_SECONDS, CANARY, (RolloutState.ROLLED_BACK, CANARY)),
+            (4.0, CANARY, (RolloutState.RUNNING, CANARY)),
+            (PLAN.full_from - 0.1, CANARY, (RolloutState.RUNNING, CANARY)),
+            (PLAN.full_from, CANARY, (RolloutState.RUNNING, FULL)),
+            (PLAN.complete_from - 0.1, CANARY, (RolloutState.RUNNING, FULL)),
+            (PLAN.complete_from - 0.1, FULL, (RolloutState.RUNNING, FULL)),
+            (PLAN.complete_from, FULL, (RolloutState.DONE, FULL)),
+            (PLAN.complete_from, FULL + 1, (RolloutState.DONE, FULL + 1)),
+            (PLAN.complete_from, CANARY, (RolloutState.ROLLED_BACK, CANARY)),
         ],
     )
-    def test_steps_of_a_proven_version(self, remaining, step, expected):
-        progress = next_progress(rollout(step=step), 24.0 - remaining, PROVEN)
+    def test_steps_of_a_proven_version(self, elapsed, step, expected):
+        progress = advanced(rollout(step=step), elapsed, PROVEN)
         assert (progress.state, progress.step) == expected
 
-    def test_version_without_answers_under_full_load_is_not_completed(self):
-        """Guards against completion before the answers under full load are known."""
-        shift = rollout(step=FULL)
-        for remaining in (CONFIRMATION_SECONDS, COMPLETION_SECONDS):
-            elapsed = 24.0 - remaining
-            assert next_progress(shift, elapsed, PROVEN, loaded=False) == shift.progress
-        elapsed = 24.0 - LAST_CHANCE_FRACTION * COMPLETION_SECONDS
-        progress = next_progress(shift, elapsed, PROVEN, loaded=False)
-        assert progress.state is RolloutState.ROLLED_BACK
+    def test_version_without_recent_answers_is_not_completed(self):
+        """Guards against completion on answers that are seconds old."""
+        for step in (FULL, FULL + 1):
+            shift = rollout(step=step)
+            held = advanced(shift, PLAN.complete_from, PROVEN, confirmed=False)
+            assert held == shift.progress
+            ended = advanced(shift, PLAN.give_up_from, PROVEN, confirmed=False)
+            assert ended.state is RolloutState.ROLLED_BACK
 
-    def test_confirmed_version_waits_until_it_may_serve_alone(self):
+    def test_version_waits_until_it_may_serve_alone(self):
         """Guards against a share that is exceeded if the age is a wrong clock's."""
-        shift = rollout(step=CONFIRMED)
-        for remaining in (COMPLETION_SECONDS, 0.0, -2.0):
-            elapsed = 24.0 - remaining
-            waiting = next_progress(shift, elapsed, PROVEN, affordable=False)
+        shift = rollout(step=FULL)
+        for elapsed in (PLAN.complete_from, PLAN.ends_at, PLAN.ends_at + 2.0):
+            waiting = advanced(shift, elapsed, PROVEN, affordable=False)
             assert waiting == shift.progress
-            done = next_progress(shift, elapsed, PROVEN, affordable=True)
+            done = advanced(shift, elapsed, PROVEN, affordable=True)
             assert done.state is RolloutState.DONE
 
     @pytest.mark.parametrize("elapsed", [2.0, 12.1, 16.0, 18.9])
     def test_time_alone_does_not_advance_a_rollout(self, elapsed):
         """Guards against rollouts that advance by the clock, without evidence."""
-        progress = next_progress(rollout(), elapsed, PROVEN)
+        progress = advanced(rollout(), elapsed, PROVEN)
         assert progress.step == CANARY
 
     def test_version_that_has_not_answered_enough_is_rolled_back(self):
         shift = rollout()
-        assert next_progress(shift, 24.0 - FULL_SECONDS, NONE) == shift.progress
-        progress = next_progress(shift, 24.0 - COMPLETION_SECONDS, NONE)
+        assert advanced(shift, PLAN.full_from, NONE) == shift.progress
+        progress = advanced(shift, PLAN.complete_from, NONE)
         assert progress.state is RolloutState.ROLLED_BACK
         shift = rollout(step=FULL)
-        assert next_progress(shift, 24.0 - CONFIRMATION_SECONDS, NONE) == shift.progress
+        assert advanced(shift, PLAN.complete_from, NONE) == shift.progress
+        progress = advanced(shift, PLAN.give_up_from, NONE)
+        assert progress.state is RolloutState.ROLLED_BACK
 
     def test_service_with_few_requests_gets_its_full_load_later(self):
         """Guards against good versions of quiet services that are refused."""
-        elapsed = 24.0 - UNPROVEN_FRACTION * FULL_SECONDS
-        assert next_progress(rollout(), elapsed - 0.1, NONE).step == CANARY
-        assert next_progress(rollout(), elapsed, NONE).step == FULL
+        elapsed = PLAN.unproven_full_from
+        assert PLAN.full_from < elapsed < PLAN.complete_from
+        assert advanced(rollout(), elapsed - 0.1, NONE).step == CANARY
+        assert advanced(rollout(), elapsed, NONE).step == FULL
 
     @pytest.mark.parametrize("duration", [2.0, 6.0, 24.0, 60.0])
     def test_proven_version_is_done_within_its_duration(self, duration):
-        progress = RolloutProgress()
+        progress, plan = RolloutProgress(), RolloutPlan.of(duration, 3.0, 0.01)
         shift = rollout(RolloutState.ORDERED, duration=duration)
         for step in range(200):
             shift = attrs.evolve(shift, progress=progress)
-            progress = next_progress(shift, step / 200 * duration, PROVEN)
+            progress = next_progress(shift, step / 200 * duration, PROVEN, plan)
         assert progress.state is RolloutState.DONE
 
     def test_version_without_servers_never_replaces_the_old_one(self):
@@ -122,34 +126,39 @@
         states = {
             (progress.state, progress.step)
             for progress in (
-                next_progress(shift, elapsed, PROVEN, has_servers=False)
-                for elapsed in times
+                advanced(shift, elapsed, PROVEN, has_servers=False) for elapsed in times
             )
         }
         assert states == {(RolloutState.RUNNING, 0), (RolloutState.ROLLED_BACK, 0)}
 
-    @pytest.mark.parametrize("step", [CANARY, FULL, CONFIRMED])
+    @pytest.mark.parametrize("step", STEPS)
     def test_bad_version_is_rolled_back_at_any_step(self, step):
-        progress = next_progress(rollout(step=step), 13.0, BAD)
+        progress = advanced(rollout(step=step), 13.0, BAD)
         assert progress.state is RolloutState.ROLLED_BACK
 
-    @pytest.mark.parametrize("step", [CANARY, FULL, CONFIRMED])
+    @pytest.mark.parametrize("step", STEPS)
     def test_suspicious_version_is_not_completed(self, step):
         """Guards against suspicious versions that are done when their time is up."""
         shift = rollout(step=step)
-        held = next_progress(shift, 24.0 - FULL_SECONDS, SUSPICIOUS)
+        held = advanced(shift, PLAN.full_from, SUSPICIOUS)
         assert held == shift.progress
-        progress = next_progress(shift, 24.0 - COMPLETION_SECONDS, SUSPICIOUS)
+        progress = advanced(shift, PLAN.complete_from, SUSPICIOUS)
+        assert progress.state is RolloutState.ROLLED_BACK
+
+    def test_doubtful_version_gets_a_full_load_and_is_not_completed(self):
+        """Guards against completion on evidence just below what accuses a version."""
+        assert advanced(rollout(), PLAN.full_from, DOUBTFUL).step == FULL
+        progress = advanced(rollout(step=FULL), PLAN.complete_from, DOUBTFUL)
         assert progress.state is RolloutState.ROLLED_BACK
 
     @given(
         st.sampled_from([RolloutState.DONE, RolloutState.ROLLED_BACK]),
         st.floats(0, 100),
-        st.sampled_from([NONE, PROVEN, BAD, SUSPICIOUS]),
+        st.sampled_from([NONE, PROVEN, BAD, SUSPICIOUS, DOUBTFUL]),
     )
     def test_final_state_does_not_change(self, state, elapsed, assessment):
         shift = rollout(state, 2)
-        assert next_progress(shift, elapsed, assessment) == shift.progress
+        assert advanced(shift, elapsed, assessment) == shift.progress
 
 
 class TestLatencyBaseline:
