Count each slow answer of services of short calls

Cause: slow answers of one server within 0.5 s count as one, as they may have waited in one queue behind a long prompt, while each timely one counts. Calls of 15 ms leave no queue of 0.5 s.

The interval is now that of one call at most.

--- a/masticfork/relay/rollout_controller.py
+++ b/masticfork/relay/rollout_controller.py
@@ -86,7 +86,7 @@
 # fraction of the known answers, above which it is not confirmed.
 MAX_UNHEARD_FRACTION = 0.35
 # Slow answers of one server at shorter intervals count as one: they may have waited in
-# one queue, behind a single long prompt.
+# one queue, behind a single long prompt. A queue lasts no longer than a call does.
 SAME_QUEUE_SECONDS = 0.5
 # Records of a new version's answers that a host keeps and reports, and the last second
 # that they name; routes of the old version's answers that it keeps apart.
@@ -187,7 +187,10 @@
 
     def repeats_slow_answer(self, server: str, now: float) -> bool:
         """Record a slow answer; return whether it closely follows another one."""
-        if now - self.slow_at.get(server, -math.inf) < SAME_QUEUE_SECONDS:
+        queue_seconds = SAME_QUEUE_SECONDS
+        if self.traffic.call_seconds > 0.0:
+            queue_seconds = min(queue_seconds, self.traffic.call_seconds)
+        if now - self.slow_at.get(server, -math.inf) < queue_seconds:
             return True
         self.slow_at[server] = now
         return False
--- a/masticfork/relay/rollout_evidence_test.py
+++ b/masticfork/relay/rollout_evidence_test.py
@@ -86,6 +86,26 @@
         assert self.slow_answers([("a", 0.0), ("b", 0.0), ("c", 0.0)]) == 3
         assert self.slow_answers([("a", 0.0), ("a", SAME_QUEUE_SECONDS)]) == 2
 
+    def test_each_slow_answer_of_a_service_of_short_calls_counts(self):
+        """Guards against slow versions whose timely answers alone count one by one."""
+        tables, controller = self.controller()
+        for version in ("v1", "v2"):
+            tables.put_server(server(version))
+        tables.put_rollout(rollout(RolloutState.RUNNING))
+        for tenth in range(40):
+            controller.record_call(server("v1"), "r")
+            controller.record_answer(
+                server("v1"), "r", False, ResponseTime(0, 0.015), tenth / 10
+            )
+            tables.row("i-v1").load.running = tenth % 2
+            controller.run(tenth / 10)
+        for at in (4.0, 4.2, 4.4):
+            controller.record_answer(
+                server("v2"), "r", False, ResponseTime(0, 0.12), at
+            )
+        (evidence,) = controller.evidence()
+        assert slow_answers(evidence) == 3
+
     def slow_answers(self, answers):
         """Return the evidence after slow answers of servers at times."""
         tables, controller = self.controller()
