--- a/soak/rollout_test.py
+++ b/soak/rollout_test.py
@@ -1,12 +1,14 @@
 """Rollouts over entry hosts that run as processes and are lost meanwhile."""
 
 import http.client
+import math
 import random
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import ExitStack, suppress
 
+import attrs
 import pytest
 
 from masticfork.core.backend_servers import Address
@@ -23,8 +25,6 @@
 from tools.run_platform import start_host
 
 HOSTS, SERVERS, SLOTS = 4, 3, 16
-REQUESTS_PER_SECOND = 31.0
-MEDIAN_WORK_SECONDS = 0.3
 OVERLOADED_CALLS, FAILED_SHARE = 3, 0.5
 WARMUP_SECONDS, AFTER_SECONDS = 5.0, 12.0
 START_SECONDS, STOP_SECONDS = 15.0, 6.0
@@ -35,11 +35,38 @@
 LOSSES, AWAY_SECONDS = ((3.5, 0), (5.5, 1), (7.5, 2)), 0.5
 
 
+@attrs.frozen
+class Service:
+    """The traffic of a service."""
+
+    requests_per_second: float
+    median_work_seconds: float
+
+
+BUSY, LIGHT = Service(31.0, 0.3), Service(9.0, 0.015)
+
+
+def good(others, age):
+    return False
+
+
+def overloaded(others, age):
+    return others >= OVERLOADED_CALLS
+
+
+def turned_bad(onset):
+    """Return whether a version has turned bad, `onset` seconds after the order."""
+    return lambda others, age: age >= onset
+
+
 class Version:
     """The servers of one version, and what they have run."""
 
-    def __init__(self, fails, seed):
-        self.fails = fails
+    def __init__(self, may_fail, work_seconds, seed):
+        # Tells from the other calls of a server and from the seconds since the order.
+        self._may_fail = may_fail
+        self._work_seconds = work_seconds
+        self.ordered_at = math.inf
         self.ran_at, self.bad_at = [], []
         self._rng = random.Random(seed)
         self._lock = threading.Lock()
@@ -50,18 +77,19 @@
 
         def answer(request):
             nonlocal running
+            now = time.monotonic()
             with self._lock:
                 others, running = running, running + 1
-                self.ran_at.append(time.monotonic())
-                overloaded = others >= OVERLOADED_CALLS
-                failed = overloaded and self._rng.random() < FAILED_SHARE
-                work = MEDIAN_WORK_SECONDS * self._rng.lognormvariate(0.0, 0.4)
+                self.ran_at.append(now)
+                bad = self._may_fail(others, now - self.ordered_at)
+                failed = bad and self._rng.random() < FAILED_SHARE
+                work = self._work_seconds * self._rng.lognormvariate(0.0, 0.4)
             time.sleep(work)
             with self._lock:
                 running -= 1
-                if self.fails and failed:
+                if failed:
                     self.bad_at.append(time.monotonic())
-            status = "500 Internal Server Error" if self.fails and failed else "200 OK"
+            status = "500 Internal Server Error" if failed else "200 OK"
             yield response(request, b"x", status=status)
 
         return ScriptedServer(answer)
@@ -75,12 +103,17 @@
 class Rollout:
     """A rollout over processes, with callers that do not wait for each other."""
 
-    def __init__(self, folder, fails, seed, duration=24.0, losses=LOSSES):
+    def __init__(
+        self, folder, may_fail, seed, duration=24.0, losses=LOSSES, service=BUSY
+    ):
         self._folder, self._rng = folder, random.Random(seed)
         self.duration, self._losses = duration, losses
+        self._service = service
         self.store = ObjectStore()
         self.store.put("config", "main", configuration(1))
-        self.old, self.new = Version(False, seed), Version(fails, seed + 1)
+        work_seconds = service.median_work_seconds
+        self.old = Version(good, work_seconds, seed)
+        self.new = Version(may_fail, work_seconds, seed + 1)
         self.hosts = []
         self.ordered_at = self.ended_at = 0.0
         self.final = None
@@ -116,6 +149,7 @@
         spec = {"service": SERVICE, "target": "v2", "duration_s": self.duration}
         self.store.put("rollouts", SERVICE, spec)
         self.ordered_at = time.monotonic()
+        self.new.ordered_at = self.ordered_at
         self.ended_at = self.ordered_at + self.duration
         self.new.register(self.store, "v2")
         actions = [(at, host, False) for at, host in self._losses]
@@ -142,7 +176,7 @@
     def _send_all(self, pool):
         number, at = 0, time.monotonic()
         while not self.ended_at or at < self.ended_at + AFTER_SECONDS:
-            at += self._rng.expovariate(REQUESTS_PER_SECOND)
+            at += self._rng.expovariate(self._service.requests_per_second)
             time.sleep(max(0.0, at - time.monotonic()))
             number += 1
             pool.submit(self._send, number, self._rng.choice(self.hosts).front)
@@ -187,7 +221,7 @@
 class TestRollout:
     def test_version_that_fails_under_load_is_rolled_back(self, tmp_path, seed):
         """Guards against completion before the answers under full load are known."""
-        played = Rollout(tmp_path, True, seed).play()
+        played = Rollout(tmp_path, overloaded, seed).play()
         assert played.sent(played.new) <= played.allowed
         assert played.late == 0
         assert played.final is not None
@@ -195,13 +229,23 @@
 
     def test_short_rollout_of_a_version_that_fails_under_load(self, tmp_path, seed):
         """Guards against completion where the bound leaves only a short full load."""
-        played = Rollout(tmp_path, True, seed, 10.0, ()).play()
+        played = Rollout(tmp_path, overloaded, seed, 10.0, ()).play()
+        assert played.sent(played.new) <= played.allowed
+        assert played.late == 0
+
+    @pytest.mark.parametrize("onset", [13.6])
+    def test_version_that_turns_bad_late_is_rolled_back(self, tmp_path, onset, seed):
+        """Guards against completion on answers from before a version turned bad."""
+        fault = turned_bad(onset)
+        played = Rollout(tmp_path, fault, seed, 16.0, (), LIGHT).play()
         assert played.sent(played.new) <= played.allowed
         assert played.late == 0
+        assert played.final is not None
+        assert played.final[0] == "rolled_back"
 
     def test_good_version_is_done_in_time(self, tmp_path, seed):
         """Guards against good versions refused as hosts are lost."""
-        played = Rollout(tmp_path, False, seed).play()
+        played = Rollout(tmp_path, good, seed).play()
         assert played.final is not None
         assert played.final[0] == "done"
         assert played.final[1] < played.duration
