Store the usual times that slow answers are told by

Cause: the times of the old version are known to the hosts alone.

The status of a rollout holds the usual times now, and hosts without their own use them.

--- a/masticfork/core/backend_servers.py
+++ b/masticfork/core/backend_servers.py
@@ -74,6 +74,9 @@
     requests: tuple[HostRequests, ...] = ()
     # How long a write to the store took lately, in seconds.
     store_seconds: float = 0.0
+    # The replaced version's usual times to first byte by model size, relative to the
+    # expected ones.
+    usual_times: tuple[tuple[int, float], ...] = ()
 
 
 @attrs.frozen
--- a/masticfork/platform/formats_test.py
+++ b/masticfork/platform/formats_test.py
@@ -150,7 +150,10 @@
 
     def test_progress_round_trips_through_its_status(self):
         requests = HostRequests("host-1", 4_000_000_000, 120, 17)
-        progress = RolloutProgress(RolloutState.RUNNING, 2, 1234.5, 3.25, (requests,))
+        times = ((0, 0.5), (2, 1.25))
+        progress = RolloutProgress(
+            RolloutState.RUNNING, 1, 1234.5, 3.25, (requests,), 0.012, times
+        )
         rollout = decode_rollout(stored_object(self.SPEC)).ok_value
         status = encode_progress(rollout, progress)
         assert (
@@ -178,6 +181,14 @@
         rollout = decode_rollout(stored_object(self.SPEC, status)).ok_value
         assert rollout.progress == RolloutProgress(RolloutState.RUNNING)
 
+    @pytest.mark.parametrize(
+        "broken", [None, 7, ["0"], {"x": 1.0}, {"0": "x"}, {"0": -1}, {"0": True}]
+    )
+    def test_malformed_usual_times_are_left_out(self, broken):
+        status = {"state": "running", "target": "v2", "usual_times": broken}
+        rollout = decode_rollout(stored_object(self.SPEC, status)).ok_value
+        assert rollout.progress == RolloutProgress(RolloutState.RUNNING)
+
     @pytest.mark.parametrize("duration", [0, -1, 10**30, float("inf"), float("nan")])
     def test_rollout_without_a_usable_duration_is_a_finding(self, duration):
         spec = {**self.SPEC, "duration_s": duration}
--- a/masticfork/platform/server_format.py
+++ b/masticfork/platform/server_format.py
@@ -1,5 +1,6 @@
 """Decodes servers, rollouts and hosts from store objects; encodes what hosts write."""
 
+import contextlib
 import ipaddress
 from typing import Any
 
@@ -35,6 +36,8 @@
 MAX_REJECTED_VERSIONS = 16
 # Starts of hosts whose requests are stored with a rollout.
 MAX_HOST_REQUESTS = 1000
+# Sizes of models of a route.
+MAX_MODEL_SIZES = 16
 
 _DRAINING_BY_STATE = {"ready": False, "draining": True}
 
@@ -153,7 +156,27 @@
     except ValueError:
         return RolloutProgress()
     requests = _requests(status)
-    return RolloutProgress(state, step, ordered_at, elapsed, requests, store_seconds)
+    return RolloutProgress(
+        state,
+        step,
+        ordered_at,
+        elapsed,
+        requests,
+        store_seconds,
+        _usual_times(status),
+    )
+
+
+def _usual_times(status: dict[str, Any]) -> tuple[tuple[int, float], ...]:
+    """Return usual times by model size, without malformed entries."""
+    listed = status.get("usual_times")
+    if not isinstance(listed, dict):
+        return ()
+    found = []
+    for size in sorted(filter(is_text, listed))[:MAX_MODEL_SIZES]:
+        with contextlib.suppress(ValueError):
+            found.append((int(size), _positive_number(listed, size)))
+    return tuple(found)
 
 
 def _requests(status: dict[str, Any]) -> tuple[HostRequests, ...]:
@@ -200,6 +223,9 @@
         "ordered_at": progress.ordered_at,
         "elapsed": round(progress.elapsed, 3),
         "store_seconds": round(progress.store_seconds, 3),
+        "usual_times": {
+            str(size): round(time, 3) for size, time in progress.usual_times
+        },
         "requests": [
             attrs.asdict(item) for item in progress.requests[:MAX_HOST_REQUESTS]
         ],
--- a/masticfork/relay/rollout_controller.py
+++ b/masticfork/relay/rollout_controller.py
@@ -498,6 +498,8 @@
         self, rollout: VersionRollout | None, server: BackendServer, time: ResponseTime
     ) -> bool:
         elsewhere = [item.usual_times for item in self._reported(rollout)]
+        if rollout is not None:
+            elsewhere.append(dict(rollout.progress.usual_times))
         is_cold = (
             rollout is not None
             and _is_on_trial(rollout, server)
@@ -613,9 +615,17 @@
             ordered_at=clock.time() - moment.elapsed,
             elapsed=moment.least_elapsed,
             store_seconds=record.store_seconds,
+            usual_times=self._known_usual_times(rollout),
             requests=tuple(record.requests.values()),
         )
 
+    def _known_usual_times(
+        self, rollout: VersionRollout
+    ) -> tuple[tuple[int, float], ...]:
+        """Return the usual times, those of this host before the stored ones."""
+        own = self.usual_times(rollout.service).usual_times
+        return tuple(sorted({**dict(rollout.progress.usual_times), **own}.items()))
+
     def _update_part(self, rollout: VersionRollout, record: _RolloutRecord) -> None:
         """Update this host's part of the fixed number of allowed requests."""
         for item in self._reported(rollout):
--- a/masticfork/relay/rollout_evidence_test.py
+++ b/masticfork/relay/rollout_evidence_test.py
@@ -86,6 +86,30 @@
         assert self.slow_answers([("a", 0.0), ("b", 0.0), ("c", 0.0)]) == 3
         assert self.slow_answers([("a", 0.0), ("a", SAME_QUEUE_SECONDS)]) == 2
 
+    def test_stored_usual_times_serve_hosts_that_have_lost_theirs(self):
+        """Guards against slow versions that look good after the loss of all hosts."""
+        tables, controller = self.controller()
+        order = rollout(RolloutState.RUNNING)
+        progress = attrs.evolve(order.progress, usual_times=((0, 1.1),))
+        tables.put_rollout(attrs.evolve(order, progress=progress))
+        for seconds in (0.1, 0.8):
+            controller.record_answer(
+                server("v2"), "r", False, ResponseTime(0, seconds), 0.0
+            )
+        (evidence,) = controller.evidence()
+        assert slow_answers(evidence) == 1
+
+    def test_usual_times_are_stored(self):
+        tables, controller = self.controller()
+        for _ in range(20):
+            controller.record_answer(
+                server("v1"), "r", False, ResponseTime(0, 0.1), 0.0
+            )
+        tables.put_rollout(rollout(RolloutState.ORDERED))
+        for tenth in range(30):
+            controller.run(tenth / 10)
+        assert self.objects.written[-1]["usual_times"] == {"0": 2.0}
+
     def test_each_slow_answer_of_a_service_of_short_calls_counts(self):
         """Guards against slow versions whose timely answers alone count one by one."""
         tables, controller = self.controller()
