Keep requests for a burst at the end of a rollout

Cause: what was kept for the time after the completion was that of the usual rate, a mean over 2 s, and half a second before the end a version was completed whatever was left of the allowed requests.

The requests of all hosts are sampled at each run, so that a burst is known within 0.3 s and the completion waits, until 0.15 s before the end at most; five requests beyond the usual ones are kept. Operators need 0.35 s to see a completion: hosts decide on it 0.45 s before the end, one within 0.1 s of the other.

--- a/masticfork/relay/late_versions_test.py
+++ b/masticfork/relay/late_versions_test.py
@@ -2,6 +2,7 @@
 
 import functools
 
+import attrs
 import pytest
 
 from masticfork.core.backend_servers import RolloutState
@@ -20,6 +21,12 @@
     return Service(rate, duration=duration, work_seconds=SHORT_WORK_SECONDS)
 
 
+def with_burst(seconds_before_end):
+    """Return a light service with a burst before the end of the rollout's time."""
+    burst_from = DURATION_SECONDS - seconds_before_end
+    return attrs.evolve(service(8.0), burst_from=burst_from, burst_factor=4.0)
+
+
 def turning_bad(onset):
     """Return a version half of whose answers fail from `onset` on."""
 
@@ -29,13 +36,16 @@
     return fails
 
 
+def play(version, service, seed):
+    with pytest.MonkeyPatch.context() as monkeypatch:
+        return Simulation(version, DAYS["calm"], service, seed).play(monkeypatch)
+
+
 @functools.cache
 def played(rate, onset, seed):
     """Return a rollout that has been played, the same one for several tests."""
     version = good if onset is None else turning_bad(onset)
-    with pytest.MonkeyPatch.context() as monkeypatch:
-        simulation = Simulation(version, DAYS["calm"], service(rate), seed)
-        return simulation.play(monkeypatch)
+    return play(version, service(rate), seed)
 
 
 @pytest.mark.parametrize("seed", SEEDS)
@@ -61,3 +71,12 @@
         state, age = rollout.final
         assert state is RolloutState.DONE
         assert age < DURATION_SECONDS
+
+
+@pytest.mark.parametrize("seed", range(1, 13))
+@pytest.mark.parametrize("seconds_before_end", [1.5, 1.2, 1.0])
+class TestBurstBeforeTheEnd:
+    def test_version_gets_no_more_than_its_share(self, seconds_before_end, seed):
+        """Guards against requests kept for the usual traffic alone."""
+        rollout = play(good, with_burst(seconds_before_end), seed)
+        assert rollout.sent_by_limit["v2"] <= rollout.allowed
--- a/masticfork/relay/loaded_versions_test.py
+++ b/masticfork/relay/loaded_versions_test.py
@@ -6,6 +6,7 @@
 """
 
 import functools
+import math
 import random
 from collections import Counter
 from collections.abc import Callable
@@ -89,6 +90,9 @@
     duration: float = 24.0
     # Median time that a call takes.
     work_seconds: float = 0.3
+    # Seconds since the order from which on there are more requests, and how many times.
+    burst_from: float = math.inf
+    burst_factor: float = 1.0
 
 
 def ignore(*args, **fields):
@@ -294,6 +298,8 @@
                     host.controller.run(self.now)
                     self._publish(host)
             arrivals = self.service.requests_per_second * TICK_SECONDS
+            if self.age >= self.service.burst_from:
+                arrivals *= self.service.burst_factor
             for _ in range(int(arrivals) + (self.rng.random() < arrivals % 1.0)):
                 self._send_new_request()
         return self
--- a/masticfork/relay/rollout_controller.py
+++ b/masticfork/relay/rollout_controller.py
@@ -32,6 +32,7 @@
 from masticfork.systems.exposure import (
     ExposureBudget,
     ExposureLimit,
+    RequestSamples,
     RolloutMoment,
     Traffic,
     UsualLoad,
@@ -59,7 +60,7 @@
 # Longest delay before a write that other hosts may make as well: of the order's first
 # one, and of each later step. Each host waits for a different fraction of it, so that
 # usually only one host writes.
-MAX_WRITE_DELAY_SECONDS, MAX_STEP_DELAY_SECONDS = 0.4, 0.2
+MAX_WRITE_DELAY_SECONDS, MAX_STEP_DELAY_SECONDS = 0.4, 0.1
 # Time for which a host that starts during a rollout waits to hear from others how long
 # ago it was ordered; full digests are sent at least once a second.
 AGE_WAIT_SECONDS = 1.5
@@ -131,6 +132,7 @@
     plan: RolloutPlan
     usual_load: UsualLoad = attrs.field(factory=UsualLoad)
     traffic: Traffic = attrs.field(factory=Traffic)
+    request_samples: RequestSamples = attrs.field(factory=RequestSamples)
     # Loop time at which this host has seen that the new version gets all requests.
     full_since: float = math.inf
     # The longest recent write to the store, in seconds.
@@ -649,6 +651,12 @@
         Hosts differ little in what they know, and the first to begin it begins for all.
         """
         record.usual_load.sample(self._running(rollout), now)
+        others = [
+            item.sent
+            for key, item in record.requests.items()
+            if key != (self._host, self._start)
+        ]
+        record.request_samples.add(record.budget.sent + sum(others), now)
         reported = self._reported(rollout)
         rate = record.budget.rate(now) + sum(item.rate for item in reported)
         record.traffic = Traffic(rate, record.usual_load.call_seconds(rate))
@@ -696,7 +704,7 @@
         """Return whether the new version may serve alone from now on."""
         known = [*self._reported(rollout), self._own_evidence(rollout)]
         left = sum(item.left for item in known)
-        rate = sum(item.rate for item in known)
+        rate = max(sum(item.rate for item in known), record.request_samples.rate)
         seconds = max(0.0, rollout.duration - (self._loop.now - record.ordered_by))
         if record.is_age_sure and seconds <= LATEST_COMPLETION_SECONDS:
             # What is needed now was kept; calls that may be repeated vary.
--- a/masticfork/relay/rollout_exposure_test.py
+++ b/masticfork/relay/rollout_exposure_test.py
@@ -151,6 +151,7 @@
             ExposureLimit(simulation.fleet.expose_share, EXPOSE_SLACK),
             lambda: simulation.fleet.hosts,
             executor=SynchronousExecutor(),
+            on_evidence=simulation.publish,
         )
 
 
--- a/masticfork/systems/exposure.py
+++ b/masticfork/systems/exposure.py
@@ -7,7 +7,7 @@
 """
 
 import math
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Iterable
 
 import attrs
@@ -21,6 +21,9 @@
 # to be repeated on the new one, when the old servers stop; and the one for which
 # requests are kept until then.
 REPEATED_FRACTION, KEPT_FRACTION = 0.65, 0.75
+# Requests of all hosts that are kept beyond the usual ones after the completion, since
+# a burst may begin then.
+BURST_REQUESTS = 5.0
 # Part of the planned full load that the allowed requests suffice for if the traffic is
 # a little uneven between the hosts and in time.
 PLANNED_FRACTION = 0.85
@@ -43,6 +46,8 @@
 EQUAL_PART = 0.75
 # A route with a larger share of the requests is a main route.
 MAIN_ROUTE_SHARE = 0.05
+# Time over which a burst is told from the usual traffic of all hosts.
+BURST_SECONDS = 0.3
 # Time constant of the recent request rate, and the least time that it is taken over.
 RATE_SECONDS = 2.0
 MIN_RATE_SECONDS = 0.5
@@ -109,7 +114,7 @@
             MIN_CANARY_FRACTION * bound,
             min(MAX_MIN_CANARY_FRACTION * bound, MIN_CANARY_REQUESTS),
         )
-        alone = self.rate * (plan.ends_at - plan.complete_from)
+        alone = _alone(self.rate * (plan.ends_at - plan.complete_from), 1)
         seconds = (USED_FRACTION * bound - canary - alone) / self.rate
         return PLANNED_FRACTION * max(0.0, seconds - self._repeated_seconds(seconds))
 
@@ -127,6 +132,11 @@
         return KEPT_FRACTION * self.call_seconds * unended
 
 
+def _alone(usual: float, hosts: int) -> float:
+    """Return the requests to keep for a time for which there are `usual` ones."""
+    return usual + min(usual, BURST_REQUESTS / hosts)
+
+
 def host_part(
     limit: ExposureLimit, hosts: int, earlier: Iterable[HostRequests]
 ) -> float:
@@ -165,6 +175,28 @@
         return self._count * math.exp(-age / RATE_SECONDS)
 
 
+@attrs.define
+class RequestSamples:
+    """Samples of the number of requests that all hosts have sent."""
+
+    # Times by a steady clock and numbers, oldest first.
+    _samples: deque[tuple[float, int]] = attrs.field(factory=deque)
+
+    def add(self, total: int, now: float) -> None:
+        """Record how many requests have been sent so far."""
+        while len(self._samples) > 1 and self._samples[1][0] <= now - BURST_SECONDS:
+            self._samples.popleft()
+        self._samples.append((now, total))
+
+    @property
+    def rate(self) -> float:
+        """Return the latest requests a second, 0 if they are unknown."""
+        if len(self._samples) < 2:
+            return 0.0
+        (since, before), (until, total) = self._samples[0], self._samples[-1]
+        return max(0, total - before) / max(BURST_SECONDS, until - since)
+
+
 @attrs.define
 class UsualLoad:
     """Exponentially decayed mean of the calls that a service runs."""
@@ -293,7 +325,7 @@
     def _reserved(self, rate: float, moment: RolloutMoment) -> float:
         """Return the requests to the new version after the full load."""
         completion = moment.plan.ends_at - moment.plan.complete_from
-        alone = rate * min(moment.remaining, completion)
+        alone = _alone(rate * min(moment.remaining, completion), moment.hosts)
         return alone + KEPT_FRACTION * moment.old_running
 
     def _weight(self, route: str) -> float:
--- a/masticfork/systems/exposure_test.py
+++ b/masticfork/systems/exposure_test.py
@@ -11,6 +11,7 @@
     RECENT_ANSWERS,
     ExposureBudget,
     ExposureLimit,
+    RequestSamples,
     RolloutMoment,
     Traffic,
     UsualLoad,
@@ -166,6 +167,24 @@
         assert load.call_seconds(0.0) == 0.0
 
 
+class TestRequestSamples:
+    def test_burst_is_known_within_half_a_second(self):
+        """Guards against completion at the start of a burst that it cannot afford."""
+        samples, total = RequestSamples(), 0
+        for quarter in range(40):
+            total += 12 if quarter >= 38 else 2
+            samples.add(total, quarter / 4)
+            if quarter == 37:
+                assert samples.rate == pytest.approx(8.0)
+        assert samples.rate > 30.0
+
+    def test_single_sample_tells_no_rate(self):
+        samples = RequestSamples()
+        assert samples.rate == 0.0
+        samples.add(30, 1.0)
+        assert samples.rate == 0.0
+
+
 class TestTraffic:
     PLAN = RolloutPlan.of(DURATION, 0.0, 0.01)
 
@@ -197,13 +216,13 @@
     def test_requests_are_kept_for_the_last_second_before_the_completion(self):
         """Guards against answers that end while a version may still turn bad."""
         own = budget(0.0, hosts=1)
-        for n in range(100):
-            own.count("a", False, n * 0.1)
-        at = 10.0
-        while own.allows_full_load(moment(at, hosts=1)):
-            own.count("a", True, at)
-        spent = own.sent_to_new
-        for at in (14.2, 14.4, 14.55):
-            while own.allows_full_load(moment(at, hosts=1)):
-                own.count("a", True, at)
-        assert own.sent_to_new >= spent + 3
+        for tenth in range(100):
+            own.count("a", False, tenth / 10)
+        to_new = []
+        for tenth in range(100, 146):
+            at = tenth / 10
+            to_new.append(own.allows_full_load(moment(at, hosts=1)))
+            own.count("a", to_new[-1], at)
+        assert all(to_new[:20])
+        assert not all(to_new[:-10])
+        assert sum(to_new[-10:]) >= 4
--- a/masticfork/systems/rollout_plan.py
+++ b/masticfork/systems/rollout_plan.py
@@ -8,7 +8,7 @@
 # Time before the end at which a rollout is completed, beyond two writes to the store,
 # and the most of it as a fraction of the whole time. Hosts write one after the other,
 # since the first may be lost, and operators see it 0.35 s later.
-COMPLETION_SECONDS, MAX_COMPLETION_FRACTION = 0.5, 0.15
+COMPLETION_SECONDS, MAX_COMPLETION_FRACTION = 0.45, 0.15
 # Time from when the full step is due until all hosts follow it, beyond two calls to the
 # store.
 STEP_SECONDS = 0.1
