Keep a little more for a burst, and doubt rarer failures

So that this does not complete more bad versions, a failure weighs more where a version is about to be completed and the old one has none.

The line of a rollout's progress tells what is left of the allowed requests, the rate expected and how long the store takes.

--- a/masticfork/relay/rollout_controller.py
+++ b/masticfork/relay/rollout_controller.py
@@ -702,15 +702,23 @@
 
     def _is_affordable(self, rollout: VersionRollout, record: _RolloutRecord) -> bool:
         """Return whether the new version may serve alone from now on."""
-        known = [*self._reported(rollout), self._own_evidence(rollout)]
-        left = sum(item.left for item in known)
-        rate = max(sum(item.rate for item in known), record.request_samples.rate)
+        left, rate = self._left(rollout), self._rate(rollout, record)
         seconds = max(0.0, rollout.duration - (self._loop.now - record.ordered_by))
         if record.is_age_sure and seconds <= LATEST_COMPLETION_SECONDS:
             # What is needed now was kept; calls that may be repeated vary.
             return True
         return left >= (1.0 - self._limit.share) * rate * seconds
 
+    def _left(self, rollout: VersionRollout) -> float:
+        """Return the requests that the new version may still get from all hosts."""
+        known = [*self._reported(rollout), self._own_evidence(rollout)]
+        return sum(item.left for item in known)
+
+    def _rate(self, rollout: VersionRollout, record: _RolloutRecord) -> float:
+        """Return the requests a second to expect from all hosts."""
+        known = [*self._reported(rollout), self._own_evidence(rollout)]
+        return max(sum(item.rate for item in known), record.request_samples.rate)
+
     def _write(
         self,
         rollout: VersionRollout,
@@ -732,6 +740,9 @@
             full_from=round(record.plan.full_from, 2),
             complete_from=round(record.plan.complete_from, 2),
             part=round(record.budget.part, 1),
+            left=round(self._left(rollout), 1),
+            rate=round(self._rate(rollout, record), 1),
+            store_seconds=round(record.store_seconds, 3),
             elapsed=round(self._loop.now - record.ordered_at, 2),
             least_elapsed=round(self._loop.now - record.ordered_by, 2),
             revision=rollout.position.revision,
--- a/masticfork/systems/exposure.py
+++ b/masticfork/systems/exposure.py
@@ -23,7 +23,7 @@
 REPEATED_FRACTION, KEPT_FRACTION = 0.65, 0.75
 # Requests of all hosts that are kept beyond the usual ones after the completion, since
 # a burst may begin then.
-BURST_REQUESTS = 5.0
+BURST_REQUESTS = 7.0
 # Part of the planned full load that the allowed requests suffice for if the traffic is
 # a little uneven between the hosts and in time.
 PLANNED_FRACTION = 0.85
--- a/masticfork/systems/version_evidence.py
+++ b/masticfork/systems/version_evidence.py
@@ -26,8 +26,10 @@
 # Standard deviations by which the old version's share may be larger than the one
 # observed where a version is about to be completed: it is that of few answers.
 SHARE_DEVIATIONS = 0.5
-# Lowest shares used for the old version.
+# Lowest shares used for the old version, and that of failures where a version is about
+# to be completed.
 MIN_FAILED_SHARE, MIN_SLOW_SHARE = 0.02, 0.04
+MIN_FAILED_SHARE_AT_COMPLETION = 0.01
 # Sums of log likelihood ratios from which a version is bad, from which it does not get
 # all requests, and from which it is not completed. More is needed of a single route,
 # since there are several.
@@ -137,7 +139,9 @@
     old_count: Callable[[OldAnswers], float]
     prior_share: float
     min_share: float
-    # Additional shares that a version about to be completed must not have.
+    # The latter where a version is about to be completed, and the additional shares
+    # that it must not have then.
+    min_completion_share: float
     harmful_shares: tuple[float, ...]
 
     def share(
@@ -164,6 +168,7 @@
     lambda item: item.bad,
     PRIOR_FAILED_SHARE,
     MIN_FAILED_SHARE,
+    MIN_FAILED_SHARE_AT_COMPLETION,
     (HARMFUL_SHARE, SEVERE_SHARE),
 )
 _SLOWNESS = _Measure(
@@ -171,6 +176,7 @@
     lambda item: item.slow,
     PRIOR_SLOW_SHARE,
     MIN_SLOW_SHARE,
+    MIN_SLOW_SHARE,
     (HARMFUL_SHARE,),
 )
 _MEASURES = (_FAILURES, _SLOWNESS)
@@ -204,7 +210,8 @@
     Answers before the evidence began to rise tell nothing of a version that has turned
     bad since.
     """
-    weights = _Weights(measure, reference, harmful_share, SHARE_DEVIATIONS)
+    at_completion = attrs.evolve(measure, min_share=measure.min_completion_share)
+    weights = _Weights(at_completion, reference, harmful_share, SHARE_DEVIATIONS)
     sums = _cusum(answers, weights)
     worst = _worst_server(answers, measure)
     if worst is None:
