Begin the full load of services of long calls

Cause: requests are kept for the calls of the old version that are repeated at the completion, as many as run now. With calls of a second at 40 requests a second that is all that the bound leaves, so the full load got no request and the calls did not become fewer: 4 of 83 requests in its 1.5 s. The answers needed were counted from the length of calls, which leaves none, though streams are answered sooner.

What is kept is for the calls that will still run at the completion, by their mean length, and recent answers are needed from the mean time until calls are answered on.

--- a/masticfork/relay/rollout_controller.py
+++ b/masticfork/relay/rollout_controller.py
@@ -23,6 +23,7 @@
 from masticfork.core.deadlines import Deadline
 from masticfork.core.digests import NewAnswers, OldAnswers, RolloutEvidence
 from masticfork.core.ids import short_key
+from masticfork.core.rollouts import Mean
 from masticfork.platform import names
 from masticfork.platform.objects import PlatformObject, PlatformObjects
 from masticfork.platform.server_format import decode_rollout, encode_progress
@@ -39,6 +40,7 @@
     host_part,
 )
 from masticfork.systems.rollout_plan import RolloutPlan
+from masticfork.systems.sequential_tests import update_mean
 from masticfork.systems.stream_pace import PaceBaseline, StreamPace
 from masticfork.systems.version_evidence import RECENT_SECONDS, Assessment, assess
 from masticfork.systems.version_shift import (
@@ -76,6 +78,8 @@
 LONG_CALL_SECONDS = 0.5
 # Time before the end at which a rollout whose age is sure is completed in any case.
 LATEST_COMPLETION_SECONDS = 0.15
+# Answers over which their mean time is taken.
+ANSWER_SECONDS_WEIGHT = 30.0
 # Times of writes to the store that are further back lose weight by this factor with
 # each write, so that the slowest of the latest ones is known.
 STORE_SECONDS_DECAY = 0.7
@@ -132,6 +136,8 @@
     plan: RolloutPlan
     usual_load: UsualLoad = attrs.field(factory=UsualLoad)
     traffic: Traffic = attrs.field(factory=Traffic)
+    # Mean time until calls are answered.
+    answer_seconds: Mean = attrs.field(factory=Mean)
     request_samples: RequestSamples = attrs.field(factory=RequestSamples)
     # Loop time at which this host has seen that the new version gets all requests.
     full_since: float = math.inf
@@ -348,6 +354,7 @@
             now - record.ordered_by,
             record.plan,
             old_running,
+            record.traffic.call_seconds,
             record.hosts,
         )
 
@@ -378,6 +385,9 @@
         if rollout is None or is_final(rollout.progress):
             return
         record = self._record_of(rollout)
+        record.answer_seconds = update_mean(
+            record.answer_seconds, time.seconds, 1, ANSWER_SECONDS_WEIGHT
+        )
         if slow and not failed and record.repeats_slow_answer(server.id, now):
             return
         if is_new:
@@ -659,7 +669,8 @@
         record.request_samples.add(record.budget.sent + sum(others), now)
         reported = self._reported(rollout)
         rate = record.budget.rate(now) + sum(item.rate for item in reported)
-        record.traffic = Traffic(rate, record.usual_load.call_seconds(rate))
+        call_seconds = record.usual_load.call_seconds(rate)
+        record.traffic = Traffic(rate, call_seconds, record.answer_seconds.value)
         seconds = record.traffic.full_load_seconds(self._limit, record.plan)
         store_seconds = max(record.store_seconds, rollout.progress.store_seconds)
         record.plan = RolloutPlan.of(rollout.duration, seconds, store_seconds)
--- a/masticfork/systems/exposure.py
+++ b/masticfork/systems/exposure.py
@@ -71,8 +71,9 @@
     elapsed: float
     least_elapsed: float
     plan: RolloutPlan
-    # Calls that this host runs on the old version.
+    # Calls that this host runs on the old version, and how long they last in seconds.
     old_running: int
+    call_seconds: float
     # Hosts among which the fixed number is divided.
     hosts: int
 
@@ -91,6 +92,12 @@
         """Return the seconds until the completion as estimated, 0 after it."""
         return max(0.0, self.plan.complete_from - self.elapsed)
 
+    @property
+    def old_running_at_completion(self) -> float:
+        """Return the present calls on the old version that are repeated later."""
+        left = self.until_completion
+        return self.old_running * _unended_fraction(self.call_seconds, left)
+
 
 @attrs.frozen
 class Traffic:
@@ -98,8 +105,10 @@
 
     # Requests a second.
     rate: float = 0.0
-    # Mean length of calls in seconds, 0 if it is unknown.
+    # Mean length of calls and mean time until they are answered, in seconds; 0 if they
+    # are unknown. Streams are answered before they end.
     call_seconds: float = 0.0
+    answer_seconds: float = 0.0
 
     def full_load_seconds(self, limit: ExposureLimit, plan: RolloutPlan) -> float:
         """Return for how many seconds the limit allows a full load.
@@ -120,18 +129,24 @@
 
     def recent_answers(self, plan: RolloutPlan, recent_seconds: float) -> int:
         """Return how many recent answers under full load complete a version."""
-        answered = max(0.0, plan.full_seconds - self.call_seconds - TELLING_SECONDS)
+        seconds = self.answer_seconds or self.call_seconds
+        answered = max(0.0, plan.full_seconds - seconds - TELLING_SECONDS)
         expected = self.rate * min(recent_seconds, answered)
         return math.floor(min(RECENT_ANSWERS, RECENT_FRACTION * expected))
 
     def _repeated_seconds(self, seconds: float) -> float:
         """Return the part of a full load that repeated calls take the place of."""
-        if self.call_seconds <= 0.0:
-            return 0.0
-        unended = math.exp(-max(0.0, seconds) / self.call_seconds)
+        unended = _unended_fraction(self.call_seconds, seconds)
         return KEPT_FRACTION * self.call_seconds * unended
 
 
+def _unended_fraction(call_seconds: float, seconds: float) -> float:
+    """Return the fraction of the running calls that still run after a time."""
+    if call_seconds <= 0.0:
+        return 0.0
+    return math.exp(-max(0.0, seconds) / call_seconds)
+
+
 def _alone(usual: float, hosts: int) -> float:
     """Return the requests to keep for a time for which there are `usual` ones."""
     return usual + min(usual, BURST_REQUESTS / hosts)
@@ -326,7 +341,7 @@
         """Return the requests to the new version after the full load."""
         completion = moment.plan.ends_at - moment.plan.complete_from
         alone = _alone(rate * min(moment.remaining, completion), moment.hosts)
-        return alone + KEPT_FRACTION * moment.old_running
+        return alone + KEPT_FRACTION * moment.old_running_at_completion
 
     def _weight(self, route: str) -> float:
         """Return the part of the canary's requests that a route gets."""
--- a/masticfork/systems/exposure_test.py
+++ b/masticfork/systems/exposure_test.py
@@ -32,7 +32,7 @@
 
 
 def moment(elapsed, hosts=4, old_running=0):
-    return RolloutMoment(elapsed, elapsed, elapsed, PLAN, old_running, hosts)
+    return RolloutMoment(elapsed, elapsed, elapsed, PLAN, old_running, 3.0, hosts)
 
 
 class TestCanary:
@@ -209,9 +209,21 @@
         needed = [Traffic(rate, 0.015).recent_answers(plan, 1.0) for rate in (2, 8, 31)]
         assert needed == [0, 3, RECENT_ANSWERS]
         assert Traffic(31.0, 4.0).recent_answers(plan, 1.0) == 0
+        assert Traffic(31.0, 4.0, 0.5).recent_answers(plan, 1.0) == RECENT_ANSWERS
         assert Traffic(0.0, 0.0).recent_answers(plan, 1.0) == 0
 
 
+class TestLongCalls:
+    def test_full_load_begins_before_the_old_versions_calls_have_ended(self):
+        """Guards against a full load that gets no request, so that none of them end."""
+        own = budget(hosts=4)
+        for n in range(120):
+            own.count("a", False, n / 10)
+        now = attrs.evolve(moment(12.0, old_running=36), call_seconds=1.5)
+        assert own.allows_full_load(now)
+        assert not own.allows_full_load(attrs.evolve(now, call_seconds=15.0))
+
+
 class TestLastSeconds:
     def test_requests_are_kept_for_the_last_second_before_the_completion(self):
         """Guards against answers that end while a version may still turn bad."""
