Determine the doubt of a version only where it is completed

The assessment of 1,500 records of answers, as 28 hosts have them, took 127 ms in place of 43 ms on, beside other plays; hosts assess four times a second and at each failure.

--- a/masticfork/relay/rollout_controller.py
+++ b/masticfork/relay/rollout_controller.py
@@ -83,7 +83,7 @@
 # Times of writes to the store that are further back lose weight by this factor with
 # each write, so that the slowest of the latest ones is known.
 STORE_SECONDS_DECAY = 0.7
-# Added to the time until a wake-up, since a timer may be early by rounding.
+# Added to the time until a wake-up, since timers may be early by rounding.
 WAKE_MARGIN_SECONDS = 0.001
 # Interval at which the rollouts are advanced if nothing is due sooner.
 RUN_INTERVAL_SECONDS = 0.25
@@ -533,7 +533,8 @@
         earlier = (item.new for item in reported if item.requests is None)
         new.extend(itertools.chain(*earlier))
         old = (counts for item in [*reported, own] for counts in item.old)
-        return assess(new, old, self._loop.now - record.ordered_at)
+        elapsed = self._loop.now - record.ordered_at
+        return assess(new, old, elapsed, elapsed >= record.plan.complete_from)
 
     def _judge_version(
         self, rollout: VersionRollout, record: _RolloutRecord, assessment: Assessment
@@ -656,9 +657,10 @@
     def _update_plan(
         self, rollout: VersionRollout, record: _RolloutRecord, now: float
     ) -> None:
-        """Update how long the allowed requests suffice for a full load, and until when.
+        """Update the traffic of the service and the plan that follows from it.
 
-        Hosts differ little in what they know, and the first to begin it begins for all.
+        Hosts differ little in what they know, and the first to begin the full load
+        begins it for all.
         """
         record.usual_load.sample(self._running(rollout), now)
         others = [
@@ -682,7 +684,7 @@
                 self._wake_at(record, record.ordered_at + due)
 
     def _wake_at(self, record: _RolloutRecord, at: float) -> None:
-        """Advance the rollouts at a loop time that no regular run may be close to."""
+        """Advance the rollouts at a loop time unless an earlier wake-up is pending."""
         if self._loop.now < record.wake_at <= at:
             return
         record.wake_at = at
--- a/masticfork/systems/exposure.py
+++ b/masticfork/systems/exposure.py
@@ -24,13 +24,13 @@
 # Requests of all hosts that are kept beyond the usual ones after the completion, since
 # a burst may begin then.
 BURST_REQUESTS = 7.0
-# Part of the planned full load that the allowed requests suffice for if the traffic is
-# a little uneven between the hosts and in time.
+# Fraction of the full load that the allowed requests suffice for on average that is
+# planned: traffic is uneven between the hosts and in time.
 PLANNED_FRACTION = 0.85
 # Time before the completion for which a part of the requests of a full load is kept, so
 # that there are answers until then.
 LAST_SECONDS, LAST_SECONDS_FRACTION = 1.0, 0.5
-# Time until most answers are known to all hosts.
+# Time until hosts know of most of each other's answers.
 TELLING_SECONDS = 0.3
 # Recent answers under full load without which a version is not completed, and the
 # fraction of the service's requests that is enough if they are few.
@@ -46,7 +46,7 @@
 EQUAL_PART = 0.75
 # A route with a larger share of the requests is a main route.
 MAIN_ROUTE_SHARE = 0.05
-# Time over which a burst is told from the usual traffic of all hosts.
+# Time over which the latest request rate of all hosts is taken, to notice a burst.
 BURST_SECONDS = 0.3
 # Time constant of the recent request rate, and the least time that it is taken over.
 RATE_SECONDS = 2.0
--- a/masticfork/systems/version_evidence.py
+++ b/masticfork/systems/version_evidence.py
@@ -86,11 +86,15 @@
 
 
 def assess(
-    new: Iterable[NewAnswers], old: Iterable[OldAnswers], elapsed: float = 0.0
+    new: Iterable[NewAnswers],
+    old: Iterable[OldAnswers],
+    elapsed: float = 0.0,
+    completing: bool = False,
 ) -> Assessment:
     """Return the assessment of a new version from the answers of all hosts.
 
-    `elapsed` is the time in seconds since the order.
+    `elapsed` is the time in seconds since the order. The doubt is only determined for a
+    version that is about to be completed.
     """
     answers = sorted(new, key=lambda item: item.second)
     reference = _sum_by_route(old)
@@ -111,7 +115,7 @@
         peak, last = _evidence(group, measure, reference)
         harm = max(harm, peak / BAD_EVIDENCE)
         suspicion = max(suspicion, last / SUSPICIOUS_EVIDENCE / factor)
-        for share in measure.harmful_shares:
+        for share in measure.harmful_shares if completing else ():
             remaining = _uncleared_evidence(group, measure, reference, share)
             doubt = max(doubt, remaining / DOUBTFUL_EVIDENCE / factor)
     return Assessment(
--- a/masticfork/systems/version_evidence_test.py
+++ b/masticfork/systems/version_evidence_test.py
@@ -60,17 +60,18 @@
         few = answers(6, servers=1, since=41)
         few = [attrs.evolve(item, server=1) for item in few]
         before = answers(30)
-        assessment = assess([*before, failing, *few], OLD)
+        assessment = assess([*before, failing, *few], OLD, completing=True)
         assert not assessment.is_suspicious
         assert assessment.doubt >= 1.0
         many = [attrs.evolve(item, good=4) for item in few]
-        assert assess([*before, failing, *many], OLD).doubt < 1.0
+        cleared = assess([*before, failing, *many], OLD, completing=True)
+        assert cleared.doubt < 1.0
 
     def test_frequent_failures_of_both_versions_leave_no_doubt(self):
         """Guards against good versions that are refused for what callers cause."""
         old = [OldAnswers(1, 80.0, 0.0, 2.0), OldAnswers(2, 30.0, 5.0, 1.0)]
         new = answers(20) + answers(10, bad={3, 7}, route=2)
-        assert assess(new, old).doubt < 1.0
+        assert assess(new, old, completing=True).doubt < 1.0
 
     def test_fault_of_one_server_is_not_the_versions(self):
         """Guards against good versions rolled back for one bad server."""
