Determine the weights of answers once for an assessment

They depend on the measure, not on the group of answers, for each of which they were determined anew.

--- a/masticfork/systems/version_evidence.py
+++ b/masticfork/systems/version_evidence.py
@@ -110,13 +110,18 @@
     ]
     # Some versions fail under load only.
     judged.append(([item for item in answers if item.loaded], 1.0, _FAILURES))
+    weights = {measure: _Weights(measure, reference) for measure in _MEASURES}
+    completion_weights = {
+        measure: measure.completion_weights(reference) if completing else ()
+        for measure in _MEASURES
+    }
     harm = suspicion = doubt = 0.0
     for group, factor, measure in judged:
-        peak, last = _evidence(group, measure, reference)
+        peak, last = _evidence(group, weights[measure])
         harm = max(harm, peak / BAD_EVIDENCE)
         suspicion = max(suspicion, last / SUSPICIOUS_EVIDENCE / factor)
-        for share in measure.harmful_shares if completing else ():
-            remaining = _uncleared_evidence(group, measure, reference, share)
+        for strict_weights in completion_weights[measure]:
+            remaining = _uncleared_evidence(group, strict_weights)
             doubt = max(doubt, remaining / DOUBTFUL_EVIDENCE / factor)
     return Assessment(
         answers=sum(item.good + item.bad for item in answers),
@@ -166,6 +171,16 @@
         )
         return min(max(share, self.min_share), 1.0 - 2.0 * self.min_share)
 
+    def completion_weights(
+        self, reference: dict[int, OldAnswers]
+    ) -> tuple["_Weights", ...]:
+        """Return the weights of answers of a version about to be completed."""
+        strict = attrs.evolve(self, min_share=self.min_completion_share)
+        return tuple(
+            _Weights(strict, reference, share, SHARE_DEVIATIONS)
+            for share in self.harmful_shares
+        )
+
 
 _FAILURES = _Measure(
     lambda item: item.bad,
@@ -187,12 +202,11 @@
 
 
 def _evidence(
-    answers: Sequence[NewAnswers], measure: _Measure, reference: dict[int, OldAnswers]
+    answers: Sequence[NewAnswers], weights: "_Weights"
 ) -> tuple[float, float]:
     """Return the largest and the last evidence that one server does not explain."""
-    weights = _Weights(measure, reference)
     sums = _cusum(answers, weights)
-    worst = _worst_server(answers, measure)
+    worst = _worst_server(answers, weights.measure)
     if worst is None:
         return sums.peak, sums.last
     others = [item for item in answers if item.server != worst]
@@ -203,21 +217,14 @@
     )
 
 
-def _uncleared_evidence(
-    answers: Sequence[NewAnswers],
-    measure: _Measure,
-    reference: dict[int, OldAnswers],
-    harmful_share: float,
-) -> float:
+def _uncleared_evidence(answers: Sequence[NewAnswers], weights: "_Weights") -> float:
     """Return the last evidence, 0 if it is that of one server and the others are good.
 
     Answers before the evidence began to rise tell nothing of a version that has turned
     bad since.
     """
-    at_completion = attrs.evolve(measure, min_share=measure.min_completion_share)
-    weights = _Weights(at_completion, reference, harmful_share, SHARE_DEVIATIONS)
     sums = _cusum(answers, weights)
-    worst = _worst_server(answers, measure)
+    worst = _worst_server(answers, weights.measure)
     if worst is None:
         return sums.last
     others = [item for item in answers[sums.rises_from :] if item.server != worst]
@@ -261,6 +268,11 @@
         self._deviations = deviations
         self._by_route: dict[int, tuple[float, float]] = {}
 
+    @property
+    def measure(self) -> _Measure:
+        """Return what the answers are counted by."""
+        return self._measure
+
     def of(self, item: NewAnswers) -> float:
         """Return how much answers tell against the version."""
         if item.route not in self._by_route:
