State the canary's least part, the rate and the tick in one place each

Behaviour is the same. The least part of the canary stood in the plan and in the budget. The rate to expect was added up from evidence that the host built for it, up to three times a run, while the record holds the same sum. The time after the completion was derived in three places. Wake-ups assume the interval of the host's periodic tasks, which stood in two modules and would have come apart.

--- a/masticfork/relay/entry.py
+++ b/masticfork/relay/entry.py
@@ -39,7 +39,7 @@
 from masticfork.relay.followers import Follower, Lister, StoreProbe
 from masticfork.relay.host_digests import HostDigests
 from masticfork.relay.logs import LogSink, relay_logger
-from masticfork.relay.loop import Loop
+from masticfork.relay.loop import TICK_SECONDS, Loop
 from masticfork.relay.metrics import RelayMetrics
 from masticfork.relay.paced_servers import PacedServers
 from masticfork.relay.page_listener import PageListener
@@ -80,8 +80,6 @@
 )
 
 LISTEN_BACKLOG = 1024
-# Interval of the periodic tasks.
-TICK_SECONDS = 0.25
 # Retry-After from a stopping host; the caller is expected to reach another host.
 OTHER_HOST_RETRY_AFTER_SECONDS = 0.05
 # File descriptors reserved for the store, the listeners and the log.
--- a/masticfork/relay/loop.py
+++ b/masticfork/relay/loop.py
@@ -12,6 +12,8 @@
 
 import attrs
 
+# Interval of a host's periodic tasks.
+TICK_SECONDS = 0.25
 # Upper bound on one wait for socket events.
 MAX_SELECT_SECONDS = 1.0
 
--- a/masticfork/relay/rollout_controller.py
+++ b/masticfork/relay/rollout_controller.py
@@ -27,7 +27,7 @@
 from masticfork.platform import names
 from masticfork.platform.objects import PlatformObject, PlatformObjects
 from masticfork.platform.server_format import decode_rollout, encode_progress
-from masticfork.relay.loop import Loop
+from masticfork.relay.loop import TICK_SECONDS, Loop
 from masticfork.relay.tables import ServerRow, Tables
 from masticfork.store.client import PlatformError
 from masticfork.systems.exposure import (
@@ -85,8 +85,6 @@
 STORE_SECONDS_DECAY = 0.7
 # Added to the time until a wake-up, since timers may be early by rounding.
 WAKE_MARGIN_SECONDS = 0.001
-# Interval at which the rollouts are advanced if nothing is due sooner.
-RUN_INTERVAL_SECONDS = 0.25
 # Requests that the new version got from hosts that were lost with its answers, as a
 # fraction of the known answers, above which it is not confirmed.
 MAX_UNHEARD_FRACTION = 0.35
@@ -161,6 +159,11 @@
     writing: bool = False
     write_after: float = 0.0
 
+    @property
+    def expected_rate(self) -> float:
+        """Return the requests a second of all hosts, or those of a burst if more."""
+        return max(self.traffic.rate, self.request_samples.rate)
+
     def adopt_age(self, age: float, now: float) -> None:
         """Take over how long ago the rollout was ordered, in seconds, if not sure."""
         if not self.is_age_sure:
@@ -680,7 +683,7 @@
             record.full_since = min(record.full_since, now)
         elapsed = now - record.ordered_at
         for due in record.plan.times:
-            if elapsed < due < elapsed + RUN_INTERVAL_SECONDS:
+            if elapsed < due < elapsed + TICK_SECONDS:
                 self._wake_at(record, record.ordered_at + due)
 
     def _wake_at(self, record: _RolloutRecord, at: float) -> None:
@@ -715,22 +718,18 @@
 
     def _is_affordable(self, rollout: VersionRollout, record: _RolloutRecord) -> bool:
         """Return whether the new version may serve alone from now on."""
-        left, rate = self._left(rollout), self._rate(rollout, record)
         seconds = max(0.0, rollout.duration - (self._loop.now - record.ordered_by))
         if record.is_age_sure and seconds <= LATEST_COMPLETION_SECONDS:
             # What is needed now was kept; calls that may be repeated vary.
             return True
-        return left >= (1.0 - self._limit.share) * rate * seconds
+        needed = (1.0 - self._limit.share) * record.expected_rate * seconds
+        return self._left(rollout, record) >= needed
 
-    def _left(self, rollout: VersionRollout) -> float:
+    def _left(self, rollout: VersionRollout, record: _RolloutRecord) -> float:
         """Return the requests that the new version may still get from all hosts."""
-        known = [*self._reported(rollout), self._own_evidence(rollout)]
-        return sum(item.left for item in known)
-
-    def _rate(self, rollout: VersionRollout, record: _RolloutRecord) -> float:
-        """Return the requests a second to expect from all hosts."""
-        known = [*self._reported(rollout), self._own_evidence(rollout)]
-        return max(sum(item.rate for item in known), record.request_samples.rate)
+        rows = self._tables.servers_of(rollout.service)
+        own = record.budget.left(self._moment(rollout, record, rows))
+        return own + sum(item.left for item in self._reported(rollout))
 
     def _write(
         self,
@@ -753,8 +752,8 @@
             full_from=round(record.plan.full_from, 2),
             complete_from=round(record.plan.complete_from, 2),
             part=round(record.budget.part, 1),
-            left=round(self._left(rollout), 1),
-            rate=round(self._rate(rollout, record), 1),
+            left=round(self._left(rollout, record), 1),
+            rate=round(record.expected_rate, 1),
             store_seconds=round(record.store_seconds, 3),
             elapsed=round(self._loop.now - record.ordered_at, 2),
             least_elapsed=round(self._loop.now - record.ordered_by, 2),
--- a/masticfork/systems/exposure.py
+++ b/masticfork/systems/exposure.py
@@ -119,12 +119,9 @@
         if self.rate <= 0.0:
             return plan.ends_at
         bound = limit.share * self.rate * plan.ends_at + limit.slack
-        canary = max(
-            MIN_CANARY_FRACTION * bound,
-            min(MAX_MIN_CANARY_FRACTION * bound, MIN_CANARY_REQUESTS),
-        )
-        alone = _alone(self.rate * (plan.ends_at - plan.complete_from), 1)
-        seconds = (USED_FRACTION * bound - canary - alone) / self.rate
+        alone = _alone(self.rate * plan.alone_seconds, 1)
+        used = USED_FRACTION * bound - _least_canary(bound)
+        seconds = (used - alone) / self.rate
         return PLANNED_FRACTION * max(0.0, seconds - self._repeated_seconds(seconds))
 
     def recent_answers(self, plan: RolloutPlan, recent_seconds: float) -> int:
@@ -147,6 +144,12 @@
     return math.exp(-max(0.0, seconds) / call_seconds)
 
 
+def _least_canary(bound: float) -> float:
+    """Return the requests that the canary step gets at least, by the bound on all."""
+    least = min(MAX_MIN_CANARY_FRACTION * bound, MIN_CANARY_REQUESTS)
+    return max(MIN_CANARY_FRACTION * bound, least)
+
+
 def _alone(usual: float, hosts: int) -> float:
     """Return the requests to keep for a time for which there are `usual` ones."""
     return usual + min(usual, BURST_REQUESTS / hosts)
@@ -283,10 +286,8 @@
         expected = self._expected_bound(rate, moment)
         if expected <= 0.0:
             return False
-        least = min(
-            MAX_MIN_CANARY_FRACTION, MIN_CANARY_REQUESTS / (expected * moment.hosts)
-        )
-        fraction = max(MIN_CANARY_FRACTION, least, USED_FRACTION - kept / expected)
+        least = _least_canary(expected * moment.hosts) / (expected * moment.hosts)
+        fraction = max(least, USED_FRACTION - kept / expected)
         fraction = min(MAX_CANARY_FRACTION, fraction)
         known = self._limit.share * (self.sent + 1) + self.part
         passed = min(1.0, moment.elapsed / moment.plan.full_from)
@@ -339,8 +340,8 @@
 
     def _reserved(self, rate: float, moment: RolloutMoment) -> float:
         """Return the requests to the new version after the full load."""
-        completion = moment.plan.ends_at - moment.plan.complete_from
-        alone = _alone(rate * min(moment.remaining, completion), moment.hosts)
+        seconds = min(moment.remaining, moment.plan.alone_seconds)
+        alone = _alone(rate * seconds, moment.hosts)
         return alone + KEPT_FRACTION * moment.old_running_at_completion
 
     def _weight(self, route: str) -> float:
--- a/masticfork/systems/rollout_plan.py
+++ b/masticfork/systems/rollout_plan.py
@@ -41,6 +41,11 @@
         """Return how long the new version gets all requests before the completion."""
         return self.complete_from - self.full_from
 
+    @property
+    def alone_seconds(self) -> float:
+        """Return how long the new version serves alone between completion and end."""
+        return self.ends_at - self.complete_from
+
     @property
     def unproven_full_from(self) -> float:
         """Return when a version that has not answered enough gets all requests."""
@@ -49,8 +54,7 @@
     @property
     def give_up_from(self) -> float:
         """Return from when on a version without recent answers is rolled back."""
-        chance = LAST_CHANCE_FRACTION * (self.ends_at - self.complete_from)
-        return self.ends_at - chance
+        return self.ends_at - LAST_CHANCE_FRACTION * self.alone_seconds
 
     @classmethod
     def of(
