--- a/masticfork/relay/rollout_evidence_test.py
+++ b/masticfork/relay/rollout_evidence_test.py
@@ -40,6 +40,12 @@
     return sum(item.slow for item in evidence.new)
 
 
+def learn_usual_times(controller):
+    """Let a host serve 20 requests by the usual version, in 0.1 s each."""
+    for _ in range(20):
+        controller.record_answer(server("v1"), "r", False, ResponseTime(0, 0.1), 0.0)
+
+
 class RecordingObjects:
     """A store that records each write and loses it."""
 
@@ -71,10 +77,7 @@
     def test_times_before_the_order_are_the_baseline(self):
         """Guards against hosts that know no usual times in the first seconds."""
         tables, controller = self.controller()
-        for _ in range(20):
-            controller.record_answer(
-                server("v1"), "r", False, ResponseTime(0, 0.1), 0.0
-            )
+        learn_usual_times(controller)
         tables.put_rollout(rollout(RolloutState.RUNNING))
         controller.record_answer(server("v2"), "r", False, ResponseTime(0, 0.8), 0.0)
         (evidence,) = controller.evidence()
@@ -101,10 +104,7 @@
 
     def test_usual_times_are_stored(self):
         tables, controller = self.controller()
-        for _ in range(20):
-            controller.record_answer(
-                server("v1"), "r", False, ResponseTime(0, 0.1), 0.0
-            )
+        learn_usual_times(controller)
         tables.put_rollout(rollout(RolloutState.ORDERED))
         for tenth in range(30):
             controller.run(tenth / 10)
@@ -133,10 +133,7 @@
     def slow_answers(self, answers):
         """Return the evidence after slow answers of servers at times."""
         tables, controller = self.controller()
-        for _ in range(20):
-            controller.record_answer(
-                server("v1"), "r", False, ResponseTime(0, 0.1), 0.0
-            )
+        learn_usual_times(controller)
         tables.put_rollout(rollout(RolloutState.RUNNING))
         for name, at in answers:
             slow = attrs.evolve(server("v2"), id=name)
@@ -160,10 +157,7 @@
         tables, controller = self.controller()
         for version in ("v1", "v2"):
             tables.put_server(server(version))
-        for _ in range(20):
-            controller.record_answer(
-                server("v1"), "r", False, ResponseTime(0, 0.1), 0.0
-            )
+        learn_usual_times(controller)
         tables.put_rollout(rollout(RolloutState.RUNNING, step))
         controller.record_call(server("v1"), "r")
         tables.row("i-v1").load.running = running
@@ -177,10 +171,7 @@
     def test_withdrawn_version_does_not_change_the_usual_times(self):
         tables, controller = self.controller()
         tables.put_rollout(rollout(RolloutState.RUNNING))
-        for _ in range(20):
-            controller.record_answer(
-                server("v1"), "r", False, ResponseTime(0, 0.1), 0.0
-            )
+        learn_usual_times(controller)
         tables.put_rollout(rollout(RolloutState.ROLLED_BACK))
         for _ in range(60):
             controller.record_answer(
