--- a/masticfork/relay/metrics.py
+++ b/masticfork/relay/metrics.py
@@ -93,6 +93,13 @@
             "Version of the configuration in force",
             registry=registry,
         )
+        self.adoption = Histogram(
+            "masticfork_relay_configuration_adoption_seconds",
+            "Time from a peer's first word of a newer configuration to its adoption",
+            ("source",),
+            buckets=SECONDS_BUCKETS,
+            registry=registry,
+        )
         self.connections = Gauge(
             "masticfork_relay_caller_connections",
             "Connections of callers",
--- a/masticfork/relay/peers.py
+++ b/masticfork/relay/peers.py
@@ -231,6 +231,7 @@
         random.shuffle(candidates)
         newest = max(candidates, key=lambda d: (d.configuration, d.zone == self._zone))
         self._copying = True
+        begun_at = self._loop.now
         address = self._addresses[newest.host]
         self._log(
             "store copy requested", peer=newest.host, configuration=newest.configuration
@@ -239,7 +240,7 @@
         def fetch() -> None:
             copied = _fetch_copy(address)
             self._loop.post(
-                lambda: self._on_copy_fetched(newest.host, copied, apply_copy)
+                lambda: self._on_copy_fetched(newest.host, begun_at, copied, apply_copy)
             )
 
         self._copy_executor.submit(fetch)
@@ -247,13 +248,15 @@
     def _on_copy_fetched(
         self,
         host: str,
+        begun_at: float,
         copied: dict[str, Listing] | str,
         apply_copy: Callable[[dict[str, Listing]], None],
     ) -> None:
         self._copying = False
         self._next_copy = self._loop.now + COPY_INTERVAL_SECONDS
         if isinstance(copied, str):
-            self._log("store copy failed", peer=host, error=copied)
+            seconds = round(self._loop.now - begun_at, 3)
+            self._log("store copy failed", peer=host, seconds=seconds, error=copied)
         else:
             apply_copy(copied)
 
--- a/masticfork/relay/store_view.py
+++ b/masticfork/relay/store_view.py
@@ -101,6 +101,9 @@
         self._probe_failed = False
         # Loop time since which some peer has known more than this host.
         self._behind_since: float | None = None
+        # Loop time at which a peer first told of a newer configuration than the one in
+        # force, None if none has.
+        self._announced_at: float | None = None
         self._updates: list[KindUpdate] = []
         # The page for peers, and the states of the kinds that it holds.
         self._copy: tuple[tuple[KindState, ...], bytes] | None = None
@@ -180,6 +183,8 @@
 
     def apply_updates(self, digest: Digest) -> None:
         """Apply changes that a peer has read from the store."""
+        if self._announced_at is None and digest.configuration > self._version:
+            self._announced_at = self._loop.now
         kinds = list(self._mirrors)
         for update in digest.updates:
             if update.kind >= len(kinds):
@@ -358,9 +363,14 @@
         for table in self._decode_each(
             names.KIND_CONFIG, [stored], lambda stored: decode_route_table(stored.spec)
         ):
-            if self._tables.adopt_routes(table, source):
+            announced_at = self._announced_at
+            waited = 0.0 if announced_at is None else self._loop.now - announced_at
+            if self._tables.adopt_routes(table, source, waited):
+                self._announced_at = None
                 self._configuration = stored
                 self._metrics.version.set(table.version)
+                way = source if source in ("store", "peer") else "update"
+                self._metrics.adoption.labels(way).observe(waited)
 
     def _apply_hosts(self, listing: Listing) -> None:
         addresses: dict[str, Address] = {}
--- a/masticfork/relay/tables.py
+++ b/masticfork/relay/tables.py
@@ -144,8 +144,11 @@
         rollout = self._rollouts.get(service) or self._removed_rollouts.get(service)
         return frozenset() if rollout is None else rejected_versions(rollout)
 
-    def adopt_routes(self, table: RouteTable, source: str) -> bool:
-        """Put a configuration in force if it is newer; return whether it was."""
+    def adopt_routes(self, table: RouteTable, source: str, waited: float = 0.0) -> bool:
+        """Put a configuration in force if it is newer; return whether it was.
+
+        `waited` is the time in seconds since a peer first told of a newer one.
+        """
         current = self._routes
         if current is not None and table.version <= current.version:
             return False
@@ -155,6 +158,7 @@
             version=table.version,
             before=None if current is None else current.version,
             source=source,
+            waited=round(waited, 3),
             routes=len(table.routes),
         )
         for finding in self._check(table):
