Ask other hosts for a copy of the store while one does not answer

Cause: a host that is behind asked the host with the newest configuration, of its own zone if there was one, waited 1 s for it, and chose by the same rule 0.4 s later. A host that had told a version and then stood still or lost power stayed the first choice for as long as its latest digest counted (3 s), and nothing remembered that it had not answered. A version is only announced, without its content, if it was read by a listing (the store's history was lost) or takes more than 8,000 bytes.

Evidence: nine hosts of two zones, a version too large for a datagram, the two hosts that told it in one zone stand still.

Why it works: while an attempt has not ended, another host is asked 0.25 s later, three at a time at most; hosts that did not answer come last, and then hosts of other zones count as much as those of the own. An attempt that fails unexpectedly ends as well.

--- a/masticfork/relay/peers.py
+++ b/masticfork/relay/peers.py
@@ -1,24 +1,20 @@
 """Exchange between entry hosts: digests over UDP, store copies over HTTP."""
 
 import contextlib
-import random
 import selectors
 import socket
 import time
 from collections.abc import Callable
-from concurrent.futures import ThreadPoolExecutor
 
 import attrs
 from result import Err
 
 from masticfork.core.backend_servers import Address
-from masticfork.core.deadlines import Deadline
 from masticfork.core.digests import Digest, HostLoad, RolloutEvidence
 from masticfork.platform.objects import Listing
 from masticfork.relay.digest_codec import decode_digest, encode_digest
 from masticfork.relay.loop import Loop
-from masticfork.relay.mirror import decode_copy
-from masticfork.store.connections import Call, ConnectionPool
+from masticfork.relay.store_copies import StoreCopies, ThreadedFetcher
 
 # Interval between full digests, and the number of hosts beyond which it grows in
 # proportion, so that a host sends only some kilobytes of digests a second.
@@ -41,10 +37,6 @@
 REORDERING_SECONDS = 0.5
 # Silence after which a host no longer shares the retry budget.
 BUDGET_SHARE_SECONDS = 20.0
-# Timeout of fetching a peer's store copy, and the interval before the next attempt.
-COPY_TIMEOUT_SECONDS = 1.0
-COPY_INTERVAL_SECONDS = 0.4
-COPY_PATH = "/copy.z"
 RECEIVE_BUFFER_BYTES = 65536
 
 
@@ -74,7 +66,6 @@
         self._loop = loop
         self._own_address = own_address
         self._host = host
-        self._zone = zone
         # Called with a server's short key, a load, and 1 to add or -1 to subtract it.
         self._on_load = on_load
         self._on_digest = on_digest
@@ -87,9 +78,7 @@
         self._peers: dict[str, _Peer] = {}
         self._next_digest = 0.0
         self._sent_at = float("-inf")
-        self._next_copy = 0.0
-        self._copying = False
-        self._copy_executor = ThreadPoolExecutor(1, "copier")
+        self._copies = StoreCopies(loop, zone, ThreadedFetcher(loop), log)
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._sock.bind((own_address.host, own_address.port))
         self._sock.setblocking(False)
@@ -217,48 +206,15 @@
     ) -> None:
         """Fetch the store copy of a live host that is ahead, in the background.
 
-        Consider only hosts whose digest satisfies `is_newer`, those with the newest
-        configuration and then those of the own availability zone first; call
-        `apply_copy` with the result on the loop's thread.
+        Consider only hosts whose digest satisfies `is_newer`; call `apply_copy` with
+        the result on the loop's thread.
         """
-        if self._copying or self._loop.now < self._next_copy:
-            return
         candidates = [
-            d for d in self.live_digests if is_newer(d) and d.host in self._addresses
+            (digest, self._addresses[digest.host])
+            for digest in self.live_digests
+            if is_newer(digest) and digest.host in self._addresses
         ]
-        if not candidates:
-            return
-        random.shuffle(candidates)
-        newest = max(candidates, key=lambda d: (d.configuration, d.zone == self._zone))
-        self._copying = True
-        begun_at = self._loop.now
-        address = self._addresses[newest.host]
-        self._log(
-            "store copy requested", peer=newest.host, configuration=newest.configuration
-        )
-
-        def fetch() -> None:
-            copied = _fetch_copy(address)
-            self._loop.post(
-                lambda: self._on_copy_fetched(newest.host, begun_at, copied, apply_copy)
-            )
-
-        self._copy_executor.submit(fetch)
-
-    def _on_copy_fetched(
-        self,
-        host: str,
-        begun_at: float,
-        copied: dict[str, Listing] | str,
-        apply_copy: Callable[[dict[str, Listing]], None],
-    ) -> None:
-        self._copying = False
-        self._next_copy = self._loop.now + COPY_INTERVAL_SECONDS
-        if isinstance(copied, str):
-            seconds = round(self._loop.now - begun_at, 3)
-            self._log("store copy failed", peer=host, seconds=seconds, error=copied)
-        else:
-            apply_copy(copied)
+        self._copies.request(candidates, apply_copy)
 
     def _apply_digest(self, digest: Digest) -> None:
         known = self._peers.get(digest.host)
@@ -326,17 +282,3 @@
 
 def _is_same_process(known: _Peer, digest: Digest) -> bool:
     return known.digest.incarnation == digest.incarnation
-
-
-def _fetch_copy(address: Address) -> dict[str, Listing] | str:
-    """Return a peer's copy of the store, or an error message."""
-    pool = ConnectionPool(str(address), time.monotonic)
-    deadline = Deadline.after(time.monotonic(), COPY_TIMEOUT_SECONDS)
-    outcome = pool.exchange(Call("GET", COPY_PATH, deadline), fresh=True)
-    pool.close()
-    if isinstance(outcome, Err):
-        return outcome.err_value.message
-    try:
-        return decode_copy(outcome.ok_value.body)
-    except ValueError as error:
-        return str(error)
