Read the store once other hosts have not passed on a change in time

Cause: each wait on the way to a new configuration had a limit of its own (silence of readers, patience, attempts, pauses), and none knew what was left of the time within which the change has to take effect. A host that does not read the store relied on the others for as long as one chosen reader was heard, however long it was behind.

Why it works: what a host knows less of is stored by kind, with the time since which it has learnt nothing of it. After a quarter of the shortest change it reads the store itself, whichever way the others have failed. The first word of a configuration sets a timer for the copy instead of waiting for the next check.

--- a/masticfork/relay/reader_duty.py
+++ b/masticfork/relay/reader_duty.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from masticfork.core.deadlines import Deadline
 from masticfork.relay.followers import Follower
 from masticfork.relay.loop import Loop
 from masticfork.relay.peers import Peers
@@ -11,6 +12,7 @@
     DIGESTS_PER_SILENCE,
     ReaderCandidate,
     choose_readers,
+    overdue_limit,
     silence_limit,
 )
 
@@ -69,6 +71,15 @@
             return None
         return silence_limit(self._shortest_change())
 
+    @property
+    def _is_overdue(self) -> bool:
+        """Return whether the others have not passed on in time what they know."""
+        since = self._view.behind_since
+        if since is None:
+            return False
+        deadline = Deadline.after(since, overdue_limit(self._shortest_change()))
+        return deadline.expired(self._loop.now)
+
     @property
     def digest_interval_seconds(self) -> float:
         """Return the longest interval between digests by which others rely on it."""
@@ -100,7 +111,10 @@
             digest.reading and digest.host in chosen for digest in digests
         )
         should_read = (
-            self._host in chosen or not others_read or not self._tables.complete
+            self._host in chosen
+            or not others_read
+            or not self._tables.complete
+            or self._is_overdue
         )
         self._others_rely = len(candidates) >= len(chosen)
         if not self._reading:
--- a/masticfork/relay/reader_duty_test.py
+++ b/masticfork/relay/reader_duty_test.py
@@ -18,6 +18,7 @@
 from masticfork.systems.store_readers import (
     ReaderCandidate,
     choose_readers,
+    overdue_limit,
     silence_limit,
 )
 from standins.entry_environment import (
@@ -389,6 +390,26 @@
             host.hear(silent=host.names)
         assert host.duty.reading
 
+    def test_host_that_is_behind_for_too_long_reads_the_store_itself(self):
+        """Guards against hosts that wait for others who do not pass on a change."""
+        host = DutyOfOneHost()
+        host.hear()
+        newer = Digest("host-x", 1, 1, 2, StorePosition(), {}, ())
+        host.view.apply_updates(newer)
+        host.hear()
+        assert not host.duty.reading
+        steps = round(overdue_limit(SHORTEST_CHANGE_SECONDS) / 0.25)
+        for _ in range(steps):
+            host.loop.now += 0.25
+            host.hear()
+        assert host.duty.reading
+        stored = PlatformObject("main", 4, 2, configuration(2), None)
+        host.view.on_listing("config", Listing((stored,), 5))
+        host.peers.live_digests = []
+        host.view.run(host.loop.now, reading=True)
+        host.hear()
+        assert not host.duty.reading
+
     def test_reader_sends_several_digests_within_the_silence(self):
         host = DutyOfOneHost()
         silence = silence_limit(SHORTEST_CHANGE_SECONDS)
--- a/masticfork/relay/store_view.py
+++ b/masticfork/relay/store_view.py
@@ -99,8 +99,10 @@
         self._failing_since: float | None = None
         self._failure_known_until = 0.0
         self._probe_failed = False
-        # Loop time since which some peer has known more than this host.
-        self._behind_since: float | None = None
+        # What this host knew of each kind of which a peer has known more, and the loop
+        # time since which it has learnt nothing of it.
+        self._behind: dict[str, tuple[int, float]] = {}
+        self._reading = True
         # Loop time at which a peer first told of a newer configuration than the one in
         # force, None if none has.
         self._announced_at: float | None = None
@@ -142,6 +144,14 @@
             self._failure_known_until = now + FAILURE_MEMORY_SECONDS
         return now < self._failure_known_until
 
+    @property
+    def behind_since(self) -> float | None:
+        """Return the loop time since which this host has not learnt what peers know.
+
+        None if no peer knows more.
+        """
+        return min((since for _, since in self._behind.values()), default=None)
+
     def position(self, kind: str) -> StorePosition:
         """Return the position of the store up to which a kind is known."""
         return self._mirrors[kind].position
@@ -170,21 +180,36 @@
             self._sound_for_others_since = now
         if not reading:
             self._follow_positions(readers)
-        if not any(self._is_ahead(digest, reading) for digest in digests):
-            self._behind_since = None
+        self._reading = reading
+        self._update_behind(digests)
+        self._request_copy()
+
+    def _update_behind(self, digests: list[Digest]) -> None:
+        ahead = {kind for digest in digests for kind in self._kinds_ahead(digest)}
+        behind: dict[str, tuple[int, float]] = {}
+        for kind in ahead:
+            known = self._fingerprint(kind)
+            before = self._behind.get(kind, (known, self._loop.now))
+            behind[kind] = before if before[0] == known else (known, self._loop.now)
+        self._behind = behind
+
+    def _request_copy(self) -> None:
+        """Request a copy if this host has been behind for too long."""
+        since = self.behind_since
+        if since is None:
             return
-        if self._behind_since is None:
-            self._behind_since = now
-        patience = READER_BEHIND_SECONDS if reading else BEHIND_SECONDS
-        if self._failing or now - self._behind_since >= patience:
+        patience = READER_BEHIND_SECONDS if self._reading else BEHIND_SECONDS
+        if self._failing or self._loop.now - since >= patience:
             self._peers.copy_from_newest(
-                lambda digest: self._is_ahead(digest, reading), self._apply_copy
+                lambda digest: bool(self._kinds_ahead(digest)), self._apply_copy
             )
 
     def apply_updates(self, digest: Digest) -> None:
         """Apply changes that a peer has read from the store."""
         if self._announced_at is None and digest.configuration > self._version:
             self._announced_at = self._loop.now
+            self._behind[names.KIND_CONFIG] = self._version, self._loop.now
+            self._loop.call_after(BEHIND_SECONDS, self._request_copy)
         kinds = list(self._mirrors)
         for update in digest.updates:
             if update.kind >= len(kinds):
@@ -381,28 +406,32 @@
 
     # Callbacks for `Peers`.
 
-    def _is_ahead(self, digest: Digest, reading: bool) -> bool:
-        """Return whether a peer knows more than this host.
+    def _kinds_ahead(self, digest: Digest) -> set[str]:
+        """Return the kinds of which a peer knows more than this host.
 
         A host that reads the store itself relies on peers only while its calls fail,
         and for a configuration that a restored store has lost.
         """
+        ahead = set()
         if digest.configuration > self._version:
-            return True
-        if reading and not self._failing:
-            return False
-        if not digest.kinds:
-            return digest.servers > self.servers_position
-        return digest.reading and any(
-            state.position > mirror.position
-            and (
-                state.position.era != mirror.position.era
-                or state.fingerprint != self._fingerprint(kind)
-            )
-            for state, (kind, mirror) in zip(
-                digest.kinds, self._mirrors.items(), strict=False
+            ahead.add(names.KIND_CONFIG)
+        if self._reading and not self._failing:
+            return ahead
+        if not digest.kinds and digest.servers > self.servers_position:
+            ahead.add(names.KIND_SERVERS)
+        if digest.reading:
+            ahead.update(
+                kind
+                for state, (kind, mirror) in zip(
+                    digest.kinds, self._mirrors.items(), strict=False
+                )
+                if state.position > mirror.position
+                and (
+                    state.position.era != mirror.position.era
+                    or state.fingerprint != self._fingerprint(kind)
+                )
             )
-        )
+        return ahead
 
     def _follow_positions(self, readers: list[Digest]) -> None:
         """Take over the positions of readers that know the same objects.
--- a/masticfork/systems/store_readers.py
+++ b/masticfork/systems/store_readers.py
@@ -19,6 +19,9 @@
 # interval, and for reading the change.
 SILENCE_SHARE = 0.5
 MAX_SILENCE_SECONDS = 2.2
+# Share of that time for which a host that knows of a change waits for others to pass it
+# on, whichever way they do: with the silence and the checks, less than the whole.
+OVERDUE_SHARE = 0.25
 # Digests that a reader sends within this silence at least, so that the loss of some
 # does not replace it.
 DIGESTS_PER_SILENCE = 4
@@ -33,6 +36,14 @@
     return min(MAX_SILENCE_SECONDS, SILENCE_SHARE * shortest_change)
 
 
+def overdue_limit(shortest_change: float) -> float:
+    """Return the time in seconds for which a host relies on others while it is behind.
+
+    Then it reads the store itself.
+    """
+    return OVERDUE_SHARE * shortest_change
+
+
 @attrs.frozen
 class ReaderCandidate:
     """A host that may read the store."""
--- a/masticfork/systems/store_readers_test.py
+++ b/masticfork/systems/store_readers_test.py
@@ -5,6 +5,7 @@
 from masticfork.systems.store_readers import (
     ReaderCandidate,
     choose_readers,
+    overdue_limit,
     silence_limit,
 )
 
@@ -51,3 +52,11 @@
 
     def test_long_bounds_do_not_make_hosts_wait_long(self):
         assert silence_limit(60.0) <= 2.2
+
+
+class TestOverdueLimit:
+    @pytest.mark.parametrize("shortest_change", [1.0, 2.0, 3.0, 4.0])
+    def test_waits_for_others_leave_time_to_read_the_store(self, shortest_change):
+        """Guards against waits that have limits of their own and no common one."""
+        waits = silence_limit(shortest_change) + overdue_limit(shortest_change)
+        assert waits <= 0.75 * shortest_change
