Leave writes without an answer out of the time that the store takes

Cause: the time of a write that ended with its timeout (1 s) counted as the time that the store takes, in the plan of the host and, as it is stored with the progress, of all others. It stayed until the next writes, of which a rollout has few. The plan left two such writes before the end, so that a version was given all requests and completed earlier, on older answers, though the store answered within 10 ms again.

Why it works: only a write that the store has answered, or refused by its condition, is a measure of its speed. While it does not answer, no plan can help: the next write is tried as before.

--- a/masticfork/relay/rollout_controller.py
+++ b/masticfork/relay/rollout_controller.py
@@ -29,7 +29,7 @@
 from masticfork.platform.server_format import decode_rollout, encode_progress
 from masticfork.relay.loop import TICK_SECONDS, Loop
 from masticfork.relay.tables import ServerRow, Tables
-from masticfork.store.client import PlatformError
+from masticfork.store.client import ErrorKind, PlatformError
 from masticfork.systems.exposure import (
     ExposureBudget,
     ExposureLimit,
@@ -139,7 +139,7 @@
     request_samples: RequestSamples = attrs.field(factory=RequestSamples)
     # Loop time at which this host has seen that the new version gets all requests.
     full_since: float = math.inf
-    # The longest recent write to the store, in seconds.
+    # The longest recent write that the store answered, in seconds.
     store_seconds: float = 0.0
     # Loop time of the next wake-up for this rollout.
     wake_at: float = math.inf
@@ -783,9 +783,10 @@
     ) -> None:
         """Handle the result of a write; after a lost response, the watch reports it."""
         record.writing = False
-        record.store_seconds = max(
-            self._loop.now - written_at, STORE_SECONDS_DECAY * record.store_seconds
-        )
+        if _is_answer(outcome):
+            record.store_seconds = max(
+                self._loop.now - written_at, STORE_SECONDS_DECAY * record.store_seconds
+            )
         record.write_after = self._loop.now + WRITE_INTERVAL_SECONDS
         if isinstance(outcome, Err):
             self._log(
@@ -846,6 +847,11 @@
         return int.from_bytes(digest) / 65536.0
 
 
+def _is_answer(outcome: Result[PlatformObject, PlatformError]) -> bool:
+    """Return whether the store answered; a timeout is no measure of its speed."""
+    return isinstance(outcome, Ok) or outcome.err_value.kind is ErrorKind.CONFLICT
+
+
 def _is_checkpoint_due(rollout: VersionRollout, elapsed: float) -> bool:
     """Return whether the age in the store is old; `elapsed` is the least age."""
     if is_final(rollout.progress):
