Known reds: crowds of clients that end a process by what they may send

The tests start an entry host as a process with 96 MB and 1,024 descriptors, set by the test, and a crowd of 16 to 600 connections of one client. They run one at a time after the other tests.

--- a/tools/run_platform.py
+++ b/tools/run_platform.py
@@ -47,8 +47,8 @@
 front = "{front}"
 ready = "{ready}"
 [limits]
-memory_mb = 256
-file_descriptors = 1024
+memory_mb = {limits.memory_mb}
+file_descriptors = {limits.file_descriptors}
 [bounds]
 grace_s = {grace}
 evacuate_ms = 5000
@@ -57,6 +57,14 @@
 """
 
 
+@attrs.frozen
+class MachineLimits:
+    """What the machine of a host allows its process."""
+
+    memory_mb: int = 256
+    file_descriptors: int = 1024
+
+
 @attrs.frozen
 class RunningHost:
     """The process and the addresses of an entry host."""
@@ -101,7 +109,11 @@
 
 
 def start_host(
-    number: int, store: Address, folder: Path, source: Path = ROOT
+    number: int,
+    store: Address,
+    folder: Path,
+    source: Path = ROOT,
+    limits: MachineLimits = MachineLimits(),
 ) -> RunningHost:
     """Start one entry host; write its settings and its log to `folder`.
 
@@ -119,6 +131,7 @@
             front=front,
             ready=ready,
             grace=GRACE_SECONDS,
+            limits=limits,
             store=store,
         )
     )
@@ -129,7 +142,9 @@
 
 
 @contextmanager
-def running_platform(hosts: int) -> Iterator[RunningPlatform]:
+def running_platform(
+    hosts: int, limits: MachineLimits = MachineLimits()
+) -> Iterator[RunningPlatform]:
     """Run a store, backend servers and entry hosts until the context exits."""
     store = ObjectStore()
     store.put("config", "main", configuration(1))
@@ -143,7 +158,10 @@
             zone = ZONES[number % len(ZONES)]
             entry = server_entry(server, service, zone=zone)
             store.put("servers", f"i-{number}", entry)
-        started = [start_host(number, address, folder) for number in range(hosts)]
+        started = [
+            start_host(number, address, folder, limits=limits)
+            for number in range(hosts)
+        ]
         try:
             yield RunningPlatform(store, started)
         finally:
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -12,6 +12,9 @@
 KNOWN_RED_FILE = ROOT / "KNOWN-RED.txt"
 FEATURES = ROOT / "features"
 NO_TESTS_COLLECTED = 5
+# Test files that run one after the other, beside no other test: they measure what a
+# crowd of connections does to a process.
+ALONE = ("proofs/crowds_test.py",)
 # Processes among which pytest divides the test files: tests mostly wait.
 TEST_PROCESSES = 4
 
@@ -46,12 +49,20 @@
 
 
 def run_pytest(folder: Path) -> tuple[int, list[Path]]:
-    """Run pytest; return its exit code and its report."""
-    report = folder / "pytest.xml"
-    command = [sys.executable, "-m", "pytest", f"--junitxml={report}"]
-    command += [f"--numprocesses={TEST_PROCESSES}", "--dist=loadfile"]
-    code = subprocess.run(command, cwd=ROOT, check=False).returncode
-    return code, [report]
+    """Run pytest on all files that bear others; return its exit code and report."""
+    options = [f"--numprocesses={TEST_PROCESSES}", "--dist=loadfile"]
+    options += [f"--ignore={name}" for name in ALONE]
+    return _pytest(folder / "pytest.xml", options)
+
+
+def run_pytest_alone(folder: Path) -> tuple[int, list[Path]]:
+    """Run pytest on the files in `ALONE`; return its exit code and report."""
+    return _pytest(folder / "alone.xml", list(ALONE))
+
+
+def _pytest(report: Path, options: list[str]) -> tuple[int, list[Path]]:
+    command = [sys.executable, "-m", "pytest", f"--junitxml={report}", *options]
+    return subprocess.run(command, cwd=ROOT, check=False).returncode, [report]
 
 
 def run_behave(folder: Path) -> tuple[int, list[Path]]:
@@ -73,7 +84,7 @@
     )
     with tempfile.TemporaryDirectory() as folder:
         codes, reports = [], []
-        for runner in (run_pytest, run_behave):
+        for runner in (run_pytest, run_pytest_alone, run_behave):
             code, new_reports = runner(Path(folder))
             codes.append(code)
             reports += new_reports
