Collect the body of a request in one buffer

What callers saw: in a trial of the users, clients with many chunked bodies in very small chunks ended a process, which ran out of memory.

Cause: a body was kept as a list of the parser's pieces, an object a chunk, and joined at the end. Chunks of two bytes took some 25 times their content.

Why it works: the pieces go into one growing buffer; a whole body is copied once when the request is complete, one request at a time.

--- a/masticfork/relay/caller.py
+++ b/masticfork/relay/caller.py
@@ -87,7 +87,7 @@
     # Bytes received until the head is complete.
     head_bytes: int = 0
     framing: FramingMeter = attrs.field(factory=FramingMeter)
-    body: list[bytes] = attrs.field(factory=list)
+    body: bytearray = attrs.field(factory=bytearray)
     keep_alive: bool = True
     # Callers of HTTP/1.0 do not know chunked bodies.
     accepts_chunks: bool = True
@@ -248,7 +248,7 @@
         if partial_request.framing.content_bytes > self._host.limits.max_body_bytes:
             self._reject_input(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
         else:
-            partial_request.body.append(data)
+            partial_request.body += data
 
     def on_message_complete(self) -> None:
         """Queue a complete request."""
@@ -261,7 +261,7 @@
             target=partial_request.target,
             host=host.partition(":")[0],
             head=self._host.decode_head(partial_request.headers),
-            body=b"".join(partial_request.body),
+            body=bytes(partial_request.body),
             arrived_at=partial_request.arrived_at,
         )
         self._queued_requests.append(
