Bound the memory that the requests of all callers take

Cause: each request was bounded by the limits of the configuration, their sum by nothing.

Why it works: one account holds what incomplete, waiting and handled requests of all callers take, objects and copies included. Beyond an eighth of the machine's memory incomplete requests are refused, those of callers who have stopped sending first and the largest of them first, so that a slow caller who goes on is not the first to go; complete large ones get the same refusal instead of being handled. A refused request has reached no server, so 503 is true. Small requests have a reserve, and a request that is alone is never refused.

--- a/masticfork/relay/caller.py
+++ b/masticfork/relay/caller.py
@@ -18,6 +18,7 @@
 from masticfork.core.routes import CallerLimits
 from masticfork.relay.channel import Channel
 from masticfork.relay.loop import Loop, Timer
+from masticfork.systems.request_memory import HANDLED_BODY_COPIES, request_memory
 
 # Reading pauses while more pipelined requests than this wait on one connection.
 MAX_QUEUED_REQUESTS = 2
@@ -26,9 +27,11 @@
 # Time for which the rest of a rejected request is read, so that the caller receives the
 # response instead of a reset.
 LINGER_SECONDS = 1.0
+# Retry-After of requests that are refused since all requests take too much memory:
+# those before them end within about this time, in seconds.
+MEMORY_RETRY_AFTER_SECONDS = 1.0
 # What the request line has beside its target, which the limit for headers leaves out.
 REQUEST_LINE_BYTES = 64
-
 # The only final status with which no Content-Length may be sent.
 _NO_CONTENT_STATUS = 204
 
@@ -69,8 +72,16 @@
     ) -> CallerExchange:
         """Start to handle a request."""
 
-    def error_headers(self, attempt_id: bytes) -> list[Header]:
-        """Return the headers of an error response of this host."""
+    def error_headers(
+        self, attempt_id: bytes, retry_after: float | None = None
+    ) -> list[Header]:
+        """Return the headers of an error response of this host.
+
+        `retry_after` is in seconds.
+        """
+
+    def account(self, caller: "CallerConnection", size: int) -> None:
+        """Note the bytes that the requests of a connection take."""
 
     def remove_connection(self, caller: "CallerConnection") -> None:
         """Remove a closed connection."""
@@ -93,6 +104,11 @@
     accepts_chunks: bool = True
     head_complete: bool = False
 
+    @property
+    def size(self) -> int:
+        """Return the bytes that the request takes."""
+        return request_memory(len(self.headers), self.header_bytes, len(self.body))
+
 
 @attrs.frozen
 class _QueuedRequest:
@@ -101,6 +117,9 @@
     request: CallerRequest
     keep_alive: bool
     accepts_chunks: bool
+    # Bytes that it takes while it waits, and while it is handled.
+    size: int
+    handled_size: int
 
 
 class CallerConnection:
@@ -120,6 +139,10 @@
         self._response_chunked = False
         self._close_after_response = False
         self._rejected = False
+        # Bytes that the request being handled takes, and all requests as last noted.
+        self._handled_size = 0
+        self._noted_size = 0
+        self._progressed_at = loop.now
         self._team = ""
         self._idle_since = loop.now
         self._idle_timeout = host.limits.idle_timeout
@@ -132,6 +155,16 @@
         """Return whether a request is queued or being handled."""
         return self._exchange is not None or bool(self._queued_requests)
 
+    @property
+    def is_receiving(self) -> bool:
+        """Return whether a request has not been received completely."""
+        return self._partial_request is not None
+
+    @property
+    def progressed_at(self) -> float:
+        """Return the loop time at which the caller last sent anything."""
+        return self._progressed_at
+
     @property
     def congested(self) -> bool:
         """Return whether too much of the response is still unsent."""
@@ -159,6 +192,12 @@
         if exchange is not None:
             exchange.on_caller_too_slow()
 
+    def refuse_incomplete(self) -> None:
+        """Refuse the request that has not been received completely; it has not run."""
+        self._reject_input(
+            http.HTTPStatus.SERVICE_UNAVAILABLE, MEMORY_RETRY_AFTER_SECONDS
+        )
+
     # Callbacks of the channel.
 
     def on_connected(self) -> None:
@@ -168,6 +207,7 @@
         """Parse requests and start to handle the next one."""
         if self._rejected:
             return
+        self._progressed_at = self._loop.now
         if self._partial_request is None and not self.busy:
             self._begin_partial_request()
         previous = self._partial_request
@@ -182,6 +222,7 @@
         else:
             if previous is not None and previous is self._partial_request:
                 self._check_framing(previous, len(data))
+        self._account()
         self._begin_next_exchange()
 
     def on_drained(self) -> None:
@@ -194,7 +235,7 @@
         """Cancel the exchange of a caller that has disconnected."""
         self._cancel_timer()
         exchange, self._exchange = self._exchange, None
-        self._queued_requests.clear()
+        self._forget_requests()
         if exchange is not None:
             exchange.on_caller_disconnected()
         self._host.remove_connection(self)
@@ -264,9 +305,14 @@
             body=bytes(partial_request.body),
             arrived_at=partial_request.arrived_at,
         )
+        size = partial_request.size
         self._queued_requests.append(
             _QueuedRequest(
-                request, partial_request.keep_alive, partial_request.accepts_chunks
+                request,
+                partial_request.keep_alive,
+                partial_request.accepts_chunks,
+                size,
+                size + (HANDLED_BODY_COPIES - 1) * len(request.body),
             )
         )
         if len(self._queued_requests) > MAX_QUEUED_REQUESTS:
@@ -306,7 +352,7 @@
         if self._response_chunked:
             self._channel.write(b"0\r\n\r\n")
         self._response_chunked = False
-        self._exchange = None
+        self._end_handling()
         if self._close_after_response:
             self._close_when_sent()
             return
@@ -318,7 +364,7 @@
     def abort_response(self) -> None:
         """Reset the connection, so that the response cannot appear complete."""
         self._exchange = None
-        self._queued_requests.clear()
+        self._forget_requests()
         self._cancel_timer()
         self._channel.abort()
         self._host.remove_connection(self)
@@ -372,6 +418,8 @@
         self._is_head_request = request.is_head_request
         self._accepts_chunks = queued.accepts_chunks
         self._close_after_response = not queued.keep_alive or self._rejected
+        self._handled_size = queued.handled_size
+        self._account()
         # An exchange may end before `begin_exchange` returns.
         placeholder = NoExchange()
         self._exchange = placeholder
@@ -380,19 +428,47 @@
             self._exchange = exchange
         self._team = exchange.team or ""
 
-    def _reject_input(self, status: http.HTTPStatus) -> None:
-        """Answer invalid or oversized input with an error, and close the connection."""
+    def _account(self) -> None:
+        """Note what the requests of this connection take, if that has changed."""
+        partial_request = self._partial_request
+        size = self._handled_size + sum(queued.size for queued in self._queued_requests)
+        if partial_request is not None:
+            size += partial_request.size
+        if size != self._noted_size:
+            self._noted_size = size
+            self._host.account(self, size)
+
+    def _end_handling(self) -> None:
+        self._exchange = None
+        self._handled_size = 0
+        self._account()
+
+    def _forget_requests(self) -> None:
+        self._partial_request = None
+        self._queued_requests.clear()
+        self._handled_size = 0
+        self._account()
+
+    def _reject_input(
+        self, status: http.HTTPStatus, retry_after: float | None = None
+    ) -> None:
+        """Answer invalid or oversized input with an error, and close the connection.
+
+        `retry_after` is in seconds.
+        """
         if self._rejected:
             return
         self._rejected = True
         self._partial_request = None
+        self._account()
         if self.busy:
             # The request in progress, or the first one queued, is answered first; then
             # the connection closes.
             self._close_after_response = True
             return
         self._close_after_response = True
-        self._write_empty_response(status, self._host.error_headers(b""))
+        headers = self._host.error_headers(b"", retry_after)
+        self._write_empty_response(status, headers)
         self._cancel_timer()
         self._read_timer = self._loop.call_after(LINGER_SECONDS, self._close_when_sent)
 
@@ -449,7 +525,7 @@
 
     def _close_when_sent(self) -> None:
         self._cancel_timer()
-        self._queued_requests.clear()
+        self._forget_requests()
         self._channel.close_when_sent(lambda: self._host.remove_connection(self))
 
 
--- a/masticfork/relay/caller_test.py
+++ b/masticfork/relay/caller_test.py
@@ -145,6 +145,9 @@
         self.requests.append(request)
         return NoExchange()
 
+    def account(self, caller, size):
+        self.size = size
+
 
 class TestPipelining:
     def test_reading_goes_on_once_few_requests_are_queued(self):
--- a/masticfork/relay/entry.py
+++ b/masticfork/relay/entry.py
@@ -27,7 +27,13 @@
 from masticfork.platform.objects import PlatformObjects
 from masticfork.platform.settings_file import EntrySettings
 from masticfork.relay.call_evidence import CallEvidence
-from masticfork.relay.caller import CallerConnection, CallerExchange, NoExchange
+from masticfork.relay.caller import (
+    MEMORY_RETRY_AFTER_SECONDS,
+    CallerConnection,
+    CallerExchange,
+    NoExchange,
+)
+from masticfork.relay.caller_memory import CallerMemory
 from masticfork.relay.channel import CALLER_USER_TIMEOUT_MS, Channel, listen
 from masticfork.relay.exchange import (
     ABORTED_STATUS,
@@ -152,6 +158,9 @@
             settings.memory_mb << 20,
             settings.scarce_room,
         )
+        self._caller_memory = CallerMemory(
+            self._loop, self._metrics, self.log, settings.memory_mb << 20
+        )
         self._digests = HostDigests(
             self._loop,
             settings.host,
@@ -335,6 +344,7 @@
         self._rollout_controller.run(self._loop.now)
         self._retry_budget.hosts = self._sharing_host_count()
         self._slow_readers.run(self._connections)
+        self._caller_memory.run()
         self._digests.run()
         self._reader_duty.run()
         self._store_view.run(self._loop.now, self._reader_duty.reading)
@@ -478,6 +488,10 @@
         """Remove a closed connection."""
         self._connections.discard(caller)
 
+    def account(self, caller: CallerConnection, size: int) -> None:
+        """Note the bytes that the requests of a connection take."""
+        self._caller_memory.update(caller, size)
+
     def decode_head(self, headers: list[Header]) -> CallerHead:
         """Decode the headers of a request."""
         table = self._tables.routes
@@ -505,6 +519,13 @@
         self, caller: CallerConnection, request: CallerRequest
     ) -> CallerExchange:
         """Start to handle a request, or refuse it."""
+        if not self._caller_memory.admits(caller):
+            return self._refuse(
+                caller,
+                request,
+                http.HTTPStatus.SERVICE_UNAVAILABLE,
+                MEMORY_RETRY_AFTER_SECONDS,
+            )
         exchange = self._admit(caller, request)
         if isinstance(exchange, http.HTTPStatus):
             return self._refuse(caller, request, exchange)
@@ -548,14 +569,18 @@
         )
 
     def _refuse(
-        self, caller: CallerConnection, request: CallerRequest, status: http.HTTPStatus
+        self,
+        caller: CallerConnection,
+        request: CallerRequest,
+        status: http.HTTPStatus,
+        retry_after: float | None = None,
     ) -> CallerExchange:
         attempt_id = request.head.attempt_id
         is_unavailable = status is http.HTTPStatus.SERVICE_UNAVAILABLE
         retry_delay = (
             OTHER_HOST_RETRY_AFTER_SECONDS
             if self.stopping
-            else self._unready_retry_after
+            else retry_after or self._unready_retry_after
         )
         headers = self.error_headers(
             attempt_id, retry_delay if is_unavailable else None
--- a/masticfork/relay/metrics.py
+++ b/masticfork/relay/metrics.py
@@ -56,6 +56,16 @@
             "Bytes of responses that callers have not taken yet",
             registry=registry,
         )
+        self.request_bytes = Gauge(
+            "masticfork_relay_request_bytes",
+            "Bytes that the requests of callers take",
+            registry=registry,
+        )
+        self.refused_requests = Counter(
+            "masticfork_relay_refused_incomplete_requests",
+            "Incomplete requests that were refused as all requests took too much",
+            registry=registry,
+        )
         self.slow_readers = Counter(
             "masticfork_relay_slow_readers",
             "Callers that were cut off for reading too slowly",
