Count the bytes of header lines as callers send them

What callers saw: a request with 15,360 bytes of short header lines got 431, though max_header_bytes is 16,384.

Evidence: 3,840 lines 'a:' counted 19,200 bytes.

Why it works: a line has a colon and its end at least. The bytes of the whole head are still bounded as they arrive.

--- a/masticfork/relay/caller.py
+++ b/masticfork/relay/caller.py
@@ -32,6 +32,9 @@
 MEMORY_RETRY_AFTER_SECONDS = 1.0
 # What the request line has beside its target, which the limit for headers leaves out.
 REQUEST_LINE_BYTES = 64
+# What a header line has at least beside its name and value: a colon and the line's end.
+LINE_BYTES = 3
+
 # The only final status with which no Content-Length may be sent.
 _NO_CONTENT_STATUS = 204
 
@@ -259,7 +262,7 @@
         partial_request = self._partial_request
         if partial_request is not None and not partial_request.head_complete:
             partial_request.headers.append((name.lower(), value))
-            partial_request.header_bytes += len(name) + len(value) + 4
+            partial_request.header_bytes += len(name) + len(value) + LINE_BYTES
 
     def on_headers_complete(self) -> None:
         """Check the header and body sizes, and answer `Expect: 100-continue`."""
--- a/masticfork/relay/caller_test.py
+++ b/masticfork/relay/caller_test.py
@@ -191,3 +191,15 @@
         socket_bytes = 8 << 20
         unread = (socket_bytes + 2 * MAX_UNSENT_RESPONSE_BYTES) // len(body)
         assert before_reading <= unread + MAX_QUEUED_REQUESTS
+
+
+class TestHeaderSize:
+    @pytest.mark.parametrize("line", [b"a:\r\n", b"a: b\r\n", b"%s:%s\r\n"])
+    def test_head_of_legal_size_is_accepted_whatever_its_lines(self, line):
+        """Guards against a count that takes more for a line than the caller sent."""
+        host, channel = FakeCallerHost(), FakeChannel()
+        caller = CallerConnection(FakeLoop(), channel, host)
+        start = request_start("a")
+        count = (CallerLimits().max_header_bytes - len(start)) // len(line)
+        caller.on_data(start + line * count + b"\r\n")
+        assert len(host.requests) == 1
