Give the places of callers who have stopped to new ones

Cause: a host has places for connections of callers, half of its descriptors; whoever came first kept one until a timeout (3 s for a head, 15 s for a body or between requests), however little came.

Why it works: when all places are taken, connections on which no request is handled and nothing has come for half a second are closed, those in the midst of a request (408, not run) or without any first and those between two requests last, a sixteenth of the places at a time. Without a crowd nothing is closed.

--- a/masticfork/relay/caller.py
+++ b/masticfork/relay/caller.py
@@ -146,6 +146,7 @@
         self._handled_size = 0
         self._noted_size = 0
         self._progressed_at = loop.now
+        self._has_answered = False
         self._team = ""
         self._idle_since = loop.now
         self._idle_timeout = host.limits.idle_timeout
@@ -163,6 +164,11 @@
         """Return whether a request has not been received completely."""
         return self._partial_request is not None
 
+    @property
+    def is_between_requests(self) -> bool:
+        """Return whether a request was answered, and no other one has begun."""
+        return self._has_answered and not self.is_receiving and not self._rejected
+
     @property
     def progressed_at(self) -> float:
         """Return the loop time at which the caller last sent anything."""
@@ -201,6 +207,14 @@
             http.HTTPStatus.SERVICE_UNAVAILABLE, MEMORY_RETRY_AFTER_SECONDS
         )
 
+    def give_up_place(self) -> None:
+        """Close the connection, on which no request is handled, for another caller."""
+        if self.is_receiving:
+            headers = self._host.error_headers(b"")
+            self._close_after_response = True
+            self._write_empty_response(http.HTTPStatus.REQUEST_TIMEOUT, headers)
+        self._close_when_sent()
+
     # Callbacks of the channel.
 
     def on_connected(self) -> None:
@@ -442,6 +456,8 @@
             self._host.account(self, size)
 
     def _end_handling(self) -> None:
+        self._has_answered = True
+        self._progressed_at = self._loop.now
         self._exchange = None
         self._handled_size = 0
         self._account()
--- a/masticfork/relay/entry.py
+++ b/masticfork/relay/entry.py
@@ -34,6 +34,7 @@
     NoExchange,
 )
 from masticfork.relay.caller_memory import CallerMemory
+from masticfork.relay.caller_places import CallerPlaces
 from masticfork.relay.channel import CALLER_USER_TIMEOUT_MS, Channel, listen
 from masticfork.relay.exchange import (
     ABORTED_STATUS,
@@ -230,7 +231,11 @@
             self._objects, settings.host, self._peer_address
         )
         self._response_times = ResponseTimes()
-        self._connections: set[CallerConnection] = set()
+        # The other half of the available descriptors is for connections to servers.
+        available = settings.file_descriptors - RESERVED_DESCRIPTORS
+        self._places = CallerPlaces(
+            self._loop, self._metrics, self.log, max(1, available // 2)
+        )
         self._open_exchanges: set[Exchange] = set()
         self._digests.connect(
             self._peers, self._store_view, self._reader_duty, self._rollout_controller
@@ -343,14 +348,14 @@
                 exchange.on_quarantine()
         self._rollout_controller.run(self._loop.now)
         self._retry_budget.hosts = self._sharing_host_count()
-        self._slow_readers.run(self._connections)
+        self._slow_readers.run(self._places.connections)
         self._caller_memory.run()
         self._digests.run()
         self._reader_duty.run()
         self._store_view.run(self._loop.now, self._reader_duty.reading)
         self._log_sink.flush()
         self._metrics.dropped_lines.inc(self._log_sink.take_dropped())
-        self._metrics.connections.set(len(self._connections))
+        self._metrics.connections.set(len(self._places.connections))
         if self._stop is not None:
             self._continue_stop(self._stop)
 
@@ -362,12 +367,14 @@
         """
         now = self._loop.now
         if stop.closes_idle_connections(now):
-            for caller in list(self._connections):
+            for caller in list(self._places.connections):
                 caller.close_idle()
         if stop.is_past_deadline(now):
             for exchange in list(self._open_exchanges):
                 exchange.on_host_exit()
-        if stop.is_over(now, bool(self._connections) or self._transit_listener.busy):
+        if stop.is_over(
+            now, bool(self._places.connections) or self._transit_listener.busy
+        ):
             self._loop.stop()
 
     def _readiness_response(self, path: bytes) -> tuple[int, bytes]:
@@ -388,7 +395,7 @@
     @property
     def caller_connections(self) -> frozenset[CallerConnection]:
         """Return the connections of callers."""
-        return frozenset(self._connections)
+        return frozenset(self._places.connections)
 
     @property
     def reads_the_store(self) -> bool:
@@ -465,9 +472,8 @@
     def on_events(self, events: int) -> None:
         """Accept pending connections of callers.
 
-        Connections beyond half of the available file descriptors are closed at once.
+        Without a place for it, a connection is closed at once.
         """
-        max_descriptors = self._settings.file_descriptors - RESERVED_DESCRIPTORS
         while True:
             try:
                 sock, _ = self._caller_listener.accept()
@@ -476,17 +482,17 @@
             except OSError as error:
                 self.log("accept failed", error=str(error))
                 return
-            if len(self._connections) >= max_descriptors // 2:
+            if not self._places.has_place():
                 sock.close()
                 continue
             channel = Channel(
                 self._loop, sock, CALLER_USER_TIMEOUT_MS, connecting=False
             )
-            self._connections.add(CallerConnection(self._loop, channel, self))
+            self._places.add(CallerConnection(self._loop, channel, self))
 
     def remove_connection(self, caller: CallerConnection) -> None:
         """Remove a closed connection."""
-        self._connections.discard(caller)
+        self._places.remove(caller)
 
     def account(self, caller: CallerConnection, size: int) -> None:
         """Note the bytes that the requests of a connection take."""
--- a/masticfork/relay/metrics.py
+++ b/masticfork/relay/metrics.py
@@ -66,6 +66,11 @@
             "Incomplete requests that were refused as all requests took too much",
             registry=registry,
         )
+        self.given_up_places = Counter(
+            "masticfork_relay_given_up_places",
+            "Connections of callers that were closed for new ones",
+            registry=registry,
+        )
         self.slow_readers = Counter(
             "masticfork_relay_slow_readers",
             "Callers that were cut off for reading too slowly",
