Bound what incomplete responses of all servers take

Whether it can happen here: each response was bounded (64 KiB of head, 1 MiB an event, 64 MiB of a body that is passed on), their sum was not, and header lines took objects of their own.

Cause: the same as for requests, limits of each message and none of the sum.

Why it works: a head of more than 1,000 lines is malformed. Incomplete events and bodies that may still be replaced are summed over all calls; beyond an eighth of the machine's memory the call with the largest of them ends as broken, as it would at its own limit. A body that is buffered is one growing buffer as well.

--- a/masticfork/core/framing.py
+++ b/masticfork/core/framing.py
@@ -5,6 +5,8 @@
 # A response with a larger head, including interim (1xx) responses and empty lines ahead
 # of it, is treated as malformed.
 MAX_RESPONSE_HEAD_BYTES = 64 << 10
+# The same for one with more header lines, each of which takes objects of its own.
+MAX_RESPONSE_HEADER_LINES = 1000
 # Limit on the bytes of a body that are not its content (sizes and extensions of chunks,
 # trailers): a constant, and a multiple of the content received so far. One byte to a
 # chunk needs five.
--- a/masticfork/relay/entry.py
+++ b/masticfork/relay/entry.py
@@ -54,6 +54,7 @@
 from masticfork.relay.reader_duty import ReaderDuty
 from masticfork.relay.registration import Registration
 from masticfork.relay.request_quarantine import RequestQuarantine
+from masticfork.relay.response_memory import ResponseMemory
 from masticfork.relay.rollout_controller import RolloutController
 from masticfork.relay.room import RoomGate
 from masticfork.relay.server_call import CallSink, ServerCall, ServerConnectionPool
@@ -162,6 +163,9 @@
         self._caller_memory = CallerMemory(
             self._loop, self._metrics, self.log, settings.memory_mb << 20
         )
+        self._response_memory = ResponseMemory(
+            self._metrics, self.log, settings.memory_mb << 20
+        )
         self._digests = HostDigests(
             self._loop,
             settings.host,
@@ -498,6 +502,10 @@
         """Note the bytes that the requests of a connection take."""
         self._caller_memory.update(caller, size)
 
+    def note_response(self, exchange: Exchange, size: int) -> None:
+        """Note the bytes of a response that cannot be passed on yet."""
+        self._response_memory.update(exchange, size)
+
     def decode_head(self, headers: list[Header]) -> CallerHead:
         """Decode the headers of a request."""
         table = self._tables.routes
--- a/masticfork/relay/exchange.py
+++ b/masticfork/relay/exchange.py
@@ -26,6 +26,8 @@
 # Non-stream responses up to this size are buffered until they are complete, so that the
 # request can be retried if the response breaks.
 MAX_BUFFERED_RESPONSE_BYTES = 256 << 10
+# Incomplete responses of less are not counted among those of all calls.
+NOTED_RESPONSE_BYTES = 16 << 10
 # A body other than a stream of events that is larger is treated as one without end.
 MAX_RESPONSE_BODY_BYTES = 64 << 20
 # Retry-After of a 503 response sent because no server could run the request.
@@ -157,6 +159,9 @@
     def on_exchange_ended(self, exchange: "Exchange", status: int, why: str) -> None:
         """Record the end of an exchange."""
 
+    def note_response(self, exchange: "Exchange", size: int) -> None:
+        """Note the bytes of a response that cannot be passed on yet."""
+
     def seconds_until_resumption(self, service: str) -> float:
         """Return how long all servers of a service have asked to pause, or 0."""
 
@@ -275,7 +280,9 @@
     _call_record: CallRecord | None = None
     _response_head: ResponseHead | None = None
     _response_started: bool = False
-    _buffered_body: list[bytes] = attrs.field(factory=list)
+    _buffered_body: bytearray = attrs.field(factory=bytearray)
+    # What the host was told of the incomplete response.
+    _noted_bytes: int = 0
     # Size of the body received from the current call, streams of events excepted.
     _body_bytes: int = 0
     _event_splitter: EventSplitter = attrs.field(init=False)
@@ -405,6 +412,7 @@
             return
         if not self._is_event_response:
             self._buffer_body(data)
+            self._note_held()
             return
         events = self._event_splitter.feed(data)
         if events.data:
@@ -420,6 +428,13 @@
             self._write_body(events.data)
         if events.error is not None:
             self._fail_call(CallOutcome.BROKEN, events.error)
+        else:
+            self._note_held()
+
+    def on_too_much_held(self) -> None:
+        """End the call: the incomplete responses of all calls take too much."""
+        why = "incomplete responses of all calls take too much memory"
+        self._fail_call(CallOutcome.BROKEN, why)
 
     def on_end(self) -> None:
         """Complete the response to the caller."""
@@ -436,8 +451,8 @@
             )
         elif not self._response_started:
             self.caller.start_response(self._response_head, self._body_bytes)
-            for data in self._buffered_body:
-                self.caller.write_body(data)
+            if self._buffered_body:
+                self.caller.write_body(bytes(self._buffered_body))
         self._end_call(None)
         self._record_end(self._response_head.status, "answered")
         self.caller.end_response()
@@ -704,7 +719,7 @@
             self.history.sent -= 1
         if not outcome.certainly_not_run:
             self.history.may_have_run = True
-        self._buffered_body, self._body_bytes = [], 0
+        self._buffered_body, self._body_bytes = bytearray(), 0
         if not self._response_started:
             self._response_head = None
         self.host.log(
@@ -834,14 +849,13 @@
         if self._response_started:
             self._write_body(data)
             return
-        self._buffered_body.append(data)
+        self._buffered_body += data
         head = self._response_head
         if self._body_bytes > MAX_BUFFERED_RESPONSE_BYTES and head is not None:
             self._response_started = True
             self.caller.start_response(head, head.content_length)
-            buffered, self._buffered_body = self._buffered_body, []
-            for part in buffered:
-                self._write_body(part)
+            buffered, self._buffered_body = self._buffered_body, bytearray()
+            self._write_body(bytes(buffered))
 
     def _write_body(self, data: bytes) -> None:
         self.caller.write_body(data)
@@ -852,12 +866,25 @@
             self._is_call_paused = True
             self._cancel_silence_timer()
 
+    def _note_held(self) -> None:
+        """Tell the host what of the response cannot be passed on yet."""
+        size = 0
+        if self._call_record is not None:
+            buffered = 0 if self._response_started else self._body_bytes
+            size = self._event_splitter.partial_event_bytes + buffered
+        if size < NOTED_RESPONSE_BYTES:
+            size = 0
+        if size != self._noted_bytes:
+            self._noted_bytes = size
+            self.host.note_response(self, size)
+
     # End of calls and of the exchange.
 
     def _end_call(self, outcome: CallOutcome | None) -> None:
         record, self._call_record = self._call_record, None
         if record is None:
             return
+        self._note_held()
         self._cancel_silence_timer()
         record.ended_at = self.host.loop.now
         record.outcome = outcome
@@ -876,6 +903,7 @@
         if self._ended:
             return
         record, self._call_record = self._call_record, None
+        self._note_held()
         self._cancel_silence_timer()
         if record is not None:
             if record.call is not None:
--- a/masticfork/relay/metrics.py
+++ b/masticfork/relay/metrics.py
@@ -71,6 +71,11 @@
             "Connections of callers that were closed for new ones",
             registry=registry,
         )
+        self.given_up_responses = Counter(
+            "masticfork_relay_given_up_responses",
+            "Incomplete responses that were given up as all of them took too much",
+            registry=registry,
+        )
         self.slow_readers = Counter(
             "masticfork_relay_slow_readers",
             "Callers that were cut off for reading too slowly",
--- /dev/null
+++ b/masticfork/relay/response_memory.py
@@ -0,0 +1,46 @@
+"""Bounds what incomplete responses of all servers take on this host."""
+
+from collections.abc import Callable
+from typing import Protocol
+
+from masticfork.relay.metrics import RelayMetrics
+
+# Fraction of the host's memory that incomplete events and buffered bodies may take.
+RESPONSE_MEMORY_SHARE = 0.125
+
+
+class IncompleteResponse(Protocol):
+    """A response of which a part cannot be passed on yet."""
+
+    def on_too_much_held(self) -> None:
+        """End the call: the incomplete responses of all calls take too much."""
+
+
+class ResponseMemory:
+    """Ends the calls with the largest incomplete responses if all take too much."""
+
+    def __init__(
+        self, metrics: RelayMetrics, log: Callable[..., None], memory_bytes: int
+    ) -> None:
+        self._metrics = metrics
+        self._log = log
+        self._limit = int(memory_bytes * RESPONSE_MEMORY_SHARE)
+        self._sizes: dict[IncompleteResponse, int] = {}
+        self._held = 0
+
+    @property
+    def held_bytes(self) -> int:
+        """Return the bytes that incomplete responses take."""
+        return self._held
+
+    def update(self, response: IncompleteResponse, size: int) -> None:
+        """Set what a response takes; end calls if all take too much."""
+        self._held += size - self._sizes.pop(response, 0)
+        if size:
+            self._sizes[response] = size
+        while self._held > self._limit and len(self._sizes) > 1:
+            largest = max(self._sizes, key=self._sizes.__getitem__)
+            self._log("response given up", size=self._sizes[largest], held=self._held)
+            self._metrics.given_up_responses.inc()
+            self._held -= self._sizes.pop(largest)
+            largest.on_too_much_held()
--- a/masticfork/relay/response_reader.py
+++ b/masticfork/relay/response_reader.py
@@ -6,7 +6,11 @@
 import httptools
 
 from masticfork.core.forwarding import Header, ResponseHead, may_have_body
-from masticfork.core.framing import MAX_RESPONSE_HEAD_BYTES, FramingMeter
+from masticfork.core.framing import (
+    MAX_RESPONSE_HEAD_BYTES,
+    MAX_RESPONSE_HEADER_LINES,
+    FramingMeter,
+)
 from masticfork.core.http_status import is_interim
 
 
@@ -45,6 +49,8 @@
         self._is_head_request = is_head_request
         self._parser = httptools.HttpResponseParser(self)
         self._headers: list[Header] = []
+        # Of all heads of the response, interim ones included.
+        self._header_lines = 0
         # Bytes received up to the end of the read that completed the head.
         self._head_bytes = 0
         self._framing = FramingMeter()
@@ -141,8 +147,13 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect one header; trailers are dropped."""
-        if self._head is None:
-            self._headers.append((name.lower(), value))
+        if self._head is not None:
+            return
+        self._header_lines += 1
+        if self._header_lines > MAX_RESPONSE_HEADER_LINES:
+            self._headers.clear()
+            raise MalformedResponseError("head has more than 1000 lines")
+        self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Decode the head, unless it is that of an interim (1xx) response."""
--- a/proofs/crowds_test.py
+++ b/proofs/crowds_test.py
@@ -4,14 +4,13 @@
 """
 
 import http.client
-import re
 import socket
 import time
-from pathlib import Path
 
 import pytest
 
 from masticfork.core.routes import CallerLimits
+from proofs.measuring import open_descriptors, peak_memory_mb, wait_until_rested
 from standins.crowd import crowd
 from standins.entry_environment import request_headers
 from tools.run_platform import MachineLimits, running_platform
@@ -23,8 +22,6 @@
 SMALL_BODY_BYTES = 1 << 20
 # Time after which a test no longer waits for an answer; not a promise.
 PATIENCE_SECONDS = 30.0
-# A process that has nothing to read uses no more ticks than this in such a time.
-REST_SECONDS, RESTING_TICKS = 0.2, 2
 
 
 def head(*lines):
@@ -74,30 +71,6 @@
 }
 
 
-def peak_memory_mb(pid):
-    status = Path(f"/proc/{pid}/status").read_text()
-    return int(re.search(r"VmHWM:\s+(\d+) kB", status).group(1)) / 1024
-
-
-def processor_ticks(pid):
-    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    return int(fields[11]) + int(fields[12])
-
-
-def wait_until_read(pid):
-    """Wait until the process has read what was sent, that is, until it rests."""
-    deadline = time.monotonic() + PATIENCE_SECONDS
-    resting = 0
-    while resting < 3 and time.monotonic() < deadline:
-        before = processor_ticks(pid)
-        time.sleep(REST_SECONDS)
-        resting = resting + 1 if processor_ticks(pid) - before <= RESTING_TICKS else 0
-
-
-def open_descriptors(pid):
-    return len(list(Path(f"/proc/{pid}/fd").iterdir()))
-
-
 def ask(front, request=ORDINARY):
     """Send a request and return the status of its answer, 0 if there is none."""
     try:
@@ -138,7 +111,7 @@
         before = peak_memory_mb(pid)
         with crowd(host.front, connections, data):
             descriptors = open_descriptors(pid)
-            wait_until_read(pid)
+            wait_until_rested(pid)
             descriptors = max(descriptors, open_descriptors(pid))
             served_beside = is_served(host.front)
         served = is_served(host.front)
--- a/standins/fake_exchange.py
+++ b/standins/fake_exchange.py
@@ -195,6 +195,9 @@
         """Return what the test has set."""
         return self.suspected
 
+    def note_response(self, exchange: Exchange, size: int) -> None:
+        """Do nothing."""
+
     def error_headers(
         self,
         attempt_id: bytes,
--- a/tools/run_platform.py
+++ b/tools/run_platform.py
@@ -25,7 +25,13 @@
 )
 from standins.object_store import ObjectStore
 from standins.ports import free_ports
-from standins.scripted_server import ReceivedRequest, ScriptedServer, events, response
+from standins.scripted_server import (
+    ReceivedRequest,
+    Script,
+    ScriptedServer,
+    events,
+    response,
+)
 from tools.processes import ROOT, Program, stop_all
 
 ENTRY_MODULE = "masticfork.scripts.masticfork_entry"
@@ -143,15 +149,21 @@
 
 @contextmanager
 def running_platform(
-    hosts: int, limits: MachineLimits = MachineLimits()
+    hosts: int,
+    limits: MachineLimits = MachineLimits(),
+    engine_script: Script | None = None,
 ) -> Iterator[RunningPlatform]:
-    """Run a store, backend servers and entry hosts until the context exits."""
+    """Run a store, backend servers and entry hosts until the context exits.
+
+    `engine_script` takes the place of the usual answers of the engines.
+    """
     store = ObjectStore()
     store.put("config", "main", configuration(1))
     with ExitStack() as stack:
         folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
         address = Address(LOOPBACK, stack.enter_context(serving(store)).port)
-        scripts = [(_plain_script, SERVICE)] * 3 + [(_engine_script, ENGINES)] * 3
+        engine = engine_script or _engine_script
+        scripts = [(_plain_script, SERVICE)] * 3 + [(engine, ENGINES)] * 3
         for number, (script, service) in enumerate(scripts):
             server = ScriptedServer(script)
             stack.callback(server.close)
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -12,9 +12,9 @@
 KNOWN_RED_FILE = ROOT / "KNOWN-RED.txt"
 FEATURES = ROOT / "features"
 NO_TESTS_COLLECTED = 5
-# Test files that run one after the other, beside no other test: they measure what a
-# crowd of connections does to a process.
-ALONE = ("proofs/crowds_test.py",)
+# Test files that run one after the other, beside no other test: they measure what
+# crowds of connections do to a process.
+ALONE = ("proofs/crowds_test.py", "proofs/endless_servers_test.py")
 # Processes among which pytest divides the test files: tests mostly wait.
 TEST_PROCESSES = 4
 
