Bound the connections to pages

Cause: each connection was bounded in time and bytes, their number was not.

Why it works: beyond 128 the oldest connection gives way. A request takes milliseconds, so those of the platform and of other hosts are not the oldest.

--- a/masticfork/relay/page_listener.py
+++ b/masticfork/relay/page_listener.py
@@ -16,6 +16,10 @@
 # A connection with a larger request is closed.
 MAX_REQUEST_BYTES = 16 << 10
 
+# The oldest connection is closed for a new one beyond this number: a request takes some
+# milliseconds, even where all hosts of a large fleet copy the store at once.
+MAX_CONNECTIONS = 128
+
 # Returns the status code and body for a request path.
 PageHandler = Callable[[bytes], tuple[int, bytes]]
 
@@ -26,6 +30,8 @@
     def __init__(self, loop: Loop, address: Address, handler: PageHandler) -> None:
         self._loop = loop
         self._handler = handler
+        # Open connections, the oldest first.
+        self._connections: dict[_PageConnection, None] = {}
         self._listener = listen(address, LISTEN_BACKLOG)
         loop.register(self._listener, selectors.EVENT_READ, self)
 
@@ -39,19 +45,38 @@
             except OSError:
                 # Out of file descriptors; the next event tries again.
                 return
-            _PageConnection(self._loop, sock, self._handler)
+            if len(self._connections) >= MAX_CONNECTIONS:
+                next(iter(self._connections)).close()
+            connection = _PageConnection(self._loop, sock, self._handler, self._forget)
+            self._connections[connection] = None
+
+    def _forget(self, connection: "_PageConnection") -> None:
+        self._connections.pop(connection, None)
 
 
 class _PageConnection:
-    def __init__(self, loop: Loop, sock: socket.socket, handler: PageHandler) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        sock: socket.socket,
+        handler: PageHandler,
+        on_closed: Callable[["_PageConnection"], None],
+    ) -> None:
         self._handler = handler
+        self._on_closed = on_closed
         self._parser = httptools.HttpRequestParser(self)
         self._path = b""
         # Bytes received since the last complete request.
         self._request_bytes = 0
         self._channel = Channel(loop, sock, CALLER_USER_TIMEOUT_MS, connecting=False)
         self._channel.owner = self
-        self._close_timer = loop.call_after(MAX_CONNECTION_SECONDS, self._channel.close)
+        self._close_timer = loop.call_after(MAX_CONNECTION_SECONDS, self.close)
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._close_timer.cancel()
+        self._channel.close()
+        self._on_closed(self)
 
     def on_connected(self) -> None:
         """Do nothing: accepted connections are already connected."""
@@ -62,6 +87,7 @@
     def on_closed(self, error: OSError | None) -> None:
         """Cancel the timer."""
         self._close_timer.cancel()
+        self._on_closed(self)
 
     def on_data(self, data: bytes) -> None:
         """Parse requests; close the connection after invalid or too much data."""
@@ -69,9 +95,9 @@
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self._channel.close()
+            self.close()
         if self._request_bytes > MAX_REQUEST_BYTES:
-            self._channel.close()
+            self.close()
 
     def on_url(self, url: bytes) -> None:
         """Collect a part of the request path."""
@@ -84,7 +110,7 @@
         """
         self._request_bytes = 0
         if self._channel.unsent_bytes:
-            self._channel.close()
+            self.close()
         if self._channel.closed:
             return
         path, self._path = self._path, b""
--- a/masticfork/relay/page_listener_test.py
+++ b/masticfork/relay/page_listener_test.py
@@ -1,3 +1,4 @@
+import contextlib
 import socket
 import threading
 import time
@@ -5,7 +6,11 @@
 import pytest
 
 from masticfork.relay.loop import Loop
-from masticfork.relay.page_listener import MAX_CONNECTION_SECONDS, PageListener
+from masticfork.relay.page_listener import (
+    MAX_CONNECTION_SECONDS,
+    MAX_CONNECTIONS,
+    PageListener,
+)
 from standins.entry_environment import free_address
 
 PAGE = b"page " * 200_000
@@ -70,3 +75,18 @@
             sock.sendall(REQUEST * 3000)
             time.sleep(0.5)
         assert 1 <= len(paths) <= 10
+
+    def test_connections_that_ask_for_nothing_give_way_to_others(self, listener):
+        """Guards against a host that counts as down since its page is not answered."""
+        address, _ = listener
+        idle = [connect(address) for _ in range(2 * MAX_CONNECTIONS)]
+        with connect(address) as sock:
+            sock.sendall(REQUEST)
+            assert sock.recv(100).startswith(b"HTTP/1.1 200 ")
+        closed = 0
+        for sock in idle:
+            sock.setblocking(False)
+            with contextlib.suppress(BlockingIOError):
+                closed += sock.recv(1) == b""
+            sock.close()
+        assert closed >= MAX_CONNECTIONS
