--- a/masticfork/relay/transit_listener.py
+++ b/masticfork/relay/transit_listener.py
@@ -24,6 +24,8 @@
 # Timeout of the connection to the server; shorter than that of the calling host, which
 # is to hear of it.
 CONNECT_TIMEOUT_SECONDS = 0.25
+# A connection with a larger request head is closed.
+MAX_HEAD_BYTES = 16 << 10
 # Reading from one side pauses while more than this is unsent to the other one.
 MAX_UNSENT_BYTES = 256 << 10
 
@@ -115,6 +117,8 @@
         self._server_channel: Channel | None = None
         self._parser = httptools.HttpRequestParser(self)
         self._path = b""
+        self._head_bytes = 0
+        self._head_complete = False
         self._timer: Timer = loop.call_after(
             CONNECT_TIMEOUT_SECONDS, self._on_unreachable
         )
@@ -131,6 +135,11 @@
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.close()
+            return
+        if not self._head_complete:
+            self._head_bytes += len(data)
+            if self._head_bytes > MAX_HEAD_BYTES:
+                self.close()
 
     def on_drained(self) -> None:
         """Read from the server again."""
@@ -149,6 +158,7 @@
 
     def on_headers_complete(self) -> None:
         """Start to connect to the server that the path names."""
+        self._head_complete = True
         server_id = self._path.removeprefix(PATH_PREFIX).decode("latin-1")
         opened = self._listener.open_server(server_id)
         if isinstance(opened, Refusal):
