Bound what hosts decompress of each other's data

Cause: the size of a datagram is bounded, that of what it holds in compressed form was not; the same for copies of the store.

Evidence: 100 MB of spaces take 100 kB compressed; four cases of the test fail before.

Why it works: decompression ends at 4 MiB for changes and at 16 MiB for copies; longer data counts as malformed, and the host copies from another one or reads the store.

--- a/masticfork/relay/mirror.py
+++ b/masticfork/relay/mirror.py
@@ -20,6 +20,9 @@
 # The fastest level; configurations shrink to a tenth with it.
 COMPRESSION_LEVEL = 1
 ZLIB_FIRST_BYTE = b"\x78"
+# Longest JSON of changes and of copies: more than a thousand times a few objects and a
+# whole store take, and what a host can decode beside its requests.
+MAX_CHANGES_BYTES, MAX_COPY_BYTES = 4 << 20, 16 << 20
 _OBJECT_FIELDS = tuple(field.name for field in attrs.fields(PlatformObject))
 
 
@@ -87,7 +90,7 @@
 def decode_changes(data: bytes) -> list[ObjectChange]:
     """Return the changes another host has sent; raise ValueError if malformed."""
     try:
-        rows = json.loads(zlib.decompress(data))
+        rows = json.loads(_decompress(data, MAX_CHANGES_BYTES))
         return [
             ObjectChange(_stored_object(row), bool(deleted)) for row, deleted in rows
         ]
@@ -95,6 +98,15 @@
         raise ValueError(f"malformed changes: {error!r}") from error
 
 
+def _decompress(data: bytes, max_bytes: int) -> bytes:
+    """Return decompressed data; raise ValueError if it is longer than `max_bytes`."""
+    decompressor = zlib.decompressobj()
+    value = decompressor.decompress(data, max_bytes)
+    if decompressor.unconsumed_tail or not decompressor.eof:
+        raise ValueError("compressed data is too long or incomplete")
+    return value
+
+
 def _stored_object(row: Any) -> PlatformObject:
     """Return an object as a peer has sent it.
 
@@ -121,7 +133,7 @@
     """
     try:
         compressed = data[:1] == ZLIB_FIRST_BYTE
-        value = json.loads(zlib.decompress(data) if compressed else data)
+        value = json.loads(_decompress(data, MAX_COPY_BYTES) if compressed else data)
     except (zlib.error, RecursionError) as error:
         raise ValueError(f"malformed store copy: {error!r}") from error
     return from_json(value)
--- a/masticfork/relay/mirror_test.py
+++ b/masticfork/relay/mirror_test.py
@@ -1,4 +1,5 @@
 import json
+import tracemalloc
 import zlib
 
 import pytest
@@ -11,6 +12,7 @@
     PlatformObject,
 )
 from masticfork.relay.mirror import (
+    MAX_COPY_BYTES,
     KindMirror,
     decode_changes,
     decode_copy,
@@ -96,3 +98,24 @@
         sent = PlatformObject(None, 1, 1, {}, None)
         with pytest.raises(ValueError):
             decode_changes(encode_changes([ObjectChange(sent, False)]))
+
+
+class TestCompressedData:
+    @pytest.mark.parametrize("decode", [decode_changes, decode_copy])
+    @pytest.mark.parametrize("size", [100_000_000, MAX_COPY_BYTES + 1])
+    def test_data_that_grows_without_measure_is_refused(self, decode, size):
+        """Guards against a datagram of kilobytes that takes the memory of a host."""
+        data = zlib.compress(b" " * size)
+        tracemalloc.start()
+        try:
+            with pytest.raises(ValueError, match="too long"):
+                decode(data)
+            _, peak = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        assert peak < 4 * MAX_COPY_BYTES
+
+    @pytest.mark.parametrize("decode", [decode_changes, decode_copy])
+    def test_incomplete_data_is_refused(self, decode):
+        with pytest.raises(ValueError):
+            decode(zlib.compress(b"[]" * 100)[:-3])
