Pass on buffered bodies instead of ending their calls

Cause: a fault of the bound on incomplete responses. Bodies of up to 256 KiB are buffered until they are complete, so that the call can be replaced. If all of them took too much, the call with the largest one ended as broken, and a sound server counted as failed.

The new test failed before (sound servers, 8 bodies of 200 kB on a host with 4 MB).

Why it works: a buffered body is passed on to its caller, after which reading from the server stops while too much is unsent; only a call with a part of an event is ended.

--- a/masticfork/relay/exchange.py
+++ b/masticfork/relay/exchange.py
@@ -432,8 +432,12 @@
             self._note_held()
 
     def on_too_much_held(self) -> None:
-        """End the call: the incomplete responses of all calls take too much."""
-        why = "incomplete responses of all calls take too much memory"
+        """Pass on what is buffered, or end the call if that is part of an event."""
+        if not self._is_event_response:
+            self._pass_on_buffered_body()
+            self._note_held()
+            return
+        why = "incomplete events of all calls take too much memory"
         self._fail_call(CallOutcome.BROKEN, why)
 
     def on_end(self) -> None:
@@ -850,12 +854,18 @@
             self._write_body(data)
             return
         self._buffered_body += data
+        if self._body_bytes > MAX_BUFFERED_RESPONSE_BYTES:
+            self._pass_on_buffered_body()
+
+    def _pass_on_buffered_body(self) -> None:
+        """Begin the response to the caller; it can no longer be replaced."""
         head = self._response_head
-        if self._body_bytes > MAX_BUFFERED_RESPONSE_BYTES and head is not None:
-            self._response_started = True
-            self.caller.start_response(head, head.content_length)
-            buffered, self._buffered_body = self._buffered_body, bytearray()
-            self._write_body(bytes(buffered))
+        if head is None or self._response_started:
+            return
+        self._response_started = True
+        self.caller.start_response(head, head.content_length)
+        buffered, self._buffered_body = self._buffered_body, bytearray()
+        self._write_body(bytes(buffered))
 
     def _write_body(self, data: bytes) -> None:
         self.caller.write_body(data)
--- a/masticfork/relay/metrics.py
+++ b/masticfork/relay/metrics.py
@@ -71,9 +71,9 @@
             "Connections of callers that were closed for new ones",
             registry=registry,
         )
-        self.given_up_responses = Counter(
-            "masticfork_relay_given_up_responses",
-            "Incomplete responses that were given up as all of them took too much",
+        self.relieved_responses = Counter(
+            "masticfork_relay_relieved_responses",
+            "Incomplete responses that were passed on or ended as all took too much",
             registry=registry,
         )
         self.slow_readers = Counter(
--- a/masticfork/relay/response_memory.py
+++ b/masticfork/relay/response_memory.py
@@ -13,11 +13,11 @@
     """A response of which a part cannot be passed on yet."""
 
     def on_too_much_held(self) -> None:
-        """End the call: the incomplete responses of all calls take too much."""
+        """Hold less: the incomplete responses of all calls take too much."""
 
 
 class ResponseMemory:
-    """Ends the calls with the largest incomplete responses if all take too much."""
+    """Has the largest incomplete responses hold less if all take too much."""
 
     def __init__(
         self, metrics: RelayMetrics, log: Callable[..., None], memory_bytes: int
@@ -34,13 +34,13 @@
         return self._held
 
     def update(self, response: IncompleteResponse, size: int) -> None:
-        """Set what a response takes; end calls if all take too much."""
+        """Set what a response takes; relieve the largest ones if all take too much."""
         self._held += size - self._sizes.pop(response, 0)
         if size:
             self._sizes[response] = size
         while self._held > self._limit and len(self._sizes) > 1:
             largest = max(self._sizes, key=self._sizes.__getitem__)
-            self._log("response given up", size=self._sizes[largest], held=self._held)
-            self._metrics.given_up_responses.inc()
+            self._log("response relieved", size=self._sizes[largest], held=self._held)
+            self._metrics.relieved_responses.inc()
             self._held -= self._sizes.pop(largest)
             largest.on_too_much_held()
