--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -16,7 +16,7 @@
 # crowds of connections do to a process.
 ALONE = ("proofs/crowds_test.py", "proofs/endless_servers_test.py")
 # Processes among which pytest divides the test files: tests mostly wait.
-TEST_PROCESSES = 4
+TEST_PROCESSES = 6
 
 
 @attrs.frozen
