Decompress what hosts send in one place

The bound on the mirror's data wrote anew what the bills' daemon had already: a decompression that ends at a limit and requires the end of the data. Both call core/compression.py now. Manifests keep their own, as their findings tell data that is too long from data that is truncated. No behaviour changes.

--- a/masticfork/daemon/bills.py
+++ b/masticfork/daemon/bills.py
@@ -7,6 +7,7 @@
 
 from result import Err
 
+from masticfork.core.compression import decompress_bounded
 from masticfork.core.deadlines import Deadline
 from masticfork.core.findings import Findings
 from masticfork.core.hosts import HostState
@@ -155,12 +156,10 @@
 
 def _decompress(data: bytes) -> bytes:
     """Return the encoded bills, or no bytes if malformed or above the size limit."""
-    parser = zlib.decompressobj()
     try:
-        content = parser.decompress(data, MAX_BATCH_BYTES)
-    except zlib.error:
+        return decompress_bounded(data, MAX_BATCH_BYTES)
+    except ValueError:
         return b""
-    return content if parser.eof else b""
 
 
 def _resolve(kept: "Future[None]", reply_future: "Future[Reply]") -> None:
--- a/masticfork/relay/mirror.py
+++ b/masticfork/relay/mirror.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from masticfork.core.compression import decompress_bounded
 from masticfork.core.ids import short_key
 from masticfork.core.store_position import StorePosition
 from masticfork.platform.objects import (
@@ -90,23 +91,14 @@
 def decode_changes(data: bytes) -> list[ObjectChange]:
     """Return the changes another host has sent; raise ValueError if malformed."""
     try:
-        rows = json.loads(_decompress(data, MAX_CHANGES_BYTES))
+        rows = json.loads(decompress_bounded(data, MAX_CHANGES_BYTES))
         return [
             ObjectChange(_stored_object(row), bool(deleted)) for row, deleted in rows
         ]
-    except (zlib.error, RecursionError, TypeError, ValueError) as error:
+    except (RecursionError, TypeError, ValueError) as error:
         raise ValueError(f"malformed changes: {error!r}") from error
 
 
-def _decompress(data: bytes, max_bytes: int) -> bytes:
-    """Return decompressed data; raise ValueError if it is longer than `max_bytes`."""
-    decompressor = zlib.decompressobj()
-    value = decompressor.decompress(data, max_bytes)
-    if decompressor.unconsumed_tail or not decompressor.eof:
-        raise ValueError("compressed data is too long or incomplete")
-    return value
-
-
 def _stored_object(row: Any) -> PlatformObject:
     """Return an object as a peer has sent it.
 
@@ -133,8 +125,10 @@
     """
     try:
         compressed = data[:1] == ZLIB_FIRST_BYTE
-        value = json.loads(_decompress(data, MAX_COPY_BYTES) if compressed else data)
-    except (zlib.error, RecursionError) as error:
+        value = json.loads(
+            decompress_bounded(data, MAX_COPY_BYTES) if compressed else data
+        )
+    except RecursionError as error:
         raise ValueError(f"malformed store copy: {error!r}") from error
     return from_json(value)
 
