Keep the sums of requests and of responses by one account

CallerMemory and ResponseMemory each kept sizes by holder and their sum, by the same lines. ByteAccount does it for both; what is refused or relieved stays theirs. No behaviour changes.

--- a/masticfork/relay/caller_memory.py
+++ b/masticfork/relay/caller_memory.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from masticfork.relay.byte_account import ByteAccount
 from masticfork.relay.caller import CallerConnection
 from masticfork.relay.loop import Loop
 from masticfork.relay.metrics import RelayMetrics
@@ -30,35 +31,32 @@
         self._metrics = metrics
         self._log = log
         self._limit = int(memory_bytes * REQUEST_MEMORY_SHARE)
-        self._sizes: dict[CallerConnection, int] = {}
-        self._held = 0
+        self._account: ByteAccount[CallerConnection] = ByteAccount()
         # Whether requests are being refused, each of which changes what is held.
         self._relieving = False
 
     @property
     def held_bytes(self) -> int:
         """Return the bytes that the requests of all callers take."""
-        return self._held
+        return self._account.total
 
     def update(self, connection: CallerConnection, size: int) -> None:
         """Set what the requests of a connection take; refuse some if it is too much."""
-        self._held += size - self._sizes.pop(connection, 0)
-        if size:
-            self._sizes[connection] = size
+        self._account.update(connection, size)
         self._relieve()
 
     def admits(self, connection: CallerConnection) -> bool:
         """Return whether the complete request of a connection is handled."""
-        size = self._sizes.get(connection, 0)
-        return is_admitted(size, self._held, self._limit)
+        size = self._account.sizes.get(connection, 0)
+        return is_admitted(size, self.held_bytes, self._limit)
 
     def run(self) -> None:
         """Refuse requests of callers who have stopped meanwhile, if it is too much."""
-        self._metrics.request_bytes.set(self._held)
+        self._metrics.request_bytes.set(self.held_bytes)
         self._relieve()
 
     def _relieve(self) -> None:
-        if self._held <= self._limit or self._relieving:
+        if self.held_bytes <= self._limit or self._relieving:
             return
         self._relieving = True
         try:
@@ -68,18 +66,19 @@
 
     def _refuse_some(self) -> None:
         now = self._loop.now
-        by_id = {id(caller): caller for caller in self._sizes if caller.is_receiving}
+        sizes = self._account.sizes
+        by_id = {id(caller): caller for caller in sizes if caller.is_receiving}
         requests = [
-            IncompleteRequest(key, self._sizes[caller], caller.progressed_at)
+            IncompleteRequest(key, sizes[caller], caller.progressed_at)
             for key, caller in by_id.items()
         ]
-        for request in choose_refused(requests, self._held, self._limit, now):
+        for request in choose_refused(requests, self.held_bytes, self._limit, now):
             self._metrics.refused_requests.inc()
             self._log(
                 "incomplete request refused",
                 size=request.size,
                 stalled=round(now - request.progressed_at, 3),
-                held=self._held,
+                held=self.held_bytes,
                 limit=self._limit,
             )
             by_id[request.connection].refuse_incomplete()
--- a/masticfork/relay/response_memory.py
+++ b/masticfork/relay/response_memory.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from masticfork.relay.byte_account import ByteAccount
 from masticfork.relay.metrics import RelayMetrics
 
 # Fraction of the host's memory that incomplete events and buffered bodies may take.
@@ -25,22 +26,20 @@
         self._metrics = metrics
         self._log = log
         self._limit = int(memory_bytes * RESPONSE_MEMORY_SHARE)
-        self._sizes: dict[IncompleteResponse, int] = {}
-        self._held = 0
+        self._account: ByteAccount[IncompleteResponse] = ByteAccount()
 
     @property
     def held_bytes(self) -> int:
         """Return the bytes that incomplete responses take."""
-        return self._held
+        return self._account.total
 
     def update(self, response: IncompleteResponse, size: int) -> None:
         """Set what a response takes; relieve the largest ones if all take too much."""
-        self._held += size - self._sizes.pop(response, 0)
-        if size:
-            self._sizes[response] = size
-        while self._held > self._limit and len(self._sizes) > 1:
-            largest = max(self._sizes, key=self._sizes.__getitem__)
-            self._log("response relieved", size=self._sizes[largest], held=self._held)
+        self._account.update(response, size)
+        sizes = self._account.sizes
+        while self.held_bytes > self._limit and len(sizes) > 1:
+            largest = max(sizes, key=sizes.__getitem__)
+            self._log("response relieved", size=sizes[largest], held=self.held_bytes)
             self._metrics.relieved_responses.inc()
-            self._held -= self._sizes.pop(largest)
+            self._account.update(largest, 0)
             largest.on_too_much_held()
