Derive since when a configuration is announced from what the host is behind in

The loop time of the first word was stored twice, as _announced_at and with what is known less of by kind. One of them is left. Where all who had announced a version have been silent for 3 s and it is announced again, 'waited' counts from then on.

--- a/masticfork/relay/store_view.py
+++ b/masticfork/relay/store_view.py
@@ -103,9 +103,6 @@
         # time since which it has learnt nothing of it.
         self._behind: dict[str, tuple[int, float]] = {}
         self._reading = True
-        # Loop time at which a peer first told of a newer configuration than the one in
-        # force, None if none has.
-        self._announced_at: float | None = None
         self._updates: list[KindUpdate] = []
         # The page for peers, and the states of the kinds that it holds.
         self._copy: tuple[tuple[KindState, ...], bytes] | None = None
@@ -206,8 +203,8 @@
 
     def apply_updates(self, digest: Digest) -> None:
         """Apply changes that a peer has read from the store."""
-        if self._announced_at is None and digest.configuration > self._version:
-            self._announced_at = self._loop.now
+        is_newer = digest.configuration > self._version
+        if is_newer and names.KIND_CONFIG not in self._behind:
             self._behind[names.KIND_CONFIG] = self._version, self._loop.now
             self._loop.call_after(BEHIND_SECONDS, self._request_copy)
         kinds = list(self._mirrors)
@@ -388,10 +385,11 @@
         for table in self._decode_each(
             names.KIND_CONFIG, [stored], lambda stored: decode_route_table(stored.spec)
         ):
-            announced_at = self._announced_at
-            waited = 0.0 if announced_at is None else self._loop.now - announced_at
+            now = self._loop.now
+            _, behind_since = self._behind.get(names.KIND_CONFIG, (0, now))
+            waited = now - behind_since
             if self._tables.adopt_routes(table, source, waited):
-                self._announced_at = None
+                self._behind.pop(names.KIND_CONFIG, None)
                 self._configuration = stored
                 self._metrics.version.set(table.version)
                 way = source if source in ("store", "peer") else "update"
