Derive the size of a request while it is handled; state the stall of callers once

The size while a request is handled follows from that while it waits. The time after which a caller counts as having stopped was stated twice with the same value. No behaviour changes.

--- a/masticfork/relay/caller.py
+++ b/masticfork/relay/caller.py
@@ -120,9 +120,13 @@
     request: CallerRequest
     keep_alive: bool
     accepts_chunks: bool
-    # Bytes that it takes while it waits, and while it is handled.
+    # Bytes that it takes while it waits.
     size: int
-    handled_size: int
+
+    @property
+    def handled_size(self) -> int:
+        """Return the bytes that it takes while it is handled."""
+        return self.size + (HANDLED_BODY_COPIES - 1) * len(self.request.body)
 
 
 class CallerConnection:
@@ -322,14 +326,12 @@
             body=bytes(partial_request.body),
             arrived_at=partial_request.arrived_at,
         )
-        size = partial_request.size
         self._queued_requests.append(
             _QueuedRequest(
                 request,
                 partial_request.keep_alive,
                 partial_request.accepts_chunks,
-                size,
-                size + (HANDLED_BODY_COPIES - 1) * len(request.body),
+                partial_request.size,
             )
         )
         if len(self._queued_requests) > MAX_QUEUED_REQUESTS:
--- a/masticfork/relay/store_copies.py
+++ b/masticfork/relay/store_copies.py
@@ -104,7 +104,8 @@
         }
         running = {a.host for a in self._unanswered.values() if not a.ended}
         idle = [pair for pair in candidates if pair[0].host not in running]
-        if not idle or len(running) >= MAX_ATTEMPTS or self._is_early(now):
+        is_due = self._next_attempt.expired(now)
+        if not idle or len(running) >= MAX_ATTEMPTS or not is_due:
             return
         random.shuffle(idle)
         chosen, address = min(idle, key=lambda pair: self._rank(pair[0]))
@@ -121,9 +122,6 @@
             lambda copied: self._on_fetched(attempt, copied, apply_copy),
         )
 
-    def _is_early(self, now: float) -> bool:
-        return not self._next_attempt.expired(now)
-
     def _rank(self, digest: Digest) -> tuple[bool, int, bool]:
         # The hosts of a zone may have been lost together.
         elsewhere = digest.zone != self._zone and not self._unanswered
--- a/masticfork/systems/caller_places.py
+++ b/masticfork/systems/caller_places.py
@@ -4,8 +4,7 @@
 
 import attrs
 
-# Time without progress from which on a connection gives up its place.
-STALL_SECONDS = 0.5
+from masticfork.systems.request_memory import STALL_SECONDS
 
 
 @attrs.frozen
--- a/masticfork/systems/caller_places_test.py
+++ b/masticfork/systems/caller_places_test.py
@@ -1,8 +1,5 @@
-from masticfork.systems.caller_places import (
-    STALL_SECONDS,
-    WaitingConnection,
-    choose_closed,
-)
+from masticfork.systems.caller_places import WaitingConnection, choose_closed
+from masticfork.systems.request_memory import STALL_SECONDS
 
 NOW = 100.0
 
