Share the crowds' check, the large configuration and the callers' host among tests

The tests of crowds and of endless servers made the same measurements and assertions; one function makes them for both, so that the latter count descriptors before the process rests as well. Two tests built the same configuration, two the same host of callers. No assertion is taken out.

--- a/masticfork/relay/caller_memory_test.py
+++ b/masticfork/relay/caller_memory_test.py
@@ -3,11 +3,9 @@
 
 import pytest
 
-from masticfork.core.routes import CallerLimits
-from masticfork.platform.wire import decode_caller_head
-from masticfork.relay.caller import CallerConnection, NoExchange
+from masticfork.relay.caller import CallerConnection
 from masticfork.relay.caller_memory import REQUEST_MEMORY_SHARE, CallerMemory
-from masticfork.relay.caller_test import FakeChannel, request_start
+from masticfork.relay.caller_test import FakeCallerHost, FakeChannel, request_start
 from masticfork.relay.metrics import RelayMetrics
 from masticfork.systems.request_memory import STALL_SECONDS
 from standins.entry_environment import SERVICE, running_entry_host
@@ -20,12 +18,11 @@
 BODY_BYTES = 3_000_000
 
 
-class Host:
-    """A host whose exchanges the test ends."""
-
-    limits, stopping = CallerLimits(), False
+class Host(FakeCallerHost):
+    """A host that accounts for the memory of its callers."""
 
     def __init__(self):
+        super().__init__()
         self.loop = FakeLoop(100.0)
         self.lines = []
         self.memory = CallerMemory(
@@ -35,23 +32,19 @@
             MEMORY_BYTES,
         )
         self.account = self.memory.update
-        self.begun = 0
+
+    @property
+    def begun(self):
+        return len(self.requests)
 
     def connect(self):
         caller = CallerConnection(self.loop, Channel(), self)
         caller.channel = caller._channel
         return caller
 
-    def decode_head(self, headers):
-        return decode_caller_head(headers, forward_authorization=False)
-
     def error_headers(self, attempt_id, retry_after=None):
         return [(b"retry-after", b"%d" % retry_after)] if retry_after else []
 
-    def begin_exchange(self, caller, request):
-        self.begun += 1
-        return NoExchange()
-
     def remove_connection(self, caller):
         pass
 
--- a/masticfork/relay/late_copies_test.py
+++ b/masticfork/relay/late_copies_test.py
@@ -10,7 +10,7 @@
 from masticfork.relay.followers import WATCH_WAIT_SECONDS
 from standins.entry_environment import (
     configuration,
-    route,
+    large_configuration,
     running_entry_host,
 )
 from standins.object_store import ObjectStore
@@ -21,13 +21,6 @@
 POLL_SECONDS = 0.005
 
 
-def large_configuration(version):
-    """Return a configuration that is too large for a datagram between hosts."""
-    many = [route("safe", name=f"r{n}", host=f"h{n}.example") for n in range(900)]
-    keys = [{"name": "team-1", "api_keys": [f"key-{n * 7919}" for n in range(900)]}]
-    return configuration(version, *many, tenants=keys)
-
-
 def version(env):
     table = env.host._tables.routes
     return 0 if table is None else table.version
--- a/masticfork/relay/reader_duty_test.py
+++ b/masticfork/relay/reader_duty_test.py
@@ -24,6 +24,7 @@
 from standins.entry_environment import (
     SERVICE,
     configuration,
+    large_configuration,
     route,
     running_entry_host,
     server_entry,
@@ -115,9 +116,7 @@
         )
 
     def test_configuration_too_large_for_a_datagram_is_copied(self, fleet):
-        many = [route("safe", name=f"r{n}", host=f"h{n}.example") for n in range(900)]
-        keys = [{"name": "team-1", "api_keys": [f"key-{n * 7919}" for n in range(900)]}]
-        fleet.store.put("config", "main", configuration(5, *many, tenants=keys))
+        fleet.store.put("config", "main", large_configuration(5))
         fleet.wait_for_version(5, 3.0)
         fleet.store.put("config", "main", configuration(6))
         fleet.wait_for_version(6, 2.0)
--- a/proofs/crowds_test.py
+++ b/proofs/crowds_test.py
@@ -24,15 +24,14 @@
 PATIENCE_SECONDS = 30.0
 
 
-def head(*lines):
-    headers = "".join(
-        f"{name}: {value}\r\n" for name, value in request_headers("a-1").items()
-    )
-    return b"POST /safe/x HTTP/1.1\r\n" + headers.encode() + b"".join(lines)
+def head(*lines, path=b"/safe/x", changes=None):
+    fields = request_headers("a-1", changes).items()
+    headers = "".join(f"{name}: {value}\r\n" for name, value in fields)
+    return b"POST %b HTTP/1.1\r\n%b" % (path, headers.encode()) + b"".join(lines)
 
 
-def framed(body):
-    return head(b"Content-Length: %d\r\n\r\n" % len(body)) + body
+def framed(body, **request):
+    return head(b"Content-Length: %d\r\n\r\n" % len(body), **request) + body
 
 
 def chunked(size, length):
@@ -94,6 +93,25 @@
     return True
 
 
+def check_beside(name, host, connections, data):
+    """Check that a host lives within its limits beside a crowd and serves others."""
+    pid = host.program.pid
+    before = peak_memory_mb(pid)
+    with crowd(host.front, connections, data):
+        descriptors = open_descriptors(pid)
+        wait_until_rested(pid)
+        descriptors = max(descriptors, open_descriptors(pid))
+        served_beside = is_served(host.front)
+    served = is_served(host.front)
+    peak = peak_memory_mb(pid)
+    print(f"{name}: {before:.0f} to {peak:.0f} MB, {descriptors=}")
+    assert host.program.alive
+    assert peak <= LIMITS.memory_mb
+    assert descriptors <= LIMITS.file_descriptors
+    assert served_beside
+    assert served
+
+
 @pytest.fixture
 def host():
     with running_platform(1, LIMITS) as platform:
@@ -106,22 +124,7 @@
     @pytest.mark.parametrize("name", CROWDS)
     def test_host_lives_within_its_memory_and_serves_others(self, host, name):
         """Guards against clients who end a process by what they are allowed to send."""
-        connections, data = CROWDS[name]
-        pid = host.program.pid
-        before = peak_memory_mb(pid)
-        with crowd(host.front, connections, data):
-            descriptors = open_descriptors(pid)
-            wait_until_rested(pid)
-            descriptors = max(descriptors, open_descriptors(pid))
-            served_beside = is_served(host.front)
-        served = is_served(host.front)
-        peak = peak_memory_mb(pid)
-        print(f"{name}: {before:.0f} to {peak:.0f} MB, {descriptors=}")
-        assert host.program.alive
-        assert peak <= LIMITS.memory_mb
-        assert descriptors <= LIMITS.file_descriptors
-        assert served_beside
-        assert served
+        check_beside(name, host, *CROWDS[name])
 
 
 class TestLastingCrowds:
--- a/proofs/endless_servers_test.py
+++ b/proofs/endless_servers_test.py
@@ -7,10 +7,7 @@
 
 import pytest
 
-from proofs.crowds_test import LIMITS, is_served
-from proofs.measuring import open_descriptors, peak_memory_mb, wait_until_rested
-from standins.crowd import crowd
-from standins.entry_environment import request_headers
+from proofs.crowds_test import LIMITS, check_beside, framed, is_served
 from standins.scripted_server import chunk, event, stream_head
 from tools.run_platform import running_platform
 
@@ -68,14 +65,7 @@
 ]
 
 
-def calls():
-    headers = request_headers("a-1", {"X-Masticfork-Deadline-Ms": "8000"})
-    lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
-    return (
-        b"POST /streaming/x HTTP/1.1\r\n"
-        + lines.encode()
-        + b"Content-Length: 1\r\n\r\nx"
-    )
+CALL = framed(b"x", path=b"/streaming/x", changes={"X-Masticfork-Deadline-Ms": "8000"})
 
 
 class TestEndlessServers:
@@ -85,16 +75,4 @@
         with running_platform(1, LIMITS, engine_script=script) as platform:
             host = platform.hosts[0]
             assert is_served(host.front)
-            pid = host.program.pid
-            with crowd(host.front, CALLERS, calls()):
-                wait_until_rested(pid)
-                descriptors = open_descriptors(pid)
-                served_beside = is_served(host.front)
-            served = is_served(host.front)
-            peak = peak_memory_mb(pid)
-            print(f"{script.__name__}: {peak:.0f} MB, {descriptors=}")
-            assert host.program.alive
-            assert peak <= LIMITS.memory_mb
-            assert descriptors <= LIMITS.file_descriptors
-            assert served_beside
-            assert served
+            check_beside(script.__name__, host, CALLERS, CALL)
--- a/standins/entry_environment.py
+++ b/standins/entry_environment.py
@@ -80,6 +80,13 @@
     return spec
 
 
+def large_configuration(version: int) -> Any:
+    """Return a configuration that is too large for a datagram between hosts."""
+    many = [route("safe", name=f"r{n}", host=f"h{n}.example") for n in range(900)]
+    keys = [{"name": "team-1", "api_keys": [f"key-{n * 7919}" for n in range(900)]}]
+    return configuration(version, *many, tenants=keys)
+
+
 def request_headers(
     attempt_id: str, changes: dict[str, str] | None = None
 ) -> dict[str, str]:
