Give operators the time to write orders again after each restoration

Callers could get a version again that the hosts had moved on from: the progress of a rollout went back to nothing on a host that read the store after it had been restored twice within eight seconds.

Cause: the time for which a missing order is kept began at the first restoration only, and its timer removed the order though the store had been restored again meanwhile.

The new test failed before (KeyError 's' at both pauses).

Each restoration now sets the deadline, and a timer that is earlier does nothing.

--- a/masticfork/relay/tables.py
+++ b/masticfork/relay/tables.py
@@ -6,6 +6,7 @@
 import attrs
 
 from masticfork.core.backend_servers import BackendServer, VersionRollout
+from masticfork.core.deadlines import Deadline
 from masticfork.core.digests import BrittleReport, LimitReport
 from masticfork.core.findings import Findings
 from masticfork.core.ids import short_key
@@ -110,6 +111,7 @@
         # The latest rollout of services whose order was deleted.
         self._removed_rollouts: dict[str, VersionRollout] = {}
         self._rollouts_known = False
+        self._missing_orders = Deadline(float("-inf"))
         # By service, the orders that were given since then: their identifiers and the
         # loop times at which they were read.
         self._new_orders: dict[str, tuple[int, float]] = {}
@@ -416,6 +418,11 @@
         """
         listed = {rollout.service: rollout for rollout in rollouts}
         missing = [row for name, row in self._rollouts.items() if name not in listed]
+        if restored:
+            # A further restoration gives operators as much time again.
+            self._missing_orders = Deadline.after(
+                self._loop.now, RESTORED_ORDER_GRACE_SECONDS
+            )
         for rollout in missing:
             if restored:
                 self._loop.call_after(
@@ -471,7 +478,8 @@
             self._log("rollout removed", service=service)
 
     def _remove_unless_updated(self, rollout: VersionRollout) -> None:
-        if self._rollouts.get(rollout.service) is rollout:
+        is_due = self._missing_orders.expired(self._loop.now)
+        if is_due and self._rollouts.get(rollout.service) is rollout:
             self.remove_rollout(rollout.service)
 
     def sweep(self) -> None:
