--- a/masticfork/core/digests.py
+++ b/masticfork/core/digests.py
@@ -167,7 +167,7 @@
 
 # Version of what hosts tell each other; 0 for builds that tell none. See
 # docs/INTERFACES.md for what each version has added.
-PROTOCOL_VERSION = 3
+PROTOCOL_VERSION = 4
 
 
 @attrs.frozen
@@ -211,6 +211,9 @@
     # Whether the host follows the store itself, and whether its calls fail.
     reading: bool = False
     store_failing: bool = False
+    # Seconds until entries have returned that are missing since the store has failed;
+    # None if the host does not tell.
+    entries_return: float | None = None
     # Version of the sender's digests, see above.
     protocol: int = PROTOCOL_VERSION
     # Whether `loads` has only changed entries; all else is as in the digest before.
--- a/masticfork/platform/objects.py
+++ b/masticfork/platform/objects.py
@@ -18,7 +18,13 @@
 from masticfork.platform.json_values import JsonReader, is_nested_deeper, read_json
 from masticfork.platform.object_fields import UNREADABLE, reduce_object
 from masticfork.store.client import ErrorKind, PlatformError
-from masticfork.store.connections import Call, ConnectionPool, HttpResponse, Stage
+from masticfork.store.connections import (
+    Call,
+    ConnectionPool,
+    Failure,
+    HttpResponse,
+    Stage,
+)
 
 # Extra time for a watch's response, beyond the wait that the request asks for.
 WATCH_MARGIN_SECONDS = 1.0
@@ -26,6 +32,8 @@
 # that copies, encodes and compares it is recursive.
 MAX_NESTED_LEVELS = 32
 MAX_ODD_NAME_CHARACTERS = 100
+# Time after which a call that is cut off has waited: the store may cut off watches.
+MIN_CUT_WAIT_SECONDS = 0.3
 # Timeout of a page of a listing; a healthy store answers in 4 ms.
 PAGE_TIMEOUT_SECONDS = 2.0
 # Digests hold revisions in 64 bits.
@@ -285,28 +293,42 @@
         encoded_body = None if body is None else json.dumps(body).encode()
         headers = {} if encoded_body is None else {"Content-Type": "application/json"}
         call = Call(method, target, deadline, headers, encoded_body, max_bytes)
+        began = self._now()
         outcome = self._pool.exchange(call, fresh=method != "GET")
         if isinstance(outcome, Err):
             failure = outcome.err_value
+            outdated = self._is_outdated(failure, began)
             if failure.too_large:
-                return Err(PlatformError(ErrorKind.GONE, failure.message))
+                return Err(
+                    PlatformError(ErrorKind.GONE, failure.message, outdated=outdated)
+                )
             not_applied = method == "GET" or failure.stage is Stage.CONNECTING
             kind = ErrorKind.UNAVAILABLE if not_applied else ErrorKind.UNKNOWN
-            return Err(PlatformError(kind, failure.message))
+            return Err(PlatformError(kind, failure.message, outdated=outdated))
         response = outcome.ok_value
-        if response.status not in _REFUSED_STATUSES:
+        refused = response.status in _REFUSED_STATUSES
+        if not refused:
             self._answered_at = self._now()
         era = self._judge_era(response)
         with self._decode_lock:
             decoded = _decode_response(method, response, read)
         if isinstance(decoded, Err):
-            return decoded
+            return Err(attrs.evolve(decoded.err_value, outdated=not refused))
         if era is None:
             kind = ErrorKind.UNAVAILABLE if method == "GET" else ErrorKind.UNKNOWN
             message = "the response is not from the latest era of the store"
             return Err(PlatformError(kind, message))
         return Ok(_Answer(decoded.ok_value, era))
 
+    def _is_outdated(self, failure: Failure, began: float) -> bool:
+        """Return whether a failure does not tell that the store fails now."""
+        if failure.timed_out:
+            return self._answered_at > began
+        if failure.stage is Stage.CONNECTING:
+            return False
+        # If the store fails, the next call tells at once.
+        return failure.too_large or self._now() - began >= MIN_CUT_WAIT_SECONDS
+
     def _judge_era(self, response: HttpResponse) -> int | None:
         """Return the era of a response, None if it is older than the latest known.
 
--- a/masticfork/platform/objects_test.py
+++ b/masticfork/platform/objects_test.py
@@ -2,6 +2,7 @@
 
 import http.server
 import json
+import socket
 import threading
 import time
 import tracemalloc
@@ -170,6 +171,63 @@
         assert outcome.unwrap_err().kind is ErrorKind.UNKNOWN
 
 
+class TestFailures:
+    """Guards against a late failure that is taken for a new one of the store."""
+
+    def client(self, *behaviours):
+        """Return a client of a store that treats its connections in turn as told."""
+        listener = socket.create_server(("127.0.0.1", 0))
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+
+        def serve():
+            for seconds, answer in behaviours:
+                connection, _ = listener.accept()
+                threading.Thread(
+                    target=self.treat, args=(connection, seconds, answer), daemon=True
+                ).start()
+
+        threading.Thread(target=serve, daemon=True).start()
+        return PlatformObjects(address, time.monotonic)
+
+    def treat(self, connection, seconds, answer):
+        connection.recv(65536)
+        time.sleep(seconds)
+        connection.sendall(answer)
+        connection.close()
+
+    ANSWER = b"HTTP/1.1 404 Not Found\r\nContent-Length: 2\r\n\r\n{}"
+    REFUSAL = b"HTTP/1.1 503 Busy\r\nContent-Length: 2\r\n\r\n{}"
+
+    def outdated(self, client, wait=0.1):
+        return client.watch("servers", 1, wait).unwrap_err().outdated
+
+    def test_time_out_after_which_nothing_was_answered(self):
+        client = self.client((9.0, b""))
+        assert not self.outdated(client)
+
+    def test_time_out_of_a_call_during_which_another_one_was_answered(self):
+        client = self.client((9.0, b""), (0.0, self.ANSWER))
+        results = []
+        watch = threading.Thread(target=lambda: results.append(self.outdated(client)))
+        watch.start()
+        time.sleep(0.3)
+        assert client.answers("servers", "i-1", soon())
+        watch.join()
+        assert results == [True]
+
+    @pytest.mark.parametrize(
+        ("seconds", "answer", "outdated"),
+        [
+            (0.5, b"", True),
+            (0.0, b"", False),
+            (0.5, REFUSAL, False),
+            (0.0, ANSWER, True),
+        ],
+    )
+    def test_other_ends_of_a_watch(self, seconds, answer, outdated):
+        assert self.outdated(self.client((seconds, answer)), 2.0) is outdated
+
+
 class TestBoundedObjects:
     """Guards against metadata of other writers that hosts cannot hash or send."""
 
--- a/masticfork/platform/settings_file.py
+++ b/masticfork/platform/settings_file.py
@@ -26,6 +26,8 @@
 
     # Longest time from the announcement that a server leaves to the last request to it.
     drain: float = 2.0
+    # Time after the return of the store from which on its changes have to take effect.
+    contact: float = 3.0
     # Longest time from a new configuration to the last request handled by an older one.
     config_apply: float = 2.0
     # Time from SIGTERM to SIGKILL.
@@ -116,6 +118,7 @@
     default = Bounds()
     return Bounds(
         drain=get_number(table, "drain_ms", default.drain * 1000) / 1000,
+        contact=get_number(table, "contact_ms", default.contact * 1000) / 1000,
         config_apply=get_number(table, "config_apply_ms", default.config_apply * 1000)
         / 1000,
         grace=get_number(table, "grace_s", default.grace),
--- a/masticfork/relay/digest.capnp
+++ b/masticfork/relay/digest.capnp
@@ -74,6 +74,9 @@
   packedSpeeds @28 :Data;
   # Version of what the sender tells; 0 for builds that tell none.
   protocol @29 :UInt16;
+  # Milliseconds until entries of servers have returned that are missing since the store
+  # has failed, plus 1; 0 if the sender does not read the store or does not tell.
+  entriesReturn @30 :UInt16;
 }
 
 struct Kind {
--- a/masticfork/relay/digest_codec.py
+++ b/masticfork/relay/digest_codec.py
@@ -76,6 +76,11 @@
         transitPort=digest.transit_port,
         cutOff=digest.cut_off,
         protocol=digest.protocol,
+        entriesReturn=(
+            0
+            if digest.entries_return is None
+            else 1 + _milliseconds(digest.entries_return, _MAX_UINT16 - 1)
+        ),
         kinds=[
             {
                 "era": kind.position.era,
@@ -351,6 +356,9 @@
                 transit_port=reader.transitPort,
                 cut_off=reader.cutOff,
                 protocol=reader.protocol,
+                entries_return=(
+                    (reader.entriesReturn - 1) / 1000 if reader.entriesReturn else None
+                ),
                 kinds=tuple(
                     KindState(StorePosition(item.era, item.revision), item.fingerprint)
                     for item in reader.kinds
--- a/masticfork/relay/digest_codec_test.py
+++ b/masticfork/relay/digest_codec_test.py
@@ -54,6 +54,11 @@
         digest = attrs.evolve(DIGEST, loads=loads, sessions=sessions)
         assert len(encode_digest(digest)) < 1400
 
+    @pytest.mark.parametrize("seconds", [None, 0.0, 0.001, 2.3])
+    def test_round_trip_of_the_return_of_entries(self, seconds):
+        digest = attrs.evolve(DIGEST, reading=True, entries_return=seconds)
+        assert decode_digest(encode_digest(digest)) == Ok(digest)
+
     @pytest.mark.parametrize("age", [None, 0.0, 21.5])
     def test_round_trip_of_the_age_of_a_rollout(self, age):
         digest = attrs.evolve(DIGEST, rollouts=(attrs.evolve(EVIDENCE, age=age),))
--- a/masticfork/relay/entry.py
+++ b/masticfork/relay/entry.py
@@ -6,6 +6,7 @@
 import time
 import traceback
 from collections.abc import Callable, Sequence
+from functools import partial
 from pathlib import Path
 
 import attrs
@@ -206,7 +207,13 @@
             else None,
         )
         self._followers = [
-            Follower(kind, self._objects, self._loop, self._store_view)
+            Follower(
+                kind,
+                self._objects,
+                self._loop,
+                self._store_view,
+                partial(self._tolerated_silence, kind),
+            )
             for kind in self._store_view.kinds
         ]
         self._reader_duty = ReaderDuty(
@@ -291,7 +298,7 @@
             self._objects,
             self._loop,
             self._store_view,
-            lambda: self._reader_duty.tolerated_silence,
+            lambda: self._reader_duty.probe_silence,
         ).start()
         self._registration.start()
         self._loop.call_after(TICK_SECONDS, self._tick)
@@ -307,6 +314,13 @@
         self._metrics.faults.inc()
         self.log("internal error", error=repr(error), places=frame_locations)
 
+    def _tolerated_silence(self, kind: str) -> float:
+        """Return the seconds from the store's return to the effect of a change."""
+        bounds = self._settings.bounds
+        if kind == names.KIND_EVACUATIONS and bounds.evacuate is not None:
+            return bounds.contact + bounds.evacuate
+        return bounds.contact + bounds.shortest_change
+
     def serve_metrics(self, address: Address) -> None:
         """Serve the metrics page on an address."""
         PageListener(self._loop, address, lambda _: (200, self._metrics.exposition()))
--- a/masticfork/relay/followers.py
+++ b/masticfork/relay/followers.py
@@ -12,14 +12,20 @@
 from masticfork.core.deadlines import Deadline
 from masticfork.core.store_position import StorePosition
 from masticfork.platform import names
-from masticfork.platform.objects import Changes, Listing, PlatformObjects
+from masticfork.platform.objects import (
+    WATCH_MARGIN_SECONDS,
+    Changes,
+    Listing,
+    PlatformObjects,
+)
 from masticfork.relay.loop import Loop
 from masticfork.store.client import ErrorKind, PlatformError
 
-# Longest time that one watch call blocks. A store that accepts calls but does not
-# answer them is detected only after it, so it must not be much longer than the time
-# within which a new configuration has to take effect.
+# Longest time that one watch call blocks.
 WATCH_WAIT_SECONDS = 4.0
+# Time from the end of a watch without an answer until the changes that it has missed
+# are applied: a back-off, a short watch, and the way to the loop.
+CATCH_UP_SECONDS = 0.6
 # The same for kinds that rarely change, and that are read from peers as well if this
 # host's calls for other kinds fail.
 WATCH_WAIT_SECONDS_BY_KIND = {names.KIND_EVACUATIONS: 10.0}
@@ -42,10 +48,10 @@
 # Back-off after a failed call: every call is charged, including refused ones.
 MIN_BACKOFF_SECONDS = 0.15
 MAX_BACKOFF_SECONDS = 0.6
-# Interval and timeout of probes, as shares of the silence that other hosts tolerate. A
+# Interval and timeout of probes, as shares of the silence to be noticed. A
 # store that has failed is noticed within this silence.
 PROBE_INTERVAL_SHARE, PROBE_TIMEOUT_SHARE = 0.5, 0.25
-# Interval at which is checked whether another host relies on this one.
+# Interval at which is checked whether this host reads the store.
 PROBE_CHECK_SECONDS = 0.25
 # Probes in a row without an answer after which the store counts as failed: a single
 # answer may be lost.
@@ -126,9 +132,10 @@
 
 
 class StoreProbe(_StoreThread):
-    """Checks whether the store still answers while other hosts rely on this one.
+    """Checks whether the store still answers while this host reads it.
 
-    A watch doesn't tell: it is answered only when something changes, or seconds later.
+    It tells when the store fails and returns. A watch doesn't: it is answered only when
+    something changes, or seconds later.
     """
 
     def __init__(
@@ -138,19 +145,19 @@
         objects: PlatformObjects,
         loop: Loop,
         listener: StoreListener,
-        tolerated_silence: Callable[[], float | None],
+        noticed_silence: Callable[[], float | None],
     ) -> None:
         super().__init__(kind, objects, loop, listener)
         # The object that is read; it need not exist.
         self._name = name
-        # Returns the silence in seconds that other hosts tolerate, None if none relies
-        # on this host.
-        self._tolerated_silence = tolerated_silence
+        # Returns the silence in seconds that is to be noticed, None if this host does
+        # not read the store.
+        self._noticed_silence = noticed_silence
 
     def _run(self) -> None:
         unanswered = 0
         while self._loop.running:
-            silence = self._tolerated_silence()
+            silence = self._noticed_silence()
             if silence is None:
                 unanswered = 0
                 time.sleep(PROBE_CHECK_SECONDS)
@@ -180,9 +187,17 @@
     """Lists a kind once, then watches it; lists again if the history has expired."""
 
     def __init__(
-        self, kind: str, objects: PlatformObjects, loop: Loop, listener: StoreListener
+        self,
+        kind: str,
+        objects: PlatformObjects,
+        loop: Loop,
+        listener: StoreListener,
+        tolerated_silence: Callable[[], float] = lambda: float("inf"),
     ) -> None:
         super().__init__(kind, objects, loop, listener)
+        # Returns the seconds from the return of a silent store within which its changes
+        # have to take effect: a watch that began before the return is never answered.
+        self._tolerated_silence = tolerated_silence
         self._backoff = MIN_BACKOFF_SECONDS
         self._position: StorePosition | None = None
         self._resume_position: StorePosition | None = None
@@ -241,7 +256,13 @@
         # The first call after a failure has a short wait, so that the recovery of the
         # store is noticed soon.
         usual_wait = WATCH_WAIT_SECONDS_BY_KIND.get(self._kind, WATCH_WAIT_SECONDS)
-        wait = RECOVERY_WATCH_WAIT_SECONDS if self._failed else usual_wait
+        longest_wait = (
+            self._tolerated_silence() - WATCH_MARGIN_SECONDS - CATCH_UP_SECONDS
+        )
+        wait = max(
+            RECOVERY_WATCH_WAIT_SECONDS,
+            0.0 if self._failed else min(usual_wait, longest_wait),
+        )
         outcome = self._objects.watch(self._kind, self._position.revision, wait)
         if isinstance(outcome, Err):
             return outcome.err_value
--- a/masticfork/relay/host_digests.py
+++ b/masticfork/relay/host_digests.py
@@ -146,6 +146,9 @@
             crashes=self._quarantine.news(),
             reading=self._reader_duty.reading,
             store_failing=self._store_view.store_failing,
+            entries_return=self._store_view.entries_return_by.remaining(self._loop.now)
+            if self._reader_duty.reading
+            else None,
             transit_port=self._transit_port,
             cut_off=self._trials.cut_off,
         )
--- a/masticfork/relay/loaded_versions_test.py
+++ b/masticfork/relay/loaded_versions_test.py
@@ -269,7 +269,7 @@
                 for version in versions
                 for number in range(self.service.servers)
             ],
-            False,
+            None,
         )
 
     def play(self, monkeypatch):
--- a/masticfork/relay/reader_duty.py
+++ b/masticfork/relay/reader_duty.py
@@ -71,6 +71,14 @@
             return None
         return silence_limit(self._shortest_change())
 
+    @property
+    def probe_silence(self) -> float | None:
+        """Return the silence in seconds within which this reader notices a failure.
+
+        None if this host does not read the store. Thread-safe.
+        """
+        return silence_limit(self._shortest_change()) if self._reading else None
+
     @property
     def _is_overdue(self) -> bool:
         """Return whether the others have not passed on in time what they know."""
--- a/masticfork/relay/rejected_versions_test.py
+++ b/masticfork/relay/rejected_versions_test.py
@@ -48,7 +48,7 @@
 
     def __init__(self, versions=VERSIONS):
         self.tables = Tables(FakeLoop(), ignore)
-        self.tables.list_servers(map(server, versions), False)
+        self.tables.list_servers(map(server, versions), None)
         self.controller = RolloutController(
             FakeLoop(),
             None,
--- a/masticfork/relay/rollout_age_test.py
+++ b/masticfork/relay/rollout_age_test.py
@@ -59,7 +59,7 @@
         self.loop = FakeLoop(100.0)
         self.store = Store()
         tables = Tables(self.loop, ignore)
-        tables.list_servers([server("v1"), server("v2")], False)
+        tables.list_servers([server("v1"), server("v2")], None)
         self.controller = RolloutController(
             self.loop,
             self.store,
--- a/masticfork/relay/rollout_judgement_test.py
+++ b/masticfork/relay/rollout_judgement_test.py
@@ -51,7 +51,7 @@
     def __init__(self):
         self.loop, self.store = FakeLoop(100.0), Store()
         self.tables = Tables(self.loop, ignore)
-        self.tables.list_servers([server("v1"), server("v2")], False)
+        self.tables.list_servers([server("v1"), server("v2")], None)
         self.told = 0
         self.controller = RolloutController(
             self.loop,
--- a/masticfork/relay/rollout_store_times_test.py
+++ b/masticfork/relay/rollout_store_times_test.py
@@ -45,7 +45,7 @@
         self.store = Store(self.loop)
         self.lines = []
         tables = Tables(self.loop, ignore)
-        tables.list_servers([server("v1"), server("v2")], False)
+        tables.list_servers([server("v1"), server("v2")], None)
         self.controller = RolloutController(
             self.loop,
             self.store,
--- a/masticfork/relay/store_view.py
+++ b/masticfork/relay/store_view.py
@@ -7,6 +7,7 @@
 
 from result import Err, Result
 
+from masticfork.core.deadlines import Deadline
 from masticfork.core.digests import Digest, KindState, KindUpdate
 from masticfork.core.findings import Finding
 from masticfork.core.store_position import StorePosition
@@ -34,15 +35,15 @@
     to_json,
 )
 from masticfork.relay.peers import Peers
-from masticfork.relay.tables import Tables
+from masticfork.relay.tables import MISSING_GRACE_SECONDS, Tables
 from masticfork.relay.zone_evacuations import ZoneEvacuations
 from masticfork.store.client import PlatformError
 
 # Kinds that each host mirrors, so that peers can copy them. Digests name them by their
 # index, so further ones are added at the end.
 MIRRORED_KINDS = (names.KIND_CONFIG, names.KIND_SERVERS, names.KIND_ROLLOUTS)
-# Time after the last failure of the store during which a missing server entry may just
-# have expired: entries of live servers are back within 2 s of the store's recovery.
+# Time after which a store that others read without failures has returned for the
+# servers as well, though it still turns this host away.
 STORE_RECOVERY_SECONDS = 3.0
 
 # Time after which failing calls to the store count as a failure of this host, and for
@@ -90,7 +91,13 @@
         self._evacuations = evacuations
         kinds = MIRRORED_KINDS + ((names.KIND_EVACUATIONS,) if evacuations else ())
         self._mirrors = {kind: KindMirror() for kind in kinds}
-        self._failed_at = float("-inf")
+        # Whether the store was silent when last heard of, and the deadline by which
+        # entries that are missing since then have returned. While it is silent, the
+        # deadline is not known.
+        self._silent = False
+        self._return_by = Deadline(float("-inf"))
+        # The same deadline by the host that has told it.
+        self._told_return_by: dict[str, Deadline] = {}
         # Loop time since which most of the other hosts that read the store have done so
         # without failures, None if they have not or there are none.
         self._sound_for_others_since: float | None = None
@@ -171,9 +178,11 @@
         if 2 * failing >= len(readers):
             self._sound_for_others_since = None
             if readers and not reading:
-                self._failed_at = now
+                self._silent = True
         elif self._sound_for_others_since is None:
             self._sound_for_others_since = now
+            if not reading:
+                self._record_answer()
         if not reading:
             self._follow_positions(readers)
         self._reading = reading
@@ -202,6 +211,12 @@
 
     def apply_updates(self, digest: Digest) -> None:
         """Apply changes that a peer has read from the store."""
+        if digest.reading and digest.entries_return is not None:
+            self._told_return_by[digest.host] = Deadline.after(
+                self._loop.now, digest.entries_return
+            )
+        else:
+            self._told_return_by.pop(digest.host, None)
         is_newer = digest.configuration > self._version
         if is_newer and names.KIND_CONFIG not in self._behind:
             self._behind[names.KIND_CONFIG] = self._version, self._loop.now
@@ -275,9 +290,7 @@
                 if stored.name != names.CONFIG_NAME:
                     self._mirrors[kind].discard(stored.name)
             elif kind == names.KIND_SERVERS and change.deleted:
-                self._tables.remove_server(
-                    stored.name, with_grace=self._entries_may_return
-                )
+                self._tables.remove_server(stored.name, self.entries_return_by)
             elif kind == names.KIND_SERVERS:
                 servers = self._decode_each(kind, [stored], decode_server)
                 for server in servers.values():
@@ -285,9 +298,7 @@
                 if not servers:
                     # As in a listing, the entry names no server to use.
                     self._mirrors[kind].discard(stored.name)
-                    self._tables.remove_server(
-                        stored.name, with_grace=self._entries_may_return
-                    )
+                    self._tables.remove_server(stored.name, self.entries_return_by)
             elif kind == names.KIND_ROLLOUTS and change.deleted:
                 self._tables.remove_rollout(stored.name)
             elif kind == names.KIND_ROLLOUTS:
@@ -308,7 +319,11 @@
 
     def on_store_failure(self, kind: str, error: PlatformError) -> None:
         """Record the failure of a call to the store."""
-        self._failed_at = self._loop.now
+        if error.outdated:
+            # It tells of an earlier time than the answer to another call.
+            self._record_answer()
+        else:
+            self._silent = True
         if self._failing_since is None and kind in self._mirrors:
             self._failing_since = self._loop.now
         self._metrics.store_failures.labels(kind, error.kind.value).inc()
@@ -321,19 +336,39 @@
         if self._probe_failed == answered:
             self._log("store answers" if answered else "store does not answer")
         self._probe_failed = not answered
+        if answered:
+            self._record_answer()
+        else:
+            self._silent = True
+
+    def _record_answer(self) -> None:
+        """Record that the store answers; its return is its first answer."""
+        if not self._silent:
+            return
+        self._silent = False
+        if not self._is_sound_for_others:
+            self._return_by = Deadline.after(self._loop.now, MISSING_GRACE_SECONDS)
 
     @property
-    def _entries_may_return(self) -> bool:
-        """Return whether entries may be missing since the store has failed.
+    def _is_sound_for_others(self) -> bool:
+        """Return whether the store only turns this host away and goes on for others."""
+        since = self._sound_for_others_since
+        return since is not None and self._loop.now - since >= STORE_RECOVERY_SECONDS
 
-        A store that only turns this host away goes on for the servers.
+    @property
+    def entries_return_by(self) -> Deadline:
+        """Return when entries have returned that are missing since the store failed.
+
+        Hosts that do not read the store rely on those that do.
         """
-        now, sound_since = self._loop.now, self._sound_for_others_since
-        if now - self._failed_at >= STORE_RECOVERY_SECONDS:
-            return False
-        return sound_since is None or now - sound_since < STORE_RECOVERY_SECONDS
+        if not self._reading and self._told_return_by:
+            return max(self._told_return_by.values())
+        if not self._silent or self._is_sound_for_others:
+            return self._return_by
+        return Deadline.after(self._loop.now, MISSING_GRACE_SECONDS)
 
     def _record_recovery(self, kind: str) -> None:
+        self._record_answer()
         if kind in self._failing:
             self._failing.discard(kind)
             self._log("store regained", kind=kind)
@@ -357,8 +392,9 @@
         elif kind == names.KIND_SERVERS:
             servers = self._decode_each(kind, objects, decode_server)
             mirror.retain(servers)
-            grace = self._entries_may_return or restored
-            self._tables.list_servers(servers.values(), grace, restored)
+            self._tables.list_servers(
+                servers.values(), self.entries_return_by, restored
+            )
         elif kind == names.KIND_ROLLOUTS:
             rollouts = self._decode_each(
                 kind, objects, partial(decode_rollout, era=listing.era)
@@ -382,7 +418,7 @@
         before, self._era = self._era, era
         if known:
             # Entries are missing until the servers write them again.
-            self._failed_at = self._loop.now
+            self._return_by = Deadline.after(self._loop.now, MISSING_GRACE_SECONDS)
             self._log("store restored from an older copy", era=era, before=before)
             self._metrics.store_restorations.inc()
             self._on_restored()
--- a/masticfork/relay/store_view_test.py
+++ b/masticfork/relay/store_view_test.py
@@ -3,11 +3,12 @@
 import attrs
 import pytest
 
-from masticfork.core.digests import Digest
+from masticfork.core.digests import Digest, KindUpdate
 from masticfork.core.store_position import StorePosition
 from masticfork.platform import names
 from masticfork.platform.objects import Changes, Listing, ObjectChange, PlatformObject
 from masticfork.relay.metrics import RelayMetrics
+from masticfork.relay.mirror import encode_changes
 from masticfork.relay.store_view import (
     MIRRORED_KINDS,
     STORE_RECOVERY_SECONDS,
@@ -111,6 +112,63 @@
         assert view.server_is_used
 
 
+class TestReturnOfTheStore:
+    """Guards against a grace that outlasts the return of the store (review case 10)."""
+
+    DOWN = PlatformError(ErrorKind.UNAVAILABLE, "no answer")
+
+    def answer(self, view):
+        view.view.on_changes(names.KIND_ROLLOUTS, Changes((), 5))
+
+    def test_grace_counts_from_the_first_answer(self, view):
+        view.view.on_store_failure(names.KIND_SERVERS, self.DOWN)
+        self.answer(view)
+        view.loop.advance(MISSING_GRACE_SECONDS - 0.3)
+        self.answer(view)
+        view.remove_entry()
+        assert view.server_is_used
+        view.loop.advance(0.4)
+        assert not view.server_is_used
+
+    def test_call_that_began_before_the_latest_answer_is_no_new_failure(self, view):
+        view.view.on_store_failure(names.KIND_SERVERS, self.DOWN)
+        self.answer(view)
+        view.loop.advance(MISSING_GRACE_SECONDS + 0.1)
+        late = attrs.evolve(self.DOWN, outdated=True)
+        view.view.on_store_failure(names.KIND_CONFIG, late)
+        view.remove_entry()
+        assert not view.server_is_used
+
+    def test_history_that_has_expired_is_no_failure(self, view):
+        gone = PlatformError(ErrorKind.GONE, "410", outdated=True)
+        view.view.on_store_failure(names.KIND_SERVERS, gone)
+        view.view.on_listing(names.KIND_SERVERS, Listing((), 6))
+        assert not view.server_is_used
+
+    def test_unanswered_probes_are_a_failure(self, view):
+        view.view.on_probe(False)
+        view.view.on_probe(True)
+        view.remove_entry()
+        assert view.server_is_used
+
+    def test_host_that_does_not_read_relies_on_the_readers(self, view):
+        """Guards against requests to servers that left, by hosts that do not read."""
+        view.view.run(view.loop.now, reading=False)
+        failing = attrs.evolve(READER, store_failing=True, entries_return=0.5)
+        view.fail_for(1.0, [failing])
+        view.view.apply_updates(failing)
+        view.loop.advance(0.6)
+        removed = attrs.evolve(ENTRY, revision=6)
+        data = encode_changes([ObjectChange(removed, deleted=True)])
+        update = KindUpdate(self.SERVERS, StorePosition(0, 5), 6, data)
+        view.view.apply_updates(
+            attrs.evolve(failing, entries_return=0.0, updates=(update,))
+        )
+        assert not view.server_is_used
+
+    SERVERS = list(MIRRORED_KINDS).index(names.KIND_SERVERS)
+
+
 class TestEntriesOfOtherWriters:
     """Guards against entries that name nothing and are kept, and sent to peers."""
 
--- a/masticfork/relay/tables.py
+++ b/masticfork/relay/tables.py
@@ -26,10 +26,10 @@
     with_known_rejections,
 )
 
-# Time for which a server stays usable after its entry went missing during or shortly
-# after a failure of the store: entries of live servers are back within 2 s, and a
-# server that has left may still get requests for that long.
-MISSING_GRACE_SECONDS = 1.7
+# Time after the return of the store for which a server stays usable though its entry is
+# missing: entries of live servers are back within about 2 s. It ends before the store
+# counts as stable, from when on a removal has to take effect within the drain time.
+MISSING_GRACE_SECONDS = 2.3
 # Time for which a server that had left gets no calls when a restored store lists it
 # again: if it still lives, it writes its entry anew, otherwise its entry expires.
 RESTORED_ENTRY_PAUSE_SECONDS = 5.0
@@ -326,10 +326,10 @@
     def list_servers(
         self,
         servers: Iterable[BackendServer],
-        with_grace: bool,
+        return_by: Deadline | None,
         restored: bool = False,
     ) -> None:
-        """Replace all servers; `with_grace`, remove missing ones only later.
+        """Replace all servers; missing ones stay until entries have returned, if any.
 
         `restored` tells that the store has come back from an older copy: an entry in
         it may be of a server that has left since.
@@ -342,7 +342,7 @@
                 self.record_pause(self._rows[server.id], RESTORED_ENTRY_PAUSE_SECONDS)
         self._servers_known = True
         for server_id in [name for name in self._rows if name not in listed]:
-            self.remove_server(server_id, with_grace)
+            self.remove_server(server_id, return_by)
 
     def put_server(self, server: BackendServer) -> None:
         """Add or update a server, unless its entry is of an earlier process."""
@@ -380,18 +380,19 @@
         self._rebuild_index()
         self.on_server_read(row, started)
 
-    def remove_server(self, server_id: str, with_grace: bool) -> None:
-        """Remove a server, `with_grace` only after the grace period."""
+    def remove_server(self, server_id: str, return_by: Deadline | None) -> None:
+        """Remove a server, at `return_by` if its entry may have returned until then."""
         row = self._rows.get(server_id)
         if row is None:
             return
-        if with_grace:
+        if return_by is not None and not return_by.expired(self._loop.now):
             if row.remove_at is None:
-                row.remove_at = self._loop.now + MISSING_GRACE_SECONDS
+                row.remove_at = return_by.at
                 self._loop.call_at(
-                    row.remove_at, lambda: self._remove_if_missing(server_id)
+                    return_by.at, lambda: self._remove_if_missing(server_id)
                 )
-                self._log("server missing", server=server_id)
+                left = round(return_by.remaining(self._loop.now), 3)
+                self._log("server missing", server=server_id, seconds=left)
             return
         row.connections.close()
         del self._rows[server_id]
@@ -491,7 +492,7 @@
         row = self._rows.get(server_id)
         is_missing = row is not None and row.remove_at is not None
         if is_missing and row is not None and row.remove_at <= self._loop.now:  # type: ignore[operator]
-            self.remove_server(server_id, with_grace=False)
+            self.remove_server(server_id, None)
 
     def _record_start(self, server: BackendServer) -> None:
         if server.started_at_ms is not None:
--- a/masticfork/store/client.py
+++ b/masticfork/store/client.py
@@ -45,6 +45,9 @@
     retry_at: Deadline | None = None
     # The object's current version after a conflict; 0 if it does not exist.
     version: int = 0
+    # Whether it does not tell that the platform fails now: it has answered this call or
+    # another one since this one began, or has cut off a call that waited.
+    outdated: bool = False
 
 
 @attrs.frozen
--- a/masticfork/store/connections.py
+++ b/masticfork/store/connections.py
@@ -52,6 +52,7 @@
     status: int = 0
     # Whether the response was larger than the call admits.
     too_large: bool = False
+    timed_out: bool = False
 
 
 @attrs.frozen
@@ -119,9 +120,15 @@
             )
         except (OSError, http.client.HTTPException) as error:
             connection.close()
-            too_large = isinstance(error, ResponseTooLargeError)
-            message = f"{stage.value}: {error!r}"
-            return Err(Failure(stage, message, status, too_large))
+            return Err(
+                Failure(
+                    stage,
+                    f"{stage.value}: {error!r}",
+                    status,
+                    too_large=isinstance(error, ResponseTooLargeError),
+                    timed_out=isinstance(error, TimeoutError),
+                )
+            )
         if received.will_close:
             connection.close()
         else:
--- a/standins/fault_proxy.py
+++ b/standins/fault_proxy.py
@@ -29,6 +29,8 @@
     server: socket.socket
     # The proxy's reset count when the connection was made.
     resets_before: int
+    # The proxy's count of silences when the connection was made, None within one.
+    silences_before: int | None
 
     def reset(self) -> None:
         """Close both sockets so that their peers see a reset."""
@@ -47,6 +49,8 @@
         self._held_directions: set[str] = set()
         self._delay_seconds = 0.0
         self._reset_count = 0
+        self._silence_count = 0
+        self._silent = False
         self._closed = False
         self._sock = socket.create_server((LOOPBACK, 0), backlog=BACKLOG)
         host, port = self._sock.getsockname()
@@ -73,6 +77,15 @@
         """Delay each chunk in both directions; 0.0 removes the delay."""
         self._delay_seconds = seconds
 
+    def begin_silence(self) -> None:
+        """Pass nothing on; connections made before the silence ends never do again."""
+        self._silence_count += 1
+        self._silent = True
+
+    def end_silence(self) -> None:
+        """Pass on what new connections send."""
+        self._silent = False
+
     def reset(self) -> None:
         """Reset all open connections."""
         with self._state_changed:
@@ -125,7 +138,8 @@
         server.settimeout(None)
         for sock in (caller, server):
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        connection = _ProxiedConnection(caller, server, self._reset_count)
+        silences = None if self._silent else self._silence_count
+        connection = _ProxiedConnection(caller, server, self._reset_count, silences)
         answers_thread = threading.Thread(
             target=self._relay, args=(connection, server, caller, "from"), daemon=True
         )
@@ -151,7 +165,8 @@
                 if not data:
                     sink.shutdown(socket.SHUT_WR)
                     return
-                sink.sendall(data)
+                if connection.silences_before == self._silence_count:
+                    sink.sendall(data)
         except (OSError, ValueError):
             # Either peer closed, or the thread of the other direction reset it.
             pass
