--- a/masticfork/relay/channel.py
+++ b/masticfork/relay/channel.py
@@ -59,6 +59,8 @@
         self._closed = False
         self._reading = True
         self._closing_when_sent = False
+        # The error with which sending has failed; the socket reports it only once.
+        self._send_error: OSError | None = None
         self.owner: ChannelOwner | None = None
         _set_socket_options(sock, user_timeout_ms)
         loop.register(sock, self._event_mask, self)
@@ -200,12 +202,24 @@
             self._close_and_notify(error)
             return
         if not data:
-            self._close_and_notify(None)
+            self._close_and_notify(self._error_at_end())
         elif self.owner is not None:
             self.owner.on_data(data)
 
+    def _error_at_end(self) -> OSError | None:
+        """Return why the end of what was received is not a clean one, if it is not."""
+        if self._send_error is not None:
+            return self._send_error
+        error_code = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if error_code:
+            return OSError(error_code, errno.errorcode.get(error_code, "closed"))
+        if self._send_buffer:
+            return OSError(errno.EPIPE, "closed before all data was sent")
+        return None
+
     def _schedule_close(self, error: OSError) -> None:
         """Close and notify the owner after the caller of `write` has returned."""
+        self._send_error = error
         self._loop.call_after(0.0, lambda: self._close_and_notify(error))
 
     def _close_and_notify(self, error: OSError | None) -> None:
--- a/masticfork/relay/transit_calls.py
+++ b/masticfork/relay/transit_calls.py
@@ -109,7 +109,12 @@
 
     def on_server_closed(self, reset: bool) -> None:
         """Report the end of the server's connection."""
-        self._end(OSError(errno.ECONNRESET, "reset by the server") if reset else None)
+        if reset:
+            self._end(OSError(errno.ECONNRESET, "reset by the server"))
+        elif self.unsent_bytes:
+            self._end(OSError(errno.EPIPE, "closed before all data was sent"))
+        else:
+            self._end(None)
 
     def _end(self, error: OSError | None) -> None:
         owner = self.owner
