--- a/masticfork/backends/connections_test.py
+++ b/masticfork/backends/connections_test.py
@@ -141,6 +141,34 @@
         assert received == [generated("attempt-1", "own").partition(b"\n\n")[0]]
 
 
+@pytest.mark.parametrize("status", [b"000", b"099", b"600", b"999"])
+class TestOddStatuses:
+    """Guards against a response that is passed on though its status is none."""
+
+    def odd_first(self, status, body):
+        """Return a script: a response with the status, with a sound one behind it."""
+        odd = sized(body).replace(b"200", status)
+        return numbered(lambda: [odd + sized(body)])
+
+    def test_service_call_fails(self, status):
+        client = ServiceClient(ConnectionPool(time.time), time.time)
+        request = Request("GET", "/x", ())
+        with backend(self.odd_first(status, b'{"number": 1}')) as (_, target):
+            first = client.call(target, request, deadline(), idempotent=False)
+            second = client.call(target, request, deadline(), idempotent=False)
+        assert isinstance(first, Err)
+        assert second.unwrap().body == b'{"number": 2}'
+
+    def test_generation_fails(self, engines, status):
+        script = self.odd_first(status, generated("attempt-1", "own"))
+        with backend(script) as (_, target):
+            began = time.monotonic()
+            started = engines.start(target, generation("1"), deadline())
+            assert isinstance(started, Err)
+            assert time.monotonic() - began < 1.0
+            assert engines.load(target, deadline()).unwrap() == {"number": 2}
+
+
 def generated(attempt_id, text):
     data = json.dumps({"id": attempt_id, "choices": [{"delta": {"content": text}}]})
     return f"id: 1\ndata: {data}\n\ndata: [DONE]\n\n".encode()
--- a/masticfork/backends/engine_stream.py
+++ b/masticfork/backends/engine_stream.py
@@ -14,7 +14,7 @@
 from masticfork.backends.failures import CallFailure, FailureKind, Stage
 from masticfork.core.deadlines import Deadline
 from masticfork.core.framing import MAX_RESPONSE_HEAD_BYTES, FramingMeter
-from masticfork.core.http_status import is_interim
+from masticfork.core.http_status import is_interim, is_status
 from masticfork.core.ids import AttemptId
 
 # Longest time without data before a stream counts as stalled.
@@ -215,6 +215,8 @@
     def on_headers_complete(self) -> None:
         """Publish the status code of the final response; called by the parser."""
         status = self._parser.get_status_code()
+        if not is_status(status):
+            raise InvalidStatusError(status)
         self._is_interim = is_interim(status)
         if self._is_interim:
             return
@@ -319,6 +321,10 @@
         self.failure = failure
 
 
+class InvalidStatusError(Exception):
+    """The status of a response is not one of HTTP."""
+
+
 class SecondResponseError(Exception):
     """Stops the parser, since what follows the response belongs to no request."""
 
--- a/masticfork/relay/response_reader.py
+++ b/masticfork/relay/response_reader.py
@@ -11,7 +11,7 @@
     MAX_RESPONSE_HEADER_LINES,
     FramingMeter,
 )
-from masticfork.core.http_status import is_interim
+from masticfork.core.http_status import is_interim, is_status
 
 
 class ResponseSink(Protocol):
@@ -162,6 +162,8 @@
         status = self._parser.get_status_code()
         headers, self._headers = self._headers, []
         status_reason, self._status_reason = self._status_reason, b""
+        if not is_status(status):
+            raise MalformedResponseError(f"{status} is no status")
         if is_interim(status):
             return
         head = self._decode(status, status_reason, headers)
--- a/masticfork/store/connections.py
+++ b/masticfork/store/connections.py
@@ -15,7 +15,7 @@
     bound_response,
 )
 from masticfork.core.deadlines import Deadline
-from masticfork.core.http_status import is_interim
+from masticfork.core.http_status import is_interim, is_status
 from masticfork.core.sockets import is_readable
 
 # Maximum number of idle connections in a pool.
@@ -176,13 +176,14 @@
 def _final_response(
     connection: http.client.HTTPConnection,
 ) -> http.client.HTTPResponse:
-    """Return the response; raise HTTPException if it is an interim one.
+    """Return the response; raise HTTPException if it is interim or has no status.
 
     `http.client` takes it for the final response, which is still to come.
     """
     response = connection.getresponse()
-    if is_interim(response.status):
-        raise http.client.HTTPException(f"interim response {response.status}")
+    if is_interim(response.status) or not is_status(response.status):
+        message = f"interim response or no status: {response.status}"
+        raise http.client.HTTPException(message)
     return response
 
 
