Leave outdated failures and requests without a session out of account

A failure that tells nothing of now is no answer either: counted as one, it could set the store's return to a later time than its first answer. Requests without a session have no next one, so the end of each was reported in vain.

Found in reading the change. The tests of both parts pass as before.

--- a/masticfork/platform/objects.py
+++ b/masticfork/platform/objects.py
@@ -417,7 +417,9 @@
     return _decode_object(kind, reader.value())
 
 
-def _single(answer: _Answer[PlatformObject | None]) -> Result[PlatformObject, Any]:
+def _single(
+    answer: _Answer[PlatformObject | None],
+) -> Result[PlatformObject, PlatformError]:
     if answer.body is None:
         return Err(
             PlatformError(ErrorKind.UNKNOWN, "the store's response holds no object")
--- a/masticfork/relay/entry.py
+++ b/masticfork/relay/entry.py
@@ -558,9 +558,10 @@
         if isinstance(exchange, http.HTTPStatus):
             return self._refuse(caller, request, exchange)
         self._open_exchanges.add(exchange)
-        self._session_versions.begin_request(
-            exchange.service, exchange.session_key, self._loop.now
-        )
+        if request.head.session:
+            self._session_versions.begin_request(
+                exchange.service, request.head.session, self._loop.now
+            )
         exchange.start()
         return exchange
 
@@ -827,9 +828,10 @@
     def on_exchange_ended(self, exchange: Exchange, status: int, why: str) -> None:
         """Record the end of an exchange in metrics and log."""
         self._open_exchanges.discard(exchange)
-        self._session_versions.end_request(
-            exchange.service, exchange.session_key, self._loop.now
-        )
+        if session := exchange.request.head.session:
+            self._session_versions.end_request(
+                exchange.service, session, self._loop.now
+            )
         seconds = self._loop.now - exchange.request.arrived_at
         if status not in UNTIMED_STATUSES:
             self._response_times.record(exchange.route.name, seconds, self._loop.now)
--- a/masticfork/relay/store_view.py
+++ b/masticfork/relay/store_view.py
@@ -319,10 +319,7 @@
 
     def on_store_failure(self, kind: str, error: PlatformError) -> None:
         """Record the failure of a call to the store."""
-        if error.outdated:
-            # It tells of an earlier time than the answer to another call.
-            self._record_answer()
-        else:
+        if not error.outdated:
             self._silent = True
         if self._failing_since is None and kind in self._mirrors:
             self._failing_since = self._loop.now
