--- a/masticfork/relay/mirror.py
+++ b/masticfork/relay/mirror.py
@@ -105,15 +105,18 @@
 
 def decode_changes(kind: str, data: bytes) -> list[ObjectChange]:
     """Return the changes another host has sent; raise ValueError if malformed."""
-    text = decompress_bounded(data, MAX_CHANGES_BYTES)
-    return read_json(
-        text, lambda reader: list(map(partial(_change, kind), reader.elements()))
-    )
+    try:
+        return read_json(
+            decompress_bounded(data, MAX_CHANGES_BYTES),
+            lambda reader: list(map(partial(_change, kind), reader.elements())),
+        )
+    except ValueError as error:
+        raise ValueError(f"malformed changes: {error}") from error
 
 
 def _change(kind: str, row: Any) -> ObjectChange:
     if not isinstance(row, list) or len(row) != 2:
-        raise ValueError("malformed changes: not a list of pairs")
+        raise ValueError("not a list of pairs")
     return ObjectChange(_stored_object(kind, row[0]), bool(row[1]))
 
 
@@ -123,10 +126,10 @@
     Later builds may send more fields, and earlier ones send what cannot be used.
     """
     if not isinstance(row, dict) or not row.keys() >= set(_OBJECT_FIELDS):
-        raise ValueError("malformed object: not one with all fields")
+        raise ValueError("an object without all fields")
     stored = stored_object(kind, **{name: row[name] for name in _OBJECT_FIELDS})
     if stored is None:
-        raise ValueError("malformed object: no name")
+        raise ValueError("an object without a name")
     return stored
 
 
@@ -141,9 +144,12 @@
     Peers of earlier builds don't compress it.
     """
     compressed = data[:1] == ZLIB_FIRST_BYTE
-    return read_json(
-        decompress_bounded(data, MAX_COPY_BYTES) if compressed else data, _read_copy
-    )
+    try:
+        return read_json(
+            decompress_bounded(data, MAX_COPY_BYTES) if compressed else data, _read_copy
+        )
+    except ValueError as error:
+        raise ValueError(f"malformed store copy: {error}") from error
 
 
 def _read_copy(reader: JsonReader) -> dict[str, Listing]:
@@ -161,7 +167,7 @@
             position[field] = reader.value()
     era, revision = position["era"], position.get("revision")
     if objects is None or not isinstance(era, int) or not isinstance(revision, int):
-        raise ValueError(f"malformed store copy: {kind} has no objects or position")
+        raise ValueError(f"{kind} has no objects or position")
     return Listing(objects, revision, era)
 
 
--- a/masticfork/relay/mirror_test.py
+++ b/masticfork/relay/mirror_test.py
@@ -66,7 +66,7 @@
 
     @pytest.mark.parametrize("value", [[], {"servers": 3}, {"servers": {}}, None])
     def test_malformed_copy_raises_value_error(self, value):
-        with pytest.raises(ValueError):
+        with pytest.raises(ValueError, match="malformed store copy"):
             decode_copy(json.dumps(value).encode())
 
 
