--- a/masticfork/platform/objects.py
+++ b/masticfork/platform/objects.py
@@ -363,7 +363,7 @@
         kind = ErrorKind.UNAVAILABLE if method == "GET" else ErrorKind.UNKNOWN
         try:
             return Ok(read_json(response.body, read))
-        except ValueError as error:
+        except (TypeError, ValueError) as error:
             message = f"malformed JSON in the store's response: {error}"
             return Err(PlatformError(kind, message))
     error_kind = _STATUS_ERRORS.get(response.status)
@@ -414,7 +414,10 @@
 
 
 def _read_object(kind: str, reader: JsonReader) -> PlatformObject | None:
-    return _decode_object(kind, reader.value())
+    record = reader.value()
+    if not isinstance(record, dict):
+        raise TypeError("the store's response is not an object")
+    return _decode_object(kind, record)
 
 
 def _single(
--- a/masticfork/platform/objects_test.py
+++ b/masticfork/platform/objects_test.py
@@ -110,6 +110,19 @@
         assert outcome.unwrap_err().kind is ErrorKind.UNAVAILABLE
 
 
+class TestSingleObjects:
+    @pytest.mark.parametrize("value", [[], 3, None, "x"])
+    def test_response_that_is_no_object_is_no_answer(self, store, value):
+        """Guards against a malformed read that is taken for an answer to a probe."""
+        client, responses = store
+        responses += [(200, None, value)] * 3
+        outcome = client.get("servers", "i-1", soon())
+        assert outcome.unwrap_err().kind is ErrorKind.UNAVAILABLE
+        assert not client.answers("servers", "i-1", soon())
+        outcome = client.create("servers", "i-1", {}, soon())
+        assert outcome.unwrap_err().kind is ErrorKind.UNKNOWN
+
+
 class TestEra:
     def test_listing_and_changes_state_their_era(self, store):
         client, responses = store
