--- a/masticfork/backends/connections.py
+++ b/masticfork/backends/connections.py
@@ -11,7 +11,7 @@
 from masticfork.backends.failures import CallFailure, FailureKind, Stage
 from masticfork.core.bounded_reads import bound_response
 from masticfork.core.deadlines import Deadline
-from masticfork.core.http_status import is_interim, is_status
+from masticfork.core.http_status import is_final
 from masticfork.core.manifest import BackendServer
 from masticfork.core.sockets import is_readable
 
@@ -100,7 +100,7 @@
         except (OSError, http.client.HTTPException) as error:
             connection.http.close()
             return Err(CallFailure(Stage.SENT, FailureKind.CONNECTION, repr(error)))
-        if is_interim(response.status) or not is_status(response.status):
+        if not is_final(response.status):
             # `http.client` takes it for a final response and leaves that one unread.
             connection.http.close()
             message = f"interim response or no status: {response.status}"
--- a/masticfork/core/http_status.py
+++ b/masticfork/core/http_status.py
@@ -8,6 +8,11 @@
     return _MIN_STATUS <= status <= _MAX_STATUS
 
 
+def is_final(status: int) -> bool:
+    """Return whether a response with this status is the final one."""
+    return is_status(status) and not is_interim(status)
+
+
 def is_interim(status: int) -> bool:
     """Return whether a response with this status precedes the final response."""
     return _MIN_STATUS <= status < _MIN_FINAL_STATUS
--- a/masticfork/platform/json_values.py
+++ b/masticfork/platform/json_values.py
@@ -53,6 +53,23 @@
         for _ in self._items("[", "]"):
             yield self.value()
 
+    def list_and_rest(
+        self, name: str, convert: Callable[[Any], T]
+    ) -> tuple[list[T] | None, dict[str, Any]]:
+        """Return a list in the object that follows, converted, and all other members.
+
+        The list is None if it is missing or of another type. Each element is released
+        once it is converted.
+        """
+        elements: list[T] | None = None
+        rest: dict[str, Any] = {}
+        for member in self.members():
+            if member == name and self.is_list():
+                elements = list(map(convert, self.elements()))
+            else:
+                rest[member] = self.value()
+        return elements, rest
+
     def is_list(self) -> bool:
         """Return whether the next value is a list."""
         return self._text.startswith("[", self._skip_space())
--- a/masticfork/platform/objects.py
+++ b/masticfork/platform/objects.py
@@ -54,6 +54,9 @@
 _REFUSED_STATUSES = (429, 503)
 
 
+T = TypeVar("T")
+
+
 @attrs.frozen
 class PlatformObject:
     """One object of the store as of a revision.
@@ -106,9 +109,6 @@
         return StorePosition(self.era, self.revision)
 
 
-T = TypeVar("T")
-
-
 @attrs.frozen
 class _Answer(Generic[T]):
     """What was read from the body of a success, and the era of the store it is from."""
@@ -179,11 +179,10 @@
             if stale:
                 query["allow_stale"] = "1"
             path = f"{kind}?{urlencode(query)}" if query else kind
-            now = self._now()
-            page_deadline = Deadline.after(
-                now, min(PAGE_TIMEOUT_SECONDS, deadline.remaining(now))
+            page_deadline = Deadline.after(self._now(), PAGE_TIMEOUT_SECONDS)
+            outcome = self._call(
+                "GET", path, page_deadline.earliest(deadline), partial(_read_page, kind)
             )
-            outcome = self._call("GET", path, page_deadline, partial(_read_page, kind))
             if isinstance(outcome, Err):
                 return outcome
             if era not in (None, outcome.ok_value.era):
@@ -232,13 +231,13 @@
         self, kind: str, name: str, deadline: Deadline
     ) -> Result[PlatformObject, PlatformError]:
         """Return one object; NOT_FOUND where there is none."""
-        read = partial(_read_object, kind)
-        return self._call("GET", _path(kind, name), deadline, read).and_then(_single)
+        path = _path(kind, name)
+        return self._call_object("GET", kind, path, deadline).and_then(_single)
 
     def answers(self, kind: str, name: str, deadline: Deadline) -> bool:
         """Return whether the store answers a read of one object, which may be stale."""
         path = f"{_path(kind, name)}?allow_stale=1"
-        outcome = self._call("GET", path, deadline, partial(_read_object, kind))
+        outcome = self._call_object("GET", kind, path, deadline)
         return isinstance(outcome, Ok) or outcome.err_value.kind is ErrorKind.NOT_FOUND
 
     def create(
@@ -246,17 +245,15 @@
     ) -> Result[PlatformObject, PlatformError]:
         """Create an object; CONFLICT where the name is taken."""
         body = {"metadata": {"name": name}, "spec": spec}
-        read = partial(_read_object, kind)
-        return self._call("POST", kind, deadline, read, body).and_then(_single)
+        return self._call_object("POST", kind, kind, deadline, body).and_then(_single)
 
     def replace(
         self, kind: str, name: str, spec: Any, revision: int, deadline: Deadline
     ) -> Result[PlatformObject, PlatformError]:
         """Replace an object's spec; CONFLICT unless it still has that revision."""
         body = {"metadata": {"name": name, "revision": revision}, "spec": spec}
-        read = partial(_read_object, kind)
         path = _path(kind, name)
-        return self._call("PUT", path, deadline, read, body).and_then(_single)
+        return self._call_object("PUT", kind, path, deadline, body).and_then(_single)
 
     def replace_status(
         self,
@@ -275,11 +272,17 @@
         metadata = {"name": name, "revision": position.revision}
         body = {"metadata": metadata, "status": status}
         path = f"{_path(kind, name)}/status"
-        outcome = self._call("PUT", path, deadline, partial(_read_object, kind), body)
+        outcome = self._call_object("PUT", kind, path, deadline, body)
         if isinstance(outcome, Ok) and outcome.ok_value.era > position.era:
             return Err(PlatformError(ErrorKind.UNKNOWN, "written to a restored store"))
         return outcome.and_then(_single)
 
+    def _call_object(
+        self, method: str, kind: str, path: str, deadline: Deadline, body: Any = None
+    ) -> Result[_Answer[PlatformObject | None], PlatformError]:
+        """Make a call that one object of a kind answers."""
+        return self._call(method, path, deadline, partial(_read_object, kind), body)
+
     def _call(
         self,
         method: str,
@@ -376,36 +379,24 @@
 
 
 def _read_page(kind: str, reader: JsonReader) -> _Page:
-    objects: tuple[PlatformObject, ...] | None = None
-    others: dict[str, Any] = {}
-    for field in reader.members():
-        if field == "items" and reader.is_list():
-            # One by one, so that only the reduced ones are held together.
-            decoded = map(partial(_decode_object, kind), reader.elements())
-            objects = tuple(item for item in decoded if item is not None)
-        else:
-            others[field] = reader.value()
+    decoded, rest = reader.list_and_rest("items", partial(_decode_object, kind))
+    if decoded is None:
+        return _Page(None, "", False, None)
+    objects = tuple(item for item in decoded if item is not None)
     return _Page(
         objects,
         objects[-1].name if objects else "",
-        bool(others.get("truncated")),
-        _revision(others),
+        bool(rest.get("truncated")),
+        _revision(rest),
     )
 
 
 def _read_events(kind: str, reader: JsonReader) -> _Events:
-    changes: tuple[ObjectChange, ...] | None = ()
-    others: dict[str, Any] = {}
-    for field in reader.members():
-        if field != "events":
-            others[field] = reader.value()
-        elif reader.is_list():
-            decoded = map(partial(_decode_event, kind), reader.elements())
-            changes = tuple(change for change in decoded if change is not None)
-        else:
-            reader.value()
-            changes = None
-    return _Events(changes, _revision(others))
+    decoded, rest = reader.list_and_rest("events", partial(_decode_event, kind))
+    if decoded is None and "events" in rest:
+        return _Events(None, _revision(rest))
+    changes = tuple(change for change in decoded or () if change is not None)
+    return _Events(changes, _revision(rest))
 
 
 def _revision(page: dict[str, Any]) -> int | None:
--- a/masticfork/relay/channel.py
+++ b/masticfork/relay/channel.py
@@ -167,11 +167,9 @@
 
     def _on_writable(self) -> bool:
         if self._connecting:
-            error_code = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-            if error_code:
-                self._close_and_notify(
-                    OSError(error_code, errno.errorcode.get(error_code, "connect"))
-                )
+            error = self._pending_error("connect")
+            if error is not None:
+                self._close_and_notify(error)
                 return False
             self._connecting = False
             if self.owner is not None:
@@ -210,12 +208,15 @@
         """Return why the end of what was received is not a clean one, if it is not."""
         if self._send_error is not None:
             return self._send_error
-        error_code = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-        if error_code:
-            return OSError(error_code, errno.errorcode.get(error_code, "closed"))
-        if self._send_buffer:
-            return OSError(errno.EPIPE, "closed before all data was sent")
-        return None
+        error = self._pending_error("closed")
+        if error is None and self._send_buffer:
+            error = closed_while_sending()
+        return error
+
+    def _pending_error(self, unnamed: str) -> OSError | None:
+        """Take the socket's pending error; `unnamed` is its text if it has no name."""
+        code = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        return OSError(code, errno.errorcode.get(code, unnamed)) if code else None
 
     def _schedule_close(self, error: OSError) -> None:
         """Close and notify the owner after the caller of `write` has returned."""
@@ -265,6 +266,11 @@
         self._on_closed()
 
 
+def closed_while_sending() -> OSError:
+    """Return the error of a connection whose peer has not received all data."""
+    return OSError(errno.EPIPE, "closed before all data was sent")
+
+
 def connect(loop: Loop, address: Address) -> Channel:
     """Start to connect to a server; raise OSError if that fails at once."""
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
--- a/masticfork/relay/channel_test.py
+++ b/masticfork/relay/channel_test.py
@@ -2,7 +2,6 @@
 
 import selectors
 import socket
-import struct
 import time
 
 import pytest
@@ -10,8 +9,8 @@
 from masticfork.core.backend_servers import Address
 from masticfork.relay.channel import connect
 from standins.fake_loop import FakeLoop
+from standins.scripted_server import LINGER_RESET
 
-RESET = struct.pack("ii", 1, 0)
 # More than both sockets buffer.
 UPLOAD = b"x" * (32 << 20)
 
@@ -75,7 +74,7 @@
     def test_reset_that_a_write_has_met_is_no_clean_end(self, pair):
         _, channel, owner, peer = pair
         peer.sendall(b"part")
-        peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
         peer.close()
         time.sleep(0.05)
         # The write takes the error from the socket, and its report comes later.
@@ -103,7 +102,7 @@
 
     def test_failed_write_is_reported_if_nothing_is_read(self, pair):
         loop, channel, owner, peer = pair
-        peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
         peer.close()
         time.sleep(0.05)
         channel.write(b"piece")
--- a/masticfork/relay/early_responses_test.py
+++ b/masticfork/relay/early_responses_test.py
@@ -1,7 +1,6 @@
 """Servers that answer an upload early, without a length, and reset the connection."""
 
 import socket
-import struct
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
@@ -10,10 +9,10 @@
 
 from masticfork.relay.unreachable_servers_test import Fleet, fleet  # noqa: F401
 from standins.entry_environment import SERVICE, running_entry_host, server_entry
+from standins.scripted_server import LINGER_RESET
 from standins.server_paths import Cut
 
 REQUESTS = 24
-RESET = struct.pack("ii", 1, 0)
 # Time within which a host that is cut off calls servers through others.
 CUT_KNOWN_SECONDS = 2.0
 
@@ -49,7 +48,7 @@
                 b"X-Masticfork-Server-Stamp: s\r\n\r\npart" % attempt
             )
             time.sleep(self.pause)
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
 
 
 def upload(env, kind, size):
--- a/masticfork/relay/followers.py
+++ b/masticfork/relay/followers.py
@@ -251,19 +251,21 @@
         time.sleep(FIRST_WATCH_DELAY_SECONDS_BY_KIND.get(self._kind, 0.0))
         return None
 
+    @property
+    def _watch_wait(self) -> float:
+        """Return the seconds for which the next watch waits for changes."""
+        if self._failed:
+            # Short, so that the recovery of the store is noticed soon.
+            return RECOVERY_WATCH_WAIT_SECONDS
+        usual = WATCH_WAIT_SECONDS_BY_KIND.get(self._kind, WATCH_WAIT_SECONDS)
+        longest = self._tolerated_silence() - WATCH_MARGIN_SECONDS - CATCH_UP_SECONDS
+        return max(RECOVERY_WATCH_WAIT_SECONDS, min(usual, longest))
+
     def _watch(self) -> PlatformError | None:
         assert self._position is not None
-        # The first call after a failure has a short wait, so that the recovery of the
-        # store is noticed soon.
-        usual_wait = WATCH_WAIT_SECONDS_BY_KIND.get(self._kind, WATCH_WAIT_SECONDS)
-        longest_wait = (
-            self._tolerated_silence() - WATCH_MARGIN_SECONDS - CATCH_UP_SECONDS
-        )
-        wait = max(
-            RECOVERY_WATCH_WAIT_SECONDS,
-            0.0 if self._failed else min(usual_wait, longest_wait),
+        outcome = self._objects.watch(
+            self._kind, self._position.revision, self._watch_wait
         )
-        outcome = self._objects.watch(self._kind, self._position.revision, wait)
         if isinstance(outcome, Err):
             return outcome.err_value
         self._failed = False
--- a/masticfork/relay/mirror.py
+++ b/masticfork/relay/mirror.py
@@ -27,7 +27,7 @@
 # Longest JSON of changes and of copies: more than a thousand times a few objects and a
 # whole store take, and what a host can decode beside its requests.
 MAX_CHANGES_BYTES, MAX_COPY_BYTES = 4 << 20, 16 << 20
-_OBJECT_FIELDS = tuple(field.name for field in attrs.fields(PlatformObject))
+_OBJECT_FIELDS = frozenset(field.name for field in attrs.fields(PlatformObject))
 
 
 @attrs.define
@@ -125,7 +125,7 @@
 
     Later builds may send more fields, and earlier ones send what cannot be used.
     """
-    if not isinstance(row, dict) or not row.keys() >= set(_OBJECT_FIELDS):
+    if not isinstance(row, dict) or not row.keys() >= _OBJECT_FIELDS:
         raise ValueError("an object without all fields")
     stored = stored_object(kind, **{name: row[name] for name in _OBJECT_FIELDS})
     if stored is None:
@@ -157,18 +157,11 @@
 
 
 def _read_listing(kind: str, reader: JsonReader) -> Listing:
-    objects: tuple[PlatformObject, ...] | None = None
-    position: dict[str, Any] = {"era": 0}
-    for field in reader.members():
-        if field == "objects":
-            decoded = map(partial(_stored_object, kind), reader.elements())
-            objects = tuple(decoded)
-        else:
-            position[field] = reader.value()
-    era, revision = position["era"], position.get("revision")
+    objects, position = reader.list_and_rest("objects", partial(_stored_object, kind))
+    era, revision = position.get("era", 0), position.get("revision")
     if objects is None or not isinstance(era, int) or not isinstance(revision, int):
         raise ValueError(f"{kind} has no objects or position")
-    return Listing(objects, revision, era)
+    return Listing(tuple(objects), revision, era)
 
 
 def to_json(mirrors: dict[str, KindMirror]) -> Any:
--- a/masticfork/relay/session_versions.py
+++ b/masticfork/relay/session_versions.py
@@ -17,6 +17,10 @@
 MAX_SESSIONS_PER_DIGEST = 60
 
 
+def _key(service: str, session: str) -> int:
+    return short_key(f"{service}/{session}")
+
+
 class SessionVersions:
     """Versions by session until the sessions expire, both stored as short keys.
 
@@ -35,26 +39,26 @@
 
     def version(self, service: str, session: str, now: float) -> int | None:
         """Return the short key of the session's version, None if it has expired."""
-        entry = self._versions.get(short_key(f"{service}/{session}"))
+        entry = self._versions.get(_key(service, session))
         if entry is None or now - entry[1] > self._lifetime_seconds:
             return None
         return entry[0]
 
     def record(self, service: str, session: str, version: str, now: float) -> None:
         """Record that a request of the session was sent to a version."""
-        key = short_key(f"{service}/{session}")
+        key = _key(service, session)
         self._put(key, short_key(version), now)
         self._sends_left[key] = SENDS_PER_SESSION
 
     def begin_request(self, service: str, session: str, now: float) -> None:
         """Keep a session until the end of a request that begins."""
-        key = short_key(f"{service}/{session}")
+        key = _key(service, session)
         self._running[key] += 1
         self._reported_at.setdefault(key, now)
 
     def end_request(self, service: str, session: str, now: float) -> None:
         """Count the idle time of a session from the end of a request."""
-        key = short_key(f"{service}/{session}")
+        key = _key(service, session)
         self._report(key, now)
         self._running[key] -= 1
         if self._running[key] <= 0:
--- a/masticfork/relay/transit_calls.py
+++ b/masticfork/relay/transit_calls.py
@@ -6,7 +6,7 @@
 import httptools
 
 from masticfork.core.backend_servers import Address
-from masticfork.relay.channel import ChannelOwner, connect
+from masticfork.relay.channel import ChannelOwner, closed_while_sending, connect
 from masticfork.relay.loop import Loop
 from masticfork.relay.transit_framing import (
     Refusal,
@@ -112,7 +112,7 @@
         if reset:
             self._end(OSError(errno.ECONNRESET, "reset by the server"))
         elif self.unsent_bytes:
-            self._end(OSError(errno.EPIPE, "closed before all data was sent"))
+            self._end(closed_while_sending())
         else:
             self._end(None)
 
--- a/masticfork/store/connections.py
+++ b/masticfork/store/connections.py
@@ -15,7 +15,7 @@
     bound_response,
 )
 from masticfork.core.deadlines import Deadline
-from masticfork.core.http_status import is_interim, is_status
+from masticfork.core.http_status import is_final
 from masticfork.core.sockets import is_readable
 
 # Maximum number of idle connections in a pool.
@@ -181,7 +181,7 @@
     `http.client` takes it for the final response, which is still to come.
     """
     response = connection.getresponse()
-    if is_interim(response.status) or not is_status(response.status):
+    if not is_final(response.status):
         message = f"interim response or no status: {response.status}"
         raise http.client.HTTPException(message)
     return response
--- a/proofs/foreign_entries_test.py
+++ b/proofs/foreign_entries_test.py
@@ -9,9 +9,10 @@
 
 import pytest
 
+from masticfork.core.backend_servers import Address
 from soak.stop_test import wait_until_ready
 from standins.common import LOOPBACK, serving
-from standins.entry_environment import SERVICE, Address, configuration, server_entry
+from standins.entry_environment import SERVICE, configuration, server_entry
 from standins.object_store import ObjectStore
 from standins.scripted_server import ScriptedServer, response
 from tools.processes import stop_all
