--- a/masticfork/relay/reader_duty_test.py
+++ b/masticfork/relay/reader_duty_test.py
@@ -427,6 +427,16 @@
         host.hear()
         assert host.duty.tolerated_silence is None
 
+    def test_each_reader_probes_the_store(self):
+        """Guards against a return of the store that is noticed late (review case 10)."""
+        host = DutyOfOneHost()
+        host.hear(silent=host.names)
+        assert host.duty.reading
+        assert host.duty.probe_silence == silence_limit(SHORTEST_CHANGE_SECONDS)
+        host.hear()
+        assert not host.duty.reading
+        assert host.duty.probe_silence is None
+
     def test_reader_without_answers_to_probes_is_replaced(self):
         host = DutyOfOneHost()
         host.hear(silent=host.chosen)
