--- a/masticfork/relay/reader_duty_test.py
+++ b/masticfork/relay/reader_duty_test.py
@@ -428,7 +428,7 @@
         assert host.duty.tolerated_silence is None
 
     def test_each_reader_probes_the_store(self):
-        """Guards against a return of the store that is noticed late (review case 10)."""
+        """Guards against a return of the store that is noticed late."""
         host = DutyOfOneHost()
         host.hear(silent=host.names)
         assert host.duty.reading
