Show that hosts do not follow a store that has moved

A SIGHUP applies the bounds of the settings only, so hosts keep the store's address and what they have read there.

--- a/review/harness_3.py
+++ b/review/harness_3.py
@@ -113,7 +113,7 @@
         self._events: list[tuple[int, str, bool, bytes]] = []
         self._revision = 1
         self._cuts = 0
-        self.on_watch: Callable[[str, str], None] = lambda kind, host: None
+        self._closed_ports: set[int] = set()
         self._server = _Server(("127.0.0.1", 0), self._handler())
         threading.Thread(target=self._server.serve_forever, daemon=True).start()
 
@@ -122,6 +122,19 @@
         """Return the address as HOST:PORT."""
         return f"127.0.0.1:{self._server.server_address[1]}"
 
+    def open_second_address(self) -> _Server:
+        """Serve at a further address, which becomes `address`; return the old one."""
+        old, self._server = self._server, _Server(("127.0.0.1", 0), self._handler())
+        threading.Thread(target=self._server.serve_forever, daemon=True).start()
+        return old
+
+    def close_address(self, server: _Server) -> None:
+        """Stop to serve at an address, and cut off what waits there."""
+        server.shutdown()
+        server.server_close()
+        self._closed_ports.add(server.server_address[1])
+        self.cut_watches()
+
     def put(self, kind: str, name: str, spec: Any) -> float:
         """Create an object or replace its spec; return the time of the ack."""
         return self.put_raw(kind, name, json.dumps(spec).encode())
@@ -237,12 +250,17 @@
             def log_message(self, *args: Any) -> None:
                 """Write no log."""
 
+            def handle_one_request(self) -> None:
+                if self.server.server_address[1] in store._closed_ports:
+                    self.close_connection = True
+                    return
+                super().handle_one_request()
+
             def do_GET(self) -> None:
                 url = urllib.parse.urlsplit(self.path)
                 query = dict(urllib.parse.parse_qsl(url.query))
                 kind, _, name = url.path.removeprefix(OBJECTS_PATH).partition("/")
                 if "watch" in query:
-                    store.on_watch(kind, self.client_address[0])
                     wait = int(query.get("wait_ms", "0")) / 1000
                     body = store._watch(kind, int(query["watch"]), wait)
                     if body is None:
@@ -504,9 +522,13 @@
         self.settings_path = fleet.folder / f"{self.name}.toml"
         self._process: subprocess.Popen[bytes] | None = None
 
+    def write_settings(self) -> None:
+        """Write the settings file as it is now."""
+        self.settings_path.write_text(self._settings())
+
     def start(self) -> None:
         """Start the process."""
-        self.settings_path.write_text(self._settings())
+        self.write_settings()
         deploy = tomllib.loads((REPOSITORY / "deploy/system.toml").read_text())
         command = deploy["roles"]["entry"]["run"].split()
         command[command.index("9464")] = str(self._fleet.ports["metrics"])
