--- a/review/harness_3.py
+++ b/review/harness_3.py
@@ -19,6 +19,7 @@
 import time
 import tomllib
 import urllib.parse
+import zlib
 from collections.abc import Callable, Iterator
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from pathlib import Path
@@ -389,10 +390,18 @@
     Until its first event it sends some comments, as the format of the streams allows.
     """
 
-    def __init__(self, record: Record, name: str, events: int, comments: int) -> None:
+    def __init__(
+        self,
+        record: Record,
+        name: str,
+        events: int,
+        comments: int = 0,
+        prompt_seconds: float = PROMPT_SECONDS,
+    ) -> None:
         super().__init__(record, name)
         self._events = events
         self._comments = comments
+        self._prompt_seconds = prompt_seconds
 
     def _handler(self) -> type[BaseHTTPRequestHandler]:
         engine = self
@@ -410,9 +419,8 @@
                 self.end_headers()
                 for _ in range(engine._comments):
                     self._send(b": reading the prompt\n\n")
-                    time.sleep(PROMPT_SECONDS / (engine._comments + 1))
-                if not engine._comments:
-                    time.sleep(PROMPT_SECONDS)
+                    time.sleep(engine._prompt_seconds / (engine._comments + 1))
+                time.sleep(engine._prompt_seconds / (engine._comments + 1))
                 first = int(self.headers.get("Last-Event-Id", "0")) + 1
                 for number in range(first, engine._events + 1):
                     self._send(b"id: %d\ndata: word\n\n" % number)
@@ -521,6 +529,13 @@
         self.ip = f"127.0.3.{10 + number}"
         self.settings_path = fleet.folder / f"{self.name}.toml"
         self._process: subprocess.Popen[bytes] | None = None
+        # Seconds of the starts of the process, and of the signals to it.
+        self._disturbed_at: list[float] = []
+
+    def in_touch(self, at: float) -> bool:
+        """Return whether the process ran undisturbed for `contact_ms` before a time."""
+        since = at - BOUNDS["contact_ms"] / 1000
+        return not any(since < moment <= at for moment in self._disturbed_at)
 
     def write_settings(self) -> None:
         """Write the settings file as it is now."""
@@ -541,14 +556,21 @@
             command, cwd=REPOSITORY, env=env, stdout=log, stderr=log
         )
         log.close()
+        self._disturbed_at.append(self._fleet.record.now)
         self._fleet.record.write(f"{self.name} started")
 
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the process."""
         assert self._process is not None
+        self._disturbed_at.append(self._fleet.record.now)
         self._fleet.record.write(f"{self.name} gets {number.name}")
         self._process.send_signal(number)
 
+    def wait(self) -> None:
+        """Wait for the end of the process."""
+        assert self._process is not None
+        self._process.wait()
+
     def end(self) -> None:
         """Kill the process and wait for its end."""
         if self._process is not None:
@@ -652,9 +674,15 @@
         """Return the hosts in rotation."""
         return [host for host, misses in self._misses.items() if misses < 2]
 
-    def choose(self) -> EntryHost:
-        """Return the host that gets a new connection."""
-        return random.choice(self.ready_hosts or self.hosts)
+    def choose(self, requester: str = "") -> EntryHost:
+        """Return the host that gets a new connection, the same one for a requester.
+
+        Without a name of the requester it is any host.
+        """
+        hosts = self.ready_hosts or self.hosts
+        if not requester:
+            return random.choice(hosts)
+        return max(hosts, key=lambda h: zlib.crc32(f"{h.name}/{requester}".encode()))
 
     def close(self) -> None:
         """End all hosts."""
@@ -683,37 +711,27 @@
             time.sleep(1.0)
 
 
-class Traffic:
-    """Callers that send safe and unsafe requests in turn, at a fixed rate."""
+class Callers:
+    """Sends requests and notes how they end."""
 
     def __init__(
         self,
         record: Record,
         fleet: Fleet,
-        per_second: float,
-        extra_headers: dict[str, str] | None = None,
         path: str = "",
+        extra_headers: dict[str, str] | None = None,
     ) -> None:
-        self._extra_headers = extra_headers or {}
-        self._path = path
-        # Bodies by attempt id.
-        self.bodies: dict[str, bytes] = {}
         self._record = record
         self._fleet = fleet
-        self._per_second = per_second
-        self._stopped = threading.Event()
-        self._threads: list[threading.Thread] = []
+        # The path of requests for streams, empty for the plain service.
+        self._path = path
+        self._extra_headers = extra_headers or {}
         # Seconds of sending, attempt id and status, 0 without an answer.
         self.ends: list[tuple[float, str, int]] = []
-        self._sender = threading.Thread(target=self._run, daemon=True)
-        self._sender.start()
-
-    def stop(self) -> None:
-        """Send no more, and wait for all answers."""
-        self._stopped.set()
-        self._sender.join()
-        for thread in self._threads:
-            thread.join(15.0)
+        # Bodies by attempt id.
+        self.bodies: dict[str, bytes] = {}
+        # The host that got a request, by attempt id.
+        self.hosts: dict[str, EntryHost] = {}
 
     def served(self, since: float, until: float) -> tuple[int, int]:
         """Return the requests sent in a time, and how many of them were served."""
@@ -725,19 +743,17 @@
         last = b"id: %d\n" % events
         return {name for name, body in self.bodies.items() if last in body}
 
-    def _run(self) -> None:
-        number = 0
-        while not self._stopped.wait(1.0 / self._per_second):
-            number += 1
-            thread = threading.Thread(target=self._send, args=(number,), daemon=True)
-            self._threads.append(thread)
-            thread.start()
-
-    def _send(self, number: int) -> None:
-        attempt_id = f"{number:016x}"
-        path = self._path or ("/safe/x" if number % 2 else "/unsafe/x")
+    def send(
+        self,
+        attempt_id: str,
+        is_safe: bool = True,
+        requester: str = "",
+        extra_headers: dict[str, str] | None = None,
+    ) -> int:
+        """Send one request and return its status, 0 without a complete answer."""
+        path = self._path or ("/safe/x" if is_safe else "/unsafe/x")
         deadline_ms = 12_000 if self._path else 1500
-        host = self._fleet.choose()
+        host = self.hosts[attempt_id] = self._fleet.choose(requester)
         sent_at = self._record.now
         headers = {
             "Host": CALLER_HOST,
@@ -745,12 +761,13 @@
             "X-Masticfork-Attempt-Id": attempt_id,
             "X-Masticfork-Deadline-Ms": str(deadline_ms),
             **self._extra_headers,
+            **(extra_headers or {}),
         }
         if self._path:
             headers |= {
                 "X-Masticfork-Model": MODEL,
                 "X-Masticfork-Token-Usage": "1460,80",
-                "X-Masticfork-Prompt-Prefix": f"5c1e07a2:800,{number:x}:660",
+                "X-Masticfork-Prompt-Prefix": f"5c1e07a2:800,{attempt_id}:660",
             }
         connection = http.client.HTTPConnection(
             host.ip, self._fleet.ports["front"], 0.5 + deadline_ms / 1000
@@ -767,8 +784,43 @@
             connection.close()
         self.bodies[attempt_id] = body
         self.ends.append((sent_at, attempt_id, status))
-        answer = f"{status} {body.decode('latin-1')}" if status else "no answer"
-        self._record.write(f"{host.name} answers {attempt_id}: {answer}")
+        self._record.write(f"{host.name} answers {attempt_id}: {status} {body!r}")
+        return status
+
+
+class Traffic(Callers):
+    """Sends safe and unsafe requests in turn, or ones for streams, at a fixed rate."""
+
+    def __init__(
+        self,
+        record: Record,
+        fleet: Fleet,
+        per_second: float,
+        path: str = "",
+        extra_headers: dict[str, str] | None = None,
+    ) -> None:
+        super().__init__(record, fleet, path, extra_headers)
+        self._per_second = per_second
+        self._stopped = threading.Event()
+        self._threads: list[threading.Thread] = []
+        self._sender = threading.Thread(target=self._run, daemon=True)
+        self._sender.start()
+
+    def stop(self) -> None:
+        """Send no more, and wait for all answers."""
+        self._stopped.set()
+        self._sender.join()
+        for thread in self._threads:
+            thread.join(15.0)
+
+    def _run(self) -> None:
+        number = 0
+        while not self._stopped.wait(1.0 / self._per_second):
+            number += 1
+            arguments = f"{number:016x}", number % 2 == 1
+            thread = threading.Thread(target=self.send, args=arguments, daemon=True)
+            self._threads.append(thread)
+            thread.start()
 
 
 def order(attempt_id: str) -> bytes:
