--- a/review/harness_3.py
+++ b/review/harness_3.py
@@ -19,8 +19,7 @@
 import time
 import tomllib
 import urllib.parse
-import zlib
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from pathlib import Path
 from typing import Any
@@ -529,13 +528,6 @@
         self.ip = f"127.0.3.{10 + number}"
         self.settings_path = fleet.folder / f"{self.name}.toml"
         self._process: subprocess.Popen[bytes] | None = None
-        # Seconds of the starts of the process, and of the signals to it.
-        self._disturbed_at: list[float] = []
-
-    def in_touch(self, at: float) -> bool:
-        """Return whether the process ran undisturbed for `contact_ms` before a time."""
-        since = at - BOUNDS["contact_ms"] / 1000
-        return not any(since < moment <= at for moment in self._disturbed_at)
 
     def write_settings(self) -> None:
         """Write the settings file as it is now."""
@@ -556,21 +548,14 @@
             command, cwd=REPOSITORY, env=env, stdout=log, stderr=log
         )
         log.close()
-        self._disturbed_at.append(self._fleet.record.now)
         self._fleet.record.write(f"{self.name} started")
 
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the process."""
         assert self._process is not None
-        self._disturbed_at.append(self._fleet.record.now)
         self._fleet.record.write(f"{self.name} gets {number.name}")
         self._process.send_signal(number)
 
-    def wait(self) -> None:
-        """Wait for the end of the process."""
-        assert self._process is not None
-        self._process.wait()
-
     def end(self) -> None:
         """Kill the process and wait for its end."""
         if self._process is not None:
@@ -578,11 +563,6 @@
             self._process.wait()
             self._process = None
 
-    @property
-    def running(self) -> bool:
-        """Return whether the process runs."""
-        return self._process is not None and self._process.poll() is None
-
     def is_ready(self) -> bool:
         """Return whether the host reports that it is ready."""
         connection = http.client.HTTPConnection(self.ip, self._fleet.ports["ready"], 1)
@@ -674,15 +654,9 @@
         """Return the hosts in rotation."""
         return [host for host, misses in self._misses.items() if misses < 2]
 
-    def choose(self, requester: str = "") -> EntryHost:
-        """Return the host that gets a new connection, the same one for a requester.
-
-        Without a name of the requester it is any host.
-        """
-        hosts = self.ready_hosts or self.hosts
-        if not requester:
-            return random.choice(hosts)
-        return max(hosts, key=lambda h: zlib.crc32(f"{h.name}/{requester}".encode()))
+    def choose(self) -> EntryHost:
+        """Return the host that gets a new connection."""
+        return random.choice(self.ready_hosts or self.hosts)
 
     def close(self) -> None:
         """End all hosts."""
@@ -691,15 +665,6 @@
             host.end()
         shutil.rmtree(self.folder, ignore_errors=True)
 
-    def log_lines(self) -> Iterator[dict[str, Any]]:
-        """Yield what the hosts have logged."""
-        for path in sorted(self.folder.glob("*.log")):
-            for line in path.read_text(errors="replace").splitlines():
-                try:
-                    yield json.loads(line)
-                except ValueError:
-                    yield {"host": path.stem, "text": line}
-
     def _check(self) -> None:
         while not self._closed:
             for host in self.hosts:
@@ -711,49 +676,58 @@
             time.sleep(1.0)
 
 
-class Callers:
-    """Sends requests and notes how they end."""
+class Traffic:
+    """Sends safe and unsafe requests in turn, or ones for streams, at a fixed rate."""
 
     def __init__(
         self,
         record: Record,
         fleet: Fleet,
+        per_second: float,
         path: str = "",
         extra_headers: dict[str, str] | None = None,
     ) -> None:
         self._record = record
         self._fleet = fleet
-        # The path of requests for streams, empty for the plain service.
+        self._per_second = per_second
+        # The path of all requests; if empty, the routes of the plain service in turn.
         self._path = path
         self._extra_headers = extra_headers or {}
         # Seconds of sending, attempt id and status, 0 without an answer.
         self.ends: list[tuple[float, str, int]] = []
         # Bodies by attempt id.
         self.bodies: dict[str, bytes] = {}
-        # The host that got a request, by attempt id.
-        self.hosts: dict[str, EntryHost] = {}
+        self._stopped = threading.Event()
+        self._threads: list[threading.Thread] = []
+        self._sender = threading.Thread(target=self._run, daemon=True)
+        self._sender.start()
 
-    def served(self, since: float, until: float) -> tuple[int, int]:
-        """Return the requests sent in a time, and how many of them were served."""
-        ends = [end for end in self.ends if since <= end[0] < until]
-        return len(ends), sum(end[2] == 200 for end in ends)
+    def stop(self) -> None:
+        """Send no more, and wait for all answers."""
+        self._stopped.set()
+        self._sender.join()
+        for thread in self._threads:
+            thread.join(15.0)
 
     def complete_streams(self, events: int) -> set[str]:
         """Return the attempt ids whose streams hold all events."""
         last = b"id: %d\n" % events
         return {name for name, body in self.bodies.items() if last in body}
 
-    def send(
-        self,
-        attempt_id: str,
-        is_safe: bool = True,
-        requester: str = "",
-        extra_headers: dict[str, str] | None = None,
-    ) -> int:
-        """Send one request and return its status, 0 without a complete answer."""
+    def _run(self) -> None:
+        number = 0
+        while not self._stopped.wait(1.0 / self._per_second):
+            number += 1
+            arguments = f"{number:016x}", number % 2 == 1
+            thread = threading.Thread(target=self._send, args=arguments, daemon=True)
+            self._threads.append(thread)
+            thread.start()
+
+    def _send(self, attempt_id: str, is_safe: bool) -> None:
+        """Send one request."""
         path = self._path or ("/safe/x" if is_safe else "/unsafe/x")
         deadline_ms = 12_000 if self._path else 1500
-        host = self.hosts[attempt_id] = self._fleet.choose(requester)
+        host = self._fleet.choose()
         sent_at = self._record.now
         headers = {
             "Host": CALLER_HOST,
@@ -761,7 +735,6 @@
             "X-Masticfork-Attempt-Id": attempt_id,
             "X-Masticfork-Deadline-Ms": str(deadline_ms),
             **self._extra_headers,
-            **(extra_headers or {}),
         }
         if self._path:
             headers |= {
@@ -785,42 +758,6 @@
         self.bodies[attempt_id] = body
         self.ends.append((sent_at, attempt_id, status))
         self._record.write(f"{host.name} answers {attempt_id}: {status} {body!r}")
-        return status
-
-
-class Traffic(Callers):
-    """Sends safe and unsafe requests in turn, or ones for streams, at a fixed rate."""
-
-    def __init__(
-        self,
-        record: Record,
-        fleet: Fleet,
-        per_second: float,
-        path: str = "",
-        extra_headers: dict[str, str] | None = None,
-    ) -> None:
-        super().__init__(record, fleet, path, extra_headers)
-        self._per_second = per_second
-        self._stopped = threading.Event()
-        self._threads: list[threading.Thread] = []
-        self._sender = threading.Thread(target=self._run, daemon=True)
-        self._sender.start()
-
-    def stop(self) -> None:
-        """Send no more, and wait for all answers."""
-        self._stopped.set()
-        self._sender.join()
-        for thread in self._threads:
-            thread.join(15.0)
-
-    def _run(self) -> None:
-        number = 0
-        while not self._stopped.wait(1.0 / self._per_second):
-            number += 1
-            arguments = f"{number:016x}", number % 2 == 1
-            thread = threading.Thread(target=self.send, args=arguments, daemon=True)
-            self._threads.append(thread)
-            thread.start()
 
 
 def order(attempt_id: str) -> bytes:
@@ -864,6 +801,8 @@
     The case returns 0, 1 or 2 and a line that tells why.
     """
     with_trouble = os.environ.get("TROUBLE", "1") != "0"
+    # Ends the hosts as well.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     record = Record(folder)
     store = Store(record)
     fleet = Fleet(record, store)
